Rename packages/platform to packages/clients, so that the users' adapter can be platform/

Cause: the adapter to the users' platform has to stand in the top folder platform/; two things must not share a name. The package holds HTTP clients of the services that our stand-ins speak.

--- a/bench/src/benches/path.ts
+++ b/bench/src/benches/path.ts
@@ -1,5 +1,5 @@
 import { setTimeout as sleep } from 'node:timers/promises';
-import { HttpModelEngine } from '@laburnumstream/platform';
+import { HttpModelEngine } from '@laburnumstream/clients';
 import { Caller } from '../caller.js';
 import type { BenchRun, Measurement } from '../figure.js';
 import { Fleet } from '../fleet.js';
--- a/bench/src/weights/weightWorker.ts
+++ b/bench/src/weights/weightWorker.ts
@@ -10,7 +10,7 @@
 import type { WantedVersion } from '@laburnumstream/agent';
 import type { Instance } from '@laburnumstream/common';
 import { sendingPriority, sourceOrders } from '@laburnumstream/decisions';
-import { HttpWeightOrigin } from '@laburnumstream/platform';
+import { HttpWeightOrigin } from '@laburnumstream/clients';
 import { HistogramMetrics, LoggerFactory, SystemClock } from '@laburnumstream/runtime';
 
 /** What a worker process is started with. */
--- a/features/steps/admission.steps.ts
+++ b/features/steps/admission.steps.ts
@@ -4,7 +4,7 @@
 import { Caller, Fleet } from '@laburnumstream/bench';
 import type { FleetShape, Seen } from '@laburnumstream/bench';
 import { AdmissionLimit, LatencyJump } from '@laburnumstream/decisions';
-import { HttpModelEngine } from '@laburnumstream/platform';
+import { HttpModelEngine } from '@laburnumstream/clients';
 import { EngineStandIn } from '@laburnumstream/standins';
 import { eventually } from '../support/assertions.js';
 import { AdmissionHistory } from '../support/admissionHistory.js';
--- a/features/steps/weightTransfer.steps.ts
+++ b/features/steps/weightTransfer.steps.ts
@@ -12,7 +12,7 @@
   sourceOrders,
 } from '@laburnumstream/decisions';
 import type { ChunkFetch, WeightMember } from '@laburnumstream/decisions';
-import { HttpKeyValueStore } from '@laburnumstream/platform';
+import { HttpKeyValueStore } from '@laburnumstream/clients';
 import { SystemClock } from '@laburnumstream/runtime';
 import { KeyValueStandIn } from '@laburnumstream/standins';
 
--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -9,7 +9,7 @@
   HttpKeyValueStore,
   HttpWeightOrigin,
   Instances,
-} from '@laburnumstream/platform';
+} from '@laburnumstream/clients';
 import { AgentService } from '@laburnumstream/protocol';
 import {
   HistogramMetrics,
--- a/packages/agent/src/openEndpoint.ts
+++ b/packages/agent/src/openEndpoint.ts
@@ -1,5 +1,5 @@
 import type { Clock } from '@laburnumstream/common';
-import { HttpModelEngine, HttpPlainService } from '@laburnumstream/platform';
+import { HttpModelEngine, HttpPlainService } from '@laburnumstream/clients';
 import type { AgentSettings } from '@laburnumstream/runtime';
 import type { EndpointGate } from './endpointGate.js';
 import type { Endpoint } from './endpointRuns.js';
--- a/packages/agent/src/weightPeers.ts
+++ b/packages/agent/src/weightPeers.ts
@@ -1,7 +1,7 @@
 import { NotFound, Unavailable } from '@laburnumstream/common';
 import type { Instance, Manifest } from '@laburnumstream/common';
 import { Topology, transferDefaults } from '@laburnumstream/decisions';
-import { HttpClient } from '@laburnumstream/platform';
+import { HttpClient } from '@laburnumstream/clients';
 
 /** Time for which a peer may wait for something that it does not hold yet, in milliseconds. */
 const waitMs = 1_000;
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -22,7 +22,7 @@
   HttpKeyValueStore,
   HttpWeightOrigin,
   Instances,
-} from '@laburnumstream/platform';
+} from '@laburnumstream/clients';
 import { EntryService } from '@laburnumstream/protocol';
 import type { Member } from '@laburnumstream/protocol';
 import { AttemptReader } from './attempt.js';
