--- a/eslint.config.js
+++ b/eslint.config.js
@@ -14,6 +14,7 @@
   agent: ['common', 'decisions', 'links', 'clients', 'protocol', 'runtime'],
   cli: ['common', 'agent', 'entry', 'runtime'],
   standins: ['common', 'decisions'],
+  forwarding: ['common', 'decisions', 'protocol', 'runtime'],
 };
 
 const pureImports = ['node:*', 'undici', 'winston', 'nact'];
@@ -94,7 +95,7 @@
 };
 
 export default [
-  { ignores: ['**/dist/**', '**/gen/**', 'node_modules/**'] },
+  { ignores: ['**/dist/**', 'target/**', 'journal/**', '**/gen/**', 'node_modules/**'] },
   plugins.stylistic,
   plugins.importX,
   plugins.node,
@@ -113,7 +114,7 @@
     rules: { 'no-bitwise': 'off', '@typescript-eslint/class-methods-use-this': 'off' },
   },
   {
-    files: ['eslint.config.js', 'features/**', 'bench/**'],
+    files: ['eslint.config.js', 'platform/bundle.mjs', 'features/**', 'bench/**'],
     rules: { 'no-console': 'off', 'import-x/no-extraneous-dependencies': 'off' },
   },
 ].filter(Boolean);
--- a/packages/common/src/failures.ts
+++ b/packages/common/src/failures.ts
@@ -128,6 +128,13 @@
   }
 }
 
+/** The store no longer has the history after the revision that was asked for. */
+export class HistoryLost extends Failure {
+  constructor(revision: number) {
+    super('history_lost', `The store has no history after revision ${revision}.`, { status: 410 });
+  }
+}
+
 /** The change is certainly not part of the configuration; sending it again is safe. */
 export class NotAccepted extends Failure {
   constructor(message: string, cause?: unknown) {
--- a/packages/common/src/services.ts
+++ b/packages/common/src/services.ts
@@ -212,3 +212,37 @@
   call(call: PlainCall, signal: AbortSignal): Promise<PlainAnswer>;
   load(signal?: AbortSignal): Promise<LoadReport>;
 }
+
+/** All values under a prefix, and the store's revision up to which they are complete. */
+export interface StoreSnapshot {
+  readonly values: readonly StoredValue[];
+  readonly revision: number;
+}
+
+/** A write or, without a value, a removal. */
+export interface StoreChange {
+  readonly key: string;
+  readonly value: string | undefined;
+  readonly revision: number;
+}
+
+/** Changes in their order, and the revision after which to go on. */
+export interface StoreChanges {
+  readonly changes: readonly StoreChange[];
+  readonly revision: number;
+}
+
+/** Follows what changes under a prefix of a store. Every call throws `StoreUnavailable` on an outage. */
+export interface StoreFeed {
+  snapshot(prefix: string, signal?: AbortSignal): Promise<StoreSnapshot>;
+  /**
+   * Waits up to `waitMs` for changes after a revision; none when nothing changed.
+   * Throws `HistoryLost` when the store no longer knows that revision.
+   */
+  changes(
+    prefix: string,
+    after: number,
+    waitMs: number,
+    signal?: AbortSignal,
+  ): Promise<StoreChanges>;
+}
--- /dev/null
+++ b/packages/decisions/src/forwarding/configurationProof.ts
@@ -0,0 +1,25 @@
+/**
+ * Age of the proof that the configuration in use is the newest one. A proof dates from before the
+ * call to the store that gave it. Times come from a clock that also runs while the machine sleeps.
+ */
+export class ConfigurationProof {
+  private provenAt = -Infinity;
+
+  constructor(
+    /** Age up to which keys of the configuration are honoured, in milliseconds. */
+    private readonly longestAgeMs: number,
+  ) {}
+
+  /** The store confirmed the configuration in a call that began at `calledAt`. */
+  confirm(calledAt: number): void {
+    this.provenAt = Math.max(this.provenAt, calledAt);
+  }
+
+  ageMs(now: number): number {
+    return now - this.provenAt;
+  }
+
+  isFresh(now: number): boolean {
+    return this.ageMs(now) < this.longestAgeMs;
+  }
+}
--- /dev/null
+++ b/packages/decisions/src/forwarding/engineModel.ts
@@ -0,0 +1,58 @@
+import type { EngineProfile } from '@laburnumstream/common';
+
+const secondMs = 1_000;
+const thousand = 1_000;
+const million = 1_000_000;
+
+/**
+ * Times of a model engine that runs its requests in one batch: each pass writes a few tokens of every
+ * running request, and prompts are read between passes. All times are in milliseconds.
+ */
+export class EngineModel {
+  readonly slots: number;
+
+  /** Time between two requests that end, while all slots are taken by usual requests. */
+  readonly turnoverMs: number;
+
+  private readonly usualContext: number;
+
+  constructor(private readonly profile: EngineProfile) {
+    const { slots, stride, usualPromptTokens, usualAnswerTokens } = profile;
+    this.slots = slots;
+    this.usualContext = usualPromptTokens + usualAnswerTokens / 2;
+    const passes = Math.max(1, usualAnswerTokens / stride);
+    this.turnoverMs = this.readMs(usualPromptTokens) + (passes * this.passMs(slots)) / slots;
+  }
+
+  /** Time of one pass with a number of requests that are writing. */
+  passMs(writers: number): number {
+    const { stride, stepMs, stepMsPerSequence, stepMsPerThousandTokens } = this.profile;
+    const contextMs = ((writers * this.usualContext) / thousand) * stepMsPerThousandTokens;
+    return stride * (stepMs + writers * stepMsPerSequence + contextMs);
+  }
+
+  /** Time to read a prompt. */
+  readMs(tokens: number): number {
+    const { readTokensPerSecond, readMsPerMillionPairs } = this.profile;
+    const pairs = (tokens * tokens) / 2;
+    return (tokens / readTokensPerSecond) * secondMs + (pairs / million) * readMsPerMillionPairs;
+  }
+
+  /** Work that a request is for the engine, as time of a full batch. */
+  workMs(promptTokens: number, answerTokens: number): number {
+    const passes = Math.max(1, answerTokens / this.profile.stride);
+    return this.readMs(promptTokens) + (passes * this.passMs(this.slots)) / this.slots;
+  }
+
+  /**
+   * Time until the first event of a new request.
+   * @param occupied requests at the engine, running and waiting
+   * @param unreadMs time for the prompts that are to be read before
+   * @param promptTokens the request's own prompt
+   */
+  firstEventMs(occupied: number, unreadMs: number, promptTokens: number): number {
+    const ahead = Math.max(0, occupied + 1 - this.slots);
+    const pass = this.passMs(Math.min(occupied + 1, this.slots));
+    return ahead * this.turnoverMs + pass / 2 + unreadMs + this.readMs(promptTokens) + pass;
+  }
+}
--- /dev/null
+++ b/packages/decisions/src/forwarding/index.ts
@@ -0,0 +1,12 @@
+/** Forwarding of requests to endpoints: where they go, how long they wait, when they are repeated. */
+export * from './attemptResult.js';
+export * from './configurationProof.js';
+export * from './endpointLoad.js';
+export * from './engineModel.js';
+export * from './eventSplitter.js';
+export * from './placement.js';
+export * from './routeTable.js';
+export * from './sharedRate.js';
+export * from './sharedRetryBudget.js';
+export * from './slidingCount.js';
+export * from './waitingLine.js';
--- /dev/null
+++ b/packages/decisions/src/forwarding/placement.ts
@@ -0,0 +1,61 @@
+import type { Random } from '@laburnumstream/common';
+import type { EndpointLoad } from './endpointLoad.js';
+import type { EngineModel } from './engineModel.js';
+
+/** An endpoint among which a request is placed. */
+export interface PlacementTarget {
+  readonly id: string;
+  readonly load: EndpointLoad;
+  /** Requests that it runs at once. */
+  readonly slots: number;
+  /** Timing of a model engine; undefined for a plain service. */
+  readonly model: EngineModel | undefined;
+  /** Whether it stands in this entry's region. */
+  readonly isNear: boolean;
+}
+
+/** What a request asks of an endpoint. */
+export interface Demand {
+  readonly promptTokens: number;
+}
+
+/** An endpoint for a request and the time until its answer or first event, in milliseconds. */
+export interface Placement<Target extends PlacementTarget> {
+  readonly target: Target;
+  readonly expectedMs: number;
+}
+
+/** Time by which an endpoint of another region must be better to be preferred, in milliseconds. */
+const farMs = 60;
+/** Estimates that differ by less than this are equal, so that entries do not all choose one. */
+const jitterMs = 15;
+/** Time of a plain service's answer when all its slots are free, in milliseconds. */
+const plainMs = 20;
+
+/** Time until the first event of a request at an endpoint, in milliseconds. */
+export function expectedMs(target: PlacementTarget, { promptTokens }: Demand, now: number): number {
+  const { load, model, slots } = target;
+  const occupied = load.occupied(now);
+  if (model) return load.pace * model.firstEventMs(occupied, load.unreadMs, promptTokens);
+  const ahead = slots > 0 ? Math.max(0, occupied + 1 - slots) / slots : occupied;
+  return load.pace * plainMs * (1 + ahead) + occupied;
+}
+
+/** The endpoint with the shortest time until the first event; near ones are preferred. */
+export function bestPlacement<Target extends PlacementTarget>(
+  targets: readonly Target[],
+  demand: Demand,
+  now: number,
+  random: Random,
+): Placement<Target> | undefined {
+  let best: Placement<Target> | undefined;
+  let bestCost = Infinity;
+  targets.forEach((target) => {
+    const expected = expectedMs(target, demand, now);
+    const cost = expected + (target.isNear ? 0 : farMs) + random.next() * jitterMs;
+    if (cost >= bestCost) return;
+    bestCost = cost;
+    best = { target, expectedMs: expected };
+  });
+  return best;
+}
--- /dev/null
+++ b/packages/decisions/src/forwarding/routeTable.ts
@@ -0,0 +1,52 @@
+import type { FleetConfiguration, Random, Route, Workspace } from '@laburnumstream/common';
+
+/** Index of one configuration's routes and keys; built once, then only read. */
+export class RouteTable {
+  /** Routes of each host by path prefix. */
+  private readonly hosts = new Map<string, Map<string, Route>>();
+
+  private readonly workspaces = new Map<string, Workspace>();
+
+  constructor(readonly configuration: FleetConfiguration) {
+    configuration.routes.forEach((route) => this.addRoute(route));
+    configuration.workspaces.forEach((workspace) =>
+      workspace.keys.forEach((key) => this.workspaces.set(key, workspace)),
+    );
+  }
+
+  /** The route of a host with the longest prefix that begins the path. */
+  find(host: string, path: string): Route | undefined {
+    const routes = this.hosts.get(host.toLowerCase());
+    if (!routes) return undefined;
+    for (let end = path.lastIndexOf('/'); end >= 0; end = path.lastIndexOf('/', end - 1)) {
+      const route = routes.get(path.slice(0, end + 1));
+      if (route) return route;
+      // `lastIndexOf` clamps a negative position to 0.
+      if (end === 0) break;
+    }
+    return undefined;
+  }
+
+  /** The workspace that holds a key. */
+  workspaceOf(key: string): Workspace | undefined {
+    return this.workspaces.get(key);
+  }
+
+  private addRoute(route: Route): void {
+    const host = route.host.toLowerCase();
+    const routes = this.hosts.get(host) ?? new Map<string, Route>();
+    routes.set(route.pathPrefix, route);
+    this.hosts.set(host, routes);
+  }
+}
+
+/** The service for one request of a route, drawn by the targets' weights. */
+export function drawService(route: Route, random: Random): string | undefined {
+  const total = route.targets.reduce((sum, { weight }) => sum + weight, 0);
+  let left = random.next() * total;
+  const drawn = route.targets.find(({ weight }) => {
+    left -= weight;
+    return left < 0;
+  });
+  return (drawn ?? route.targets[0])?.service;
+}
--- /dev/null
+++ b/packages/decisions/src/forwarding/sharedRetryBudget.ts
@@ -0,0 +1,62 @@
+import { SlidingCount } from './slidingCount.js';
+
+/** Bound on repeated sends to one service by all entries together. */
+export interface RetryBound {
+  /** Repeats that each request earns. */
+  readonly ratio: number;
+  /** Repeats in each window besides, for all entries together. */
+  readonly slack: number;
+  readonly windowMs: number;
+}
+
+/** Part of the bound that is used: entries may disagree on their number for a moment. */
+const usedShare = 0.8;
+
+interface ServiceCounts {
+  readonly requests: SlidingCount;
+  readonly repeats: SlidingCount;
+}
+
+/**
+ * One entry's share of a bound on repeats that all entries keep together without asking each other:
+ * what its own requests earn, and an equal part of the slack.
+ */
+export class SharedRetryBudget {
+  private readonly services = new Map<string, ServiceCounts>();
+
+  constructor(
+    private readonly bound: RetryBound,
+    /** Entries that may be at work. */
+    private readonly entries: () => number,
+  ) {}
+
+  /** A caller's request for a service has come. */
+  earn(service: string, now: number): void {
+    this.countsOf(service).requests.add(1, now);
+  }
+
+  /** Whether one more repeat fits. */
+  has(service: string, now: number): boolean {
+    const { requests, repeats } = this.countsOf(service);
+    const { ratio, slack } = this.bound;
+    const earned = requests.total(now) * ratio + slack / Math.max(1, this.entries());
+    return repeats.total(now) + 1 <= earned * usedShare;
+  }
+
+  /** Takes one repeat; returns whether it fits. */
+  spend(service: string, now: number): boolean {
+    if (!this.has(service, now)) return false;
+    this.countsOf(service).repeats.add(1, now);
+    return true;
+  }
+
+  private countsOf(service: string): ServiceCounts {
+    let counts = this.services.get(service);
+    if (!counts) {
+      const { windowMs } = this.bound;
+      counts = { requests: new SlidingCount(windowMs), repeats: new SlidingCount(windowMs) };
+      this.services.set(service, counts);
+    }
+    return counts;
+  }
+}
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -13,6 +13,7 @@
 export * from './configuration/policy.js';
 export * from './configuration/schema.js';
 export * from './fairQueue.js';
+export * from './forwarding/index.js';
 export * from './frameOrder.js';
 export * from './home.js';
 export * from './latencyJump.js';
--- /dev/null
+++ b/packages/forwarding/src/callerServer.ts
@@ -0,0 +1,223 @@
+import { createServer } from 'node:http';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import {
+  Execution,
+  Failure,
+  NotFound,
+  Timeout,
+  TooLarge,
+  Unauthenticated,
+  Unavailable,
+  toFailure,
+} from '@laburnumstream/common';
+import type {
+  Clock,
+  Log,
+  Metrics,
+  Random,
+  Repetition,
+  Route,
+  Workspace,
+} from '@laburnumstream/common';
+import { drawService } from '@laburnumstream/decisions';
+import type { RouteTable } from '@laburnumstream/decisions';
+import { callerLeft, deadlinePassed } from './exchange.js';
+import type { Exchange } from './exchange.js';
+import type { FleetState } from './fleetState.js';
+import type { HeaderCodec } from './headerCodec.js';
+import type { RequestHead } from './heads.js';
+
+/** Forwards requests of one way of repetition. */
+export interface Forwarding {
+  serve(exchange: Exchange): Promise<void>;
+}
+
+/** Tells whether keys of the configuration in use may be honoured now. */
+export type KeyProof = () => boolean;
+
+/** Delay after which a caller comes back when this entry can't serve yet, in milliseconds. */
+const returnMs = 700;
+/** Idle time beyond the operators' limit after which a caller's connection is closed. */
+const idleSlackMs = 5_000;
+const idleFloorMs = 60_000;
+
+async function readBody(request: IncomingMessage, maxBytes: number): Promise<Buffer> {
+  const parts: Buffer[] = [];
+  let size = 0;
+  for await (const part of request as AsyncIterable<Buffer>) {
+    size += part.length;
+    if (size > maxBytes) throw new TooLarge(`The body is larger than ${maxBytes} bytes.`);
+    parts.push(part);
+  }
+  return parts.length === 1 ? parts[0]! : Buffer.concat(parts);
+}
+
+function pathOf(url: string): string {
+  const query = url.indexOf('?');
+  return query < 0 ? url : url.slice(0, query);
+}
+
+/** The route of a request and who sent it. */
+interface Admission {
+  readonly route: Route;
+  readonly workspace: Workspace | undefined;
+}
+
+/** Takes callers' requests, checks them and hands them to the forwarding of their route. */
+export class CallerServer {
+  private readonly server: Server;
+
+  private running = 0;
+
+  private isLeaving = false;
+
+  constructor(
+    private readonly state: FleetState,
+    private readonly hasProof: KeyProof,
+    private readonly forwardings: Readonly<Record<Repetition, Forwarding>>,
+    private readonly codec: HeaderCodec,
+    private readonly clock: Clock,
+    private readonly random: Random,
+    private readonly metrics: Metrics,
+    private readonly log: Log,
+  ) {
+    this.server = createServer(
+      { keepAlive: true, noDelay: true, requestTimeout: 0, connectionsCheckingInterval: 5_000 },
+      (request, response) => void this.handle(request, response),
+    );
+    this.applyLimits();
+  }
+
+  /** Requests that are being served. */
+  get active(): number {
+    return this.running;
+  }
+
+  /** Listens on an address; rejects when that fails. */
+  listen(host: string, port: number): Promise<void> {
+    return new Promise((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(port, host, () => resolve());
+    });
+  }
+
+  /** Takes the limits of the newest configuration. */
+  applyLimits(): void {
+    const limits = this.state.routes?.configuration.limits;
+    this.server.keepAliveTimeout = Math.max(
+      idleFloorMs,
+      (limits?.idleTimeoutMs ?? 0) + idleSlackMs,
+    );
+    this.server.headersTimeout = 0;
+  }
+
+  /** From now on each answer asks the caller to close its connection. */
+  leave(): void {
+    this.isLeaving = true;
+  }
+
+  /** Takes no more connections and closes those that carry no request. */
+  closeIdle(): void {
+    this.server.close();
+    this.server.closeIdleConnections();
+  }
+
+  private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    this.running += 1;
+    const arrivedAt = this.clock.now();
+    if (this.isLeaving) response.setHeader('connection', 'close');
+    const head = this.codec.decodeRequestHead(request.headers);
+    const owner = new AbortController();
+    let timer: NodeJS.Timeout | undefined;
+    response.once('close', () => {
+      if (!response.writableFinished) owner.abort(callerLeft);
+    });
+    try {
+      const { routes } = this.state;
+      if (!routes) throw new Unavailable('No configuration is known yet.', returnMs);
+      const { route, workspace } = this.admit(routes, request, head);
+      const waitsMs = Math.min(head.timeLeftMs ?? route.timeoutMs, route.timeoutMs);
+      timer = setTimeout(() => owner.abort(deadlinePassed), waitsMs);
+      const body = await readBody(request, routes.configuration.limits.maxBodyBytes);
+      const service = drawService(route, this.random);
+      if (service === undefined) throw new NotFound('The route leads to no service.');
+      const { signal } = owner;
+      const deadlineAt = arrivedAt + waitsMs;
+      const exchange = {
+        request,
+        response,
+        head,
+        route,
+        service,
+        workspace,
+        body,
+        arrivedAt,
+        deadlineAt,
+        signal,
+      };
+      await this.forwardings[route.repetition].serve(exchange);
+      this.metrics.count('requests_answered');
+    } catch (error) {
+      this.fail(request, response, head, owner.signal, error);
+    } finally {
+      clearTimeout(timer);
+      this.running -= 1;
+      this.metrics.observe('request', this.clock.now() - arrivedAt);
+    }
+  }
+
+  /** Finds the route and checks the key. */
+  private admit(routes: RouteTable, request: IncomingMessage, head: RequestHead): Admission {
+    const { host = '' } = request.headers;
+    const route = routes.find(host.split(':')[0]!, pathOf(request.url ?? '/'));
+    if (!route) throw new NotFound('No route matches the host and path.');
+    if (route.isPublic || !routes.configuration.needsKeys) return { route, workspace: undefined };
+    // A key that is known here may have been taken away, and an unknown one may have been added.
+    if (!this.hasProof()) throw new Unavailable('Keys can not be checked now.', returnMs);
+    if (head.key === undefined) throw new Unauthenticated('A key is required.');
+    const workspace = routes.workspaceOf(head.key);
+    if (!workspace) throw new Unauthenticated('The key is not known.');
+    return { route, workspace };
+  }
+
+  private fail(
+    request: IncomingMessage,
+    response: ServerResponse,
+    { id }: RequestHead,
+    signal: AbortSignal,
+    error: unknown,
+  ): void {
+    if (signal.reason === callerLeft) {
+      this.metrics.count('requests_left');
+      this.log.info('Caller left.', { id });
+      return;
+    }
+    const failure = signal.reason === deadlinePassed ? CallerServer.late(error) : toFailure(error);
+    const { status, type, execution, retryAfterMs, message } = failure;
+    this.metrics.count(`requests_failed_${type}`);
+    this.log.info('Request failed.', {
+      id,
+      status,
+      type,
+      execution,
+      path: request.url,
+      reason: message,
+    });
+    if (response.headersSent) {
+      response.destroy();
+      return;
+    }
+    const headers = retryAfterMs === undefined ? [] : this.codec.encodeReturnTime(retryAfterMs);
+    // The rest of a body that was not read would be taken for the next request.
+    if (!request.complete) headers.push('connection', 'close');
+    response.writeHead(status, [...headers, 'content-length', '0']);
+    response.end();
+  }
+
+  /** The failure of a request whose deadline has passed. */
+  private static late(error: unknown): Failure {
+    const { execution } = toFailure(error);
+    if (execution !== Execution.notRun) return new Timeout('The deadline has passed.');
+    return new Unavailable('No endpoint was free before the deadline.', 0);
+  }
+}
--- /dev/null
+++ b/packages/forwarding/src/dispatchLine.ts
@@ -0,0 +1,162 @@
+import { Unavailable } from '@laburnumstream/common';
+import type { Clock, Log, Metrics, Random } from '@laburnumstream/common';
+import { WaitingLine, bestPlacement } from '@laburnumstream/decisions';
+import type { Demand, Placement, WaitingRequest } from '@laburnumstream/decisions';
+import type { Eligibility, EndpointDirectory } from './endpointDirectory.js';
+import type { EndpointHandle } from './endpointHandle.js';
+
+/** A request that needs an endpoint. */
+export interface PlacedRequest extends WaitingRequest {
+  readonly id: string;
+  readonly service: string;
+  readonly demand: Demand;
+  readonly eligibility: Eligibility;
+  /** Monotonic time until which its first event is of full use, in milliseconds. */
+  readonly goalAt: number;
+  /** Monotonic time of its final answer, in milliseconds. */
+  readonly deadlineAt: number;
+}
+
+interface Pending extends PlacedRequest {
+  readonly resolve: (placement: Placement<EndpointHandle>) => void;
+  readonly reject: (error: unknown) => void;
+}
+
+/** Time between looks at waiting requests when nothing happens, in milliseconds. */
+const lookMs = 20;
+/** Time for the answer's way back, in milliseconds. */
+const wayBackMs = 10;
+/** Longest wait of a request whose goal has passed, in milliseconds. */
+const lateWaitMs = 250;
+/** Part of the time to the goal that the estimate may fill. */
+const estimateShare = 0.9;
+/** Time after which callers are told to come back, in milliseconds. */
+const returnMs = { least: 900, spread: 700 } as const;
+/** Part of a caller's time left that it waits at most before it comes back. */
+const longestReturnShare = 1 / 3;
+
+/** Lets requests wait for endpoints that can answer them in time, and refuses the others. */
+export class DispatchLine {
+  private readonly lines = new Map<string, WaitingLine<Pending>>();
+
+  private timer: NodeJS.Timeout | undefined;
+
+  constructor(
+    private readonly directory: EndpointDirectory,
+    private readonly clock: Clock,
+    private readonly random: Random,
+    private readonly metrics: Metrics,
+    private readonly log: Log,
+  ) {}
+
+  /** Resolves with an endpoint; throws `Unavailable` when the request can't be served. */
+  place(request: PlacedRequest, signal: AbortSignal): Promise<Placement<EndpointHandle>> {
+    const now = this.clock.now();
+    const line = this.lineOf(request.service);
+    const placement = line.length === 0 ? this.find(request, now) : undefined;
+    if (placement) return Promise.resolve(this.took(request, placement, now));
+    if (!this.mayWait(request, now)) return Promise.reject(this.refusal(request, now));
+    return new Promise((resolve, reject) => {
+      const pending: Pending = { ...request, resolve, reject };
+      const leave = (): void => {
+        if (line.remove(pending)) reject(new Unavailable('The request ended while it waited.', 0));
+      };
+      signal.addEventListener('abort', leave, { once: true });
+      line.add(pending);
+      this.look(request.service);
+      this.schedule();
+    });
+  }
+
+  /** Looks at the waiting requests of a service after room may have come. */
+  look(service: string): void {
+    const line = this.lines.get(service);
+    if (!line || line.length === 0) return;
+    const now = this.clock.now();
+    line.ordered().forEach((pending) => {
+      const placement = this.find(pending, now);
+      if (placement) {
+        line.remove(pending);
+        pending.resolve(this.took(pending, placement, now));
+      } else if (!this.mayWait(pending, now)) {
+        line.remove(pending);
+        pending.reject(this.refusal(pending, now));
+      }
+    });
+  }
+
+  lookAtAll(): void {
+    this.lines.forEach((_line, service) => this.look(service));
+  }
+
+  private schedule(): void {
+    if (this.timer) return;
+    this.timer = setTimeout(() => {
+      this.timer = undefined;
+      this.lookAtAll();
+      if ([...this.lines.values()].some(({ length }) => length > 0)) this.schedule();
+    }, lookMs);
+  }
+
+  private find(request: PlacedRequest, now: number): Placement<EndpointHandle> | undefined {
+    const { service, eligibility, demand } = request;
+    const targets = this.directory.usable(service, eligibility);
+    const best = bestPlacement(targets, demand, now, this.random);
+    if (!best) return undefined;
+    const left = (request.goalAt - now - wayBackMs) * estimateShare;
+    if (best.expectedMs <= left) return best;
+    const { load, slots } = best.target;
+    const isLate = now >= request.goalAt - wayBackMs;
+    return isLate && load.occupied(now) < slots ? best : undefined;
+  }
+
+  private mayWait(request: PlacedRequest, now: number): boolean {
+    if (!this.directory.canServe(request.service, request.eligibility)) return false;
+    if (now < request.goalAt - wayBackMs) return true;
+    return now - request.arrivedAt < lateWaitMs;
+  }
+
+  private took(
+    request: PlacedRequest,
+    placement: Placement<EndpointHandle>,
+    now: number,
+  ): Placement<EndpointHandle> {
+    const { target, expectedMs } = placement;
+    this.lineOf(request.service).countServed(request.workspace);
+    this.metrics.observe('request_wait', now - request.arrivedAt);
+    this.log.debug('Request placed.', {
+      id: request.id,
+      endpoint: target.id,
+      expectedMs: Math.round(expectedMs),
+      occupied: target.load.occupied(now),
+      reportAgeMs: Math.round(target.load.reportAgeMs(now)),
+      waitedMs: Math.round(now - request.arrivedAt),
+    });
+    return placement;
+  }
+
+  private refusal(request: PlacedRequest, now: number): Unavailable {
+    const { id, service } = request;
+    const left = Math.max(0, request.deadlineAt - now);
+    const wished = returnMs.least + this.random.next() * returnMs.spread;
+    const retryAfterMs = Math.min(wished, left * longestReturnShare);
+    this.metrics.count('requests_refused');
+    this.log.info('Request refused.', {
+      id,
+      service,
+      waitedMs: Math.round(now - request.arrivedAt),
+      waiting: this.lineOf(service).length,
+      retryAfterMs: Math.round(retryAfterMs),
+    });
+    return new Unavailable('No endpoint can answer in time.', retryAfterMs);
+  }
+
+  private lineOf(service: string): WaitingLine<Pending> {
+    let line = this.lines.get(service);
+    if (!line) {
+      line = new WaitingLine();
+      this.lines.set(service, line);
+    }
+    return line;
+  }
+}
--- /dev/null
+++ b/packages/forwarding/src/endpointCall.ts
@@ -0,0 +1,171 @@
+import type { IncomingHttpHeaders } from 'node:http';
+import { Aborted } from '@laburnumstream/common';
+import type { Dispatcher } from 'undici';
+import type { ConnectionPool } from './connectionPool.js';
+import type { EndpointConnection } from './endpointConnection.js';
+import type { AnswerHead } from './heads.js';
+import type { HeaderCodec } from './headerCodec.js';
+
+/** How a call to an endpoint failed. */
+export const CallFault = {
+  /** No connection came to be; nothing was sent. */
+  connection: 'connection',
+  /** The connection ended, or its bytes were no answer, before the answer began. */
+  broken: 'broken',
+  /** The answer began and is not whole. */
+  truncated: 'truncated',
+  /** The answer belongs to another request. */
+  crossed: 'crossed',
+  /** This process ended the call. */
+  aborted: 'aborted',
+} as const;
+
+/** One of the values of {@link CallFault}. */
+export type CallFault = (typeof CallFault)[keyof typeof CallFault];
+
+/** What a call tells its owner. After `ended` or `failed` it tells nothing more. */
+export interface CallObserver {
+  began(status: number, head: AnswerHead, rawHeaders: readonly string[]): void;
+  data(bytes: Buffer): void;
+  ended(): void;
+  failed(fault: CallFault, reason: string): void;
+}
+
+/** A request as it is sent to an endpoint. */
+export interface CallRequest {
+  readonly method: string;
+  readonly path: string;
+  readonly id: string;
+  /** Names and values in turn. */
+  readonly headers: string[];
+  readonly body: Buffer;
+}
+
+const firstErrorStatus = 300;
+
+function textOf(raw: Dispatcher.DispatchController['rawHeaders']): string[] {
+  if (!Array.isArray(raw)) return [];
+  return raw.map((part) => (typeof part === 'string' ? part : part.toString('latin1')));
+}
+
+/** One request to an endpoint on one connection. */
+export class EndpointCall implements Dispatcher.DispatchHandler {
+  private controller: Dispatcher.DispatchController | undefined;
+
+  private readonly connection: EndpointConnection;
+
+  private sent = false;
+
+  private hasBegun = false;
+
+  private hasEnded = false;
+
+  /** Whether the answer names its own end, by a length or in chunks. */
+  private isFramed = true;
+
+  constructor(
+    private readonly pool: ConnectionPool,
+    private readonly request: CallRequest,
+    longestIdleMs: number,
+    private readonly codec: HeaderCodec,
+    private readonly observer: CallObserver,
+  ) {
+    this.connection = pool.take(longestIdleMs);
+  }
+
+  /** Whether any byte may have reached the endpoint. */
+  get wasSent(): boolean {
+    return this.sent;
+  }
+
+  get isReused(): boolean {
+    return this.connection.isReused;
+  }
+
+  start(): void {
+    const { method, path, headers, body } = this.request;
+    const options = {
+      method,
+      path,
+      headers,
+      body: body.length > 0 ? body : null,
+      blocking: false,
+    };
+    this.connection.dispatch(options, this);
+  }
+
+  /** Ends the call; the endpoint sees its connection close. */
+  abort(): void {
+    if (this.hasEnded) return;
+    this.hasEnded = true;
+    this.controller?.abort(new Aborted());
+    this.connection.destroy();
+  }
+
+  pause(): void {
+    this.controller?.pause();
+  }
+
+  resume(): void {
+    this.controller?.resume();
+  }
+
+  onRequestStart(controller: Dispatcher.DispatchController): void {
+    if (this.hasEnded) {
+      controller.abort(new Aborted());
+      return;
+    }
+    this.controller = controller;
+    this.sent = true;
+  }
+
+  onResponseStart(
+    controller: Dispatcher.DispatchController,
+    status: number,
+    headers: IncomingHttpHeaders,
+  ): void {
+    if (this.hasEnded) return;
+    this.controller = controller;
+    const head = this.codec.decodeAnswerHead(headers);
+    if (head.requestId !== undefined && head.requestId !== this.request.id) {
+      this.fail(CallFault.crossed, `The answer is for ${head.requestId}.`);
+      return;
+    }
+    this.hasBegun = true;
+    this.isFramed =
+      headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
+    this.observer.began(status, head, textOf(controller.rawHeaders));
+  }
+
+  onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
+    if (!this.hasEnded) this.observer.data(chunk);
+  }
+
+  onResponseEnd(): void {
+    if (this.hasEnded) return;
+    if (!this.isFramed && this.connection.wasReset) {
+      this.fail(CallFault.truncated, 'The connection was reset within an answer without a length.');
+      return;
+    }
+    this.hasEnded = true;
+    this.pool.giveBack(this.connection);
+    this.observer.ended();
+  }
+
+  onResponseError(_controller: Dispatcher.DispatchController, error: Error): void {
+    if (this.hasEnded) return;
+    if (!this.sent) this.fail(CallFault.connection, error.message);
+    else this.fail(this.hasBegun ? CallFault.truncated : CallFault.broken, error.message);
+  }
+
+  private fail(fault: CallFault, reason: string): void {
+    this.hasEnded = true;
+    this.connection.destroy();
+    this.observer.failed(fault, reason);
+  }
+}
+
+/** Whether a status is a success. */
+export function isSuccess(status: number): boolean {
+  return status >= 200 && status < firstErrorStatus;
+}
--- /dev/null
+++ b/packages/forwarding/src/endpointDirectory.ts
@@ -0,0 +1,156 @@
+import type {
+  Clock,
+  Endpoint,
+  FleetSettings,
+  Metrics,
+  ServiceProfile,
+} from '@laburnumstream/common';
+import { EndpointHandle } from './endpointHandle.js';
+import type { FleetState } from './fleetState.js';
+
+/** What a request needs of an endpoint besides room. */
+export interface Eligibility {
+  /** Regions in which it may be served; empty for all. */
+  readonly homeRegions: readonly (readonly string[])[];
+  readonly tried: ReadonlySet<string>;
+}
+
+/** Time before the end of a named version's grace after which the old one is left, in milliseconds. */
+const versionMarginMs = 1_200;
+/** Part of an endpoint's connections that entries use together. */
+const connectionShare = 0.9;
+
+/** The endpoints that this entry may use, by service. */
+export class EndpointDirectory {
+  private readonly handles = new Map<string, EndpointHandle>();
+
+  private readonly byService = new Map<string, EndpointHandle[]>();
+
+  constructor(
+    private readonly settings: FleetSettings,
+    private readonly state: FleetState,
+    private readonly clock: Clock,
+    private readonly metrics: Metrics,
+    /** Entries that share the bounds of endpoints. */
+    private readonly entries: () => number,
+  ) {}
+
+  get all(): Iterable<EndpointHandle> {
+    return this.handles.values();
+  }
+
+  get(id: string): EndpointHandle | undefined {
+    return this.handles.get(id);
+  }
+
+  /** Follows the state of the fleet after a change. */
+  refresh(): void {
+    const { endpoints, routes } = this.state;
+    const services = routes?.configuration.services;
+    this.handles.forEach((handle, id) => {
+      const endpoint = endpoints.get(id);
+      if (
+        endpoint?.bornAt === handle.endpoint.bornAt &&
+        endpoint.address === handle.endpoint.address
+      )
+        return;
+      handle.pool.closeIdle();
+      this.handles.delete(id);
+    });
+    endpoints.forEach((endpoint) => this.take(endpoint, services?.get(endpoint.service)));
+    this.byService.clear();
+    this.handles.forEach((handle) => {
+      const list = this.byService.get(handle.endpoint.service) ?? [];
+      list.push(handle);
+      this.byService.set(handle.endpoint.service, list);
+    });
+  }
+
+  /** Endpoints of a service. */
+  of(service: string): readonly EndpointHandle[] {
+    return this.byService.get(service) ?? [];
+  }
+
+  /** Endpoints of a service that may get a request now. */
+  usable(service: string, eligibility: Eligibility): EndpointHandle[] {
+    const now = this.clock.now();
+    return this.of(service).filter(
+      (handle) => this.mayServe(handle, eligibility, now) && this.hasRoom(handle, now),
+    );
+  }
+
+  /** Whether any endpoint of a service could serve a request, if it had room. */
+  canServe(service: string, eligibility: Eligibility): boolean {
+    const now = this.clock.now();
+    return this.of(service).some((handle) => this.mayServe(handle, eligibility, now));
+  }
+
+  /** A request is about to be sent. */
+  countSend(handle: EndpointHandle): void {
+    const now = this.clock.now();
+    if (now < handle.coldUntil) handle.coldRate.take(now);
+  }
+
+  private take(endpoint: Endpoint, profile: ServiceProfile | undefined): void {
+    const known = this.handles.get(endpoint.id);
+    if (known) {
+      known.endpoint = endpoint;
+      known.takeProfile(profile);
+      this.takeCold(known, endpoint);
+      return;
+    }
+    const region = this.settings.regions.get(endpoint.dataCentre) ?? '';
+    const isNear = region === this.settings.region;
+    const { clock, metrics } = this;
+    const handle = new EndpointHandle(endpoint, profile, isNear, region, clock, metrics);
+    this.takeCold(handle, endpoint);
+    this.handles.set(endpoint.id, handle);
+  }
+
+  private takeCold(handle: EndpointHandle, { coldLeftMs }: Endpoint): void {
+    if (coldLeftMs <= 0) return;
+    Object.assign(handle, {
+      coldUntil: Math.max(handle.coldUntil, this.clock.now() + coldLeftMs),
+    });
+  }
+
+  private mayServe(
+    handle: EndpointHandle,
+    { homeRegions, tried }: Eligibility,
+    now: number,
+  ): boolean {
+    const { endpoint, region } = handle;
+    return (
+      !endpoint.isDraining &&
+      !handle.isSwitching &&
+      !tried.has(endpoint.id) &&
+      !this.state.isEvacuated(endpoint.dataCentre) &&
+      homeRegions.every((homes) => homes.length === 0 || homes.includes(region)) &&
+      this.hasWeights(handle, now)
+    );
+  }
+
+  /** Plain services need no weights; an engine must have all layers of a version still in use. */
+  private hasWeights(handle: EndpointHandle, now: number): boolean {
+    if (!handle.model) return true;
+    const { version, profile } = handle;
+    const model = profile?.engine?.models[0]?.name;
+    if (version === undefined || model === undefined) return false;
+    const wanted = this.state.wantedVersion(model);
+    if (!wanted || version >= wanted.version) return true;
+    return now - wanted.learnedAt < this.settings.bounds.versionMs - versionMarginMs;
+  }
+
+  private hasRoom(handle: EndpointHandle, now: number): boolean {
+    if (now < handle.avoidedUntil) return false;
+    const entries = Math.max(1, this.entries());
+    const { profile, pool, coldRate, coldUntil } = handle;
+    const most = Math.max(
+      1,
+      Math.floor(((profile?.maxConnections ?? 0) * connectionShare) / entries),
+    );
+    if (!pool.hasRoom(most)) return false;
+    if (now >= coldUntil || !profile || profile.coldPerSecond <= 0) return true;
+    return coldRate.fits(Math.max(1, Math.floor(profile.coldPerSecond / entries)), now);
+  }
+}
--- /dev/null
+++ b/packages/forwarding/src/endpointHandle.ts
@@ -0,0 +1,64 @@
+import type { Clock, Endpoint, Metrics, ServiceProfile } from '@laburnumstream/common';
+import { EndpointLoad, EngineModel, SharedRate } from '@laburnumstream/decisions';
+import type { PlacementTarget } from '@laburnumstream/decisions';
+import { ConnectionPool } from './connectionPool.js';
+
+/** Requests at once to a plain service that does not say how many it runs. */
+const defaultSlots = 8;
+
+/** An endpoint as this entry uses it: its connections, its load and how it behaves. */
+export class EndpointHandle implements PlacementTarget {
+  readonly pool: ConnectionPool;
+
+  readonly load = new EndpointLoad();
+
+  readonly coldRate = new SharedRate();
+
+  /** Monotonic time until which it is cold, in milliseconds. */
+  coldUntil = 0;
+
+  /** Monotonic time until which it gets no request, as it did not behave, in milliseconds. */
+  avoidedUntil = 0;
+
+  /** Whole version as the process beside it last said, 0 for none; undefined while it says nothing. */
+  reportedVersion: number | undefined;
+
+  /** Whether the process beside it is about to load other weights. */
+  isSwitching = false;
+
+  model: EngineModel | undefined;
+
+  constructor(
+    public endpoint: Endpoint,
+    public profile: ServiceProfile | undefined,
+    readonly isNear: boolean,
+    readonly region: string,
+    clock: Clock,
+    metrics: Metrics,
+  ) {
+    this.pool = new ConnectionPool(endpoint.address, clock, metrics);
+    this.takeProfile(profile);
+  }
+
+  get id(): string {
+    return this.endpoint.id;
+  }
+
+  get slots(): number {
+    return this.endpoint.slots || defaultSlots;
+  }
+
+  /** Version of the weights whose every layer it holds; undefined when there is none. */
+  get version(): number | undefined {
+    if (this.reportedVersion !== undefined) return this.reportedVersion || undefined;
+    const { layers } = this.endpoint;
+    const isWhole = layers?.from === 0 && layers.to === this.profile?.engine?.layers;
+    return isWhole ? layers.version : undefined;
+  }
+
+  takeProfile(profile: ServiceProfile | undefined): void {
+    if (profile?.engine && profile.engine !== this.profile?.engine) this.model = undefined;
+    this.profile = profile;
+    if (profile?.engine) this.model ??= new EngineModel(profile.engine);
+  }
+}
--- /dev/null
+++ b/packages/forwarding/src/eventRelay.ts
@@ -0,0 +1,120 @@
+import { AnswerUse, EventSplitter, judgeAnswer } from '@laburnumstream/decisions';
+import type { Attempt } from './attempts.js';
+import { CallFault, isSuccess } from './endpointCall.js';
+import type { CallObserver } from './endpointCall.js';
+import type { EventDelivery } from './eventDelivery.js';
+import type { Exchange } from './exchange.js';
+import type { AnswerHead } from './heads.js';
+
+/** How an attempt to stream ended. */
+export type StreamOutcome =
+  | { readonly kind: 'whole' }
+  | {
+      readonly kind: 'answer';
+      readonly status: number;
+      readonly head: AnswerHead;
+      readonly rawHeaders: readonly string[];
+      readonly body: Buffer;
+    }
+  | { readonly kind: 'fault'; readonly fault: CallFault; readonly reason: string };
+
+/** Longest time until the first event of an attempt, in milliseconds. */
+const firstEventTimeoutMs = 1_500;
+/** Longest pause between two events of an attempt, in milliseconds. */
+const pauseTimeoutMs = 1_200;
+
+/** Relays the events of one attempt to the caller. */
+export class EventRelay implements CallObserver {
+  readonly outcome: Promise<StreamOutcome>;
+
+  private attempt: Attempt | undefined;
+
+  private settle: (outcome: StreamOutcome) => void = () => undefined;
+
+  private readonly splitter = new EventSplitter();
+
+  private readonly parts: Buffer[] = [];
+
+  private status = 0;
+
+  private head: AnswerHead | undefined;
+
+  private rawHeaders: readonly string[] = [];
+
+  private isStream = false;
+
+  private timer: NodeJS.Timeout | undefined;
+
+  constructor(
+    private readonly exchange: Exchange,
+    private readonly delivery: EventDelivery,
+  ) {
+    this.outcome = new Promise((resolve) => {
+      this.settle = resolve;
+    });
+  }
+
+  /** Whether any byte of the request may have reached the endpoint. */
+  get wasSent(): boolean {
+    return this.attempt?.call.wasSent ?? false;
+  }
+
+  /** The request has been sent. */
+  follow(attempt: Attempt): void {
+    this.attempt = attempt;
+    this.startTimer(firstEventTimeoutMs);
+  }
+
+  began(status: number, head: AnswerHead, rawHeaders: readonly string[]): void {
+    this.status = status;
+    this.head = head;
+    this.rawHeaders = rawHeaders;
+    this.isStream = isSuccess(status) && judgeAnswer({ status, ...head }).use === AnswerUse.deliver;
+  }
+
+  data(bytes: Buffer): void {
+    if (!this.isStream) {
+      this.parts.push(bytes);
+      return;
+    }
+    const events = this.splitter.take(bytes);
+    if (events.length === 0) return;
+    this.startTimer(pauseTimeoutMs);
+    this.attempt?.wasRead();
+    if (this.delivery.send(this.status, this.rawHeaders, events)) return;
+    this.attempt?.call.pause();
+    this.exchange.response.once('drain', () => this.attempt?.call.resume());
+  }
+
+  ended(): void {
+    clearTimeout(this.timer);
+    if (this.isStream) {
+      this.delivery.finish(this.status, this.rawHeaders, this.splitter.partial);
+      this.settle({ kind: 'whole' });
+      return;
+    }
+    const { status, rawHeaders } = this;
+    const body = Buffer.concat(this.parts);
+    this.settle({ kind: 'answer', status, head: this.head!, rawHeaders, body });
+  }
+
+  failed(fault: CallFault, reason: string): void {
+    clearTimeout(this.timer);
+    this.settle({ kind: 'fault', fault, reason });
+  }
+
+  /** Ends the attempt from this side. */
+  abort(): void {
+    clearTimeout(this.timer);
+    this.attempt?.call.abort();
+    this.attempt?.ended();
+  }
+
+  private startTimer(ms: number): void {
+    clearTimeout(this.timer);
+    this.timer = setTimeout(() => {
+      this.attempt?.call.abort();
+      this.settle({ kind: 'fault', fault: CallFault.aborted, reason: `silent for ${ms} ms` });
+    }, ms);
+  }
+}
--- /dev/null
+++ b/packages/forwarding/src/fleetState.ts
@@ -0,0 +1,148 @@
+import type { Clock, Endpoint, Log, Metrics } from '@laburnumstream/common';
+import { RouteTable } from '@laburnumstream/decisions';
+import type { FleetChange } from './fleetChange.js';
+
+/** A version that operators named, and when this process learned of it. */
+export interface WantedVersion {
+  readonly version: number;
+  /** Monotonic time, in milliseconds. */
+  readonly learnedAt: number;
+}
+
+/** How one kind of change is taken. */
+type Handlers = {
+  readonly [Kind in FleetChange['kind']]: (
+    state: FleetState,
+    change: Extract<FleetChange, { kind: Kind }>,
+  ) => void;
+};
+
+const handlers: Handlers = {
+  configuration: (state, { configuration }) =>
+    state.takeConfiguration(new RouteTable(configuration)),
+  endpoint: (state, { id, endpoint }) =>
+    endpoint ? state.takeEndpoint(endpoint) : state.removeEndpoint(id),
+  evacuation: (state, { dataCentre, isActive }) => state.takeEvacuation(dataCentre, isActive),
+  version: (state, { named }) => state.takeVersion(named.model, named.version),
+  entry: (state, { name, isPresent }) => state.takeEntry(name, isPresent),
+};
+
+/** What this entry knows of the fleet. Configurations and versions never go back. */
+export class FleetState {
+  private table: RouteTable | undefined;
+
+  private readonly endpointsById = new Map<string, Endpoint>();
+
+  private readonly evacuated = new Set<string>();
+
+  private readonly versions = new Map<string, WantedVersion>();
+
+  private readonly entryNames = new Set<string>();
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly metrics: Metrics,
+    private readonly log: Log,
+    /** Called after each change that affects where requests go. */
+    private readonly onChange: () => void,
+  ) {}
+
+  get routes(): RouteTable | undefined {
+    return this.table;
+  }
+
+  get endpoints(): ReadonlyMap<string, Endpoint> {
+    return this.endpointsById;
+  }
+
+  /** Entries that are registered. */
+  get entries(): ReadonlySet<string> {
+    return this.entryNames;
+  }
+
+  isEvacuated(dataCentre: string): boolean {
+    return this.evacuated.has(dataCentre);
+  }
+
+  wantedVersion(model: string): WantedVersion | undefined {
+    return this.versions.get(model);
+  }
+
+  get wantedVersions(): ReadonlyMap<string, WantedVersion> {
+    return this.versions;
+  }
+
+  apply(change: FleetChange): void {
+    const handler = handlers[change.kind] as (state: FleetState, change: FleetChange) => void;
+    handler(this, change);
+  }
+
+  /** Drops what a complete list of the store no longer has. */
+  keepOnly(changes: readonly FleetChange[]): void {
+    const ids = new Set<string>();
+    const dataCentres = new Set<string>();
+    const names = new Set<string>();
+    changes.forEach((change) => {
+      if (change.kind === 'endpoint') ids.add(change.id);
+      if (change.kind === 'evacuation') dataCentres.add(change.dataCentre);
+      if (change.kind === 'entry') names.add(change.name);
+    });
+    [...this.endpointsById.keys()].forEach((id) => ids.has(id) || this.removeEndpoint(id));
+    [...this.evacuated].forEach(
+      (name) => dataCentres.has(name) || this.takeEvacuation(name, false),
+    );
+    [...this.entryNames].forEach((name) => names.has(name) || this.takeEntry(name, false));
+  }
+
+  takeConfiguration(table: RouteTable): void {
+    const { version } = table.configuration;
+    const known = this.table?.configuration.version ?? -1;
+    if (version <= known) return;
+    this.table = table;
+    this.metrics.gauge('configuration_version', version);
+    this.log.info('Configuration in force.', { version, before: known });
+    this.onChange();
+  }
+
+  takeEndpoint(endpoint: Endpoint): void {
+    const known = this.endpointsById.get(endpoint.id);
+    this.endpointsById.set(endpoint.id, endpoint);
+    const { id, service, dataCentre, isDraining, layers } = endpoint;
+    this.log.info('Endpoint registered.', {
+      endpoint: id,
+      service,
+      dataCentre,
+      isDraining,
+      version: layers?.version ?? 0,
+      layers: layers ? layers.to - layers.from : 0,
+      isNew: known === undefined || known.bornAt !== endpoint.bornAt,
+    });
+    this.onChange();
+  }
+
+  removeEndpoint(id: string): void {
+    if (!this.endpointsById.delete(id)) return;
+    this.log.info('Endpoint gone.', { endpoint: id });
+    this.onChange();
+  }
+
+  takeEvacuation(dataCentre: string, isActive: boolean): void {
+    if (isActive === this.evacuated.has(dataCentre)) return;
+    if (isActive) this.evacuated.add(dataCentre);
+    else this.evacuated.delete(dataCentre);
+    this.log.info(isActive ? 'Data centre evacuated.' : 'Data centre returned.', { dataCentre });
+    this.onChange();
+  }
+
+  takeVersion(model: string, version: number): void {
+    if (version <= (this.versions.get(model)?.version ?? 0)) return;
+    this.versions.set(model, { version, learnedAt: this.clock.now() });
+    this.log.info('Version named.', { model, version });
+    this.onChange();
+  }
+
+  takeEntry(name: string, isPresent: boolean): void {
+    if (isPresent) this.entryNames.add(name);
+    else this.entryNames.delete(name);
+  }
+}
--- /dev/null
+++ b/packages/forwarding/src/forwardingEntry.ts
@@ -0,0 +1,146 @@
+import { Repetition, SleepAwareClock } from '@laburnumstream/common';
+import type {
+  Clock,
+  ForwarderSettings,
+  Log,
+  Metrics,
+  Random,
+  StoreFeed,
+} from '@laburnumstream/common';
+import { ConfigurationProof, SharedRetryBudget } from '@laburnumstream/decisions';
+import { CallerServer } from './callerServer.js';
+import { DispatchLine } from './dispatchLine.js';
+import { EndpointDirectory } from './endpointDirectory.js';
+import { EventStreams } from './eventStreams.js';
+import type { FleetCodec } from './fleetChange.js';
+import { FleetFeed } from './fleetFeed.js';
+import { FleetState } from './fleetState.js';
+import type { HeaderCodec } from './headerCodec.js';
+import { serveReadiness } from './readiness.js';
+import { WholeAnswers } from './wholeAnswers.js';
+
+/** What an entry needs from outside. */
+export interface EntryPorts {
+  readonly settings: ForwarderSettings;
+  readonly store: StoreFeed;
+  readonly fleetCodec: FleetCodec;
+  readonly headerCodec: HeaderCodec;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly metrics: Metrics;
+  /** A log for a part of the process. */
+  readonly log: (part: string) => Log;
+}
+
+/** Entries that share bounds as long as it is not known how many there are. */
+const mostEntries = 16;
+/** Part of the time for removed keys that a proof may be old: the rest is for requests on their way. */
+const proofShare = 0.92;
+/** Time in which the balancer and callers notice that this process leaves, in milliseconds. */
+const noticeMs = 3_000;
+const drainPollMs = 50;
+/** Time that is left for the end of a process that has to stop, in milliseconds. */
+const stopMarginMs = 1_000;
+
+function addressOf(address: string): { host: string; port: number } {
+  const [host = '', port = '0'] = address.split(':');
+  return { host, port: Number(port) };
+}
+
+/** The entry on a platform with a store: forwards callers' requests straight to endpoints. */
+export class ForwardingEntry {
+  private readonly state: FleetState;
+
+  private readonly feed: FleetFeed;
+
+  private readonly directory: EndpointDirectory;
+
+  private readonly line: DispatchLine;
+
+  private readonly callers: CallerServer;
+
+  private isStopping = false;
+
+  constructor(private readonly ports: EntryPorts) {
+    const { settings, store, fleetCodec, headerCodec, clock, random, metrics, log } = ports;
+    const { bounds } = settings;
+    const proofClock = new SleepAwareClock(clock);
+    const proof = new ConfigurationProof(bounds.revocationMs * proofShare);
+    this.state = new FleetState(clock, metrics, log('fleet'), () => this.fleetChanged());
+    this.feed = new FleetFeed(
+      store,
+      fleetCodec,
+      this.state,
+      proof,
+      proofClock,
+      clock,
+      metrics,
+      log('store'),
+    );
+    const entries = (): number => this.state.entries.size || mostEntries;
+    this.directory = new EndpointDirectory(settings, this.state, clock, metrics, entries);
+    this.line = new DispatchLine(this.directory, clock, random, metrics, log('line'));
+    const bound = {
+      ratio: bounds.retryRatio,
+      slack: bounds.retrySlack,
+      windowMs: bounds.retryWindowMs,
+    };
+    const services = {
+      line: this.line,
+      directory: this.directory,
+      budget: new SharedRetryBudget(bound, entries),
+      codec: headerCodec,
+      clock,
+      metrics,
+      log: log('requests'),
+    };
+    const forwardings = {
+      [Repetition.idempotent]: new WholeAnswers(services, true),
+      [Repetition.nonIdempotent]: new WholeAnswers(services, false),
+      [Repetition.stream]: new EventStreams(services),
+    };
+    const hasProof = (): boolean => !bounds.refusesWithoutProof || proof.isFresh(proofClock.now());
+    this.callers = new CallerServer(
+      this.state,
+      hasProof,
+      forwardings,
+      headerCodec,
+      clock,
+      random,
+      metrics,
+      log('callers'),
+    );
+  }
+
+  /** Starts serving; resolves when all servers listen. */
+  async start(signal: AbortSignal): Promise<void> {
+    const { callers, readiness } = this.ports.settings;
+    const ready = addressOf(readiness);
+    void this.feed.run(signal);
+    await serveReadiness(ready.host, ready.port, () => this.isReady(), signal);
+    const { host, port } = addressOf(callers);
+    await this.callers.listen(host, port);
+  }
+
+  /** Lets running requests end; resolves when there are none or the time is over. */
+  async stop(): Promise<void> {
+    const { clock, settings } = this.ports;
+    this.isStopping = true;
+    this.callers.leave();
+    const endAt = clock.now() + settings.bounds.shutdownMs - stopMarginMs;
+    const noticeAt = clock.now() + Math.min(noticeMs, settings.bounds.shutdownMs / 2);
+    while (clock.now() < noticeAt) await clock.sleep(drainPollMs);
+    this.callers.closeIdle();
+    while (this.callers.active > 0 && clock.now() < endAt) await clock.sleep(drainPollMs);
+  }
+
+  private isReady(): boolean {
+    return !this.isStopping && this.state.routes !== undefined;
+  }
+
+  private fleetChanged(): void {
+    this.callers.applyLimits();
+    this.directory.refresh();
+    this.line.lookAtAll();
+  }
+}
--- /dev/null
+++ b/packages/forwarding/src/headerCodec.ts
@@ -0,0 +1,14 @@
+import type { IncomingHttpHeaders } from 'node:http';
+import type { AnswerHead, RequestHead, SendTerms } from './heads.js';
+
+/** Translates the headers of the platform. Raw headers are names and values in turn. */
+export interface HeaderCodec {
+  decodeRequestHead(headers: IncomingHttpHeaders): RequestHead;
+  decodeAnswerHead(headers: IncomingHttpHeaders): AnswerHead;
+  /** The headers of a caller's request as they go on to an endpoint. */
+  encodeRequestHeaders(rawHeaders: readonly string[], terms: SendTerms): string[];
+  /** The headers of an endpoint's answer as they go on to the caller. */
+  encodeAnswerHeaders(rawHeaders: readonly string[]): string[];
+  /** The headers that tell a caller when to come back. */
+  encodeReturnTime(afterMs: number): string[];
+}
--- /dev/null
+++ b/packages/forwarding/src/index.ts
@@ -0,0 +1,5 @@
+/** Forwards callers' requests to endpoints, on a platform that keeps what must last in its store. */
+export * from './fleetChange.js';
+export * from './forwardingEntry.js';
+export * from './headerCodec.js';
+export * from './heads.js';
