Add the sidecar: load reports by datagrams, weights from known holders

Cause: empty engines were never filled and named versions never loaded; entries knew other entries' load at an engine only by answers. New: packages/sidecar (reports, pieces, verified staging, order), decisions/weights/holderTransfer (pure), datagrams in packages/links. Left: version 2 is given up when version 3 is named; all engines switch at once at the end.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -14,7 +14,8 @@
   agent: ['common', 'decisions', 'links', 'clients', 'protocol', 'runtime'],
   cli: ['common', 'agent', 'entry', 'runtime'],
   standins: ['common', 'decisions'],
-  forwarding: ['common', 'decisions', 'protocol', 'runtime'],
+  forwarding: ['common', 'decisions', 'links', 'protocol', 'runtime'],
+  sidecar: ['common', 'decisions', 'links', 'protocol', 'runtime'],
 };
 
 const pureImports = ['node:*', 'undici', 'winston', 'nact'];
--- a/packages/common/src/fleetSettings.ts
+++ b/packages/common/src/fleetSettings.ts
@@ -66,7 +66,7 @@
 }
 
 /** Settings of a process beside an endpoint. */
-export interface CompanionSettings extends FleetSettings {
+export interface SidecarSettings extends FleetSettings {
   /** IP:PORT of the endpoint beside it. */
   readonly endpoint: string;
   readonly service: string;
--- /dev/null
+++ b/packages/decisions/src/weights/holderTransfer.ts
@@ -0,0 +1,340 @@
+import { rendezvousOrder } from '@laburnumstream/common';
+import type { Random } from '@laburnumstream/common';
+import { origin } from './sources.js';
+import type { WeightSource } from './sources.js';
+import type { WeightMember } from './topology.js';
+import { FetchFault, sourceName } from './transfer.js';
+import type { ChunkFetch, ChunkTransfer } from './transfer.js';
+
+/** Limits of a transfer from known holders, in milliseconds but for counts. */
+export interface HolderLimits {
+  /**
+   * Time without a new chunk in a region after which its next member brings in one that none of them
+   * holds.
+   */
+  readonly deputyMs: number;
+  /** Time without a new chunk after which the origin is asked for one that another region brings. */
+  readonly remoteMs: number;
+  /** Time after which a fetch from a member is given up. */
+  readonly memberTimeoutMs: number;
+  /** Time after which a fetch from the origin is given up. */
+  readonly originTimeoutMs: number;
+  /** Time for which a source that does not answer is avoided. */
+  readonly avoidMs: number;
+  /** Time for which a source that is busy is not asked again. */
+  readonly busyMs: number;
+  /** Fetches from one member at once. */
+  readonly perMember: number;
+}
+
+/** Limits where nothing else is set. */
+export const holderDefaults: HolderLimits = {
+  deputyMs: 600,
+  remoteMs: 1_200,
+  memberTimeoutMs: 1_500,
+  originTimeoutMs: 3_000,
+  avoidMs: 2_000,
+  busyMs: 20,
+  perMember: 1,
+};
+
+const goldenFraction = 0.618_033_988_749_894_9;
+
+/** Members of one region in a fixed order. */
+interface Region {
+  readonly name: string;
+  readonly members: readonly WeightMember[];
+}
+
+const nameOf = ({ name }: WeightMember): string => name;
+
+/** What is known of another member. */
+interface Holder {
+  readonly member: WeightMember;
+  /** One byte for each chunk, 1 for those that it holds. */
+  held: Uint8Array;
+  /** Transfers that it was giving when it last said so. */
+  giving: number;
+  avoidedUntil: number;
+  /** Fetches from it that run. */
+  active: number;
+}
+
+/**
+ * The transfer of one version to one member that knows which chunks the others hold: each chunk
+ * comes into a region once, brought by the member that a hash chooses, and spreads inside it from
+ * holder to holder, the rarest first. Pure: the owner runs the fetches and tells how they ended.
+ */
+export class HolderTransfer implements ChunkTransfer {
+  /** One byte for each chunk, 1 for those that are held here. */
+  readonly held: Uint8Array;
+
+  /** Fetches at once. */
+  window = 2;
+
+  private heldCount = 0;
+
+  private readonly active = new Map<number, ChunkFetch>();
+
+  private readonly holders = new Map<string, Holder>();
+
+  private regions: readonly Region[] = [];
+
+  /** This member's place among those of its region that may bring in each chunk. */
+  private ranks: readonly number[] = [];
+
+  private members: readonly WeightMember[] = [];
+
+  /** Time before which a chunk is not asked of the origin again. */
+  private readonly originNotBefore: Float64Array;
+
+  /** Time of the last chunk that came into this member's region. */
+  private progressAt: number;
+
+  /** Sources that gave a wrong chunk. */
+  private readonly wrong = new Set<string>();
+
+  constructor(
+    readonly chunks: number,
+    private readonly self: WeightMember,
+    private readonly random: Random,
+    startedAt: number,
+    private readonly limits: HolderLimits = holderDefaults,
+  ) {
+    this.progressAt = startedAt;
+    this.held = new Uint8Array(chunks);
+    this.originNotBefore = new Float64Array(chunks);
+    this.regroup([self]);
+  }
+
+  get isComplete(): boolean {
+    return this.heldCount === this.chunks;
+  }
+
+  get remaining(): number {
+    return this.chunks - this.heldCount;
+  }
+
+  /** Whether a fetch is still waited for. */
+  isRunning(fetch: ChunkFetch): boolean {
+    return this.active.get(fetch.chunk) === fetch;
+  }
+
+  /** Takes the members that take part; this one counts even when it is not listed. */
+  regroup(members: readonly WeightMember[]): void {
+    const others = members.filter(({ name }) => name !== this.self.name);
+    this.members = [...others, this.self];
+    const names = [...new Set(this.members.map(({ region }) => region))].sort();
+    this.regions = names.map((name) => ({
+      name,
+      members: this.members.filter(({ region }) => region === name),
+    }));
+    const near = this.regions.find(({ name }) => name === this.self.region)!.members;
+    this.ranks = Array.from({ length: this.chunks }, (_, chunk) =>
+      rendezvousOrder(String(chunk), near, nameOf).findIndex(({ name }) => name === this.self.name),
+    );
+    const known = new Set(others.map(nameOf));
+    [...this.holders.keys()].forEach((name) => known.has(name) || this.holders.delete(name));
+    others.forEach((member) => {
+      if (this.holders.has(member.name)) return;
+      const held = new Uint8Array(this.chunks);
+      this.holders.set(member.name, { member, held, giving: 0, avoidedUntil: 0, active: 0 });
+    });
+  }
+
+  /** A member said which chunks it holds. */
+  learn(name: string, held: Uint8Array, giving: number, now: number): void {
+    const holder = this.holders.get(name);
+    if (!holder) return;
+    const isNews = held.some((flag, chunk) => flag === 1 && !this.isInRegion(chunk));
+    if (isNews && this.isNear(holder.member)) this.progressAt = now;
+    Object.assign(holder, { held, giving });
+  }
+
+  /** A chunk is held here already. */
+  has(chunk: number): void {
+    if (this.held[chunk]) return;
+    this.held[chunk] = 1;
+    this.heldCount += 1;
+  }
+
+  /** A chunk that was held has turned out to be spoilt. */
+  lost(chunk: number): void {
+    if (!this.held[chunk]) return;
+    this.held[chunk] = 0;
+    this.heldCount -= 1;
+  }
+
+  /** Members of other regions that wait for a chunk that this region brings in first. */
+  waitingElsewhere(chunk: number): WeightMember[] {
+    if (this.entryRegion(chunk).name !== this.self.region) return [];
+    return this.regions
+      .filter(({ name }) => name !== this.self.region)
+      .map(({ members }) => rendezvousOrder(String(chunk), members, nameOf)[0]!);
+  }
+
+  /** Members of other regions that bring in chunks which this member is to take from them. */
+  askedElsewhere(): WeightMember[] {
+    const asked = new Map<string, WeightMember>();
+    for (let chunk = 0; chunk < this.chunks; chunk += 1) {
+      const entry = this.entryRegion(chunk);
+      if (!this.held[chunk] && this.ranks[chunk] === 0 && entry.name !== this.self.region) {
+        const [first] = rendezvousOrder(String(chunk), entry.members, nameOf);
+        if (first) asked.set(first.name, first);
+      }
+    }
+    return [...asked.values()];
+  }
+
+  start(now: number): ChunkFetch[] {
+    const fetches: ChunkFetch[] = [];
+    while (this.active.size < this.window) {
+      const fetch = this.fromNear(now) ?? this.fromAfar(now);
+      if (!fetch) break;
+      this.active.set(fetch.chunk, fetch);
+      this.countActive(fetch.source, 1);
+      fetches.push(fetch);
+    }
+    return fetches;
+  }
+
+  /** Gives up fetches that take too long and starts others. */
+  hedge(now: number): ChunkFetch[] {
+    [...this.active.values()]
+      .filter((fetch) => now - fetch.startedAt > this.timeoutOf(fetch.source))
+      .forEach((fetch) => this.failed(fetch, FetchFault.unreachable, now));
+    return this.start(now);
+  }
+
+  succeeded(fetch: ChunkFetch, now: number): readonly ChunkFetch[] {
+    this.end(fetch);
+    if (!this.isInRegion(fetch.chunk)) this.progressAt = now;
+    this.has(fetch.chunk);
+    return [];
+  }
+
+  failed(fetch: ChunkFetch, fault: FetchFault, now: number): void {
+    if (!this.end(fetch)) return;
+    const { chunk, source } = fetch;
+    const { avoidMs, busyMs } = this.limits;
+    const waitMs = fault === FetchFault.notYet ? busyMs : avoidMs;
+    if (fault === FetchFault.corrupt) this.wrong.add(`${chunk}\n${sourceName(source)}`);
+    if (source === origin) {
+      this.originNotBefore[chunk] = now + (fault === FetchFault.corrupt ? busyMs : waitMs / 2);
+      if (fault === FetchFault.corrupt) this.wrong.delete(`${chunk}\n${origin}`);
+      return;
+    }
+    const holder = this.holders.get(source.name);
+    if (!holder || fault === FetchFault.corrupt) return;
+    holder.avoidedUntil = Math.max(holder.avoidedUntil, now + waitMs);
+  }
+
+  /** The rarest chunk that a near member holds. */
+  private fromNear(now: number): ChunkFetch | undefined {
+    const near = this.usableHolders(now).filter(({ member }) => this.isNear(member));
+    if (near.length === 0) return undefined;
+    let best = -1;
+    let fewest = Infinity;
+    const from = Math.floor(this.random.next() * this.chunks);
+    for (let step = 0; step < this.chunks; step += 1) {
+      const chunk = (from + step) % this.chunks;
+      if (this.isMissing(chunk)) {
+        const count = near.reduce((sum, holder) => sum + this.gives(holder, chunk), 0);
+        if (count > 0 && count < fewest) {
+          best = chunk;
+          fewest = count;
+        }
+      }
+    }
+    if (best < 0) return undefined;
+    return { chunk: best, source: this.leastBusy(near, best), startedAt: now };
+  }
+
+  /** A chunk that no near member holds, when it is this member's turn to bring it in. */
+  private fromAfar(now: number): ChunkFetch | undefined {
+    const far = this.usableHolders(now).filter(({ member }) => !this.isNear(member));
+    const waited = now - this.progressAt;
+    for (let chunk = 0; chunk < this.chunks; chunk += 1) {
+      const isTurn = waited >= this.ranks[chunk]! * this.limits.deputyMs;
+      if (isTurn && this.isMissing(chunk) && !this.isHeldNear(chunk)) {
+        const holders = far.filter((holder) => this.gives(holder, chunk));
+        if (holders.length > 0) {
+          return { chunk, source: this.leastBusy(holders, chunk), startedAt: now };
+        }
+        const isEntry = this.entryRegion(chunk).name === this.self.region;
+        const mayAskOrigin = isEntry || waited >= this.limits.remoteMs;
+        if (mayAskOrigin && now >= this.originNotBefore[chunk]!) {
+          return { chunk, source: origin, startedAt: now };
+        }
+      }
+    }
+    return undefined;
+  }
+
+  private isMissing(chunk: number): boolean {
+    return !this.held[chunk] && !this.active.has(chunk);
+  }
+
+  private isInRegion(chunk: number): boolean {
+    return this.held[chunk] === 1 || this.isHeldNear(chunk);
+  }
+
+  private isHeldNear(chunk: number): boolean {
+    return [...this.holders.values()].some(
+      ({ member, held }) => this.isNear(member) && held[chunk] === 1,
+    );
+  }
+
+  private isNear({ region }: WeightMember): boolean {
+    return region === this.self.region;
+  }
+
+  private gives({ member, held }: Holder, chunk: number): number {
+    return held[chunk] === 1 && !this.wrong.has(`${chunk}\n${member.name}`) ? 1 : 0;
+  }
+
+  private usableHolders(now: number): Holder[] {
+    return [...this.holders.values()].filter(
+      ({ avoidedUntil, active }) => now >= avoidedUntil && active < this.limits.perMember,
+    );
+  }
+
+  private leastBusy(holders: readonly Holder[], chunk: number): WeightSource {
+    let best: Holder | undefined;
+    let least = Infinity;
+    holders.forEach((holder) => {
+      if (!this.gives(holder, chunk)) return;
+      const load = holder.giving + holder.active + this.random.next();
+      if (load >= least) return;
+      best = holder;
+      least = load;
+    });
+    return best!.member;
+  }
+
+  /** The region into which a chunk comes first: regions take turns by their number of members. */
+  private entryRegion(chunk: number): Region {
+    let left = (((chunk + 1) * goldenFraction) % 1) * this.members.length;
+    const entry = this.regions.find(({ members }) => {
+      left -= members.length;
+      return left < 0;
+    });
+    return entry ?? this.regions[0]!;
+  }
+
+  private timeoutOf(source: WeightSource): number {
+    return source === origin ? this.limits.originTimeoutMs : this.limits.memberTimeoutMs;
+  }
+
+  private end(fetch: ChunkFetch): boolean {
+    if (this.active.get(fetch.chunk) !== fetch) return false;
+    this.active.delete(fetch.chunk);
+    this.countActive(fetch.source, -1);
+    return true;
+  }
+
+  private countActive(source: WeightSource, by: number): void {
+    const holder = source === origin ? undefined : this.holders.get(source.name);
+    if (holder) holder.active += by;
+  }
+}
--- a/packages/forwarding/src/fleetFeed.ts
+++ b/packages/forwarding/src/fleetFeed.ts
@@ -5,7 +5,9 @@
 import type { FleetState } from './fleetState.js';
 
 /** Longest wait of one watch; its end proves that nothing has changed, in milliseconds. */
-const watchMs = 1_500;
+const watchMs = 1_000;
+/** Time in which further changes of endpoints are collected before the next call, in milliseconds. */
+const collectMs = 250;
 const firstPauseMs = 100;
 const longestPauseMs = 800;
 
@@ -61,6 +63,7 @@
     );
     changes.flatMap((change) => this.decode(change)).forEach((change) => this.state.apply(change));
     this.revision = Math.max(after, revision);
+    if (changes.length > 0) await this.clock.sleep(collectMs, signal);
   }
 
   private decode(change: StoreChange): FleetChange[] {
--- a/packages/forwarding/src/forwardingEntry.ts
+++ b/packages/forwarding/src/forwardingEntry.ts
@@ -17,6 +17,7 @@
 import { FleetState } from './fleetState.js';
 import type { HeaderCodec } from './headerCodec.js';
 import { serveReadiness } from './readiness.js';
+import { SidecarLinks } from './sidecarLinks.js';
 import { WholeAnswers } from './wholeAnswers.js';
 
 /** What an entry needs from outside. */
@@ -59,6 +60,8 @@
 
   private readonly callers: CallerServer;
 
+  private readonly sidecars: SidecarLinks;
+
   private isStopping = false;
 
   constructor(private readonly ports: EntryPorts) {
@@ -80,6 +83,15 @@
     const entries = (): number => this.state.entries.size || mostEntries;
     this.directory = new EndpointDirectory(settings, this.state, clock, metrics, entries);
     this.line = new DispatchLine(this.directory, clock, random, metrics, log('line'));
+    this.sidecars = new SidecarLinks(
+      settings,
+      this.state,
+      this.directory,
+      clock,
+      metrics,
+      log('sidecars'),
+      (service) => this.line.look(service),
+    );
     const bound = {
       ratio: bounds.retryRatio,
       slack: bounds.retrySlack,
@@ -117,6 +129,7 @@
     const { callers, readiness } = this.ports.settings;
     const ready = addressOf(readiness);
     void this.feed.run(signal);
+    void this.sidecars.run(signal);
     await serveReadiness(ready.host, ready.port, () => this.isReady(), signal);
     const { host, port } = addressOf(callers);
     await this.callers.listen(host, port);
@@ -141,6 +154,7 @@
   private fleetChanged(): void {
     this.callers.applyLimits();
     this.directory.refresh();
+    this.sidecars.tellSoon();
     this.line.lookAtAll();
   }
 }
--- /dev/null
+++ b/packages/forwarding/src/sidecarLinks.ts
@@ -0,0 +1,114 @@
+import type { Clock, FleetSettings, Log, Metrics } from '@laburnumstream/common';
+import { FleetDatagrams } from '@laburnumstream/links';
+import type { DatagramContent } from '@laburnumstream/links';
+import type { EndpointReport } from '@laburnumstream/protocol';
+import type { EndpointDirectory } from './endpointDirectory.js';
+import type { EndpointHandle } from './endpointHandle.js';
+import type { FleetState } from './fleetState.js';
+
+/** Time between two datagrams to each agent, in milliseconds. */
+const tellMs = 1_000;
+/** Time between reports that are asked of agents in this region and in others, in milliseconds. */
+const reportMs = { near: 200, far: 1_000 } as const;
+/** Time in which further changes are told with the first one, in milliseconds. */
+const changeDelayMs = 15;
+const permille = 1_000;
+
+type WeightNewsContent = NonNullable<
+  Extract<DatagramContent, { case: 'fleet' }>['value']['weights']
+>;
+
+/** Tells the agents beside engines what they need to know, and takes their reports. */
+export class SidecarLinks {
+  private readonly datagrams: FleetDatagrams;
+
+  private timer: NodeJS.Timeout | undefined;
+
+  constructor(
+    private readonly settings: FleetSettings,
+    private readonly state: FleetState,
+    private readonly directory: EndpointDirectory,
+    private readonly clock: Clock,
+    metrics: Metrics,
+    private readonly log: Log,
+    /** A report may have made room at an endpoint of a service. */
+    private readonly onReport: (service: string) => void,
+  ) {
+    const handlers = { report: (report: EndpointReport) => this.takeReport(report) };
+    this.datagrams = new FleetDatagrams(settings.instance, handlers, clock, metrics, log);
+  }
+
+  async run(signal: AbortSignal): Promise<void> {
+    await this.datagrams.bind(this.settings.host, this.settings.firstPort, signal);
+    while (!signal.aborted) {
+      this.tellAll();
+      await this.clock.sleep(tellMs, signal).catch(() => undefined);
+    }
+  }
+
+  /** Tells all agents soon, after a change that they have to know. */
+  tellSoon(): void {
+    this.timer ??= setTimeout(() => {
+      this.timer = undefined;
+      this.tellAll();
+    }, changeDelayMs);
+  }
+
+  private tellAll(): void {
+    const news = new Map<string, WeightNewsContent | undefined>();
+    [...this.directory.all].forEach((handle) => {
+      if (!handle.model) return;
+      const { service, address } = handle.endpoint;
+      if (!news.has(service)) news.set(service, this.weightNews(handle));
+      const weights = handle.isNear ? news.get(service) : undefined;
+      const reportEveryMs = handle.isNear ? reportMs.near : reportMs.far;
+      const value = weights ? { reportEveryMs, weights } : { reportEveryMs };
+      this.datagrams.send({ case: 'fleet', value }, address.split(':')[0]!);
+    });
+  }
+
+  private weightNews({ endpoint, profile }: EndpointHandle): WeightNewsContent | undefined {
+    const engine = profile?.engine;
+    const [model] = engine?.models ?? [];
+    if (!engine || !model) return undefined;
+    const services = this.state.routes?.configuration.services;
+    const origin = [...(services?.values() ?? [])].find((service) => service.origin)?.origin;
+    const wanted = this.state.wantedVersion(model.name);
+    return {
+      model: model.name,
+      version: wanted?.version ?? 1,
+      namedMsAgo: Math.round(this.clock.now() - (wanted?.learnedAt ?? 0)),
+      origin: origin?.address ?? '',
+      originDataCentre: origin?.dataCentre ?? '',
+      layers: engine.layers,
+      chunks: engine.chunks,
+      chunkBytes: engine.chunkBytes,
+      loadMs: Math.round(model.loadMs),
+      members: this.directory.of(endpoint.service).map((handle) => ({
+        host: handle.endpoint.address.split(':')[0]!,
+        dataCentre: handle.endpoint.dataCentre,
+        isServing: handle.version !== undefined,
+      })),
+    };
+  }
+
+  private takeReport(report: EndpointReport): void {
+    const handle = [...this.directory.all].find(
+      ({ endpoint }) => endpoint.address === report.address,
+    );
+    if (
+      !handle ||
+      (handle.endpoint.bornAt !== 0 && handle.endpoint.bornAt !== Number(report.bornAt))
+    )
+      return;
+    const { load } = handle;
+    const now = this.clock.now();
+    const { running, waiting, pacePermille, version, isSwitching, isAnswering } = report;
+    load.report({ running, waiting, pace: pacePermille / permille }, load.own, now);
+    if (handle.reportedVersion !== version || handle.isSwitching !== isSwitching) {
+      this.log.info('Engine changed.', { endpoint: handle.id, version, isSwitching, isAnswering });
+    }
+    Object.assign(handle, { reportedVersion: version, isSwitching: isSwitching || !isAnswering });
+    this.onReport(handle.endpoint.service);
+  }
+}
--- a/packages/links/src/index.ts
+++ b/packages/links/src/index.ts
@@ -12,3 +12,4 @@
 export * from './secrets.js';
 export * from './sessionServer.js';
 export * from './transport.js';
+export * from './fleetDatagrams.js';
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -5,6 +5,7 @@
 export * from './httpServer.js';
 export * from './lifecycle.js';
 export * from './logger.js';
+export * from './notifier.js';
 export * from './processAbort.js';
 export * from './settings.js';
 export * from './shutdown.js';
--- /dev/null
+++ b/packages/sidecar/src/index.ts
@@ -0,0 +1,3 @@
+/** The agent beside an engine, on a platform with a store: load reports and weights. */
+export * from './localEngine.js';
+export * from './sidecar.js';
--- /dev/null
+++ b/packages/sidecar/src/pieceServer.ts
@@ -0,0 +1,79 @@
+import { createServer } from 'node:http';
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { once } from 'node:events';
+import type { Log, Metrics } from '@laburnumstream/common';
+import type { Uplink } from './uplink.js';
+import type { VersionShelf } from './versionShelf.js';
+
+/** Statuses of the answers between the system's own processes. */
+export const PieceStatus = { ok: 200, notHeld: 404, busy: 503 } as const;
+
+const path = /^\/weights\/(\d+)\/(manifest|\d+)$/;
+
+function sendEmpty(response: ServerResponse, status: number): void {
+  response.writeHead(status, { 'content-length': '0' });
+  response.end();
+}
+
+/** Gives held pieces and manifests to other agents: `/weights/VERSION/PIECE` and `.../manifest`. */
+export class PieceServer {
+  private readonly server = createServer((request, response) => {
+    this.handle(request, response).catch((error: unknown) => {
+      this.log.debug('Piece not sent.', { reason: String(error) });
+      response.destroy();
+    });
+  });
+
+  constructor(
+    private readonly shelf: VersionShelf,
+    private readonly uplink: Uplink,
+    private readonly metrics: Metrics,
+    private readonly log: Log,
+  ) {}
+
+  listen(host: string, port: number, signal: AbortSignal): Promise<void> {
+    signal.addEventListener('abort', () => {
+      this.server.close();
+      this.server.closeAllConnections();
+    });
+    return new Promise((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(port, host, () => resolve());
+    });
+  }
+
+  private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const [, version = '', part = ''] = path.exec(request.url ?? '') ?? [];
+    const held = this.shelf.get(Number(version));
+    if (!held) {
+      sendEmpty(response, PieceStatus.notHeld);
+      return;
+    }
+    if (part === 'manifest') {
+      const body = JSON.stringify(held.manifest);
+      response.writeHead(PieceStatus.ok, { 'content-length': Buffer.byteLength(body) });
+      response.end(body);
+      return;
+    }
+    const bytes = held.pieces[Number(part)];
+    if (!bytes) sendEmpty(response, PieceStatus.notHeld);
+    else if (!this.uplink.tryStart()) sendEmpty(response, PieceStatus.busy);
+    else await this.sendPiece(bytes, response);
+  }
+
+  private async sendPiece(bytes: Uint8Array, response: ServerResponse): Promise<void> {
+    const closed = new AbortController();
+    response.once('close', () => closed.abort());
+    try {
+      response.writeHead(PieceStatus.ok, { 'content-length': bytes.length });
+      await this.uplink.send(bytes, async (grain) => {
+        closed.signal.throwIfAborted();
+        if (!response.write(grain)) await once(response, 'drain', { signal: closed.signal });
+      });
+      response.end();
+      this.metrics.count('pieces_sent');
+    } finally {
+      this.uplink.end();
+    }
+  }
+}
