--- a/packages/forwarding/src/sidecarLinks.ts
+++ b/packages/forwarding/src/sidecarLinks.ts
@@ -9,7 +9,7 @@
 /** Time between two datagrams to each agent, in milliseconds. */
 const tellMs = 1_000;
 /** Time between reports that are asked of agents in this region and in others, in milliseconds. */
-const reportMs = { near: 200, far: 1_000 } as const;
+const reportMs = { near: 300, far: 1_200 } as const;
 /** Time in which further changes are told with the first one, in milliseconds. */
 const changeDelayMs = 15;
 const permille = 1_000;
--- a/packages/sidecar/src/engineWatch.ts
+++ b/packages/sidecar/src/engineWatch.ts
@@ -3,7 +3,7 @@
 import type { EngineState, LocalEngine } from './localEngine.js';
 
 /** Time between two questions, in milliseconds. */
-const pollMs = 100;
+const pollMs = 150;
 /** Time after which an answer is not waited for any more, in milliseconds. */
 const answerTimeoutMs = 400;
 /** Questions without an answer after which the engine counts as not answering. */
--- a/packages/sidecar/src/uplink.ts
+++ b/packages/sidecar/src/uplink.ts
@@ -1,7 +1,7 @@
 import type { Clock } from '@laburnumstream/common';
 
 /** Bytes that are sent at once: short enough that a stream's event does not wait behind them. */
-const grainBytes = 8_192;
+const grainBytes = 12_288;
 const bitsPerByte = 8;
 const secondMs = 1_000;
 /** Transfers at once while the engine serves requests, and while it does not. */
--- a/packages/sidecar/src/weightKeeper.ts
+++ b/packages/sidecar/src/weightKeeper.ts
@@ -36,6 +36,9 @@
 
   private switching = false;
 
+  /** Version whose pieces this process has put at the engine. */
+  private stagedVersion = 0;
+
   constructor(
     private readonly view: FleetView,
     private readonly watch: EngineWatch,
@@ -236,31 +239,34 @@
 
   /** Puts all pieces at the engine and reads each back: what lies there may have been spoilt. */
   private async stageVerified(target: HeldVersion, signal: AbortSignal): Promise<void> {
-    const { model, digests } = target.manifest;
+    const { model, version, digests } = target.manifest;
     for (const [piece, digest] of digests.entries()) {
-      await this.stagePiece(model, piece, target.pieces[piece]!, digest, signal);
+      const bytes = target.pieces[piece]!;
+      const isStaged =
+        this.stagedVersion === version && (await this.lies(model, piece, digest, signal));
+      if (!isStaged) {
+        await this.engine.stage(model, piece, bytes, signal);
+        if (!(await this.lies(model, piece, digest, signal))) {
+          throw new Unavailable(`Piece ${piece} was spoilt on its way to the engine.`, pauseMs);
+        }
+      }
     }
+    this.stagedVersion = version;
   }
 
-  private async stagePiece(
+  /** Whether the right piece lies at the engine. */
+  private async lies(
     model: string,
     piece: number,
-    bytes: Uint8Array,
     digest: string,
     signal: AbortSignal,
-  ): Promise<void> {
-    const isRight = async (): Promise<boolean> => {
-      try {
-        return digestOf(await this.engine.stagedPiece(model, piece, signal)) === digest;
-      } catch (error) {
-        if (toFailure(error).type === 'not_found') return false;
-        throw error;
-      }
-    };
-    if (await isRight()) return;
-    await this.engine.stage(model, piece, bytes, signal);
-    if (await isRight()) return;
-    throw new Unavailable(`Piece ${piece} was spoilt on its way to the engine.`, pauseMs);
+  ): Promise<boolean> {
+    try {
+      return digestOf(await this.engine.stagedPiece(model, piece, signal)) === digest;
+    } catch (error) {
+      if (toFailure(error).type === 'not_found') return false;
+      throw error;
+    }
   }
 
   private async pause(signal: AbortSignal): Promise<KeeperEvent> {
