--- a/packages/common/src/failures.ts
+++ b/packages/common/src/failures.ts
@@ -130,8 +130,8 @@
 
 /** The store no longer has the history after the revision that was asked for. */
 export class HistoryLost extends Failure {
-  constructor(revision: number) {
-    super('history_lost', `The store has no history after revision ${revision}.`, { status: 410 });
+  constructor(what: string) {
+    super('history_lost', `The store has no history for ${what}.`, { status: 410 });
   }
 }
 
--- a/packages/common/src/fleet.ts
+++ b/packages/common/src/fleet.ts
@@ -80,6 +80,7 @@
 export interface OriginProfile {
   readonly address: string;
   readonly dataCentre: string;
+  readonly linkBitsPerSecond: number;
 }
 
 /** A service as operators define it. */
--- a/packages/decisions/src/forwarding/engineModel.ts
+++ b/packages/decisions/src/forwarding/engineModel.ts
@@ -4,6 +4,9 @@
 const thousand = 1_000;
 const million = 1_000_000;
 
+/** Factor on the time of a pass for the prompts that are read between passes. */
+const readingFactor = 1.4;
+
 /**
  * Times of a model engine that runs its requests in one batch: each pass writes a few tokens of every
  * running request, and prompts are read between passes. All times are in milliseconds.
@@ -38,6 +41,17 @@
     return (tokens / readTokensPerSecond) * secondMs + (pairs / million) * readMsPerMillionPairs;
   }
 
+  /** Usual prompts that are read within a time. */
+  promptsFor(ms: number): number {
+    return Math.max(1, Math.floor(ms / this.readMs(this.profile.usualPromptTokens)));
+  }
+
+  /** Time to write an answer beside a full batch whose prompts are read meanwhile. */
+  answerMs(answerTokens: number): number {
+    const passes = answerTokens / this.profile.stride;
+    return passes * this.passMs(this.slots) * readingFactor;
+  }
+
   /** Work that a request is for the engine, as time of a full batch. */
   workMs(promptTokens: number, answerTokens: number): number {
     const passes = Math.max(1, answerTokens / this.profile.stride);
--- a/packages/decisions/src/forwarding/index.ts
+++ b/packages/decisions/src/forwarding/index.ts
@@ -5,6 +5,7 @@
 export * from './engineModel.js';
 export * from './eventSplitter.js';
 export * from './placement.js';
+export * from './roomShare.js';
 export * from './routeTable.js';
 export * from './sharedRate.js';
 export * from './sharedRetryBudget.js';
--- a/packages/decisions/src/forwarding/placement.ts
+++ b/packages/decisions/src/forwarding/placement.ts
@@ -12,11 +12,15 @@
   readonly model: EngineModel | undefined;
   /** Whether it stands in this entry's region. */
   readonly isNear: boolean;
+  /** Monotonic time at which it is to stop serving for a while; undefined when it is not. */
+  readonly switchAt: number | undefined;
 }
 
 /** What a request asks of an endpoint. */
 export interface Demand {
   readonly promptTokens: number;
+  /** Estimate, often far off. */
+  readonly answerTokens: number;
 }
 
 /** An endpoint for a request and the time until its answer or first event, in milliseconds. */
@@ -29,6 +33,9 @@
 const farMs = 60;
 /** Estimates that differ by less than this are equal, so that entries do not all choose one. */
 const jitterMs = 15;
+/** Cost of each millisecond that a request would outlast its endpoint's service. */
+const overrunShare = 0.4;
+const mostOverrunMs = 250;
 /** Time of a plain service's answer when all its slots are free, in milliseconds. */
 const plainMs = 20;
 
@@ -41,6 +48,18 @@
   return load.pace * plainMs * (1 + ahead) + occupied;
 }
 
+/** Cost of a request that would outlast its endpoint's service, in milliseconds. */
+function overrunCost(
+  { model, switchAt }: PlacementTarget,
+  { answerTokens }: Demand,
+  expected: number,
+  now: number,
+): number {
+  if (!model || switchAt === undefined) return 0;
+  const endsAt = now + expected + model.answerMs(answerTokens);
+  return Math.min(mostOverrunMs, Math.max(0, endsAt - switchAt) * overrunShare);
+}
+
 /** The endpoint with the shortest time until the first event; near ones are preferred. */
 export function bestPlacement<Target extends PlacementTarget>(
   targets: readonly Target[],
@@ -52,7 +71,9 @@
   let bestCost = Infinity;
   targets.forEach((target) => {
     const expected = expectedMs(target, demand, now);
-    const cost = expected + (target.isNear ? 0 : farMs) + random.next() * jitterMs;
+    const nearness = target.isNear ? 0 : farMs;
+    const overrun = overrunCost(target, demand, expected, now);
+    const cost = expected + nearness + overrun + random.next() * jitterMs;
     if (cost >= bestCost) return;
     bestCost = cost;
     best = { target, expectedMs: expected };
--- a/packages/decisions/src/forwarding/sharedRetryBudget.ts
+++ b/packages/decisions/src/forwarding/sharedRetryBudget.ts
@@ -11,6 +11,8 @@
 
 /** Part of the bound that is used: entries may disagree on their number for a moment. */
 const usedShare = 0.8;
+/** Part of the bound that repeats may use which are not needed. */
+const spareShare = 0.55;
 
 interface ServiceCounts {
   readonly requests: SlidingCount;
@@ -35,18 +37,22 @@
     this.countsOf(service).requests.add(1, now);
   }
 
-  /** Whether one more repeat fits. */
-  has(service: string, now: number): boolean {
+  /** Takes one repeat after a failure; returns whether it fits. */
+  spend(service: string, now: number): boolean {
+    return this.take(service, usedShare, now);
+  }
+
+  /** Takes one repeat that is not needed but useful; leaves a part of the bound for failures. */
+  spendSpare(service: string, now: number): boolean {
+    return this.take(service, spareShare, now);
+  }
+
+  private take(service: string, share: number, now: number): boolean {
     const { requests, repeats } = this.countsOf(service);
     const { ratio, slack } = this.bound;
     const earned = requests.total(now) * ratio + slack / Math.max(1, this.entries());
-    return repeats.total(now) + 1 <= earned * usedShare;
-  }
-
-  /** Takes one repeat; returns whether it fits. */
-  spend(service: string, now: number): boolean {
-    if (!this.has(service, now)) return false;
-    this.countsOf(service).repeats.add(1, now);
+    if (repeats.total(now) + 1 > earned * share) return false;
+    repeats.add(1, now);
     return true;
   }
 
--- a/packages/decisions/src/forwarding/waitingLine.ts
+++ b/packages/decisions/src/forwarding/waitingLine.ts
@@ -1,18 +1,30 @@
+import { SlidingCount } from './slidingCount.js';
+
 /** Factor on a workspace's count for each request that is served after it. */
 const servedDecay = 0.98;
 const forgetBelow = 0.01;
+/** Time over which the rate of served requests is measured, in milliseconds. */
+const rateWindowMs = 1_000;
+/** Least rate that is assumed, in requests a millisecond. */
+const leastRate = 0.01;
 
 /** A request that waits for an endpoint. */
 export interface WaitingRequest {
   readonly workspace: string;
   /** 0 is the most urgent. */
   readonly priority: number;
+  /** Whether its caller has been refused before, so that its goal has passed. */
+  readonly isReturned: boolean;
+  /** Monotonic time, in milliseconds. */
   readonly arrivedAt: number;
+  /** Monotonic time until which it has to be sent to be answered within its goal. */
+  readonly startBy: number;
 }
 
 /**
- * Requests that wait for one service. The most urgent go first; among equals the workspace that was
- * served least for its recent requests, then the one that came first.
+ * Requests that wait for one service. Those that can still be answered within their goal go first,
+ * the most urgent before others; among equals the workspace that was served least lately, then the
+ * one that came first.
  */
 export class WaitingLine<Item extends WaitingRequest> {
   private readonly items: Item[] = [];
@@ -20,6 +32,8 @@
   /** Requests of each workspace that were served lately; decays with each one that is served. */
   private readonly served = new Map<string, number>();
 
+  private readonly servedLately = new SlidingCount(rateWindowMs);
+
   get length(): number {
     return this.items.length;
   }
@@ -37,18 +51,27 @@
   }
 
   /** The waiting requests in the order in which they are to be served. */
-  ordered(): Item[] {
+  ordered(now: number): Item[] {
     if (this.items.length < 2) return [...this.items];
+    const isLate = (item: Item): number => (item.isReturned || now > item.startBy ? 1 : 0);
     return [...this.items].sort(
       (a, b) =>
+        isLate(a) - isLate(b) ||
         a.priority - b.priority ||
         this.servedOf(a.workspace) - this.servedOf(b.workspace) ||
         a.arrivedAt - b.arrivedAt,
     );
   }
 
+  /** Time until one more request would be served, at the rate of the last second. */
+  expectedWaitMs(now: number): number {
+    const rate = Math.max(leastRate, this.servedLately.total(now) / rateWindowMs);
+    return this.items.length / rate;
+  }
+
   /** Counts a request that was served. */
-  countServed(workspace: string): void {
+  countServed(workspace: string, now: number): void {
+    this.servedLately.add(1, now);
     this.served.forEach((count, name) => {
       const next = count * servedDecay;
       if (next < forgetBelow) this.served.delete(name);
--- a/packages/decisions/src/weights/holderTransfer.ts
+++ b/packages/decisions/src/weights/holderTransfer.ts
@@ -25,6 +25,8 @@
   readonly busyMs: number;
   /** Fetches from one member at once. */
   readonly perMember: number;
+  /** Time in which the origin's link passes one chunk: members ask it one after the other. */
+  readonly originChunkMs: number;
 }
 
 /** Limits where nothing else is set. */
@@ -36,6 +38,7 @@
   avoidMs: 2_000,
   busyMs: 20,
   perMember: 1,
+  originChunkMs: 0,
 };
 
 const goldenFraction = 0.618_033_988_749_894_9;
@@ -98,7 +101,7 @@
     readonly chunks: number,
     private readonly self: WeightMember,
     private readonly random: Random,
-    startedAt: number,
+    private readonly startedAt: number,
     private readonly limits: HolderLimits = holderDefaults,
   ) {
     this.progressAt = startedAt;
@@ -262,7 +265,8 @@
           return { chunk, source: this.leastBusy(holders, chunk), startedAt: now };
         }
         const isEntry = this.entryRegion(chunk).name === this.self.region;
-        const mayAskOrigin = isEntry || waited >= this.limits.remoteMs;
+        const mayAskOrigin =
+          (isEntry && this.isOriginTurn(chunk, now)) || waited >= this.limits.remoteMs;
         if (mayAskOrigin && now >= this.originNotBefore[chunk]!) {
           return { chunk, source: origin, startedAt: now };
         }
@@ -271,6 +275,11 @@
     return undefined;
   }
 
+  /** Chunks leave the origin one after the other: the first can spread while others still come. */
+  private isOriginTurn(chunk: number, now: number): boolean {
+    return now - this.startedAt >= chunk * this.limits.originChunkMs;
+  }
+
   private isMissing(chunk: number): boolean {
     return !this.held[chunk] && !this.active.has(chunk);
   }
--- a/packages/forwarding/src/attempts.ts
+++ b/packages/forwarding/src/attempts.ts
@@ -13,6 +13,12 @@
 /** Longest idle time of a connection for a request that may not be repeated, in milliseconds. */
 const freshIdleMs = 2_500;
 const returnMs = 500;
+/** Part of a route's time below which a caller's time left tells that it has waited before. */
+const returnedShare = 0.82;
+/** Time for which a stream that runs waits for another endpoint, in milliseconds. */
+const movePatienceMs = 800;
+/** Time of a plain service's answer, in milliseconds. */
+const plainMs = 25;
 
 /** What all requests share. */
 export interface AttemptServices {
@@ -42,6 +48,15 @@
   /** Endpoints that may have run it. */
   private runs = 0;
 
+  /** Whether it still runs while another endpoint is sought. */
+  private isMoving = false;
+
+  /** Times that it was sent to an endpoint. */
+  sends = 0;
+
+  /** Monotonic time since when it has to go on elsewhere, in milliseconds. */
+  private resumedAt: number | undefined;
+
   constructor(
     private readonly exchange: Exchange,
     private readonly services: AttemptServices,
@@ -52,10 +67,14 @@
     budget.earn(exchange.service, clock.now());
   }
 
-  /** Waits for an endpoint and sends the request there; throws `Unavailable`. */
-  async send(observer: CallObserver, lastEventId: number | undefined): Promise<Attempt> {
-    const { target: handle } = await this.place();
-    return this.dispatch(handle, observer, lastEventId);
+  /** Waits for an endpoint; throws a typed failure when there is none. */
+  async place(signal: AbortSignal): Promise<Placement<EndpointHandle>> {
+    try {
+      return await this.services.line.place(this.placedRequest(), signal);
+    } catch (error) {
+      if (this.runs === 0) throw error;
+      throw new OutcomeUnknown('No other endpoint could take the request.', error);
+    }
   }
 
   /**
@@ -66,6 +85,8 @@
     const { exchange, services } = this;
     const { budget, clock, metrics, log } = services;
     if (execution !== Execution.notRun) this.runs += 1;
+    this.isMoving = false;
+    this.resumedAt = clock.now();
     this.tried.add(handle.id);
     const allowed =
       !exchange.signal.aborted &&
@@ -85,41 +106,77 @@
     return isRepeated;
   }
 
+  /** Whether a stream that runs well may move to another endpoint; takes that from the budget. */
+  mayMove(handle: EndpointHandle): boolean {
+    const { exchange, services } = this;
+    if (!this.isRepeatable || this.runs + 1 >= exchange.route.maxAttempts) return false;
+    const now = services.clock.now();
+    if (!services.budget.spendSpare(exchange.service, now)) return false;
+    this.tried.add(handle.id);
+    this.isMoving = true;
+    this.resumedAt = now;
+    return true;
+  }
+
+  /** The stream has moved: its endpoint has run it. */
+  moved(): void {
+    this.runs += 1;
+    this.isMoving = false;
+  }
+
   /** The failure for a request whose last attempt did not run it and that is not sent any more. */
   refusal(): Failure {
     if (this.runs > 0) return new OutcomeUnknown('An earlier attempt may have run the request.');
     return new Unavailable('The endpoints refused the request.', returnMs);
   }
 
-  private async place(): Promise<Placement<EndpointHandle>> {
-    try {
-      return await this.services.line.place(this.placedRequest(), this.exchange.signal);
-    } catch (error) {
-      if (this.runs === 0) throw error;
-      throw new OutcomeUnknown('No other endpoint could take the request.', error);
-    }
-  }
-
   private placedRequest(): PlacedRequest {
     const { head, route, service, workspace, arrivedAt, deadlineAt } = this.exchange;
+    const model = this.services.directory.of(service)[0]?.model;
+    const { promptTokens = 0 } = head;
+    const goalAt = this.goalAt();
     return {
       id: head.id,
       service,
       workspace: workspace?.name ?? '',
       priority: workspace?.priority ?? route.priority,
-      arrivedAt,
-      demand: { promptTokens: head.promptTokens ?? 0 },
+      arrivedAt: this.resumedAt ?? arrivedAt,
+      isReturned: this.resumedAt === undefined && this.isReturned(),
+      startBy: goalAt - (model?.firstEventMs(model.slots - 1, 0, promptTokens) ?? plainMs),
+      demand: {
+        promptTokens,
+        answerTokens: head.expectedAnswerTokens ?? head.mostAnswerTokens ?? 0,
+      },
       eligibility: {
         homeRegions: [route.homeRegions, workspace?.homeRegions ?? []],
         tried: this.tried,
       },
-      goalAt: arrivedAt + route.goalMs,
+      goalAt,
       deadlineAt,
     };
   }
 
-  private dispatch(
-    handle: EndpointHandle,
+  /** Whether the caller has waited before: it has clearly less time left than its route allows. */
+  private isReturned(): boolean {
+    const { head, route } = this.exchange;
+    return (head.timeLeftMs ?? Infinity) < route.timeoutMs * returnedShare;
+  }
+
+  /** Time by which the first event, or the next one of a stream that goes on, is of full use. */
+  private goalAt(): number {
+    const { route, arrivedAt } = this.exchange;
+    const { resumedAt } = this;
+    const firstGoalAt = arrivedAt + route.goalMs;
+    if (resumedAt === undefined) return firstGoalAt;
+    return Math.max(
+      firstGoalAt,
+      resumedAt + (this.isMoving ? movePatienceMs : (route.pauseGoalMs ?? route.goalMs)),
+    );
+  }
+
+  /** Sends the request to an endpoint. */
+  send(
+    { target: handle }: Placement<EndpointHandle>,
     observer: CallObserver,
     lastEventId: number | undefined,
   ): Attempt {
@@ -155,6 +212,7 @@
       line.look(exchange.service);
     };
     directory.countSend(handle);
+    this.sends += 1;
     handle.load.start(readMs);
     call.start();
     return { handle, call, wasRead, ended };
--- a/packages/forwarding/src/dispatchLine.ts
+++ b/packages/forwarding/src/dispatchLine.ts
@@ -26,8 +26,8 @@
 const lookMs = 20;
 /** Time for the answer's way back, in milliseconds. */
 const wayBackMs = 10;
-/** Longest wait of a request whose goal has passed, in milliseconds. */
-const lateWaitMs = 250;
+/** Longest wait of a request whose caller was refused before, in milliseconds. */
+const returnedWaitMs = 300;
 /** Part of the time to the goal that the estimate may fill. */
 const estimateShare = 0.9;
 /** Time after which callers are told to come back, in milliseconds. */
@@ -55,7 +55,8 @@
     const line = this.lineOf(request.service);
     const placement = line.length === 0 ? this.find(request, now) : undefined;
     if (placement) return Promise.resolve(this.took(request, placement, now));
-    if (!this.mayWait(request, now)) return Promise.reject(this.refusal(request, now));
+    const startAt = now + line.expectedWaitMs(now);
+    if (!this.mayWait(request, startAt)) return Promise.reject(this.refusal(request, now));
     return new Promise((resolve, reject) => {
       const pending: Pending = { ...request, resolve, reject };
       const leave = (): void => {
@@ -73,7 +74,7 @@
     const line = this.lines.get(service);
     if (!line || line.length === 0) return;
     const now = this.clock.now();
-    line.ordered().forEach((pending) => {
+    line.ordered(now).forEach((pending) => {
       const placement = this.find(pending, now);
       if (placement) {
         line.remove(pending);
@@ -104,16 +105,17 @@
     const best = bestPlacement(targets, demand, now, this.random);
     if (!best) return undefined;
     const left = (request.goalAt - now - wayBackMs) * estimateShare;
-    if (best.expectedMs <= left) return best;
+    if (!request.isReturned && best.expectedMs <= left) return best;
     const { load, slots } = best.target;
-    const isLate = now >= request.goalAt - wayBackMs;
+    const isLate = request.isReturned || now > request.startBy;
     return isLate && load.occupied(now) < slots ? best : undefined;
   }
 
-  private mayWait(request: PlacedRequest, now: number): boolean {
+  /** Whether a request that is sent at `startAt` is still of use. */
+  private mayWait(request: PlacedRequest, startAt: number): boolean {
     if (!this.directory.canServe(request.service, request.eligibility)) return false;
-    if (now < request.goalAt - wayBackMs) return true;
-    return now - request.arrivedAt < lateWaitMs;
+    if (request.isReturned) return startAt - request.arrivedAt < returnedWaitMs;
+    return startAt <= request.startBy;
   }
 
   private took(
@@ -122,7 +124,7 @@
     now: number,
   ): Placement<EndpointHandle> {
     const { target, expectedMs } = placement;
-    this.lineOf(request.service).countServed(request.workspace);
+    this.lineOf(request.service).countServed(request.workspace, now);
     this.metrics.observe('request_wait', now - request.arrivedAt);
     this.log.debug('Request placed.', {
       id: request.id,
--- a/packages/forwarding/src/endpointDirectory.ts
+++ b/packages/forwarding/src/endpointDirectory.ts
@@ -5,6 +5,7 @@
   Metrics,
   ServiceProfile,
 } from '@laburnumstream/common';
+import type { RoomSharers } from '@laburnumstream/decisions';
 import { EndpointHandle } from './endpointHandle.js';
 import type { FleetState } from './fleetState.js';
 
@@ -16,7 +17,7 @@
 }
 
 /** Time before the end of a named version's grace after which the old one is left, in milliseconds. */
-const versionMarginMs = 1_200;
+const versionMarginMs = 800;
 /** Part of an endpoint's connections that entries use together. */
 const connectionShare = 0.9;
 
@@ -91,6 +92,16 @@
     if (now < handle.coldUntil) handle.coldRate.take(now);
   }
 
+  /** Entries that share the room of the endpoints of a region. */
+  sharers(region: string): RoomSharers {
+    const { regions, region: own } = this.settings;
+    const isThere = (dataCentre: string): boolean => regions.get(dataCentre) === region;
+    const isNear = region === own;
+    const near = Math.max(isNear ? 1 : 0, this.state.entriesIn(isThere));
+    const far = Math.max(isNear ? 0 : 1, this.state.entries - near);
+    return { near, far, isNear };
+  }
+
   private take(endpoint: Endpoint, profile: ServiceProfile | undefined): void {
     const known = this.handles.get(endpoint.id);
     if (known) {
@@ -102,7 +113,8 @@
     const region = this.settings.regions.get(endpoint.dataCentre) ?? '';
     const isNear = region === this.settings.region;
     const { clock, metrics } = this;
-    const handle = new EndpointHandle(endpoint, profile, isNear, region, clock, metrics);
+    const peers = (): number => Math.max(0, this.sharers(region).near - (isNear ? 1 : 0));
+    const handle = new EndpointHandle(endpoint, profile, isNear, region, clock, metrics, peers);
     this.takeCold(handle, endpoint);
     this.handles.set(endpoint.id, handle);
   }
@@ -123,6 +135,7 @@
     return (
       !endpoint.isDraining &&
       !handle.isSwitching &&
+      handle.isAnswering &&
       !tried.has(endpoint.id) &&
       !this.state.isEvacuated(endpoint.dataCentre) &&
       homeRegions.every((homes) => homes.length === 0 || homes.includes(region)) &&
@@ -138,7 +151,7 @@
     if (version === undefined || model === undefined) return false;
     const wanted = this.state.wantedVersion(model);
     if (!wanted || version >= wanted.version) return true;
-    return now - wanted.learnedAt < this.settings.bounds.versionMs - versionMarginMs;
+    return now - wanted.namedAt < this.settings.bounds.versionMs - versionMarginMs;
   }
 
   private hasRoom(handle: EndpointHandle, now: number): boolean {
@@ -150,6 +163,7 @@
       Math.floor(((profile?.maxConnections ?? 0) * connectionShare) / entries),
     );
     if (!pool.hasRoom(most)) return false;
+    if (handle.model && !handle.load.hasRoom(handle.slots, now)) return false;
     if (now >= coldUntil || !profile || profile.coldPerSecond <= 0) return true;
     return coldRate.fits(Math.max(1, Math.floor(profile.coldPerSecond / entries)), now);
   }
--- a/packages/forwarding/src/endpointHandle.ts
+++ b/packages/forwarding/src/endpointHandle.ts
@@ -3,6 +3,13 @@
 import type { PlacementTarget } from '@laburnumstream/decisions';
 import { ConnectionPool } from './connectionPool.js';
 
+/** A stream that can go on at another endpoint. */
+export interface MovableStream {
+  /** Whether its first event has come. */
+  readonly hasEvents: boolean;
+  readonly move: () => void;
+}
+
 /** Requests at once to a plain service that does not say how many it runs. */
 const defaultSlots = 8;
 
@@ -10,10 +17,13 @@
 export class EndpointHandle implements PlacementTarget {
   readonly pool: ConnectionPool;
 
-  readonly load = new EndpointLoad();
+  readonly load: EndpointLoad;
 
   readonly coldRate = new SharedRate();
 
+  /** Streams of this entry that it is giving. */
+  readonly streams = new Set<MovableStream>();
+
   /** Monotonic time until which it is cold, in milliseconds. */
   coldUntil = 0;
 
@@ -26,6 +36,12 @@
   /** Whether the process beside it is about to load other weights. */
   isSwitching = false;
 
+  /** Monotonic time at which it is to leave its weights, in milliseconds; undefined when it is not. */
+  switchAt: number | undefined;
+
+  /** Whether it answers the process beside it, as far as that said. */
+  isAnswering = true;
+
   model: EngineModel | undefined;
 
   constructor(
@@ -35,7 +51,10 @@
     readonly region: string,
     clock: Clock,
     metrics: Metrics,
+    /** Other entries that send to it as this one does. */
+    peers: () => number,
   ) {
+    this.load = new EndpointLoad(peers);
     this.pool = new ConnectionPool(endpoint.address, clock, metrics);
     this.takeProfile(profile);
   }
@@ -61,4 +80,16 @@
     this.profile = profile;
     if (profile?.engine) this.model ??= new EngineModel(profile.engine);
   }
+
+  /**
+   * Asks its streams to go on elsewhere: those that have not begun at once, the others when they
+   * still run after a while.
+   */
+  moveStreams(afterMs: number): void {
+    const streams = [...this.streams];
+    streams.filter(({ hasEvents }) => !hasEvents).forEach((stream) => stream.move());
+    const moveRest = (): void =>
+      streams.filter((stream) => this.streams.has(stream)).forEach((stream) => stream.move());
+    setTimeout(moveRest, afterMs);
+  }
 }
--- /dev/null
+++ b/packages/forwarding/src/entryRegistration.ts
@@ -0,0 +1,61 @@
+import { NotFound, toFailure } from '@laburnumstream/common';
+import type { Clock, KeyValueStore, Log } from '@laburnumstream/common';
+
+/** Renewals in the length of a lease. */
+const renewals = 3;
+/** Delay before a failed call is tried again, in milliseconds. */
+const retryMs = 1_000;
+
+/** Keeps this entry registered in the store, so that the others know how many share bounds. */
+export class EntryRegistration {
+  private lease: string | undefined;
+
+  constructor(
+    private readonly store: KeyValueStore,
+    private readonly key: string,
+    private readonly value: string,
+    private readonly leaseMs: number,
+    private readonly clock: Clock,
+    private readonly log: Log,
+  ) {}
+
+  /** Keeps the registration until the signal fires. */
+  async run(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      const pauseMs = await this.renew(signal);
+      await this.clock.sleep(pauseMs, signal).catch(() => undefined);
+    }
+  }
+
+  /** Ends the registration: this entry takes no more requests. */
+  async withdraw(): Promise<void> {
+    const { lease } = this;
+    this.lease = undefined;
+    try {
+      if (lease) await this.store.revokeLease(lease);
+    } catch (error) {
+      this.log.info('Registration not ended; its lease will.', { type: toFailure(error).type });
+    }
+  }
+
+  /** Renews the lease, or registers anew; returns the time until the next turn. */
+  private async renew(signal: AbortSignal): Promise<number> {
+    try {
+      if (this.lease) await this.store.renewLease(this.lease, signal);
+      else await this.register(signal);
+      return this.leaseMs / renewals;
+    } catch (error) {
+      const failure = toFailure(error);
+      if (failure instanceof NotFound) this.lease = undefined;
+      if (!signal.aborted) this.log.info('Registration not renewed.', { type: failure.type });
+      return retryMs;
+    }
+  }
+
+  private async register(signal: AbortSignal): Promise<void> {
+    const lease = await this.store.grantLease(this.leaseMs, signal);
+    await this.store.put(this.key, this.value, { lease }, signal);
+    this.lease = lease;
+    this.log.info('Registered.', { key: this.key });
+  }
+}
--- a/packages/forwarding/src/eventDelivery.ts
+++ b/packages/forwarding/src/eventDelivery.ts
@@ -1,3 +1,4 @@
+import type { Clock } from '@laburnumstream/common';
 import type { StreamEvent } from '@laburnumstream/decisions';
 import type { Exchange } from './exchange.js';
 import type { HeaderCodec } from './headerCodec.js';
@@ -8,9 +9,18 @@
 
   private lastId: number | undefined;
 
+  private lastSentAt: number | undefined;
+
+  /** Time until the first event, in milliseconds; undefined before it. */
+  firstEventMs: number | undefined;
+
+  /** Longest pause between two events, in milliseconds. */
+  longestPauseMs = 0;
+
   constructor(
     private readonly exchange: Exchange,
     private readonly codec: HeaderCodec,
+    private readonly clock: Clock,
   ) {
     this.lastId = exchange.head.lastEventId;
   }
@@ -28,6 +38,7 @@
   send(status: number, rawHeaders: readonly string[], events: readonly StreamEvent[]): boolean {
     const { response } = this.exchange;
     this.begin(status, rawHeaders);
+    this.notePause();
     let hasRoom = true;
     events.forEach(({ id, bytes }) => {
       // An endpoint that goes on may begin with events that the caller has.
@@ -45,6 +56,13 @@
     this.exchange.response.end();
   }
 
+  private notePause(): void {
+    const now = this.clock.now();
+    if (this.lastSentAt === undefined) this.firstEventMs = now - this.exchange.arrivedAt;
+    else this.longestPauseMs = Math.max(this.longestPauseMs, now - this.lastSentAt);
+    this.lastSentAt = now;
+  }
+
   private begin(status: number, rawHeaders: readonly string[]): void {
     if (this.hasHead) return;
     this.hasHead = true;
--- a/packages/forwarding/src/eventRelay.ts
+++ b/packages/forwarding/src/eventRelay.ts
@@ -2,6 +2,7 @@
 import type { Attempt } from './attempts.js';
 import { CallFault, isSuccess } from './endpointCall.js';
 import type { CallObserver } from './endpointCall.js';
+import type { MovableStream } from './endpointHandle.js';
 import type { EventDelivery } from './eventDelivery.js';
 import type { Exchange } from './exchange.js';
 import type { AnswerHead } from './heads.js';
@@ -24,9 +25,17 @@
 const pauseTimeoutMs = 1_200;
 
 /** Relays the events of one attempt to the caller. */
-export class EventRelay implements CallObserver {
+export class EventRelay implements CallObserver, MovableStream {
   readonly outcome: Promise<StreamOutcome>;
 
+  /** Resolves when the stream should go on elsewhere. */
+  readonly moveAsked: Promise<void>;
+
+  /** Asks for the stream to go on elsewhere. */
+  readonly move: () => void;
+
+  hasEvents = false;
+
   private attempt: Attempt | undefined;
 
   private settle: (outcome: StreamOutcome) => void = () => undefined;
@@ -52,6 +61,11 @@
     this.outcome = new Promise((resolve) => {
       this.settle = resolve;
     });
+    let move: () => void = () => undefined;
+    this.moveAsked = new Promise((resolve) => {
+      move = resolve;
+    });
+    this.move = move;
   }
 
   /** Whether any byte of the request may have reached the endpoint. */
@@ -62,6 +76,7 @@
   /** The request has been sent. */
   follow(attempt: Attempt): void {
     this.attempt = attempt;
+    attempt.handle.streams.add(this);
     this.startTimer(firstEventTimeoutMs);
   }
 
@@ -79,6 +94,7 @@
     }
     const events = this.splitter.take(bytes);
     if (events.length === 0) return;
+    this.hasEvents = true;
     this.startTimer(pauseTimeoutMs);
     this.attempt?.wasRead();
     if (this.delivery.send(this.status, this.rawHeaders, events)) return;
@@ -87,7 +103,7 @@
   }
 
   ended(): void {
-    clearTimeout(this.timer);
+    this.leave();
     if (this.isStream) {
       this.delivery.finish(this.status, this.rawHeaders, this.splitter.partial);
       this.settle({ kind: 'whole' });
@@ -99,20 +115,27 @@
   }
 
   failed(fault: CallFault, reason: string): void {
-    clearTimeout(this.timer);
+    this.leave();
     this.settle({ kind: 'fault', fault, reason });
   }
 
   /** Ends the attempt from this side. */
   abort(): void {
-    clearTimeout(this.timer);
+    this.leave();
     this.attempt?.call.abort();
     this.attempt?.ended();
+    this.settle({ kind: 'fault', fault: CallFault.aborted, reason: 'ended by its owner' });
+  }
+
+  private leave(): void {
+    clearTimeout(this.timer);
+    this.attempt?.handle.streams.delete(this);
   }
 
   private startTimer(ms: number): void {
     clearTimeout(this.timer);
     this.timer = setTimeout(() => {
+      this.leave();
       this.attempt?.call.abort();
       this.settle({ kind: 'fault', fault: CallFault.aborted, reason: `silent for ${ms} ms` });
     }, ms);
--- a/packages/forwarding/src/fleetChange.ts
+++ b/packages/forwarding/src/fleetChange.ts
@@ -11,7 +11,8 @@
   | { readonly kind: 'endpoint'; readonly id: string; readonly endpoint: Endpoint | undefined }
   | { readonly kind: 'evacuation'; readonly dataCentre: string; readonly isActive: boolean }
   | { readonly kind: 'version'; readonly named: NamedVersion }
-  | { readonly kind: 'entry'; readonly name: string; readonly isPresent: boolean };
+  /** Without a data centre when the entry is gone. */
+  | { readonly kind: 'entry'; readonly name: string; readonly dataCentre: string | undefined };
 
 /** Decodes what lies in the store. */
 export interface FleetCodec {
@@ -19,6 +20,8 @@
   readonly prefix: string;
   /** The key under which an entry registers itself. */
   entryKey(name: string): string;
+  /** What an entry registers of itself. */
+  encodeEntry(dataCentre: string): string;
   /** Undefined for what does not concern entries; throws `InvalidInput` for what cannot be read. */
   decode(change: StoreChange): FleetChange | undefined;
 }
--- a/packages/forwarding/src/fleetFeed.ts
+++ b/packages/forwarding/src/fleetFeed.ts
@@ -8,6 +8,10 @@
 const watchMs = 1_000;
 /** Time in which further changes of endpoints are collected before the next call, in milliseconds. */
 const collectMs = 250;
+/** Time for which a new process uses older versions than the named ones, in milliseconds. */
+const restartGraceMs = 2_500;
+/** Time within which the answer to a watch comes when there was nothing to wait for. */
+const promptMs = 15;
 const firstPauseMs = 100;
 const longestPauseMs = 800;
 
@@ -17,6 +21,9 @@
 
   private pauseMs = firstPauseMs;
 
+  /** Monotonic time of the last answer, in milliseconds. */
+  private answeredAt: number;
+
   private isReachable = true;
 
   constructor(
@@ -28,7 +35,12 @@
     private readonly clock: Clock,
     private readonly metrics: Metrics,
     private readonly log: Log,
-  ) {}
+    /** Time after a version's naming at which older ones are left, in milliseconds. */
+    versionMs: number,
+  ) {
+    // When versions in the first list were named is not known: they count as nearly due.
+    this.answeredAt = clock.now() - Math.max(0, versionMs - restartGraceMs);
+  }
 
   /** Follows the store until the signal fires. */
   async run(signal: AbortSignal): Promise<void> {
@@ -50,18 +62,22 @@
     const { values, revision } = await this.store.snapshot(this.codec.prefix, signal);
     const changes = values.flatMap((value) => this.decode(value));
     this.state.keepOnly(changes);
-    changes.forEach((change) => this.state.apply(change));
+    changes.forEach((change) => this.state.apply(change, this.answeredAt));
+    this.answeredAt = this.clock.now();
     this.revision = revision;
   }
 
   private async follow(after: number, signal: AbortSignal): Promise<void> {
-    const { changes, revision } = await this.store.changes(
-      this.codec.prefix,
-      after,
-      watchMs,
-      signal,
-    );
-    changes.flatMap((change) => this.decode(change)).forEach((change) => this.state.apply(change));
+    const { prefix } = this.codec;
+    const calledAt = this.clock.now();
+    const { changes, revision } = await this.store.changes(prefix, after, watchMs, signal);
+    const now = this.clock.now();
+    // A change that was not waited for may have come at any time since the answer before.
+    const changedAt = now - calledAt > promptMs ? now : this.answeredAt;
+    this.answeredAt = now;
+    changes
+      .flatMap((change) => this.decode(change))
+      .forEach((change) => this.state.apply(change, changedAt));
     this.revision = Math.max(after, revision);
     if (changes.length > 0) await this.clock.sleep(collectMs, signal);
   }
--- a/packages/forwarding/src/fleetState.ts
+++ b/packages/forwarding/src/fleetState.ts
@@ -1,12 +1,12 @@
-import type { Clock, Endpoint, Log, Metrics } from '@laburnumstream/common';
+import type { Endpoint, Log, Metrics } from '@laburnumstream/common';
 import { RouteTable } from '@laburnumstream/decisions';
 import type { FleetChange } from './fleetChange.js';
 
-/** A version that operators named, and when this process learned of it. */
+/** A version that operators named. */
 export interface WantedVersion {
   readonly version: number;
-  /** Monotonic time, in milliseconds. */
-  readonly learnedAt: number;
+  /** Monotonic time before which it was not named, in milliseconds. */
+  readonly namedAt: number;
 }
 
 /** How one kind of change is taken. */
@@ -14,17 +14,20 @@
   readonly [Kind in FleetChange['kind']]: (
     state: FleetState,
     change: Extract<FleetChange, { kind: Kind }>,
+    changedAt: number,
   ) => void;
 };
 
+type Handler = (state: FleetState, change: FleetChange, changedAt: number) => void;
+
 const handlers: Handlers = {
   configuration: (state, { configuration }) =>
     state.takeConfiguration(new RouteTable(configuration)),
   endpoint: (state, { id, endpoint }) =>
     endpoint ? state.takeEndpoint(endpoint) : state.removeEndpoint(id),
   evacuation: (state, { dataCentre, isActive }) => state.takeEvacuation(dataCentre, isActive),
-  version: (state, { named }) => state.takeVersion(named.model, named.version),
-  entry: (state, { name, isPresent }) => state.takeEntry(name, isPresent),
+  version: (state, { named }, at) => state.takeVersion(named.model, named.version, at),
+  entry: (state, { name, dataCentre }) => state.takeEntry(name, dataCentre),
 };
 
 /** What this entry knows of the fleet. Configurations and versions never go back. */
@@ -37,10 +40,10 @@
 
   private readonly versions = new Map<string, WantedVersion>();
 
-  private readonly entryNames = new Set<string>();
+  /** Data centres of the registered entries. */
+  private readonly entryPlaces = new Map<string, string>();
 
   constructor(
-    private readonly clock: Clock,
     private readonly metrics: Metrics,
     private readonly log: Log,
     /** Called after each change that affects where requests go. */
@@ -55,9 +58,18 @@
     return this.endpointsById;
   }
 
-  /** Entries that are registered. */
-  get entries(): ReadonlySet<string> {
-    return this.entryNames;
+  /** Number of entries that are registered. */
+  get entries(): number {
+    return this.entryPlaces.size;
+  }
+
+  /** Number of entries that are registered in some data centres. */
+  entriesIn(isIncluded: (dataCentre: string) => boolean): number {
+    let count = 0;
+    this.entryPlaces.forEach((dataCentre) => {
+      if (isIncluded(dataCentre)) count += 1;
+    });
+    return count;
   }
 
   isEvacuated(dataCentre: string): boolean {
@@ -72,9 +84,10 @@
     return this.versions;
   }
 
-  apply(change: FleetChange): void {
-    const handler = handlers[change.kind] as (state: FleetState, change: FleetChange) => void;
-    handler(this, change);
+  /** Takes a change that was made at `changedAt` or later, in monotonic milliseconds. */
+  apply(change: FleetChange, changedAt: number): void {
+    const handler = handlers[change.kind] as Handler;
+    handler(this, change, changedAt);
   }
 
   /** Drops what a complete list of the store no longer has. */
@@ -91,7 +104,9 @@
     [...this.evacuated].forEach(
       (name) => dataCentres.has(name) || this.takeEvacuation(name, false),
     );
-    [...this.entryNames].forEach((name) => names.has(name) || this.takeEntry(name, false));
+    [...this.entryPlaces.keys()].forEach(
+      (name) => names.has(name) || this.takeEntry(name, undefined),
+    );
   }
 
   takeConfiguration(table: RouteTable): void {
@@ -134,15 +149,16 @@
     this.onChange();
   }
 
-  takeVersion(model: string, version: number): void {
+  takeVersion(model: string, version: number, namedAt: number): void {
     if (version <= (this.versions.get(model)?.version ?? 0)) return;
-    this.versions.set(model, { version, learnedAt: this.clock.now() });
+    this.versions.set(model, { version, namedAt });
     this.log.info('Version named.', { model, version });
     this.onChange();
   }
 
-  takeEntry(name: string, isPresent: boolean): void {
-    if (isPresent) this.entryNames.add(name);
-    else this.entryNames.delete(name);
+  takeEntry(name: string, dataCentre: string | undefined): void {
+    if (dataCentre === undefined) this.entryPlaces.delete(name);
+    else this.entryPlaces.set(name, dataCentre);
+    this.metrics.gauge('entries', this.entryPlaces.size);
   }
 }
--- a/packages/forwarding/src/forwardingEntry.ts
+++ b/packages/forwarding/src/forwardingEntry.ts
@@ -2,6 +2,7 @@
 import type {
   Clock,
   ForwarderSettings,
+  KeyValueStore,
   Log,
   Metrics,
   Random,
@@ -12,6 +13,7 @@
 import { DispatchLine } from './dispatchLine.js';
 import { EndpointDirectory } from './endpointDirectory.js';
 import { EventStreams } from './eventStreams.js';
+import { EntryRegistration } from './entryRegistration.js';
 import type { FleetCodec } from './fleetChange.js';
 import { FleetFeed } from './fleetFeed.js';
 import { FleetState } from './fleetState.js';
@@ -23,7 +25,7 @@
 /** What an entry needs from outside. */
 export interface EntryPorts {
   readonly settings: ForwarderSettings;
-  readonly store: StoreFeed;
+  readonly store: StoreFeed & KeyValueStore;
   readonly fleetCodec: FleetCodec;
   readonly headerCodec: HeaderCodec;
   readonly clock: Clock;
@@ -39,6 +41,8 @@
 const proofShare = 0.92;
 /** Time in which the balancer and callers notice that this process leaves, in milliseconds. */
 const noticeMs = 3_000;
+/** Time after which an entry that is gone is no longer registered, in milliseconds. */
+const leaseMs = 9_000;
 const drainPollMs = 50;
 /** Time that is left for the end of a process that has to stop, in milliseconds. */
 const stopMarginMs = 1_000;
@@ -62,6 +66,8 @@
 
   private readonly sidecars: SidecarLinks;
 
+  private readonly registration: EntryRegistration;
+
   private isStopping = false;
 
   constructor(private readonly ports: EntryPorts) {
@@ -69,7 +75,7 @@
     const { bounds } = settings;
     const proofClock = new SleepAwareClock(clock);
     const proof = new ConfigurationProof(bounds.revocationMs * proofShare);
-    this.state = new FleetState(clock, metrics, log('fleet'), () => this.fleetChanged());
+    this.state = new FleetState(metrics, log('fleet'), () => this.fleetChanged());
     this.feed = new FleetFeed(
       store,
       fleetCodec,
@@ -79,8 +85,9 @@
       clock,
       metrics,
       log('store'),
+      bounds.versionMs,
     );
-    const entries = (): number => this.state.entries.size || mostEntries;
+    const entries = (): number => this.state.entries || mostEntries;
     this.directory = new EndpointDirectory(settings, this.state, clock, metrics, entries);
     this.line = new DispatchLine(this.directory, clock, random, metrics, log('line'));
     this.sidecars = new SidecarLinks(
@@ -88,10 +95,19 @@
       this.state,
       this.directory,
       clock,
+      random,
       metrics,
       log('sidecars'),
       (service) => this.line.look(service),
     );
+    this.registration = new EntryRegistration(
+      store,
+      fleetCodec.entryKey(settings.instance),
+      fleetCodec.encodeEntry(settings.dataCentre),
+      Math.max(leaseMs, settings.store.shortestLeaseMs),
+      clock,
+      log('registration'),
+    );
     const bound = {
       ratio: bounds.retryRatio,
       slack: bounds.retrySlack,
@@ -130,6 +146,7 @@
     const ready = addressOf(readiness);
     void this.feed.run(signal);
     void this.sidecars.run(signal);
+    void this.registration.run(signal);
     await serveReadiness(ready.host, ready.port, () => this.isReady(), signal);
     const { host, port } = addressOf(callers);
     await this.callers.listen(host, port);
@@ -139,6 +156,7 @@
   async stop(): Promise<void> {
     const { clock, settings } = this.ports;
     this.isStopping = true;
+    void this.registration.withdraw();
     this.callers.leave();
     const endAt = clock.now() + settings.bounds.shutdownMs - stopMarginMs;
     const noticeAt = clock.now() + Math.min(noticeMs, settings.bounds.shutdownMs / 2);
--- a/packages/forwarding/src/sidecarLinks.ts
+++ b/packages/forwarding/src/sidecarLinks.ts
@@ -1,4 +1,5 @@
-import type { Clock, FleetSettings, Log, Metrics } from '@laburnumstream/common';
+import type { Clock, FleetSettings, Log, Metrics, Random } from '@laburnumstream/common';
+import { roomShareOf } from '@laburnumstream/decisions';
 import { FleetDatagrams } from '@laburnumstream/links';
 import type { DatagramContent } from '@laburnumstream/links';
 import type { EndpointReport } from '@laburnumstream/protocol';
@@ -12,7 +13,14 @@
 const reportMs = { near: 300, far: 1_200 } as const;
 /** Time in which further changes are told with the first one, in milliseconds. */
 const changeDelayMs = 15;
+/** Time in which streams end by themselves at an engine that is about to load, in milliseconds. */
+const settleMs = 250;
+/** Requests that may wait at an engine, so that a slot that gets free is filled at once. */
+const spareSlots = 1;
+/** Time for the prompts that an engine may be given at once: its streams pause meanwhile. */
+const mostUnreadMs = 200;
 const permille = 1_000;
+const kilobit = 1_000;
 
 type WeightNewsContent = NonNullable<
   Extract<DatagramContent, { case: 'fleet' }>['value']['weights']
@@ -29,6 +37,7 @@
     private readonly state: FleetState,
     private readonly directory: EndpointDirectory,
     private readonly clock: Clock,
+    private readonly random: Random,
     metrics: Metrics,
     private readonly log: Log,
     /** A report may have made room at an endpoint of a service. */
@@ -77,9 +86,10 @@
     return {
       model: model.name,
       version: wanted?.version ?? 1,
-      namedMsAgo: Math.round(this.clock.now() - (wanted?.learnedAt ?? 0)),
+      namedMsAgo: Math.round(this.clock.now() - (wanted?.namedAt ?? 0)),
       origin: origin?.address ?? '',
       originDataCentre: origin?.dataCentre ?? '',
+      originKbitPerS: Math.round((origin?.linkBitsPerSecond ?? 0) / kilobit),
       layers: engine.layers,
       chunks: engine.chunks,
       chunkBytes: engine.chunkBytes,
@@ -87,7 +97,7 @@
       members: this.directory.of(endpoint.service).map((handle) => ({
         host: handle.endpoint.address.split(':')[0]!,
         dataCentre: handle.endpoint.dataCentre,
-        isServing: handle.version !== undefined,
+        version: handle.version ?? 0,
       })),
     };
   }
@@ -104,11 +114,17 @@
     const { load } = handle;
     const now = this.clock.now();
     const { running, waiting, pacePermille, version, isSwitching, isAnswering } = report;
-    load.report({ running, waiting, pace: pacePermille / permille }, load.own, now);
+    const free = handle.slots + spareSlots - running - waiting;
+    const room = Math.min(free, handle.model?.promptsFor(mostUnreadMs) ?? free);
+    const allowance = roomShareOf(room, this.directory.sharers(handle.region), this.random);
+    load.report({ running, waiting, pace: pacePermille / permille }, load.own, allowance, now);
     if (handle.reportedVersion !== version || handle.isSwitching !== isSwitching) {
       this.log.info('Engine changed.', { endpoint: handle.id, version, isSwitching, isAnswering });
     }
-    Object.assign(handle, { reportedVersion: version, isSwitching: isSwitching || !isAnswering });
+    const switchAt = report.switchInMs === undefined ? undefined : now + report.switchInMs;
+    // The engine ends what it runs before it loads other weights.
+    if (isSwitching && !handle.isSwitching) handle.moveStreams(settleMs);
+    Object.assign(handle, { reportedVersion: version, isSwitching, isAnswering, switchAt });
     this.onReport(handle.endpoint.service);
   }
 }
--- a/packages/forwarding/src/wholeAnswers.ts
+++ b/packages/forwarding/src/wholeAnswers.ts
@@ -19,7 +19,8 @@
     const attempts = new Attempts(exchange, this.services, this.isIdempotent);
     for (;;) {
       const collector = new AnswerCollector();
-      const attempt = await attempts.send(collector, exchange.head.lastEventId);
+      const placement = await attempts.place(exchange.signal);
+      const attempt = attempts.send(placement, collector, exchange.head.lastEventId);
       const outcome = await WholeAnswers.until(attempt, collector, exchange);
       attempt.ended();
       const isDone =
@@ -58,8 +59,10 @@
   ): boolean {
     const { status, head } = answer;
     const { load } = head;
-    if (load)
-      handle.load.report({ ...load, pace: 1 }, handle.load.own + 1, this.services.clock.now());
+    if (load) {
+      const { clock } = this.services;
+      handle.load.report({ ...load, pace: 1 }, handle.load.own + 1, Infinity, clock.now());
+    }
     const { use, execution } = judgeAnswer({ status, ...head });
     if (use === AnswerUse.deliver) {
       this.deliver(exchange, answer);
--- a/packages/sidecar/src/fleetView.ts
+++ b/packages/sidecar/src/fleetView.ts
@@ -2,15 +2,18 @@
 import type { WeightMember } from '@laburnumstream/decisions';
 import type { WeightNews } from '@laburnumstream/protocol';
 
+const bitsPerByte = 8;
+
 function membersOf({ members }: WeightNews): string {
-  return members.map(({ host, isServing }) => `${host} ${isServing}`).join();
+  return members.map(({ host, version }) => `${host} ${version}`).join();
 }
 
 /** What entries told this process of the fleet. */
 export class FleetView {
   private news: WeightNews | undefined;
 
-  private namedAt = 0;
+  /** Monotonic times at which the versions heard of were named, in milliseconds. */
+  private readonly namedAt = new Map<number, number>();
 
   constructor(
     /** IP of this instance, which is the name of its member. */
@@ -47,9 +50,21 @@
     return this.news?.loadMs ?? 0;
   }
 
-  /** Time since the wanted version was named, in milliseconds. */
-  namedMsAgo(): number {
-    return this.clock.now() - this.namedAt;
+  /** Time in which the origin's link passes one piece, in milliseconds. */
+  get originPieceMs(): number {
+    const { chunkBytes = 0, originKbitPerS = 0 } = this.news ?? {};
+    return originKbitPerS > 0 ? (chunkBytes * bitsPerByte) / originKbitPerS : 0;
+  }
+
+  /** Time since a version was named, in milliseconds; infinite when that was never heard. */
+  namedMsAgo(version: number): number {
+    return this.clock.now() - (this.namedAt.get(version) ?? -Infinity);
+  }
+
+  /** Time since the first version after one that is served was named, in milliseconds. */
+  outdatedMs(served: number): number {
+    const newer = [...this.namedAt].filter(([version]) => version > served);
+    return this.clock.now() - Math.min(...newer.map(([, at]) => at));
   }
 
   get self(): WeightMember {
@@ -62,10 +77,10 @@
     return [...others.map((member) => this.memberOf(member.host, member.dataCentre)), this.self];
   }
 
-  /** Members that serve whole weights, this one not included. */
-  get serving(): readonly WeightMember[] {
+  /** Members that serve a version, this one not included. */
+  serving(version: number): readonly WeightMember[] {
     return (this.news?.members ?? [])
-      .filter(({ host, isServing }) => isServing && host !== this.host)
+      .filter((member) => member.version === version && member.host !== this.host)
       .map((member) => this.memberOf(member.host, member.dataCentre));
   }
 
@@ -76,13 +91,13 @@
   take(news: WeightNews): boolean {
     if (news.version < this.version) return false;
     const before = this.news;
-    const namedAt = this.clock.now() - news.namedMsAgo;
-    if (news.version > this.version) {
-      this.namedAt = namedAt;
+    const at = this.clock.now() - news.namedMsAgo;
+    const known = this.namedAt.get(news.version);
+    if (known === undefined) {
       this.log.info('Version wanted.', { version: news.version, namedMsAgo: news.namedMsAgo });
     }
     // The entry that learned of the version first knows best how old it is.
-    this.namedAt = Math.min(this.namedAt, namedAt);
+    this.namedAt.set(news.version, Math.min(known ?? Infinity, at));
     this.news = news;
     return !before || before.version !== news.version || membersOf(before) !== membersOf(news);
   }
--- a/packages/sidecar/src/reporter.ts
+++ b/packages/sidecar/src/reporter.ts
@@ -11,6 +11,16 @@
   sentAt: number;
 }
 
+/** What entries are told of the engine's weights. */
+export interface WeightState {
+  /** Version whose every layer it holds; 0 for none. */
+  readonly version: number;
+  /** Whether it is about to leave its weights, or loads others. */
+  readonly isSwitching: boolean;
+  /** Time until it leaves its weights, in milliseconds; undefined while it need not. */
+  readonly switchInMs: number | undefined;
+}
+
 /** Silence after which an entry gets no more reports, in milliseconds. */
 const subscriptionMs = 4_000;
 const permille = 1_000;
@@ -26,8 +36,7 @@
     /** IP:PORT of the endpoint. */
     private readonly address: string,
     private readonly watch: EngineWatch,
-    private readonly isSwitching: () => boolean,
-    private readonly servedVersion: () => number,
+    private readonly weights: () => WeightState,
     private readonly datagrams: FleetDatagrams,
     private readonly clock: Clock,
   ) {}
@@ -46,8 +55,7 @@
     if (!state) return;
     const now = this.clock.now();
     const { isAnswering } = this.watch;
-    const isSwitching = this.isSwitching();
-    const version = this.servedVersion();
+    const { version, isSwitching, switchInMs } = this.weights();
     const urgent = `${isAnswering} ${isSwitching} ${version} ${state.bornAt}`;
     const isUrgent = urgent !== this.lastUrgent;
     this.lastUrgent = urgent;
@@ -60,6 +68,7 @@
       version,
       isSwitching,
       isAnswering,
+      ...(switchInMs === undefined ? {} : { switchInMs: Math.round(switchInMs) }),
     };
     this.subscribers.forEach((subscriber, name) => {
       if (now - subscriber.heardAt > subscriptionMs) this.subscribers.delete(name);
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -68,7 +68,8 @@
       this.reporter.report(),
     );
     const shelf = new VersionShelf();
-    const isServing = (): boolean => this.keeper.servedVersion > 0;
+    const isServing = (): boolean =>
+      this.keeper.servedVersion > 0 || (this.watch.state?.running ?? 0) > 0;
     const uplink = new Uplink(settings.linkBitsPerSecond, isServing, clock);
     this.pieces = new PieceServer(shelf, uplink, metrics, log('pieces'));
     this.gossip = new PieceGossip(this.view, shelf, uplink, this.datagrams, clock);
@@ -88,8 +89,7 @@
     this.reporter = new Reporter(
       settings.endpoint,
       this.watch,
-      () => this.keeper.isSwitching,
-      () => this.keeper.servedVersion,
+      () => this.keeper.weightState,
       this.datagrams,
       clock,
     );
--- a/packages/sidecar/src/uplink.ts
+++ b/packages/sidecar/src/uplink.ts
@@ -5,9 +5,11 @@
 const bitsPerByte = 8;
 const secondMs = 1_000;
 /** Transfers at once while the engine serves requests, and while it does not. */
-const mostTransfers = { serving: 2, idle: 6 } as const;
+const mostTransfers = { serving: 3, idle: 6 } as const;
 /** Part of the link that transfers fill while the engine serves requests. */
-const servingShare = 0.8;
+const servingShare = 0.85;
+/** Time for which an idle link saves up its rate, so that late timers cost no bytes. */
+const burstMs = 25;
 
 /** Shares the instance's link between weights and the engine's streams. */
 export class Uplink {
@@ -51,7 +53,7 @@
     if (!this.isServing()) return;
     const now = this.clock.now();
     const rate = this.bitsPerSecond * servingShare;
-    this.freeAt = Math.max(this.freeAt, now) + ((bytes * bitsPerByte) / rate) * secondMs;
+    this.freeAt = Math.max(this.freeAt, now - burstMs) + ((bytes * bitsPerByte) / rate) * secondMs;
     const waitMs = this.freeAt - now;
     if (waitMs > 1) await this.clock.sleep(waitMs);
   }
--- a/packages/sidecar/src/versionFetch.ts
+++ b/packages/sidecar/src/versionFetch.ts
@@ -1,7 +1,13 @@
 import { createHash } from 'node:crypto';
 import { Corrupted, NotFound, Unavailable, toFailure } from '@laburnumstream/common';
 import type { Clock, Log, Metrics, Random } from '@laburnumstream/common';
-import { FetchFault, HolderTransfer, origin, sourceName } from '@laburnumstream/decisions';
+import {
+  FetchFault,
+  HolderTransfer,
+  holderDefaults,
+  origin,
+  sourceName,
+} from '@laburnumstream/decisions';
 import type { ChunkFetch, WeightMember } from '@laburnumstream/decisions';
 import { HeldVersion, flagsOf } from './heldVersion.js';
 import type { PieceManifest, PieceOrigin } from './localEngine.js';
@@ -53,19 +59,24 @@
     manifest: PieceManifest,
     self: WeightMember,
     private readonly services: FetchServices,
+    /** Time in which the origin's link passes one piece, in milliseconds. */
+    originPieceMs: number,
     private readonly onPiece: (piece: number) => void,
   ) {
     const { random, clock } = services;
     this.held = new HeldVersion(manifest);
-    this.transfer = new HolderTransfer(manifest.digests.length, self, random, clock.now());
+    const limits = { ...holderDefaults, originChunkMs: originPieceMs };
+    const pieces = manifest.digests.length;
+    this.transfer = new HolderTransfer(pieces, self, random, clock.now(), limits);
   }
 
   get isComplete(): boolean {
     return this.transfer.isComplete;
   }
 
-  get remaining(): number {
-    return this.transfer.remaining;
+  /** Part of the pieces that are here. */
+  get progress(): number {
+    return 1 - this.transfer.remaining / this.transfer.chunks;
   }
 
   /** Members of other regions to tell that a piece is here. */
@@ -88,6 +99,12 @@
     this.transfer.window = window;
   }
 
+  /** Another agent serves this version, so it holds all pieces. */
+  learnWhole(name: string): void {
+    const { transfer, services } = this;
+    transfer.learn(name, new Uint8Array(transfer.chunks).fill(1), 0, services.clock.now());
+  }
+
   /** Another agent said what it holds. */
   learn(name: string, bitmap: Uint8Array, giving: number): void {
     this.transfer.learn(
@@ -148,6 +165,11 @@
       if (!this.adopt(piece, bytes)) throw new Corrupted(`Piece ${piece} has another digest.`);
       this.transfer.succeeded(fetch, clock.now());
       metrics.count(source === origin ? 'pieces_from_origin' : 'pieces_from_members');
+      log.debug('Piece came.', {
+        piece,
+        from: sourceName(source),
+        ms: Math.round(clock.now() - fetch.startedAt),
+      });
       this.onPiece(piece);
     } catch (error) {
       if (signal.aborted) return;
--- a/packages/sidecar/src/weightKeeper.ts
+++ b/packages/sidecar/src/weightKeeper.ts
@@ -1,6 +1,6 @@
 import { Unavailable, toFailure } from '@laburnumstream/common';
 import type { Chart, Clock, Log, Metrics } from '@laburnumstream/common';
-import { switchDelayMsOf, switchRank } from '@laburnumstream/decisions';
+import { switchDelayMsOf, switchPlace } from '@laburnumstream/decisions';
 import { Lifecycle } from '@laburnumstream/runtime';
 import type { Notifier } from '@laburnumstream/runtime';
 import type { EngineWatch } from './engineWatch.js';
@@ -8,12 +8,15 @@
 import type { HeldVersion } from './heldVersion.js';
 import type { LocalEngine } from './localEngine.js';
 import type { PieceGossip } from './pieceGossip.js';
+import type { WeightState } from './reporter.js';
 import { VersionFetch, digestOf, fetchManifest } from './versionFetch.js';
 import type { FetchServices } from './versionFetch.js';
 import type { VersionShelf } from './versionShelf.js';
 
 /** Fetches at once while the engine serves requests, and while it does not. */
-const windows = { serving: 2, idle: 6 } as const;
+const windows = { serving: 4, idle: 6 } as const;
+/** Part of a version that is fetched to its end although a newer one was named. */
+const finishShare = 0.3;
 /** Longest time between looks when nothing is heard to have changed, in milliseconds. */
 const lookMs = 1_000;
 /** Time between looks at an order that is carried out, in milliseconds. */
@@ -23,6 +26,8 @@
 const noticeMs = 25;
 /** Time beyond the requests that run in which an order has to show, in milliseconds. */
 const orderTimeoutMs = 12_000;
+/** Members that are asked for a manifest before the origin. */
+const mostAsked = 2;
 /** Pieces in a row that do not match after which what lies at the engine is another version. */
 const mostMismatches = 2;
 
@@ -53,9 +58,14 @@
     private readonly onUrgent: () => void,
   ) {}
 
-  /** Whether the engine is about to leave its weights, or loads others. */
-  get isSwitching(): boolean {
-    return this.switching;
+  /** What entries are told of the weights. */
+  get weightState(): WeightState {
+    const { servedVersion: version, switching: isSwitching, view } = this;
+    const isOutdated = version > 0 && version < view.version;
+    const newest = this.shelf.newest()?.version ?? 0;
+    const next = newest > version ? newest : view.version;
+    const switchInMs = isOutdated ? this.switchDelayMs(next) : undefined;
+    return { version, isSwitching, switchInMs };
   }
 
   /** Version whose every layer the engine holds; 0 for none. */
@@ -113,16 +123,16 @@
   private async fetchVersion(version: number, signal: AbortSignal): Promise<void> {
     const { view, services, gossip } = this;
     const startedAt = this.clock.now();
-    const isNear = view.serving.filter(({ region }) => region === view.self.region);
+    const serving = view.serving(version).filter(({ region }) => region === view.self.region);
     const manifest = await fetchManifest(
       view.model,
       version,
-      isNear.slice(0, mostMismatches).map(({ name }) => name),
+      serving.slice(0, mostAsked).map(({ name }) => name),
       view.origin,
       services,
       signal,
     );
-    const fetch = new VersionFetch(manifest, view.self, services, (piece) =>
+    const fetch = new VersionFetch(manifest, view.self, services, view.originPieceMs, (piece) =>
       gossip.pieceCame(piece),
     );
     this.shelf.put(fetch.held);
@@ -148,10 +158,13 @@
     signal: AbortSignal,
   ): Promise<void> {
     const { view } = this;
+    const { version } = fetch.held;
     while (!changed.signal.aborted && !signal.aborted) {
       fetch.regroup({ members: view.members, origin: view.origin });
-      fetch.setWindow(this.servedVersion > 0 ? windows.serving : windows.idle);
-      if (view.version !== fetch.held.version) changed.abort();
+      view.serving(version).forEach(({ name }) => fetch.learnWhole(name));
+      const isServing = this.servedVersion > 0 || (this.watch.state?.running ?? 0) > 0;
+      fetch.setWindow(isServing ? windows.serving : windows.idle);
+      if (view.version !== version && fetch.progress < finishShare) changed.abort();
       await this.changes.wait(lookMs, changed.signal).catch(() => undefined);
     }
   }
@@ -188,33 +201,38 @@
 
   /** An engine without weights loads at once; others one after the other. */
   private async awaitTurn(signal: AbortSignal): Promise<KeeperEvent> {
-    const { view } = this;
     const { version } = this.target!;
     while (this.servedVersion > 0) {
       if (version !== this.shelf.newest()?.version) return 'CHANGED';
-      const names = view.members.map(({ name }) => name);
-      const rank = switchRank(view.self.name, version, names);
-      const namedMsAgo = version === view.version ? view.namedMsAgo() : Infinity;
-      const engines = names.length;
-      const delay = switchDelayMsOf({ namedMsAgo, graceMs: this.graceMs, rank, engines });
+      const delay = this.switchDelayMs(version);
       if (delay <= 0) break;
       await this.changes.wait(Math.min(delay, lookMs), signal);
     }
     return 'DUE';
   }
 
+  /** Time until the engine is to switch to a version, in milliseconds. */
+  private switchDelayMs(version: number): number {
+    const { view } = this;
+    return switchDelayMsOf({
+      namedMsAgo: view.namedMsAgo(version),
+      outdatedMs: view.outdatedMs(this.servedVersion),
+      graceMs: this.graceMs,
+      place: switchPlace(view.self, version, view.members),
+    });
+  }
+
   private async switchOver(signal: AbortSignal): Promise<KeeperEvent> {
     const target = this.target!;
+    const { model, version } = target.manifest;
+    await this.stageVerified(target, signal);
     this.switching = true;
     this.onUrgent();
     try {
-      const verifying = this.stageVerified(target, signal);
       await this.clock.sleep(noticeMs, signal);
-      await verifying;
       await this.watch.ask(signal);
       const { state } = this.watch;
       if (!state || !this.watch.isAnswering) throw new Unavailable('The engine is away.', pauseMs);
-      const { model, version } = target.manifest;
       await this.engine.load(model, version, state.orders, signal);
       this.log.info('Load ordered.', { version, running: state.running, orders: state.orders });
       await this.awaitLoaded(version, state.bornAt, signal);
