--- /dev/null
+++ b/features/forwarding.feature
@@ -0,0 +1,32 @@
+Feature: Forwarding
+
+  Scenario Outline: end of an answer
+    When an endpoint answers with <framing> and <ends>
+    Then the call ends as <outcome>
+
+    Examples:
+      | framing              | ends                   | outcome   |
+      | a length             | all bytes              | whole     |
+      | a length             | a close before the end | truncated |
+      | chunks               | all bytes              | whole     |
+      | chunks               | a close before the end | truncated |
+      | chunks before close  | all bytes              | whole     |
+      | chunks before close  | a close before the end | truncated |
+      | chunks before close  | a reset before the end | truncated |
+      | neither              | a close                | whole     |
+      | neither              | a reset before the end | truncated |
+
+  Scenario: versions in quick succession
+    When version 2 is named at 1000 and version 3 at 3000
+    Then an engine with version 1 is outdated since 1000
+    And an engine with version 2 is outdated since 3000
+
+  Scenario: failing endpoint
+    Then over seeded answers an endpoint that fails four in ten costs more than a sound one
+    And an endpoint that fails twice in a row is left alone and then tried by one request
+
+  Scenario: registrations lapse while the store is away
+    When the store was away for 5000 ms and returns at 20000
+    Then an endpoint that is missing then stays until 22000
+    And one that registers again stays
+    And after an outage of 300 ms a missing endpoint is gone at once
--- /dev/null
+++ b/features/steps/forwarding.steps.ts
@@ -0,0 +1,158 @@
+import assert from 'node:assert/strict';
+import type { Socket } from 'node:net';
+import { After, Then, When } from '@cucumber/cucumber';
+import { SeededRandom } from '@laburnumstream/common';
+import { AttemptSign, EndpointHealth, NamedVersions, RemovalHold } from '@laburnumstream/decisions';
+import { AnswerCollector, ConnectionPool, EndpointCall } from '@laburnumstream/forwarding';
+import type { CallOutcome } from '@laburnumstream/forwarding';
+import { platformHeaders } from '@laburnumstream/platform';
+import { HistogramMetrics, SystemClock } from '@laburnumstream/runtime';
+import { ScriptedEndpoint } from '../support/scriptedEndpoint.js';
+
+interface ForwardingWorld {
+  scripted: ScriptedEndpoint;
+  outcome: CallOutcome;
+  named: NamedVersions;
+  hold: RemovalHold;
+}
+
+/** Heads and bodies of answers, by how they tell their end. */
+const framings: Readonly<Record<string, { head: string; part: string; rest: string }>> = {
+  'a length': { head: 'Content-Length: 10', part: 'first', rest: 'other' },
+  chunks: {
+    head: 'Transfer-Encoding: chunked',
+    part: '5\r\nfirst\r\n',
+    rest: '5\r\nother\r\n0\r\n\r\n',
+  },
+  'chunks before close': {
+    head: 'Transfer-Encoding: chunked\r\nConnection: close',
+    part: '5\r\nfirst\r\n',
+    rest: '5\r\nother\r\n0\r\n\r\n',
+  },
+  neither: { head: 'Connection: close', part: 'first', rest: 'other' },
+};
+/** Time in which the first part of an answer arrives by itself, in milliseconds. */
+const partMs = 30;
+
+type Ending = (socket: Socket, rest: string) => void;
+
+const endings: Readonly<Record<string, Ending>> = {
+  'all bytes': (socket, rest) => socket.write(rest),
+  'a close': (socket, rest) => socket.end(rest),
+  'a close before the end': (socket) => socket.end(),
+  'a reset before the end': (socket) => socket.resetAndDestroy(),
+};
+
+When(
+  /^an endpoint answers with (a length|chunks|chunks before close|neither) and (.+)$/,
+  async function answer(this: ForwardingWorld, framing: string, ending: string) {
+    const { head, part, rest } = framings[framing]!;
+    this.scripted = await ScriptedEndpoint.start((socket) => {
+      socket.write(`HTTP/1.1 200 OK\r\n${head}\r\n\r\n${part}`);
+      setTimeout(() => endings[ending]!(socket, rest), partMs);
+    });
+    const pool = new ConnectionPool(
+      this.scripted.address,
+      new SystemClock(),
+      new HistogramMetrics(),
+    );
+    const collector = new AnswerCollector();
+    const request = { method: 'GET', path: '/', id: 'r1', headers: [], body: Buffer.alloc(0) };
+    new EndpointCall(pool, request, Infinity, platformHeaders, collector).start();
+    this.outcome = await collector.outcome;
+    pool.closeIdle();
+  },
+);
+
+After(function close(this: Partial<ForwardingWorld>) {
+  this.scripted?.close();
+});
+
+Then(/^the call ends as (whole|truncated)$/, function check(this: ForwardingWorld, end: string) {
+  const seen = this.outcome.kind === 'answer' ? 'whole' : this.outcome.fault;
+  assert.equal(seen, end, JSON.stringify(this.outcome));
+  if (this.outcome.kind === 'answer') {
+    assert.equal(this.outcome.answer.body.toString(), 'firstother');
+  }
+});
+
+When(
+  /^version (\d+) is named at (\d+) and version (\d+) at (\d+)$/,
+  function name(this: ForwardingWorld, first: string, at: string, second: string, then: string) {
+    this.named = new NamedVersions();
+    this.named.name(Number(first), Number(at));
+    this.named.name(Number(second), Number(then));
+  },
+);
+
+Then(
+  /^an engine with version (\d+) is outdated since (\d+)$/,
+  function outdated(this: ForwardingWorld, version: string, at: string) {
+    assert.equal(this.named.outdatedAt(Number(version)), Number(at));
+    assert.equal(this.named.outdatedAt(this.named.newest), Infinity);
+  },
+);
+
+Then(
+  'over seeded answers an endpoint that fails four in ten costs more than a sound one',
+  function compare() {
+    const random = new SeededRandom(11);
+    const grey = new EndpointHealth();
+    const sound = new EndpointHealth();
+    for (let request = 0; request < 200; request += 1) {
+      const now = request * 20;
+      const isBad = random.next() < 0.4;
+      grey.count(isBad ? AttemptSign.failed : AttemptSign.answered, now);
+      sound.count(AttemptSign.answered, now);
+    }
+    const end = 200 * 20;
+    assert.ok(grey.failureRate(end) > 0.25, `grey ${grey.failureRate(end)}`);
+    assert.ok(sound.failureRate(end) < 0.01, `sound ${sound.failureRate(end)}`);
+    const forgotten = end + 30_000;
+    assert.ok(grey.failureRate(forgotten) < 0.01, 'it gets another chance');
+  },
+);
+
+Then(
+  'an endpoint that fails twice in a row is left alone and then tried by one request',
+  function pause() {
+    const health = new EndpointHealth();
+    health.count(AttemptSign.failed, 1_000);
+    assert.ok(health.mayTry(3, 1_000), 'one failure says little');
+    health.count(AttemptSign.failed, 1_010);
+    assert.ok(!health.mayTry(0, 1_100));
+    assert.ok(health.mayTry(0, 1_300));
+    assert.ok(!health.mayTry(1, 1_300), 'a second request waits for the first');
+    health.count(AttemptSign.answered, 1_320);
+    assert.ok(health.mayTry(3, 1_320));
+  },
+);
+
+When(
+  /^the store was away for (\d+) ms and returns at (\d+)$/,
+  function returned(this: ForwardingWorld, outageMs: string, at: string) {
+    this.hold = new RemovalHold();
+    this.hold.storeReturned(Number(outageMs), Number(at));
+  },
+);
+
+Then('an endpoint that is missing then stays until 22000', function held(this: ForwardingWorld) {
+  assert.ok(this.hold.hold('lapsed', 20_010));
+  assert.deepEqual(this.hold.due(21_900), []);
+  assert.deepEqual(this.hold.due(22_000), ['lapsed']);
+  assert.ok(!this.hold.isWaiting);
+});
+
+Then('one that registers again stays', function again(this: ForwardingWorld) {
+  assert.ok(this.hold.hold('back', 20_020));
+  this.hold.release('back');
+  assert.deepEqual(this.hold.due(23_000), []);
+});
+
+Then(
+  'after an outage of 300 ms a missing endpoint is gone at once',
+  function short(this: ForwardingWorld) {
+    this.hold.storeReturned(300, 30_000);
+    assert.ok(!this.hold.hold('gone', 30_010));
+  },
+);
--- a/packages/decisions/src/forwarding/attemptResult.ts
+++ b/packages/decisions/src/forwarding/attemptResult.ts
@@ -1,4 +1,5 @@
 import { Execution } from '@laburnumstream/common';
+import { AttemptSign } from './endpointHealth.js';
 
 /** What an endpoint's answer says before its body counts. */
 export interface AnswerFacts {
@@ -24,10 +25,11 @@
 /** One of the values of {@link AnswerUse}. */
 export type AnswerUse = (typeof AnswerUse)[keyof typeof AnswerUse];
 
-/** What is done with an answer, and whether the request ran. */
+/** What is done with an answer, whether the request ran, and what that tells of the endpoint. */
 export interface AnswerJudgement {
   readonly use: AnswerUse;
   readonly execution: Execution;
+  readonly sign: AttemptSign;
 }
 
 const misdirected = 421;
@@ -45,17 +47,27 @@
   isEncoded,
 }: AnswerFacts): AnswerJudgement {
   if (wasNotRun || status === misdirected) {
-    return { use: AnswerUse.discard, execution: Execution.notRun };
+    return {
+      use: AnswerUse.discard,
+      execution: Execution.notRun,
+      sign: AttemptSign.refused,
+    };
   }
   const isSuccess = status >= 200 && status < firstRedirect;
   if (isSuccess) {
-    const use = isSigned && !isEncoded ? AnswerUse.deliver : AnswerUse.discard;
-    return { use, execution: Execution.unknown };
+    const isUsable = isSigned && !isEncoded;
+    const use = isUsable ? AnswerUse.deliver : AnswerUse.discard;
+    const sign = isUsable ? AttemptSign.answered : AttemptSign.failed;
+    return { use, execution: Execution.unknown, sign };
   }
   // Without the endpoint's word that it did not run the request, a promise would be false.
-  if (promises.has(status)) return { use: AnswerUse.discard, execution: Execution.unknown };
-  const use = status >= firstServerError ? AnswerUse.deliverIfLast : AnswerUse.deliver;
-  return { use, execution: Execution.ran };
+  if (promises.has(status)) {
+    return { use: AnswerUse.discard, execution: Execution.unknown, sign: AttemptSign.failed };
+  }
+  const isError = status >= firstServerError;
+  const use = isError ? AnswerUse.deliverIfLast : AnswerUse.deliver;
+  const sign = isError ? AttemptSign.erred : AttemptSign.answered;
+  return { use, execution: Execution.ran, sign };
 }
 
 /** Whether a request may be sent once more after an attempt. */
--- a/packages/decisions/src/forwarding/configurationProof.ts
+++ b/packages/decisions/src/forwarding/configurationProof.ts
@@ -8,6 +8,8 @@
   constructor(
     /** Age up to which keys of the configuration are honoured, in milliseconds. */
     private readonly longestAgeMs: number,
+    /** Age up to which what the configuration lacks counts as not there, in milliseconds. */
+    private readonly longestDenialAgeMs: number,
   ) {}
 
   /** The store confirmed the configuration in a call that began at `calledAt`. */
@@ -19,7 +21,13 @@
     return now - this.provenAt;
   }
 
-  isFresh(now: number): boolean {
+  /** Whether a key of the configuration may be honoured. */
+  mayHonour(now: number): boolean {
     return this.ageMs(now) < this.longestAgeMs;
   }
+
+  /** Whether a caller may be told that a route or key is not there. */
+  mayDeny(now: number): boolean {
+    return this.ageMs(now) < this.longestDenialAgeMs;
+  }
 }
--- a/packages/decisions/src/forwarding/placement.ts
+++ b/packages/decisions/src/forwarding/placement.ts
@@ -1,4 +1,5 @@
 import type { Random } from '@laburnumstream/common';
+import type { EndpointHealth } from './endpointHealth.js';
 import type { EndpointLoad } from './endpointLoad.js';
 import type { EngineModel } from './engineModel.js';
 
@@ -6,6 +7,7 @@
 export interface PlacementTarget {
   readonly id: string;
   readonly load: EndpointLoad;
+  readonly health: EndpointHealth;
   /** Requests that it runs at once. */
   readonly slots: number;
   /** Timing of a model engine; undefined for a plain service. */
@@ -36,6 +38,8 @@
 /** Cost of each millisecond that a request would outlast its endpoint's service. */
 const overrunShare = 0.4;
 const mostOverrunMs = 250;
+/** Cost of an attempt that fails: the request goes on elsewhere or is lost. */
+const failureMs = 600;
 /** Time of a plain service's answer when all its slots are free, in milliseconds. */
 const plainMs = 20;
 
@@ -73,7 +77,8 @@
     const expected = expectedMs(target, demand, now);
     const nearness = target.isNear ? 0 : farMs;
     const overrun = overrunCost(target, demand, expected, now);
-    const cost = expected + nearness + overrun + random.next() * jitterMs;
+    const failing = target.health.failureRate(now) * failureMs;
+    const cost = expected + nearness + overrun + failing + random.next() * jitterMs;
     if (cost >= bestCost) return;
     bestCost = cost;
     best = { target, expectedMs: expected };
--- a/packages/decisions/src/forwarding/sharedRetryBudget.ts
+++ b/packages/decisions/src/forwarding/sharedRetryBudget.ts
@@ -37,6 +37,11 @@
     this.countsOf(service).requests.add(1, now);
   }
 
+  /** Whether one repeat after a failure fits. */
+  fits(service: string, now: number): boolean {
+    return this.hasRoom(service, usedShare, now);
+  }
+
   /** Takes one repeat after a failure; returns whether it fits. */
   spend(service: string, now: number): boolean {
     return this.take(service, usedShare, now);
@@ -48,12 +53,16 @@
   }
 
   private take(service: string, share: number, now: number): boolean {
+    if (!this.hasRoom(service, share, now)) return false;
+    this.countsOf(service).repeats.add(1, now);
+    return true;
+  }
+
+  private hasRoom(service: string, share: number, now: number): boolean {
     const { requests, repeats } = this.countsOf(service);
     const { ratio, slack } = this.bound;
     const earned = requests.total(now) * ratio + slack / Math.max(1, this.entries());
-    if (repeats.total(now) + 1 > earned * share) return false;
-    repeats.add(1, now);
-    return true;
+    return repeats.total(now) + 1 <= earned * share;
   }
 
   private countsOf(service: string): ServiceCounts {
--- a/packages/forwarding/src/attempts.ts
+++ b/packages/forwarding/src/attempts.ts
@@ -106,6 +106,19 @@
     return isRepeated;
   }
 
+  /** Whether the request could go on elsewhere if its attempt at `handle` were given up. */
+  couldRepeat(handle: EndpointHandle): boolean {
+    const { exchange, services } = this;
+    const { directory, budget, clock } = services;
+    if (!this.isRepeatable || this.runs + 1 >= exchange.route.maxAttempts) return false;
+    const tried = new Set([...this.tried, handle.id]);
+    const { eligibility } = this.placedRequest();
+    return (
+      directory.canServe(exchange.service, { ...eligibility, tried }) &&
+      budget.fits(exchange.service, clock.now())
+    );
+  }
+
   /** Whether a stream that runs well may move to another endpoint; takes that from the budget. */
   mayMove(handle: EndpointHandle): boolean {
     const { exchange, services } = this;
--- a/packages/forwarding/src/callerServer.ts
+++ b/packages/forwarding/src/callerServer.ts
@@ -32,8 +32,15 @@
   serve(exchange: Exchange): Promise<void>;
 }
 
-/** Tells whether keys of the configuration in use may be honoured now. */
-export type KeyProof = () => boolean;
+/** What the age of the configuration in use allows now. */
+export interface ConfigurationChecks {
+  /** Whether its keys may be honoured. */
+  mayHonour(): boolean;
+  /** Whether a caller may be told that a route or key is not there. */
+  mayDeny(): boolean;
+  /** Age of the proof that it is the newest one, in milliseconds. */
+  ageMs(): number;
+}
 
 /** Delay after which a caller comes back when this entry can't serve yet, in milliseconds. */
 const returnMs = 700;
@@ -73,7 +80,7 @@
 
   constructor(
     private readonly state: FleetState,
-    private readonly hasProof: KeyProof,
+    private readonly checks: ConfigurationChecks,
     private readonly forwardings: Readonly<Record<Repetition, Forwarding>>,
     private readonly codec: HeaderCodec,
     private readonly clock: Clock,
@@ -170,16 +177,26 @@
   private admit(routes: RouteTable, request: IncomingMessage, head: RequestHead): Admission {
     const { host = '' } = request.headers;
     const route = routes.find(host.split(':')[0]!, pathOf(request.url ?? '/'));
-    if (!route) throw new NotFound('No route matches the host and path.');
+    if (!route) throw this.denial(new NotFound('No route matches the host and path.'));
     if (route.isPublic || !routes.configuration.needsKeys) return { route, workspace: undefined };
     // A key that is known here may have been taken away, and an unknown one may have been added.
-    if (!this.hasProof()) throw new Unavailable('Keys can not be checked now.', returnMs);
+    if (!this.checks.mayHonour()) {
+      const ageMs = Math.round(this.checks.ageMs());
+      throw new Unavailable(`The proof of keys is ${ageMs} ms old.`, returnMs);
+    }
     if (head.key === undefined) throw new Unauthenticated('A key is required.');
     const workspace = routes.workspaceOf(head.key);
-    if (!workspace) throw new Unauthenticated('The key is not known.');
+    if (!workspace) throw this.denial(new Unauthenticated('The key is not known.'));
     return { route, workspace };
   }
 
+  /** The failure for what is not there, unless it may have been added since the last look. */
+  private denial(failure: Failure): Failure {
+    if (this.checks.mayDeny()) return failure;
+    const ageMs = Math.round(this.checks.ageMs());
+    return new Unavailable(`${failure.message} The configuration is ${ageMs} ms old.`, returnMs);
+  }
+
   private fail(
     request: IncomingMessage,
     response: ServerResponse,
--- a/packages/forwarding/src/endpointCall.ts
+++ b/packages/forwarding/src/endpointCall.ts
@@ -16,6 +16,8 @@
   truncated: 'truncated',
   /** The answer belongs to another request. */
   crossed: 'crossed',
+  /** The endpoint sent nothing for too long, so this process ended the call. */
+  silent: 'silent',
   /** This process ended the call. */
   aborted: 'aborted',
 } as const;
--- a/packages/forwarding/src/endpointConnection.ts
+++ b/packages/forwarding/src/endpointConnection.ts
@@ -5,7 +5,7 @@
 import type { Dispatcher } from 'undici';
 
 /** Longest time in which a connection is established, in milliseconds. */
-const connectTimeoutMs = 1_000;
+const connectTimeoutMs = 400;
 /** Time for which an idle connection is kept when the endpoint says nothing, in milliseconds. */
 const idleMs = 4_000;
 /** Part of the endpoint's own idle timeout that is not used, in milliseconds. */
--- a/packages/forwarding/src/endpointDirectory.ts
+++ b/packages/forwarding/src/endpointDirectory.ts
@@ -149,13 +149,12 @@
     const { version, profile } = handle;
     const model = profile?.engine?.models[0]?.name;
     if (version === undefined || model === undefined) return false;
-    const wanted = this.state.wantedVersion(model);
-    if (!wanted || version >= wanted.version) return true;
-    return now - wanted.namedAt < this.settings.bounds.versionMs - versionMarginMs;
+    const outdatedAt = this.state.namedVersions(model)?.outdatedAt(version) ?? Infinity;
+    return now - outdatedAt < this.settings.bounds.versionMs - versionMarginMs;
   }
 
   private hasRoom(handle: EndpointHandle, now: number): boolean {
-    if (now < handle.avoidedUntil) return false;
+    if (!handle.health.mayTry(handle.load.own, now) || handle.isSilent(now)) return false;
     const entries = Math.max(1, this.entries());
     const { profile, pool, coldRate, coldUntil } = handle;
     const most = Math.max(
--- a/packages/forwarding/src/endpointHandle.ts
+++ b/packages/forwarding/src/endpointHandle.ts
@@ -1,5 +1,5 @@
 import type { Clock, Endpoint, Metrics, ServiceProfile } from '@laburnumstream/common';
-import { EndpointLoad, EngineModel, SharedRate } from '@laburnumstream/decisions';
+import { EndpointHealth, EndpointLoad, EngineModel, SharedRate } from '@laburnumstream/decisions';
 import type { PlacementTarget } from '@laburnumstream/decisions';
 import { ConnectionPool } from './connectionPool.js';
 
@@ -10,6 +10,8 @@
   readonly move: () => void;
 }
 
+/** Time without any event on any stream after which an endpoint counts as silent, in milliseconds. */
+const silentMs = 500;
 /** Requests at once to a plain service that does not say how many it runs. */
 const defaultSlots = 8;
 
@@ -19,17 +21,19 @@
 
   readonly load: EndpointLoad;
 
+  readonly health = new EndpointHealth();
+
   readonly coldRate = new SharedRate();
 
   /** Streams of this entry that it is giving. */
-  readonly streams = new Set<MovableStream>();
+  private readonly streams = new Set<MovableStream>();
+
+  /** Monotonic time since when no stream has shown an event, in milliseconds. */
+  private quietSince = 0;
 
   /** Monotonic time until which it is cold, in milliseconds. */
   coldUntil = 0;
 
-  /** Monotonic time until which it gets no request, as it did not behave, in milliseconds. */
-  avoidedUntil = 0;
-
   /** Whole version as the process beside it last said, 0 for none; undefined while it says nothing. */
   reportedVersion: number | undefined;
 
@@ -75,6 +79,26 @@
     return isWhole ? layers.version : undefined;
   }
 
+  /** A stream has been sent there. */
+  addStream(stream: MovableStream, now: number): void {
+    if (this.streams.size === 0) this.quietSince = now;
+    this.streams.add(stream);
+  }
+
+  removeStream(stream: MovableStream): void {
+    this.streams.delete(stream);
+  }
+
+  /** A stream has shown an event. */
+  heardEvent(now: number): void {
+    this.quietSince = now;
+  }
+
+  /** Whether it has streams to give and gives nothing. */
+  isSilent(now: number): boolean {
+    return this.streams.size > 0 && now - this.quietSince > silentMs;
+  }
+
   takeProfile(profile: ServiceProfile | undefined): void {
     if (profile?.engine && profile.engine !== this.profile?.engine) this.model = undefined;
     this.profile = profile;
--- a/packages/forwarding/src/eventRelay.ts
+++ b/packages/forwarding/src/eventRelay.ts
@@ -1,3 +1,4 @@
+import type { Clock } from '@laburnumstream/common';
 import { AnswerUse, EventSplitter, judgeAnswer } from '@laburnumstream/decisions';
 import type { Attempt } from './attempts.js';
 import { CallFault, isSuccess } from './endpointCall.js';
@@ -20,9 +21,9 @@
   | { readonly kind: 'fault'; readonly fault: CallFault; readonly reason: string };
 
 /** Longest time until the first event of an attempt, in milliseconds. */
-const firstEventTimeoutMs = 1_500;
+const firstEventTimeoutMs = 900;
 /** Longest pause between two events of an attempt, in milliseconds. */
-const pauseTimeoutMs = 1_200;
+const pauseTimeoutMs = 700;
 
 /** Relays the events of one attempt to the caller. */
 export class EventRelay implements CallObserver, MovableStream {
@@ -57,6 +58,7 @@
   constructor(
     private readonly exchange: Exchange,
     private readonly delivery: EventDelivery,
+    private readonly clock: Clock,
   ) {
     this.outcome = new Promise((resolve) => {
       this.settle = resolve;
@@ -76,7 +78,7 @@
   /** The request has been sent. */
   follow(attempt: Attempt): void {
     this.attempt = attempt;
-    attempt.handle.streams.add(this);
+    attempt.handle.addStream(this, this.clock.now());
     this.startTimer(firstEventTimeoutMs);
   }
 
@@ -97,6 +99,7 @@
     this.hasEvents = true;
     this.startTimer(pauseTimeoutMs);
     this.attempt?.wasRead();
+    this.attempt?.handle.heardEvent(this.clock.now());
     if (this.delivery.send(this.status, this.rawHeaders, events)) return;
     this.attempt?.call.pause();
     this.exchange.response.once('drain', () => this.attempt?.call.resume());
@@ -129,7 +132,7 @@
 
   private leave(): void {
     clearTimeout(this.timer);
-    this.attempt?.handle.streams.delete(this);
+    this.attempt?.handle.removeStream(this);
   }
 
   private startTimer(ms: number): void {
@@ -137,7 +140,7 @@
     this.timer = setTimeout(() => {
       this.leave();
       this.attempt?.call.abort();
-      this.settle({ kind: 'fault', fault: CallFault.aborted, reason: `silent for ${ms} ms` });
+      this.settle({ kind: 'fault', fault: CallFault.silent, reason: `silent for ${ms} ms` });
     }, ms);
   }
 }
--- a/packages/forwarding/src/fleetFeed.ts
+++ b/packages/forwarding/src/fleetFeed.ts
@@ -1,11 +1,14 @@
 import { HistoryLost, InvalidInput, SleepAwareClock, toFailure } from '@laburnumstream/common';
 import type { Clock, Log, Metrics, StoreChange, StoreFeed } from '@laburnumstream/common';
+import { RemovalHold } from '@laburnumstream/decisions';
 import type { ConfigurationProof } from '@laburnumstream/decisions';
 import type { FleetChange, FleetCodec } from './fleetChange.js';
 import type { FleetState } from './fleetState.js';
 
 /** Longest wait of one watch; its end proves that nothing has changed, in milliseconds. */
 const watchMs = 1_000;
+/** The same while endpoints may come back that seem to be gone, in milliseconds. */
+const holdWatchMs = 250;
 /** Time in which further changes of endpoints are collected before the next call, in milliseconds. */
 const collectMs = 250;
 /** Time for which a new process uses older versions than the named ones, in milliseconds. */
@@ -26,6 +29,8 @@
 
   private isReachable = true;
 
+  private readonly hold = new RemovalHold();
+
   constructor(
     private readonly store: StoreFeed,
     private readonly codec: FleetCodec,
@@ -51,6 +56,7 @@
         else await this.follow(this.revision, signal);
         this.proof.confirm(calledAt);
         this.reached();
+        this.removeDue();
       } catch (error) {
         if (signal.aborted) return;
         await this.failed(error, signal);
@@ -61,27 +67,52 @@
   private async list(signal: AbortSignal): Promise<void> {
     const { values, revision } = await this.store.snapshot(this.codec.prefix, signal);
     const changes = values.flatMap((value) => this.decode(value));
-    this.state.keepOnly(changes);
-    changes.forEach((change) => this.state.apply(change, this.answeredAt));
-    this.answeredAt = this.clock.now();
+    const changedAt = this.answeredAt;
+    this.noteAnswer();
+    [...this.state.missingIn(changes), ...changes].forEach((change) =>
+      this.take(change, changedAt),
+    );
     this.revision = revision;
   }
 
   private async follow(after: number, signal: AbortSignal): Promise<void> {
     const { prefix } = this.codec;
+    const waitMs = this.hold.isWaiting ? holdWatchMs : watchMs;
     const calledAt = this.clock.now();
-    const { changes, revision } = await this.store.changes(prefix, after, watchMs, signal);
+    const { changes, revision } = await this.store.changes(prefix, after, waitMs, signal);
     const now = this.clock.now();
     // A change that was not waited for may have come at any time since the answer before.
     const changedAt = now - calledAt > promptMs ? now : this.answeredAt;
-    this.answeredAt = now;
+    this.noteAnswer();
     changes
       .flatMap((change) => this.decode(change))
-      .forEach((change) => this.state.apply(change, changedAt));
+      .forEach((change) => this.take(change, changedAt));
     this.revision = Math.max(after, revision);
     if (changes.length > 0) await this.clock.sleep(collectMs, signal);
   }
 
+  /** Notes that the store answers, before what it says is taken. */
+  private noteAnswer(): void {
+    const now = this.clock.now();
+    if (!this.isReachable) this.hold.storeReturned(now - this.answeredAt, now);
+    this.answeredAt = now;
+  }
+
+  private take(change: FleetChange, changedAt: number): void {
+    if (change.kind === 'endpoint') {
+      if (change.endpoint) this.hold.release(change.id);
+      else if (this.hold.hold(change.id, this.clock.now())) {
+        this.log.info('Endpoint not registered; it may come back.', { endpoint: change.id });
+        return;
+      }
+    }
+    this.state.apply(change, changedAt);
+  }
+
+  private removeDue(): void {
+    this.hold.due(this.clock.now()).forEach((id) => this.state.removeEndpoint(id));
+  }
+
   private decode(change: StoreChange): FleetChange[] {
     try {
       const decoded = this.codec.decode(change);
--- a/packages/forwarding/src/fleetState.ts
+++ b/packages/forwarding/src/fleetState.ts
@@ -1,14 +1,7 @@
 import type { Endpoint, Log, Metrics } from '@laburnumstream/common';
-import { RouteTable } from '@laburnumstream/decisions';
+import { NamedVersions, RouteTable } from '@laburnumstream/decisions';
 import type { FleetChange } from './fleetChange.js';
 
-/** A version that operators named. */
-export interface WantedVersion {
-  readonly version: number;
-  /** Monotonic time before which it was not named, in milliseconds. */
-  readonly namedAt: number;
-}
-
 /** How one kind of change is taken. */
 type Handlers = {
   readonly [Kind in FleetChange['kind']]: (
@@ -38,7 +31,8 @@
 
   private readonly evacuated = new Set<string>();
 
-  private readonly versions = new Map<string, WantedVersion>();
+  /** Versions of each model that operators named. */
+  private readonly versions = new Map<string, NamedVersions>();
 
   /** Data centres of the registered entries. */
   private readonly entryPlaces = new Map<string, string>();
@@ -76,22 +70,19 @@
     return this.evacuated.has(dataCentre);
   }
 
-  wantedVersion(model: string): WantedVersion | undefined {
+  /** Versions of a model that operators named; undefined when there are none. */
+  namedVersions(model: string): NamedVersions | undefined {
     return this.versions.get(model);
   }
 
-  get wantedVersions(): ReadonlyMap<string, WantedVersion> {
-    return this.versions;
-  }
-
   /** Takes a change that was made at `changedAt` or later, in monotonic milliseconds. */
   apply(change: FleetChange, changedAt: number): void {
     const handler = handlers[change.kind] as Handler;
     handler(this, change, changedAt);
   }
 
-  /** Drops what a complete list of the store no longer has. */
-  keepOnly(changes: readonly FleetChange[]): void {
+  /** The removals of what a complete list of the store no longer has. */
+  missingIn(changes: readonly FleetChange[]): FleetChange[] {
     const ids = new Set<string>();
     const dataCentres = new Set<string>();
     const names = new Set<string>();
@@ -100,13 +91,16 @@
       if (change.kind === 'evacuation') dataCentres.add(change.dataCentre);
       if (change.kind === 'entry') names.add(change.name);
     });
-    [...this.endpointsById.keys()].forEach((id) => ids.has(id) || this.removeEndpoint(id));
-    [...this.evacuated].forEach(
-      (name) => dataCentres.has(name) || this.takeEvacuation(name, false),
-    );
-    [...this.entryPlaces.keys()].forEach(
-      (name) => names.has(name) || this.takeEntry(name, undefined),
-    );
+    const endpoints = [...this.endpointsById.keys()]
+      .filter((id) => !ids.has(id))
+      .map((id) => ({ kind: 'endpoint', id, endpoint: undefined }) as const);
+    const evacuations = [...this.evacuated]
+      .filter((dataCentre) => !dataCentres.has(dataCentre))
+      .map((dataCentre) => ({ kind: 'evacuation', dataCentre, isActive: false }) as const);
+    const entries = [...this.entryPlaces.keys()]
+      .filter((name) => !names.has(name))
+      .map((name) => ({ kind: 'entry', name, dataCentre: undefined }) as const);
+    return [...endpoints, ...evacuations, ...entries];
   }
 
   takeConfiguration(table: RouteTable): void {
@@ -150,8 +144,10 @@
   }
 
   takeVersion(model: string, version: number, namedAt: number): void {
-    if (version <= (this.versions.get(model)?.version ?? 0)) return;
-    this.versions.set(model, { version, namedAt });
+    const named = this.versions.get(model) ?? new NamedVersions();
+    if (version <= named.newest) return;
+    named.name(version, namedAt);
+    this.versions.set(model, named);
     this.log.info('Version named.', { model, version });
     this.onChange();
   }
--- a/packages/forwarding/src/forwardingEntry.ts
+++ b/packages/forwarding/src/forwardingEntry.ts
@@ -39,6 +39,8 @@
 const mostEntries = 16;
 /** Part of the time for removed keys that a proof may be old: the rest is for requests on their way. */
 const proofShare = 0.92;
+/** Time beyond that for a new configuration after which nobody is told that a key is not there. */
+const denialSlackMs = 500;
 /** Time in which the balancer and callers notice that this process leaves, in milliseconds. */
 const noticeMs = 3_000;
 /** Time after which an entry that is gone is no longer registered, in milliseconds. */
@@ -74,7 +76,10 @@
     const { settings, store, fleetCodec, headerCodec, clock, random, metrics, log } = ports;
     const { bounds } = settings;
     const proofClock = new SleepAwareClock(clock);
-    const proof = new ConfigurationProof(bounds.revocationMs * proofShare);
+    const proof = new ConfigurationProof(
+      bounds.revocationMs * proofShare,
+      bounds.configurationMs + denialSlackMs,
+    );
     this.state = new FleetState(metrics, log('fleet'), () => this.fleetChanged());
     this.feed = new FleetFeed(
       store,
@@ -127,10 +132,14 @@
       [Repetition.nonIdempotent]: new WholeAnswers(services, false),
       [Repetition.stream]: new EventStreams(services),
     };
-    const hasProof = (): boolean => !bounds.refusesWithoutProof || proof.isFresh(proofClock.now());
+    const checks = {
+      mayHonour: () => !bounds.refusesWithoutProof || proof.mayHonour(proofClock.now()),
+      mayDeny: () => proof.mayDeny(proofClock.now()),
+      ageMs: () => proof.ageMs(proofClock.now()),
+    };
     this.callers = new CallerServer(
       this.state,
-      hasProof,
+      checks,
       forwardings,
       headerCodec,
       clock,
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -1,4 +1,7 @@
 /** Forwards callers' requests to endpoints, on a platform that keeps what must last in its store. */
+export * from './answerCollector.js';
+export * from './connectionPool.js';
+export * from './endpointCall.js';
 export * from './fleetChange.js';
 export * from './forwardingEntry.js';
 export * from './headerCodec.js';
--- a/packages/forwarding/src/sidecarLinks.ts
+++ b/packages/forwarding/src/sidecarLinks.ts
@@ -82,11 +82,13 @@
     if (!engine || !model) return undefined;
     const services = this.state.routes?.configuration.services;
     const origin = [...(services?.values() ?? [])].find((service) => service.origin)?.origin;
-    const wanted = this.state.wantedVersion(model.name);
+    const named = this.state.namedVersions(model.name);
+    const version = named?.newest ?? 1;
+    const now = this.clock.now();
     return {
       model: model.name,
-      version: wanted?.version ?? 1,
-      namedMsAgo: Math.round(this.clock.now() - (wanted?.namedAt ?? 0)),
+      version,
+      namedMsAgo: Math.round(now - (named?.namedAt(version) ?? 0)),
       origin: origin?.address ?? '',
       originDataCentre: origin?.dataCentre ?? '',
       originKbitPerS: Math.round((origin?.linkBitsPerSecond ?? 0) / kilobit),
--- a/packages/forwarding/src/streamRun.ts
+++ b/packages/forwarding/src/streamRun.ts
@@ -1,5 +1,5 @@
 import { Execution, LinkedAbort, OutcomeUnknown, Timeout } from '@laburnumstream/common';
-import { AnswerUse, judgeAnswer } from '@laburnumstream/decisions';
+import { AnswerUse, AttemptSign, judgeAnswer } from '@laburnumstream/decisions';
 import type { Placement } from '@laburnumstream/decisions';
 import { Attempts } from './attempts.js';
 import type { Attempt, AttemptServices } from './attempts.js';
@@ -8,6 +8,7 @@
 import { EventDelivery } from './eventDelivery.js';
 import { EventRelay } from './eventRelay.js';
 import type { StreamOutcome } from './eventRelay.js';
+import { deadlinePassed } from './exchange.js';
 import type { Exchange } from './exchange.js';
 
 /** An attempt at a stream, and its outcome. */
@@ -67,10 +68,10 @@
   }
 
   private start(placement: Placement<EndpointHandle>): RunningAttempt {
-    const relay = new EventRelay(this.exchange, this.delivery);
+    const relay = new EventRelay(this.exchange, this.delivery, this.services.clock);
     const attempt = this.attempts.send(placement, relay, this.delivery.lastEventId);
     relay.follow(attempt);
-    return { attempt, relay, outcome: this.until(relay) };
+    return { attempt, relay, outcome: this.until(attempt, relay) };
   }
 
   /** The end of an attempt, or what came of the wish to move it elsewhere. */
@@ -111,10 +112,12 @@
   private takeOutcome(attempt: Attempt, outcome: StreamOutcome): boolean {
     attempt.ended();
     if (outcome.kind === 'whole') {
+      this.count(attempt.handle, AttemptSign.answered);
       this.logEnd(attempt);
       return true;
     }
     if (outcome.kind === 'answer') return this.takeAnswer(attempt, outcome);
+    this.count(attempt.handle, AttemptSign.failed);
     const execution = outcome.fault === CallFault.connection ? Execution.notRun : Execution.unknown;
     const reason = `${outcome.fault}: ${outcome.reason}`;
     if (this.attempts.mayRepeat(attempt.handle, execution, reason)) return false;
@@ -122,6 +125,10 @@
     throw new OutcomeUnknown('The connection to the endpoint broke.');
   }
 
+  private count(handle: EndpointHandle, sign: AttemptSign): void {
+    handle.health.count(sign, this.services.clock.now());
+  }
+
   private logEnd({ handle }: Attempt): void {
     const { head, route, service } = this.exchange;
     const { firstEventMs = 0, longestPauseMs, lastEventId } = this.delivery;
@@ -140,11 +147,12 @@
     });
   }
 
-  private until(relay: EventRelay): Promise<StreamOutcome> {
+  private until({ handle }: Attempt, relay: EventRelay): Promise<StreamOutcome> {
     const { signal } = this.exchange;
     return new Promise((resolve, reject) => {
       const stop = (): void => {
-        const { wasSent } = relay;
+        const { wasSent, hasEvents } = relay;
+        if (signal.reason === deadlinePassed && !hasEvents) this.count(handle, AttemptSign.failed);
         relay.abort();
         const execution = wasSent ? Execution.unknown : Execution.notRun;
         reject(new Timeout('The stream did not end in time.', execution));
@@ -163,7 +171,8 @@
     { handle }: Attempt,
     { status, head, rawHeaders, body }: Extract<StreamOutcome, { kind: 'answer' }>,
   ): boolean {
-    const { use, execution } = judgeAnswer({ status, ...head });
+    const { use, execution, sign } = judgeAnswer({ status, ...head });
+    this.count(handle, sign);
     const isAnswer = use === AnswerUse.deliver && !this.hasBegun;
     if (!isAnswer && this.attempts.mayRepeat(handle, execution, `status ${status}`)) return false;
     if (!this.hasBegun && use !== AnswerUse.discard) {
--- a/packages/forwarding/src/wholeAnswers.ts
+++ b/packages/forwarding/src/wholeAnswers.ts
@@ -1,12 +1,18 @@
 import { Execution, OutcomeUnknown, Timeout } from '@laburnumstream/common';
-import { AnswerUse, judgeAnswer } from '@laburnumstream/decisions';
+import { AnswerUse, AttemptSign, judgeAnswer } from '@laburnumstream/decisions';
 import { Attempts } from './attempts.js';
 import type { Attempt, AttemptServices } from './attempts.js';
 import { AnswerCollector } from './answerCollector.js';
 import type { CallOutcome, WholeAnswer } from './answerCollector.js';
 import { CallFault } from './endpointCall.js';
+import { deadlinePassed } from './exchange.js';
 import type { Exchange } from './exchange.js';
 
+/** Least time for an answer before the request goes on elsewhere, in milliseconds. */
+const leastPatienceMs = 250;
+/** Factor on the expected time of an answer before the request goes on elsewhere. */
+const patienceFactor = 5;
+
 /** Forwards requests whose answers are passed on once they are whole. */
 export class WholeAnswers {
   constructor(
@@ -21,21 +27,40 @@
       const collector = new AnswerCollector();
       const placement = await attempts.place(exchange.signal);
       const attempt = attempts.send(placement, collector, exchange.head.lastEventId);
-      const outcome = await WholeAnswers.until(attempt, collector, exchange);
+      const patience = this.startPatience(attempts, attempt, collector, placement.expectedMs);
+      const outcome = await this.until(attempt, collector, exchange);
+      clearTimeout(patience);
       attempt.ended();
       const isDone =
         outcome.kind === 'answer'
           ? this.takeAnswer(exchange, attempts, attempt, outcome.answer)
-          : WholeAnswers.takeFault(attempts, attempt, outcome.fault, outcome.reason);
+          : this.takeFault(attempts, attempt, outcome.fault, outcome.reason);
       if (isDone) return;
     }
   }
 
+  /** Gives an attempt up that takes much longer than expected, if the request can go on elsewhere. */
+  private startPatience(
+    attempts: Attempts,
+    attempt: Attempt,
+    collector: AnswerCollector,
+    expectedMs: number,
+  ): NodeJS.Timeout | undefined {
+    if (!this.isIdempotent) return undefined;
+    const ms = Math.max(leastPatienceMs, expectedMs * patienceFactor);
+    return setTimeout(() => {
+      if (!attempts.couldRepeat(attempt.handle)) return;
+      attempt.call.abort();
+      collector.failed(CallFault.silent, `no answer for ${Math.round(ms)} ms`);
+    }, ms);
+  }
+
   /** The outcome of an attempt; throws `Timeout` when the request's time is over before. */
-  private static until(attempt: Attempt, collector: AnswerCollector, { signal }: Exchange) {
+  private until(attempt: Attempt, collector: AnswerCollector, { signal }: Exchange) {
     return new Promise<CallOutcome>((resolve, reject) => {
       const stop = (): void => {
         const { wasSent } = attempt.call;
+        if (signal.reason === deadlinePassed) this.count(attempt, AttemptSign.failed);
         attempt.call.abort();
         attempt.ended();
         const execution = wasSent ? Execution.unknown : Execution.notRun;
@@ -54,16 +79,18 @@
   private takeAnswer(
     exchange: Exchange,
     attempts: Attempts,
-    { handle }: Attempt,
+    attempt: Attempt,
     answer: WholeAnswer,
   ): boolean {
+    const { handle } = attempt;
     const { status, head } = answer;
     const { load } = head;
     if (load) {
       const { clock } = this.services;
       handle.load.report({ ...load, pace: 1 }, handle.load.own + 1, Infinity, clock.now());
     }
-    const { use, execution } = judgeAnswer({ status, ...head });
+    const { use, execution, sign } = judgeAnswer({ status, ...head });
+    this.count(attempt, sign);
     if (use === AnswerUse.deliver) {
       this.deliver(exchange, answer);
       return true;
@@ -77,18 +104,24 @@
     throw new OutcomeUnknown('The endpoint sent no answer that counts.');
   }
 
-  private static takeFault(
+  private takeFault(
     attempts: Attempts,
-    { handle }: Attempt,
+    attempt: Attempt,
     fault: CallFault,
     reason: string,
   ): boolean {
+    const { handle } = attempt;
+    this.count(attempt, AttemptSign.failed);
     const execution = fault === CallFault.connection ? Execution.notRun : Execution.unknown;
     if (attempts.mayRepeat(handle, execution, `${fault}: ${reason}`)) return false;
     if (execution === Execution.notRun) throw attempts.refusal();
     throw new OutcomeUnknown('The connection to the endpoint broke.');
   }
 
+  private count({ handle }: Attempt, sign: AttemptSign): void {
+    handle.health.count(sign, this.services.clock.now());
+  }
+
   private deliver({ response }: Exchange, { status, rawHeaders, body }: WholeAnswer): void {
     const headers = this.services.codec.encodeAnswerHeaders(rawHeaders);
     headers.push('content-length', String(body.length));
--- a/packages/sidecar/src/fleetView.ts
+++ b/packages/sidecar/src/fleetView.ts
@@ -1,4 +1,5 @@
 import type { Clock, Log } from '@laburnumstream/common';
+import { NamedVersions } from '@laburnumstream/decisions';
 import type { WeightMember } from '@laburnumstream/decisions';
 import type { WeightNews } from '@laburnumstream/protocol';
 
@@ -12,8 +13,7 @@
 export class FleetView {
   private news: WeightNews | undefined;
 
-  /** Monotonic times at which the versions heard of were named, in milliseconds. */
-  private readonly namedAt = new Map<number, number>();
+  private readonly named = new NamedVersions();
 
   constructor(
     /** IP of this instance, which is the name of its member. */
@@ -58,13 +58,12 @@
 
   /** Time since a version was named, in milliseconds; infinite when that was never heard. */
   namedMsAgo(version: number): number {
-    return this.clock.now() - (this.namedAt.get(version) ?? -Infinity);
+    return this.clock.now() - (this.named.namedAt(version) ?? -Infinity);
   }
 
   /** Time since the first version after one that is served was named, in milliseconds. */
   outdatedMs(served: number): number {
-    const newer = [...this.namedAt].filter(([version]) => version > served);
-    return this.clock.now() - Math.min(...newer.map(([, at]) => at));
+    return this.clock.now() - this.named.outdatedAt(served);
   }
 
   get self(): WeightMember {
@@ -92,12 +91,11 @@
     if (news.version < this.version) return false;
     const before = this.news;
     const at = this.clock.now() - news.namedMsAgo;
-    const known = this.namedAt.get(news.version);
-    if (known === undefined) {
+    if (this.named.namedAt(news.version) === undefined) {
       this.log.info('Version wanted.', { version: news.version, namedMsAgo: news.namedMsAgo });
     }
     // The entry that learned of the version first knows best how old it is.
-    this.namedAt.set(news.version, Math.min(known ?? Infinity, at));
+    this.named.name(news.version, at);
     this.news = news;
     return !before || before.version !== news.version || membersOf(before) !== membersOf(news);
   }
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -64,9 +64,7 @@
       metrics,
       log('datagrams'),
     );
-    this.watch = new EngineWatch(engine, clock, metrics, log('engine'), () =>
-      this.reporter.report(),
-    );
+    this.watch = new EngineWatch(engine, clock, metrics, log('engine'), () => this.engineAsked());
     const shelf = new VersionShelf();
     const isServing = (): boolean =>
       this.keeper.servedVersion > 0 || (this.watch.state?.running ?? 0) > 0;
@@ -105,6 +103,7 @@
     this.keeper.run(chart, signal);
   }
 
+  /** Wakes the keeper when the engine has changed, and tells entries of its load. */
   private engineAsked(): void {
     const { state, isAnswering } = this.watch;
     const now = `${state?.bornAt} ${this.keeper.servedVersion} ${isAnswering}`;
