Tell a reset from the end of an answer that has no length

Ruled out: order of listeners, cut chunks, late resets (examples of 'end of an answer', all whole before). Now the connection is asked to take two meaningless bytes at its end: one that was reset refuses them.

--- a/features/forwarding.feature
+++ b/features/forwarding.feature
@@ -15,6 +15,7 @@
       | chunks before close  | a reset before the end | truncated |
       | neither              | a close                | whole     |
       | neither              | a reset before the end | truncated |
+      | neither              | a reset at once        | truncated |
 
   Scenario: versions in quick succession
     When version 2 is named at 1000 and version 3 at 3000
--- a/features/steps/forwarding.steps.ts
+++ b/features/steps/forwarding.steps.ts
@@ -49,7 +49,8 @@
     const { head, part, rest } = framings[framing]!;
     this.scripted = await ScriptedEndpoint.start((socket) => {
       socket.write(`HTTP/1.1 200 OK\r\n${head}\r\n\r\n${part}`);
-      setTimeout(() => endings[ending]!(socket, rest), partMs);
+      if (ending === 'a reset at once') socket.resetAndDestroy();
+      else setTimeout(() => endings[ending]!(socket, rest), partMs);
     });
     const pool = new ConnectionPool(
       this.scripted.address,
--- a/packages/forwarding/src/endpointCall.ts
+++ b/packages/forwarding/src/endpointCall.ts
@@ -136,6 +136,7 @@
     this.hasBegun = true;
     this.isFramed =
       headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
+    if (!this.isFramed) this.connection.watchEnd();
     this.observer.began(status, head, textOf(controller.rawHeaders));
   }
 
@@ -145,10 +146,18 @@
 
   onResponseEnd(): void {
     if (this.hasEnded) return;
-    if (!this.isFramed && this.connection.wasReset) {
-      this.fail(CallFault.truncated, 'The connection was reset within an answer without a length.');
-      return;
-    }
+    if (this.isFramed) this.end();
+    else void this.endWithConnection();
+  }
+
+  private async endWithConnection(): Promise<void> {
+    const wasClosed = await this.connection.wasClosed();
+    if (this.hasEnded) return;
+    if (wasClosed) this.end();
+    else this.fail(CallFault.truncated, 'The connection was reset within an unframed answer.');
+  }
+
+  private end(): void {
     this.hasEnded = true;
     this.pool.giveBack(this.connection);
     this.observer.ended();
--- a/packages/forwarding/src/endpointConnection.ts
+++ b/packages/forwarding/src/endpointConnection.ts
@@ -11,6 +11,9 @@
 /** Part of the endpoint's own idle timeout that is not used, in milliseconds. */
 const idleMarginMs = 1_000;
 
+/** Bytes that may stand before a request and mean nothing. */
+const probe = '\r\n';
+
 /** One connection to an endpoint, which serves one request at a time. */
 export class EndpointConnection {
   private readonly client: Client;
@@ -19,6 +22,11 @@
 
   private reset = false;
 
+  private isEndWatched = false;
+
+  /** Whether the connection still took bytes when the endpoint had ended it. */
+  private tookProbe: Promise<boolean> | undefined;
+
   /** Requests that were sent on it. */
   private requests = 0;
 
@@ -50,12 +58,17 @@
     return this.requests > 1;
   }
 
+  /** An answer has begun whose end is that of the connection. */
+  watchEnd(): void {
+    this.isEndWatched = true;
+  }
+
   /**
-   * Whether the endpoint reset the connection. The HTTP client takes a reset for the end of an answer
-   * that has no length.
+   * Whether the endpoint closed the connection, and did not reset it. A reset that comes together
+   * with data looks like a close, but the connection takes no more bytes then.
    */
-  get wasReset(): boolean {
-    return this.reset;
+  async wasClosed(): Promise<boolean> {
+    return !this.reset && (await this.tookProbe) === true;
   }
 
   dispatch(options: Dispatcher.DispatchOptions, handler: Dispatcher.DispatchHandler): void {
@@ -74,7 +87,7 @@
     port: number,
     callback: (...parameters: [error: null, socket: Socket] | [error: Error, socket: null]) => void,
   ): void {
-    const socket = connect({ host, port, noDelay: true });
+    const socket = connect({ host, port, noDelay: true, allowHalfOpen: true });
     this.socket = socket;
     const timer = setTimeout(
       () => socket.destroy(new Timeout('No connection came to be.', Execution.notRun)),
@@ -85,6 +98,9 @@
       this.reset = true;
       if (!isOpen) callback(error, null);
     });
+    socket.once('end', () => {
+      if (this.isEndWatched) this.tookProbe = EndpointConnection.takesProbe(socket);
+    });
     socket.once('close', () => clearTimeout(timer));
     socket.once('connect', () => {
       isOpen = true;
@@ -94,6 +110,12 @@
     });
   }
 
+  private static takesProbe(socket: Socket): Promise<boolean> {
+    return new Promise((resolve) => {
+      socket.write(probe, (error) => resolve(!error));
+    });
+  }
+
   private ended(): void {
     this.onEnd(this);
     this.client.destroy().catch(() => undefined);
