Take a version from the origin at once, spare an origin that returns, drop versions of no use

The origin crashed 2.5 s after the naming, with 43 of 48 pieces out: fetches from it waited behind those from members; on its return all members asked it (3.5 copies), and version 2 was finished though it could serve for a second at most. Ruled out: pacing, spoilt pieces, order of switches.

--- a/bench/src/index.ts
+++ b/bench/src/index.ts
@@ -11,6 +11,7 @@
 export * from './mutations/mutationRun.js';
 export * from './mutations/mutations.js';
 export * from './ports.js';
+export * from './weights/holderRun.js';
 export * from './weights/virtualTransfer.js';
 export * from './processUsage.js';
 export * from './virtual/reverts.js';
--- a/bench/src/weights/holderRun.ts
+++ b/bench/src/weights/holderRun.ts
@@ -25,12 +25,16 @@
   readonly queue: number;
   /** Share of members that fall silent while the transfer runs. */
   readonly dying: number;
+  /** Times between which the origin refuses all calls, in milliseconds; none when both are 0. */
+  readonly originDown: { readonly fromMs: number; readonly untilMs: number };
 }
 
 /** What a run showed; times in milliseconds since its begin. */
 export interface HolderOutcome {
   /** Times at which members were complete, in order. */
   readonly completeMs: readonly number[];
+  /** Time at which the last chunk had left the origin. */
+  readonly leftOriginMs: number;
   readonly incomplete: number;
   readonly originCopies: number;
   /** Copies that crossed between regions. */
@@ -74,6 +78,11 @@
 
   private crossedChunks = 0;
 
+  /** Chunks that some member has taken from the origin. */
+  private readonly left = new Set<number>();
+
+  private leftOriginAt = 0;
+
   constructor(private readonly work: HolderWork) {
     this.random = new SeededRandom(work.seed);
     const originChunkMs = work.chunkBytes / bytesPerMs(work.originRate);
@@ -125,6 +134,7 @@
     const times = nodes.flatMap(({ completeAt }) => (completeAt === undefined ? [] : [completeAt]));
     return {
       completeMs: times.sort((a, b) => a - b),
+      leftOriginMs: this.leftOriginAt,
       incomplete: waits().length,
       originCopies: this.originChunks / work.chunks,
       crossedCopies: this.crossedChunks / work.chunks,
@@ -163,6 +173,10 @@
     const { chunkBytes, givers, queue } = this.work;
     const down = `down ${node.member.name}`;
     if (source === origin) {
+      if (this.isOriginDown) {
+        this.events.after(latencyMs, () => this.refused(node, fetch));
+        return;
+      }
       // The origin stands in the last region.
       const from = String(this.work.regions.length - 1);
       this.originChunks += 1;
@@ -175,10 +189,7 @@
     if (!giver.isAlive) return;
     const isBusy = giver.giving >= givers && giver.waiting.length >= queue;
     if (!giver.transfer.held[chunk] || isBusy) {
-      this.events.after(latencyMs, () => {
-        node.transfer.failed(fetch, FetchFault.notYet, this.events.now);
-        this.begin(node, node.transfer.start(this.events.now));
-      });
+      this.events.after(latencyMs, () => this.refused(node, fetch));
       return;
     }
     if (giver.member.region !== node.member.region) this.crossedChunks += 1;
@@ -186,6 +197,16 @@
     else this.give(giver, node, fetch);
   }
 
+  private get isOriginDown(): boolean {
+    const { fromMs, untilMs } = this.work.originDown;
+    return this.events.now >= fromMs && this.events.now < untilMs;
+  }
+
+  private refused(node: Node, fetch: ChunkFetch): void {
+    node.transfer.failed(fetch, FetchFault.notYet, this.events.now);
+    this.begin(node, node.transfer.start(this.events.now));
+  }
+
   private give(giver: Node, node: Node, fetch: ChunkFetch): void {
     Object.assign(giver, { giving: giver.giving + 1 });
     const region = `${giver.member.region}>${node.member.region}`;
@@ -200,6 +221,10 @@
   private arrived(node: Node, fetch: ChunkFetch): void {
     const { now } = this.events;
     node.transfer.succeeded(fetch, now);
+    if (fetch.source === origin && !this.left.has(fetch.chunk)) {
+      this.left.add(fetch.chunk);
+      this.leftOriginAt = now;
+    }
     if (node.transfer.isComplete) Object.assign(node, { completeAt: node.completeAt ?? now });
     node.transfer
       .waitingElsewhere(fetch.chunk)
--- /dev/null
+++ b/features/steps/holderTransfer.steps.ts
@@ -0,0 +1,75 @@
+import assert from 'node:assert/strict';
+import { Then, When } from '@cucumber/cucumber';
+import { HolderRun } from '@laburnumstream/bench';
+import type { HolderOutcome, HolderWork } from '@laburnumstream/bench';
+import { isWorthFinishing } from '@laburnumstream/decisions';
+
+interface HolderWorld {
+  holderOutcomes: HolderOutcome[];
+}
+
+const seeds = [1, 2, 3] as const;
+const secondMs = 1_000;
+const never = { fromMs: 0, untilMs: 0 };
+const work: Omit<HolderWork, 'seed'> = {
+  regions: [7, 7, 5],
+  holders: [0, 0, 0],
+  chunks: 48,
+  chunkBytes: 49_152,
+  originRate: 15e6,
+  linkRate: 6.58e6,
+  regionRate: 18.2e6,
+  servingShare: 0.85,
+  givers: 3,
+  window: 4,
+  queue: 0,
+  dying: 0,
+  originDown: never,
+};
+const originMs = ((work.chunks * work.chunkBytes * 8) / work.originRate) * secondMs;
+const origins: Readonly<Record<string, HolderWork['originDown']>> = {
+  up: never,
+  'away after 1600 ms': { fromMs: 1_600, untilMs: 60_000 },
+  'away for 400 to 3000': { fromMs: 400, untilMs: 3_000 },
+};
+
+When(
+  /^19 empty members fetch a version and the origin is (.+)$/,
+  function fetch(this: HolderWorld, name: string) {
+    const originDown = origins[name]!;
+    this.holderOutcomes = seeds.map((seed) => new HolderRun({ ...work, originDown, seed }).run());
+  },
+);
+
+Then(
+  /^all pieces have left the origin within ([\d.]+) times their time on its link$/,
+  function left(this: HolderWorld, bound: string) {
+    this.holderOutcomes.forEach(({ leftOriginMs }) =>
+      assert.ok(
+        leftOriginMs <= originMs * Number(bound),
+        `${leftOriginMs} ms, ${originMs} at best`,
+      ),
+    );
+  },
+);
+
+Then(
+  /^at most ([\d.]+) copies left it and everyone is complete within ([\d.]+) s$/,
+  function complete(this: HolderWorld, copies: string, seconds: string) {
+    this.holderOutcomes.forEach(({ originCopies, incomplete, completeMs }) => {
+      assert.equal(incomplete, 0);
+      assert.ok(originCopies <= Number(copies), `${originCopies} copies`);
+      assert.ok(completeMs.at(-1)! <= Number(seconds) * secondMs, `${completeMs.at(-1)} ms`);
+    });
+  },
+);
+
+Then(
+  'a version that lacks little is finished and one that would hardly serve is given up',
+  function finish() {
+    const grace = { graceMs: 8_000, loadMs: 300 };
+    assert.ok(isWorthFinishing({ progress: 0.9, outdatedMs: 300, ...grace }));
+    assert.ok(!isWorthFinishing({ progress: 0.1, outdatedMs: 300, ...grace }));
+    assert.ok(!isWorthFinishing({ progress: 0.9, outdatedMs: 6_500, ...grace }));
+  },
+);
--- a/packages/decisions/src/weights/holderTransfer.ts
+++ b/packages/decisions/src/weights/holderTransfer.ts
@@ -25,6 +25,10 @@
   readonly busyMs: number;
   /** Fetches from one member at once. */
   readonly perMember: number;
+  /** Fetches from the origin at once, besides those from members. */
+  readonly originWindow: number;
+  /** Time for which the origin is not asked again after it did not answer. */
+  readonly originPauseMs: number;
   /** Time in which the origin's link passes one chunk: members ask it one after the other. */
   readonly originChunkMs: number;
 }
@@ -38,6 +42,8 @@
   avoidMs: 2_000,
   busyMs: 20,
   perMember: 1,
+  originWindow: 2,
+  originPauseMs: 150,
   originChunkMs: 0,
 };
 
@@ -59,6 +65,8 @@
   /** Transfers that it was giving when it last said so. */
   giving: number;
   avoidedUntil: number;
+  /** Time until which it does not count as a source at all. */
+  unreachableUntil: number;
   /** Fetches from it that run. */
   active: number;
 }
@@ -72,9 +80,15 @@
   /** One byte for each chunk, 1 for those that are held here. */
   readonly held: Uint8Array;
 
-  /** Fetches at once. */
+  /** Fetches from members at once. */
   window = 2;
 
+  /** Fetches from the origin that run. */
+  private originActive = 0;
+
+  /** Time before which the origin is not asked, as it did not answer. */
+  private originAvoidedUntil = 0;
+
   private heldCount = 0;
 
   private readonly active = new Map<number, ChunkFetch>();
@@ -141,7 +155,14 @@
     others.forEach((member) => {
       if (this.holders.has(member.name)) return;
       const held = new Uint8Array(this.chunks);
-      this.holders.set(member.name, { member, held, giving: 0, avoidedUntil: 0, active: 0 });
+      this.holders.set(member.name, {
+        member,
+        held,
+        giving: 0,
+        avoidedUntil: 0,
+        unreachableUntil: 0,
+        active: 0,
+      });
     });
   }
 
@@ -191,12 +212,21 @@
 
   start(now: number): ChunkFetch[] {
     const fetches: ChunkFetch[] = [];
-    while (this.active.size < this.window) {
-      const fetch = this.fromNear(now) ?? this.fromAfar(now);
-      if (!fetch) break;
+    const begin = (fetch: ChunkFetch): void => {
       this.active.set(fetch.chunk, fetch);
       this.countActive(fetch.source, 1);
       fetches.push(fetch);
+    };
+    // What only the origin has is at risk until it has left it, so that goes beside all else.
+    while (this.originActive < this.limits.originWindow) {
+      const fetch = this.fromOrigin(now);
+      if (!fetch) break;
+      begin(fetch);
+    }
+    while (this.active.size - this.originActive < this.window) {
+      const fetch = this.fromNear(now) ?? this.fromAfar(now);
+      if (!fetch) break;
+      begin(fetch);
     }
     return fetches;
   }
@@ -219,17 +249,24 @@
   failed(fetch: ChunkFetch, fault: FetchFault, now: number): void {
     if (!this.end(fetch)) return;
     const { chunk, source } = fetch;
-    const { avoidMs, busyMs } = this.limits;
+    const { avoidMs, busyMs, originPauseMs } = this.limits;
     const waitMs = fault === FetchFault.notYet ? busyMs : avoidMs;
     if (fault === FetchFault.corrupt) this.wrong.add(`${chunk}\n${sourceName(source)}`);
     if (source === origin) {
-      this.originNotBefore[chunk] = now + (fault === FetchFault.corrupt ? busyMs : waitMs / 2);
-      if (fault === FetchFault.corrupt) this.wrong.delete(`${chunk}\n${origin}`);
+      if (fault === FetchFault.corrupt) {
+        this.originNotBefore[chunk] = now + busyMs;
+        this.wrong.delete(`${chunk}\n${origin}`);
+        return;
+      }
+      this.originAvoidedUntil = now + originPauseMs;
+      // A deputy waits anew: the others would all ask an origin that comes back.
+      if (this.ranks[chunk] !== 0) this.progressAt = now;
       return;
     }
     const holder = this.holders.get(source.name);
     if (!holder || fault === FetchFault.corrupt) return;
     holder.avoidedUntil = Math.max(holder.avoidedUntil, now + waitMs);
+    if (fault === FetchFault.unreachable) holder.unreachableUntil = now + avoidMs;
   }
 
   /** The rarest chunk that a near member holds. */
@@ -264,12 +301,23 @@
         if (holders.length > 0) {
           return { chunk, source: this.leastBusy(holders, chunk), startedAt: now };
         }
-        const isEntry = this.entryRegion(chunk).name === this.self.region;
-        const mayAskOrigin =
-          (isEntry && this.isOriginTurn(chunk, now)) || waited >= this.limits.remoteMs;
-        if (mayAskOrigin && now >= this.originNotBefore[chunk]!) {
-          return { chunk, source: origin, startedAt: now };
-        }
+      }
+    }
+    return undefined;
+  }
+
+  /** A chunk that no member is known to hold, when it is this member's turn to ask the origin. */
+  private fromOrigin(now: number): ChunkFetch | undefined {
+    if (now < this.originAvoidedUntil) return undefined;
+    const { deputyMs, remoteMs } = this.limits;
+    const waited = now - this.progressAt;
+    for (let chunk = 0; chunk < this.chunks; chunk += 1) {
+      const isEntry = this.entryRegion(chunk).name === this.self.region;
+      const waitMs = this.ranks[chunk]! * deputyMs + (isEntry ? 0 : remoteMs);
+      const isTurn =
+        waited >= waitMs && this.isOriginTurn(chunk, now) && now >= this.originNotBefore[chunk]!;
+      if (isTurn && this.isMissing(chunk) && !this.isKnown(chunk, now)) {
+        return { chunk, source: origin, startedAt: now };
       }
     }
     return undefined;
@@ -288,6 +336,13 @@
     return this.held[chunk] === 1 || this.isHeldNear(chunk);
   }
 
+  /** Whether any member that may be asked is known to hold a chunk. */
+  private isKnown(chunk: number, now: number): boolean {
+    return [...this.holders.values()].some(
+      (holder) => now >= holder.unreachableUntil && this.gives(holder, chunk) === 1,
+    );
+  }
+
   private isHeldNear(chunk: number): boolean {
     return [...this.holders.values()].some(
       ({ member, held }) => this.isNear(member) && held[chunk] === 1,
@@ -343,7 +398,11 @@
   }
 
   private countActive(source: WeightSource, by: number): void {
-    const holder = source === origin ? undefined : this.holders.get(source.name);
+    if (source === origin) {
+      this.originActive += by;
+      return;
+    }
+    const holder = this.holders.get(source.name);
     if (holder) holder.active += by;
   }
 }
--- a/packages/decisions/src/weights/switchSchedule.ts
+++ b/packages/decisions/src/weights/switchSchedule.ts
@@ -30,6 +30,31 @@
   return Math.max(0, Math.min(ownMs, latestMs - outdatedMs));
 }
 
+/** What decides whether a version is still fetched although a newer one was named. */
+export interface UnfinishedVersion {
+  /** Part of its pieces that are here. */
+  readonly progress: number;
+  /** Time since the first newer version was named, in milliseconds. */
+  readonly outdatedMs: number;
+  /** Time after a naming at which no request may begin on an older version, in milliseconds. */
+  readonly graceMs: number;
+  readonly loadMs: number;
+}
+
+/** Part of a version below which it is given up for a newer one. */
+const leastProgress = 0.3;
+/** Usual time of a whole fetch, in milliseconds. */
+const wholeFetchMs = 4_500;
+/** Time for which a version has to serve to be worth its switch, in milliseconds. */
+const leastUseMs = 2_000;
+
+/** Whether a version would still serve for a while if it were fetched to its end. */
+export function isWorthFinishing(version: UnfinishedVersion): boolean {
+  const { progress, outdatedMs, graceMs, loadMs } = version;
+  const remainingMs = (1 - progress) * wholeFetchMs + loadMs;
+  return progress >= leastProgress && graceMs - outdatedMs - remainingMs >= leastUseMs;
+}
+
 /** Place of a member among those of its data centre that switch to a version, from 0 to 1. */
 export function switchPlace(
   self: WeightMember,
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -66,9 +66,7 @@
     );
     this.watch = new EngineWatch(engine, clock, metrics, log('engine'), () => this.engineAsked());
     const shelf = new VersionShelf();
-    const isServing = (): boolean =>
-      this.keeper.servedVersion > 0 || (this.watch.state?.running ?? 0) > 0;
-    const uplink = new Uplink(settings.linkBitsPerSecond, isServing, clock);
+    const uplink = new Uplink(settings.linkBitsPerSecond, () => this.keeper.isServing, clock);
     this.pieces = new PieceServer(shelf, uplink, metrics, log('pieces'));
     this.gossip = new PieceGossip(this.view, shelf, uplink, this.datagrams, clock);
     const peers = new PeerClient(firstPort + 1);
--- a/packages/sidecar/src/weightKeeper.ts
+++ b/packages/sidecar/src/weightKeeper.ts
@@ -1,6 +1,6 @@
 import { Unavailable, toFailure } from '@laburnumstream/common';
 import type { Chart, Clock, Log, Metrics } from '@laburnumstream/common';
-import { switchDelayMsOf, switchPlace } from '@laburnumstream/decisions';
+import { isWorthFinishing, switchDelayMsOf, switchPlace } from '@laburnumstream/decisions';
 import { Lifecycle } from '@laburnumstream/runtime';
 import type { Notifier } from '@laburnumstream/runtime';
 import type { EngineWatch } from './engineWatch.js';
@@ -15,8 +15,6 @@
 
 /** Fetches at once while the engine serves requests, and while it does not. */
 const windows = { serving: 4, idle: 6 } as const;
-/** Part of a version that is fetched to its end although a newer one was named. */
-const finishShare = 0.3;
 /** Longest time between looks when nothing is heard to have changed, in milliseconds. */
 const lookMs = 1_000;
 /** Time between looks at an order that is carried out, in milliseconds. */
@@ -75,6 +73,13 @@
     return isWhole ? layers.version : 0;
   }
 
+  /** Whether requests may come to the engine, so that weights leave room for their events. */
+  get isServing(): boolean {
+    const { servedVersion, graceMs, view } = this;
+    const isInUse = servedVersion > 0 && view.outdatedMs(servedVersion) < graceMs;
+    return isInUse || (this.watch.state?.running ?? 0) > 0;
+  }
+
   /** Works until the signal fires. */
   run(chart: Chart, signal: AbortSignal): void {
     const handlers = {
@@ -162,13 +167,18 @@
     while (!changed.signal.aborted && !signal.aborted) {
       fetch.regroup({ members: view.members, origin: view.origin });
       view.serving(version).forEach(({ name }) => fetch.learnWhole(name));
-      const isServing = this.servedVersion > 0 || (this.watch.state?.running ?? 0) > 0;
-      fetch.setWindow(isServing ? windows.serving : windows.idle);
-      if (view.version !== version && fetch.progress < finishShare) changed.abort();
+      fetch.setWindow(this.isServing ? windows.serving : windows.idle);
+      if (view.version !== version && !this.isWorthFinishing(fetch)) changed.abort();
       await this.changes.wait(lookMs, changed.signal).catch(() => undefined);
     }
   }
 
+  private isWorthFinishing({ held, progress }: VersionFetch): boolean {
+    const { view, graceMs } = this;
+    const outdatedMs = view.outdatedMs(held.version);
+    return isWorthFinishing({ progress, outdatedMs, graceMs, loadMs: view.loadMs });
+  }
+
   /** Takes the pieces that lie at the engine, after a restart of this process or of the engine. */
   private async adoptStaged(fetch: VersionFetch, signal: AbortSignal): Promise<void> {
     const { model } = fetch.held.manifest;
