--- a/packages/forwarding/src/dispatchLine.ts
+++ b/packages/forwarding/src/dispatchLine.ts
@@ -28,6 +28,11 @@
 const wayBackMs = 10;
 /** Longest wait of a request whose caller was refused before, in milliseconds. */
 const returnedWaitMs = 300;
+/**
+ * Part of an endpoint's slots that requests past their goal leave free: under load each slot that they
+ * take is one that a request within its goal would have had.
+ */
+const reservedShare = 0.2;
 /** Part of the time to the goal that the estimate may fill. */
 const estimateShare = 0.9;
 /** Time after which callers are told to come back, in milliseconds. */
@@ -108,7 +113,8 @@
     if (!request.isReturned && best.expectedMs <= left) return best;
     const { load, slots } = best.target;
     const isLate = request.isReturned || now > request.startBy;
-    return isLate && load.occupied(now) < slots ? best : undefined;
+    const open = slots - Math.ceil(slots * reservedShare);
+    return isLate && load.occupied(now) < open ? best : undefined;
   }
 
   /** Whether a request that is sent at `startAt` is still of use. */
@@ -133,6 +139,9 @@
       occupied: target.load.occupied(now),
       reportAgeMs: Math.round(target.load.reportAgeMs(now)),
       waitedMs: Math.round(now - request.arrivedAt),
+      isReturned: request.isReturned,
+      leftMs: Math.round(request.goalAt - now),
+      unreadMs: Math.round(target.load.unreadMs),
     });
     return placement;
   }
@@ -147,6 +156,7 @@
       id,
       service,
       waitedMs: Math.round(now - request.arrivedAt),
+      isReturned: request.isReturned,
       waiting: this.lineOf(service).length,
       retryAfterMs: Math.round(retryAfterMs),
     });
--- a/packages/forwarding/src/fleetFeed.ts
+++ b/packages/forwarding/src/fleetFeed.ts
@@ -11,6 +11,8 @@
 const holdWatchMs = 250;
 /** Time in which further changes of endpoints are collected before the next call, in milliseconds. */
 const collectMs = 250;
+/** Time before the store's return is noticed in which changes may have been made, in milliseconds. */
+const returnSlackMs = 1_000;
 /** Time for which a new process uses older versions than the named ones, in milliseconds. */
 const restartGraceMs = 2_500;
 /** Time within which the answer to a watch comes when there was nothing to wait for. */
@@ -67,7 +69,7 @@
   private async list(signal: AbortSignal): Promise<void> {
     const { values, revision } = await this.store.snapshot(this.codec.prefix, signal);
     const changes = values.flatMap((value) => this.decode(value));
-    const changedAt = this.answeredAt;
+    const changedAt = this.earliestChangeAt(this.clock.now());
     this.noteAnswer();
     [...this.state.missingIn(changes), ...changes].forEach((change) =>
       this.take(change, changedAt),
@@ -82,7 +84,7 @@
     const { changes, revision } = await this.store.changes(prefix, after, waitMs, signal);
     const now = this.clock.now();
     // A change that was not waited for may have come at any time since the answer before.
-    const changedAt = now - calledAt > promptMs ? now : this.answeredAt;
+    const changedAt = now - calledAt > promptMs ? now : this.earliestChangeAt(now);
     this.noteAnswer();
     changes
       .flatMap((change) => this.decode(change))
@@ -91,6 +93,14 @@
     if (changes.length > 0) await this.clock.sleep(collectMs, signal);
   }
 
+  /**
+   * Time before which what the store tells now was not known anywhere. While the store is away nobody
+   * learns of changes, so time to act on them counts from its return.
+   */
+  private earliestChangeAt(now: number): number {
+    return this.isReachable ? this.answeredAt : Math.max(this.answeredAt, now - returnSlackMs);
+  }
+
   /** Notes that the store answers, before what it says is taken. */
   private noteAnswer(): void {
     const now = this.clock.now();
