--- a/bench/src/managedProcess.ts
+++ b/bench/src/managedProcess.ts
@@ -51,12 +51,14 @@
 
   start(): this {
     const child = spawn(process.execPath, argumentsOf(this.program, this.settingsFile), {
-      stdio: ['ignore', 'ignore', 'pipe'],
+      stdio: ['ignore', 'pipe', 'pipe'],
     });
-    child.stderr.on('data', (bytes: Buffer) => {
+    const take = (bytes: Buffer): void => {
       this.output += bytes.toString();
       if (this.echo) process.stderr.write(bytes);
-    });
+    };
+    child.stdout.on('data', take);
+    child.stderr.on('data', take);
     this.child = child;
     return this;
   }
--- a/features/steps/forwarding.steps.ts
+++ b/features/steps/forwarding.steps.ts
@@ -96,7 +96,7 @@
 
 Then(
   'over seeded answers an endpoint that fails four in ten costs more than a sound one',
-  function compare() {
+  () => {
     const random = new SeededRandom(11);
     const grey = new EndpointHealth();
     const sound = new EndpointHealth();
@@ -116,7 +116,7 @@
 
 Then(
   'an endpoint that fails twice in a row is left alone and then tried by one request',
-  function pause() {
+  () => {
     const health = new EndpointHealth();
     health.count(AttemptSign.failed, 1_000);
     assert.ok(health.mayTry(3, 1_000), 'one failure says little');
--- a/features/steps/holderTransfer.steps.ts
+++ b/features/steps/holderTransfer.steps.ts
@@ -66,7 +66,7 @@
 
 Then(
   'a version that lacks little is finished and one that would hardly serve is given up',
-  function finish() {
+  () => {
     const grace = { graceMs: 8_000, loadMs: 300 };
     assert.ok(isWorthFinishing({ progress: 0.9, outdatedMs: 300, ...grace }));
     assert.ok(!isWorthFinishing({ progress: 0.1, outdatedMs: 300, ...grace }));
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -13,6 +13,7 @@
   roleOf,
 } from '@laburnumstream/runtime';
 import type { ChangeMode } from './command.js';
+import { explain } from './commands/explainCommand.js';
 import { operatorCommands } from './commands/operatorCommands.js';
 import { indented } from './commands/rendering.js';
 import { OperatorClient } from './operatorClient.js';
@@ -46,6 +47,8 @@
       runs an entry process
   check-settings FILE
       checks a settings file of an entry or an agent
+  explain ID [FILE...]
+      tells what logs of any number of instances say of a request; standard input without files
 
 Operators' commands
 ${lines.join('\n')}
@@ -132,7 +135,10 @@
     process.exitCode = values.help ? ExitCode.success : ExitCode.usage;
   } else if (name === 'entry') await runEntry(values.settings);
   else if (name === 'check-settings') checkSettings(rest[0]);
-  else await runOperatorCommand(name, rest, values);
+  else if (name === 'explain') {
+    const [id, ...files] = rest;
+    process.stdout.write(`${await explain(id, files)}\n`);
+  } else await runOperatorCommand(name, rest, values);
 }
 
 main().catch((error: unknown) => {
--- a/packages/decisions/src/weights/holderTransfer.ts
+++ b/packages/decisions/src/weights/holderTransfer.ts
@@ -1,5 +1,5 @@
-import { rendezvousOrder } from '@laburnumstream/common';
 import type { Random } from '@laburnumstream/common';
+import { ChunkRegions } from './chunkRegions.js';
 import { origin } from './sources.js';
 import type { WeightSource } from './sources.js';
 import type { WeightMember } from './topology.js';
@@ -47,16 +47,6 @@
   originChunkMs: 0,
 };
 
-const goldenFraction = 0.618_033_988_749_894_9;
-
-/** Members of one region in a fixed order. */
-interface Region {
-  readonly name: string;
-  readonly members: readonly WeightMember[];
-}
-
-const nameOf = ({ name }: WeightMember): string => name;
-
 /** What is known of another member. */
 interface Holder {
   readonly member: WeightMember;
@@ -95,12 +85,8 @@
 
   private readonly holders = new Map<string, Holder>();
 
-  private regions: readonly Region[] = [];
-
-  /** This member's place among those of its region that may bring in each chunk. */
-  private ranks: readonly number[] = [];
-
-  private members: readonly WeightMember[] = [];
+  /** Who brings each chunk into which region first. */
+  private regions: ChunkRegions;
 
   /** Time before which a chunk is not asked of the origin again. */
   private readonly originNotBefore: Float64Array;
@@ -121,7 +107,7 @@
     this.progressAt = startedAt;
     this.held = new Uint8Array(chunks);
     this.originNotBefore = new Float64Array(chunks);
-    this.regroup([self]);
+    this.regions = new ChunkRegions(chunks, self, []);
   }
 
   get isComplete(): boolean {
@@ -140,17 +126,8 @@
   /** Takes the members that take part; this one counts even when it is not listed. */
   regroup(members: readonly WeightMember[]): void {
     const others = members.filter(({ name }) => name !== this.self.name);
-    this.members = [...others, this.self];
-    const names = [...new Set(this.members.map(({ region }) => region))].sort();
-    this.regions = names.map((name) => ({
-      name,
-      members: this.members.filter(({ region }) => region === name),
-    }));
-    const near = this.regions.find(({ name }) => name === this.self.region)!.members;
-    this.ranks = Array.from({ length: this.chunks }, (_, chunk) =>
-      rendezvousOrder(String(chunk), near, nameOf).findIndex(({ name }) => name === this.self.name),
-    );
-    const known = new Set(others.map(nameOf));
+    this.regions = new ChunkRegions(this.chunks, this.self, others);
+    const known = new Set(others.map(({ name }) => name));
     [...this.holders.keys()].forEach((name) => known.has(name) || this.holders.delete(name));
     others.forEach((member) => {
       if (this.holders.has(member.name)) return;
@@ -191,23 +168,12 @@
 
   /** Members of other regions that wait for a chunk that this region brings in first. */
   waitingElsewhere(chunk: number): WeightMember[] {
-    if (this.entryRegion(chunk).name !== this.self.region) return [];
-    return this.regions
-      .filter(({ name }) => name !== this.self.region)
-      .map(({ members }) => rendezvousOrder(String(chunk), members, nameOf)[0]!);
+    return this.regions.waitingElsewhere(chunk);
   }
 
   /** Members of other regions that bring in chunks which this member is to take from them. */
   askedElsewhere(): WeightMember[] {
-    const asked = new Map<string, WeightMember>();
-    for (let chunk = 0; chunk < this.chunks; chunk += 1) {
-      const entry = this.entryRegion(chunk);
-      if (!this.held[chunk] && this.ranks[chunk] === 0 && entry.name !== this.self.region) {
-        const [first] = rendezvousOrder(String(chunk), entry.members, nameOf);
-        if (first) asked.set(first.name, first);
-      }
-    }
-    return [...asked.values()];
+    return this.regions.sources((chunk) => !this.held[chunk]);
   }
 
   start(now: number): ChunkFetch[] {
@@ -260,7 +226,7 @@
       }
       this.originAvoidedUntil = now + originPauseMs;
       // A deputy waits anew: the others would all ask an origin that comes back.
-      if (this.ranks[chunk] !== 0) this.progressAt = now;
+      if (this.regions.rank(chunk) !== 0) this.progressAt = now;
       return;
     }
     const holder = this.holders.get(source.name);
@@ -295,7 +261,7 @@
     const far = this.usableHolders(now).filter(({ member }) => !this.isNear(member));
     const waited = now - this.progressAt;
     for (let chunk = 0; chunk < this.chunks; chunk += 1) {
-      const isTurn = waited >= this.ranks[chunk]! * this.limits.deputyMs;
+      const isTurn = waited >= this.regions.rank(chunk) * this.limits.deputyMs;
       if (isTurn && this.isMissing(chunk) && !this.isHeldNear(chunk)) {
         const holders = far.filter((holder) => this.gives(holder, chunk));
         if (holders.length > 0) {
@@ -312,8 +278,8 @@
     const { deputyMs, remoteMs } = this.limits;
     const waited = now - this.progressAt;
     for (let chunk = 0; chunk < this.chunks; chunk += 1) {
-      const isEntry = this.entryRegion(chunk).name === this.self.region;
-      const waitMs = this.ranks[chunk]! * deputyMs + (isEntry ? 0 : remoteMs);
+      const isEntry = this.regions.isEntry(chunk);
+      const waitMs = this.regions.rank(chunk) * deputyMs + (isEntry ? 0 : remoteMs);
       const isTurn =
         waited >= waitMs && this.isOriginTurn(chunk, now) && now >= this.originNotBefore[chunk]!;
       if (isTurn && this.isMissing(chunk) && !this.isKnown(chunk, now)) {
@@ -376,16 +342,6 @@
     return best!.member;
   }
 
-  /** The region into which a chunk comes first: regions take turns by their number of members. */
-  private entryRegion(chunk: number): Region {
-    let left = (((chunk + 1) * goldenFraction) % 1) * this.members.length;
-    const entry = this.regions.find(({ members }) => {
-      left -= members.length;
-      return left < 0;
-    });
-    return entry ?? this.regions[0]!;
-  }
-
   private timeoutOf(source: WeightSource): number {
     return source === origin ? this.limits.originTimeoutMs : this.limits.memberTimeoutMs;
   }
--- a/packages/forwarding/src/attempts.ts
+++ b/packages/forwarding/src/attempts.ts
@@ -99,6 +99,7 @@
       endpoint: handle.id,
       reason,
       execution,
+      isRepeatable: this.isRepeatable,
       isRepeated,
       isWithinBudget: !allowed || isRepeated,
       leftMs: Math.round(exchange.deadlineAt - clock.now()),
@@ -156,6 +157,7 @@
       arrivedAt: this.resumedAt ?? arrivedAt,
       isReturned: this.resumedAt === undefined && this.isReturned(),
       startBy: goalAt - (model?.firstEventMs(model.slots - 1, 0, promptTokens) ?? plainMs),
+      isRepeatable: this.isRepeatable,
       demand: {
         promptTokens,
         answerTokens: head.expectedAnswerTokens ?? head.mostAnswerTokens ?? 0,
--- a/packages/forwarding/src/callerServer.ts
+++ b/packages/forwarding/src/callerServer.ts
@@ -7,18 +7,11 @@
   Timeout,
   TooLarge,
   Unauthenticated,
+  Repetition,
   Unavailable,
   toFailure,
 } from '@laburnumstream/common';
-import type {
-  Clock,
-  Log,
-  Metrics,
-  Random,
-  Repetition,
-  Route,
-  Workspace,
-} from '@laburnumstream/common';
+import type { Clock, Log, Metrics, Random, Route, Workspace } from '@laburnumstream/common';
 import { drawService } from '@laburnumstream/decisions';
 import type { RouteTable } from '@laburnumstream/decisions';
 import { callerLeft, deadlinePassed } from './exchange.js';
@@ -135,6 +128,7 @@
     if (this.isLeaving) response.setHeader('connection', 'close');
     const head = this.codec.decodeRequestHead(request.headers);
     const owner = new AbortController();
+    let route: Route | undefined;
     let timer: NodeJS.Timeout | undefined;
     response.once('close', () => {
       if (!response.writableFinished) owner.abort(callerLeft);
@@ -142,7 +136,9 @@
     try {
       const { routes } = this.state;
       if (!routes) throw new Unavailable('No configuration is known yet.', returnMs);
-      const { route, workspace } = this.admit(routes, request, head);
+      const admission = this.admit(routes, request, head);
+      const { workspace } = admission;
+      route = admission.route;
       const waitsMs = Math.min(head.timeLeftMs ?? route.timeoutMs, route.timeoutMs);
       timer = setTimeout(() => owner.abort(deadlinePassed), waitsMs);
       const body = await readBody(request, routes.configuration.limits.maxBodyBytes);
@@ -165,7 +161,7 @@
       await this.forwardings[route.repetition].serve(exchange);
       this.metrics.count('requests_answered');
     } catch (error) {
-      this.fail(request, response, head, owner.signal, error);
+      this.fail(request, response, head, route, owner.signal, error);
     } finally {
       clearTimeout(timer);
       this.running -= 1;
@@ -201,6 +197,7 @@
     request: IncomingMessage,
     response: ServerResponse,
     { id }: RequestHead,
+    route: Route | undefined,
     signal: AbortSignal,
     error: unknown,
   ): void {
@@ -218,6 +215,11 @@
       type,
       execution,
       path: request.url,
+      route: route?.name ?? null,
+      isRepeatable: route === undefined || route.repetition !== Repetition.nonIdempotent,
+      configuration: this.state.routes?.configuration.version ?? null,
+      proofAgeMs: Math.round(this.checks.ageMs()),
+      retryAfterMs: retryAfterMs === undefined ? null : Math.round(retryAfterMs),
       reason: message,
     });
     if (response.headersSent) {
--- a/packages/forwarding/src/dispatchLine.ts
+++ b/packages/forwarding/src/dispatchLine.ts
@@ -11,6 +11,8 @@
   readonly service: string;
   readonly demand: Demand;
   readonly eligibility: Eligibility;
+  /** Whether it may run more than once. */
+  readonly isRepeatable: boolean;
   /** Monotonic time until which its first event is of full use, in milliseconds. */
   readonly goalAt: number;
   /** Monotonic time of its final answer, in milliseconds. */
@@ -132,8 +134,9 @@
     const { target, expectedMs } = placement;
     this.lineOf(request.service).countServed(request.workspace, now);
     this.metrics.observe('request_wait', now - request.arrivedAt);
-    this.log.debug('Request placed.', {
+    this.log.info('Request placed.', {
       id: request.id,
+      service: request.service,
       endpoint: target.id,
       expectedMs: Math.round(expectedMs),
       occupied: target.load.occupied(now),
@@ -147,7 +150,7 @@
   }
 
   private refusal(request: PlacedRequest, now: number): Unavailable {
-    const { id, service } = request;
+    const { id, service, isRepeatable } = request;
     const left = Math.max(0, request.deadlineAt - now);
     const wished = returnMs.least + this.random.next() * returnMs.spread;
     const retryAfterMs = Math.min(wished, left * longestReturnShare);
@@ -157,6 +160,9 @@
       service,
       waitedMs: Math.round(now - request.arrivedAt),
       isReturned: request.isReturned,
+      isRepeatable,
+      endpoints: this.directory.of(service).length,
+      usable: this.directory.usable(service, request.eligibility).length,
       waiting: this.lineOf(service).length,
       retryAfterMs: Math.round(retryAfterMs),
     });
--- a/packages/forwarding/src/fleetFeed.ts
+++ b/packages/forwarding/src/fleetFeed.ts
@@ -9,6 +9,8 @@
 const watchMs = 1_000;
 /** The same while endpoints may come back that seem to be gone, in milliseconds. */
 const holdWatchMs = 250;
+/** The same while the store does not answer, in milliseconds. */
+const probeWatchMs = 50;
 /** Time in which further changes of endpoints are collected before the next call, in milliseconds. */
 const collectMs = 250;
 /** Time before the store's return is noticed in which changes may have been made, in milliseconds. */
@@ -18,7 +20,7 @@
 /** Time within which the answer to a watch comes when there was nothing to wait for. */
 const promptMs = 15;
 const firstPauseMs = 100;
-const longestPauseMs = 800;
+const longestPauseMs = 300;
 
 /** Keeps the state of the fleet up to date with the store, and proves how old it is. */
 export class FleetFeed {
@@ -66,6 +68,12 @@
     }
   }
 
+  /** How long the next watch waits: short while it is not known whether the store answers at all. */
+  private get nextWaitMs(): number {
+    if (!this.isReachable) return probeWatchMs;
+    return this.hold.isWaiting ? holdWatchMs : watchMs;
+  }
+
   private async list(signal: AbortSignal): Promise<void> {
     const { values, revision } = await this.store.snapshot(this.codec.prefix, signal);
     const changes = values.flatMap((value) => this.decode(value));
@@ -79,7 +87,7 @@
 
   private async follow(after: number, signal: AbortSignal): Promise<void> {
     const { prefix } = this.codec;
-    const waitMs = this.hold.isWaiting ? holdWatchMs : watchMs;
+    const waitMs = this.nextWaitMs;
     const calledAt = this.clock.now();
     const { changes, revision } = await this.store.changes(prefix, after, waitMs, signal);
     const now = this.clock.now();
--- a/packages/forwarding/src/wholeAnswers.ts
+++ b/packages/forwarding/src/wholeAnswers.ts
@@ -5,6 +5,7 @@
 import { AnswerCollector } from './answerCollector.js';
 import type { CallOutcome, WholeAnswer } from './answerCollector.js';
 import { CallFault } from './endpointCall.js';
+import type { EndpointHandle } from './endpointHandle.js';
 import { deadlinePassed } from './exchange.js';
 import type { Exchange } from './exchange.js';
 
@@ -92,12 +93,12 @@
     const { use, execution, sign } = judgeAnswer({ status, ...head });
     this.count(attempt, sign);
     if (use === AnswerUse.deliver) {
-      this.deliver(exchange, answer);
+      this.deliver(exchange, handle, answer);
       return true;
     }
     if (attempts.mayRepeat(handle, execution, `status ${status}`)) return false;
     if (use === AnswerUse.deliverIfLast) {
-      this.deliver(exchange, answer);
+      this.deliver(exchange, handle, answer);
       return true;
     }
     if (execution === Execution.notRun) throw attempts.refusal();
@@ -122,7 +123,19 @@
     handle.health.count(sign, this.services.clock.now());
   }
 
-  private deliver({ response }: Exchange, { status, rawHeaders, body }: WholeAnswer): void {
+  private deliver(
+    { response, head, service, arrivedAt }: Exchange,
+    handle: EndpointHandle,
+    { status, rawHeaders, body }: WholeAnswer,
+  ): void {
+    const { clock, log } = this.services;
+    log.info('Request answered.', {
+      id: head.id,
+      service,
+      endpoint: handle.id,
+      status,
+      ms: Math.round(clock.now() - arrivedAt),
+    });
     const headers = this.services.codec.encodeAnswerHeaders(rawHeaders);
     headers.push('content-length', String(body.length));
     response.writeHead(status, headers);
--- a/packages/runtime/src/logger.ts
+++ b/packages/runtime/src/logger.ts
@@ -1,18 +1,43 @@
-import type { Log } from '@laburnumstream/common';
+import type { Log, Metrics } from '@laburnumstream/common';
 import { createLogger, format, transports } from 'winston';
+import { LineBudget } from './lineBudget.js';
+import { LineOutput } from './lineOutput.js';
+import type { LineSink } from './lineOutput.js';
 
-/** Makes loggers for the parts of one process; the prefix names instance and part. */
+/** Time between two reports on lines that were left out, in milliseconds. */
+const reportMs = 1_000;
+
+type Fields = Readonly<Record<string, unknown>>;
+
+/** Metrics of a process that keeps none. */
+const noMetrics: Metrics = {
+  count: () => undefined,
+  gauge: () => undefined,
+  observe: () => undefined,
+};
+
+/**
+ * Makes loggers for the parts of one process, which write JSON lines to standard output. The number
+ * of lines of each kind is bounded; only those on requests that may not be repeated always pass.
+ */
 export class LoggerFactory {
   private readonly logger;
 
+  private readonly budget = new LineBudget();
+
+  private timer: NodeJS.Timeout | undefined;
+
   constructor(
     private readonly instance: string,
     level: string,
+    private readonly metrics: Metrics = noMetrics,
+    sink: LineSink = process.stdout,
   ) {
+    const stream = new LineOutput(sink, metrics);
     this.logger = createLogger({
       level,
       format: format.combine(format.timestamp(), format.json()),
-      transports: [new transports.Console({ stderrLevels: ['debug', 'info', 'warn', 'error'] })],
+      transports: [new transports.Stream({ stream })],
     });
   }
 
@@ -20,13 +45,8 @@
   part(part: string): Log {
     const write =
       (level: string) =>
-      (message: string, fields: Readonly<Record<string, unknown>> = {}): void => {
-        this.logger.log({
-          level,
-          message: `${part}: ${message}`,
-          instance: this.instance,
-          ...fields,
-        });
+      (message: string, fields: Fields = {}): void => {
+        if (this.logger.isLevelEnabled(level)) this.write(level, `${part}: ${message}`, fields);
       };
     return {
       debug: write('debug'),
@@ -35,4 +55,24 @@
       error: write('error'),
     };
   }
+
+  private write(level: string, message: string, fields: Fields): void {
+    const mustStay = fields.isRepeatable === false;
+    if (!mustStay && !this.budget.takes(message, performance.now())) {
+      this.metrics.count('log_lines_left_out');
+      this.reportSoon();
+      return;
+    }
+    this.logger.log({ level, message, instance: this.instance, ...fields });
+  }
+
+  /** Writes one line for all kinds of which lines were left out. */
+  private reportSoon(): void {
+    this.timer ??= setTimeout(() => {
+      this.timer = undefined;
+      const kinds = this.budget.takeLeftOut();
+      const { instance } = this;
+      this.logger.log({ level: 'warn', message: 'log: Lines left out.', instance, kinds });
+    }, reportMs).unref();
+  }
 }
