Let silence end a stream only when it can go on elsewhere; test the path on stand-ins of the platform

Now its timer only runs out when the stream could be sent once more. Tests: 'streams over faults' (pauses) fail without the change. New stand-ins speak the platform's store and engines; 'Path on the platform', 'Logs and explanations'.

--- a/features/steps/forwarding.steps.ts
+++ b/features/steps/forwarding.steps.ts
@@ -94,40 +94,34 @@
   },
 );
 
-Then(
-  'over seeded answers an endpoint that fails four in ten costs more than a sound one',
-  () => {
-    const random = new SeededRandom(11);
-    const grey = new EndpointHealth();
-    const sound = new EndpointHealth();
-    for (let request = 0; request < 200; request += 1) {
-      const now = request * 20;
-      const isBad = random.next() < 0.4;
-      grey.count(isBad ? AttemptSign.failed : AttemptSign.answered, now);
-      sound.count(AttemptSign.answered, now);
-    }
-    const end = 200 * 20;
-    assert.ok(grey.failureRate(end) > 0.25, `grey ${grey.failureRate(end)}`);
-    assert.ok(sound.failureRate(end) < 0.01, `sound ${sound.failureRate(end)}`);
-    const forgotten = end + 30_000;
-    assert.ok(grey.failureRate(forgotten) < 0.01, 'it gets another chance');
-  },
-);
+Then('over seeded answers an endpoint that fails four in ten costs more than a sound one', () => {
+  const random = new SeededRandom(11);
+  const grey = new EndpointHealth();
+  const sound = new EndpointHealth();
+  for (let request = 0; request < 200; request += 1) {
+    const now = request * 20;
+    const isBad = random.next() < 0.4;
+    grey.count(isBad ? AttemptSign.failed : AttemptSign.answered, now);
+    sound.count(AttemptSign.answered, now);
+  }
+  const end = 200 * 20;
+  assert.ok(grey.failureRate(end) > 0.25, `grey ${grey.failureRate(end)}`);
+  assert.ok(sound.failureRate(end) < 0.01, `sound ${sound.failureRate(end)}`);
+  const forgotten = end + 30_000;
+  assert.ok(grey.failureRate(forgotten) < 0.01, 'it gets another chance');
+});
 
-Then(
-  'an endpoint that fails twice in a row is left alone and then tried by one request',
-  () => {
-    const health = new EndpointHealth();
-    health.count(AttemptSign.failed, 1_000);
-    assert.ok(health.mayTry(3, 1_000), 'one failure says little');
-    health.count(AttemptSign.failed, 1_010);
-    assert.ok(!health.mayTry(0, 1_100));
-    assert.ok(health.mayTry(0, 1_300));
-    assert.ok(!health.mayTry(1, 1_300), 'a second request waits for the first');
-    health.count(AttemptSign.answered, 1_320);
-    assert.ok(health.mayTry(3, 1_320));
-  },
-);
+Then('an endpoint that fails twice in a row is left alone and then tried by one request', () => {
+  const health = new EndpointHealth();
+  health.count(AttemptSign.failed, 1_000);
+  assert.ok(health.mayTry(3, 1_000), 'one failure says little');
+  health.count(AttemptSign.failed, 1_010);
+  assert.ok(!health.mayTry(0, 1_100));
+  assert.ok(health.mayTry(0, 1_300));
+  assert.ok(!health.mayTry(1, 1_300), 'a second request waits for the first');
+  health.count(AttemptSign.answered, 1_320);
+  assert.ok(health.mayTry(3, 1_320));
+});
 
 When(
   /^the store was away for (\d+) ms and returns at (\d+)$/,
--- a/features/steps/holderTransfer.steps.ts
+++ b/features/steps/holderTransfer.steps.ts
@@ -64,12 +64,9 @@
   },
 );
 
-Then(
-  'a version that lacks little is finished and one that would hardly serve is given up',
-  () => {
-    const grace = { graceMs: 8_000, loadMs: 300 };
-    assert.ok(isWorthFinishing({ progress: 0.9, outdatedMs: 300, ...grace }));
-    assert.ok(!isWorthFinishing({ progress: 0.1, outdatedMs: 300, ...grace }));
-    assert.ok(!isWorthFinishing({ progress: 0.9, outdatedMs: 6_500, ...grace }));
-  },
-);
+Then('a version that lacks little is finished and one that would hardly serve is given up', () => {
+  const grace = { graceMs: 8_000, loadMs: 300 };
+  assert.ok(isWorthFinishing({ progress: 0.9, outdatedMs: 300, ...grace }));
+  assert.ok(!isWorthFinishing({ progress: 0.1, outdatedMs: 300, ...grace }));
+  assert.ok(!isWorthFinishing({ progress: 0.9, outdatedMs: 6_500, ...grace }));
+});
--- /dev/null
+++ b/features/steps/logs.steps.ts
@@ -0,0 +1,101 @@
+import assert from 'node:assert/strict';
+import { Then, When } from '@cucumber/cucumber';
+import { Explanation, parseLogLine, renderStory } from '@laburnumstream/cli';
+import type { LogLine } from '@laburnumstream/cli';
+import { HistogramMetrics, LineBudget, LineOutput, LoggerFactory } from '@laburnumstream/runtime';
+import type { PlatformFleet } from '../support/platformFleet.js';
+
+interface LogsWorld {
+  budget: LineBudget;
+  written: Map<string, number>;
+  leftOut: number;
+  kept: number;
+  output: LineOutput;
+  outputMetrics: HistogramMetrics;
+  platform: PlatformFleet;
+}
+
+const kinds = ['Request placed.', 'Request refused.', 'Request failed.'];
+const perSecond = 2_000;
+const seconds = 3;
+const secondMs = 1_000;
+
+When(/^2000 requests a second are logged for 3 seconds$/, function flood(this: LogsWorld) {
+  this.budget = new LineBudget();
+  this.written = new Map();
+  this.leftOut = 0;
+  for (let request = 0; request < perSecond * seconds; request += 1) {
+    const now = (request / perSecond) * secondMs;
+    kinds.forEach((kind) => {
+      const name = `${kind} ${Math.floor(now / secondMs)}`;
+      if (this.budget.takes(kind, now)) this.written.set(name, (this.written.get(name) ?? 0) + 1);
+      else this.leftOut += 1;
+    });
+  }
+  const lines: string[] = [];
+  const sink = {
+    writableLength: 0,
+    write: (line: string | Uint8Array) => lines.push(`${line}`) > 0,
+  };
+  const log = new LoggerFactory('front-1', 'info', new HistogramMetrics(), sink).part('line');
+  for (let request = 0; request < perSecond; request += 1) {
+    log.info('Request refused.', { id: String(request), isRepeatable: false });
+  }
+  this.kept = lines.length;
+});
+
+Then(
+  'at most 100 lines of each kind are written in a second and the others are counted',
+  function bounded(this: LogsWorld) {
+    assert.equal(this.written.size, kinds.length * seconds);
+    this.written.forEach((lines) => assert.equal(lines, 100));
+    const told = this.budget.takeLeftOut().reduce((sum, { lines }) => sum + lines, 0);
+    assert.equal(told, this.leftOut);
+    assert.deepEqual(this.budget.takeLeftOut(), []);
+  },
+);
+
+Then('each line on a request that may not be repeated is written', function kept(this: LogsWorld) {
+  assert.equal(this.kept, perSecond);
+});
+
+When('the reader of the log stops', function stop(this: LogsWorld) {
+  this.outputMetrics = new HistogramMetrics();
+  const sink = {
+    writableLength: 0,
+    write(line: string | Uint8Array): boolean {
+      this.writableLength += line.length;
+      return false;
+    },
+  };
+  this.output = new LineOutput(sink, this.outputMetrics);
+});
+
+Then(
+  '20000 lines are taken without waiting and those that were lost are counted',
+  function taken(this: LogsWorld) {
+    const line = 'x'.repeat(200);
+    for (let written = 0; written < 20_000; written += 1) {
+      assert.ok(this.output.write(line), `line ${written} would wait`);
+    }
+    const [, lost = '0'] = /log_lines_lost_total (\d+)/.exec(this.outputMetrics.render()) ?? [];
+    const mostTaken = 1_048_576 / line.length + 1;
+    assert.ok(Number(lost) >= 20_000 - mostTaken, `${lost} lines lost`);
+  },
+);
+
+function toLine({ message, fields }: PlatformFleet['lines'][number], index: number): LogLine {
+  const timestamp = new Date(index).toISOString();
+  return parseLogLine(
+    `front-1 ${JSON.stringify({ timestamp, instance: 'front-1', message, ...fields })}`,
+  )!;
+}
+
+Then(/^the explanation of its id names (.+)$/, function explain(this: LogsWorld, cause: string) {
+  const lines = this.platform.lines.map(toLine);
+  const last = lines.filter(({ message }) => message.endsWith('Request failed.')).at(-1)!;
+  const explanation = new Explanation(String(last.id));
+  lines.forEach((line) => explanation.take(line));
+  const text = renderStory(explanation.story());
+  assert.match(text.replaceAll('\n', ' '), new RegExp(cause), text);
+});
--- /dev/null
+++ b/features/steps/platformPath.steps.ts
@@ -0,0 +1,207 @@
+import assert from 'node:assert/strict';
+import { request as httpRequest } from 'node:http';
+import type { IncomingMessage } from 'node:http';
+import { setTimeout as sleep } from 'node:timers/promises';
+import { After, Given, Then, When } from '@cucumber/cucumber';
+import type { ForwardingEntry } from '@laburnumstream/forwarding';
+import { eventually } from '../support/assertions.js';
+import { Behaviours } from '../support/platformEngine.js';
+import { PlatformFleet, configurationOf, platformHost } from '../support/platformFleet.js';
+
+/** What a caller got. */
+interface Got {
+  readonly status: number;
+  readonly body: string;
+  readonly isWhole: boolean;
+  readonly headers: IncomingMessage['headers'];
+}
+
+interface PlatformWorld {
+  platform: PlatformFleet;
+  platformEntry: ForwardingEntry;
+  got: Got;
+  readiness: number;
+}
+
+const deadlineMs = 2_000;
+let ids = 0;
+
+function ask(
+  { settings }: PlatformFleet,
+  path: string,
+  key = 'key-1',
+  leave?: AbortSignal,
+): Promise<Got> {
+  ids += 1;
+  const [host, port] = settings.callers.split(':');
+  return new Promise((resolve, reject) => {
+    const sent = httpRequest(
+      {
+        host,
+        port,
+        path,
+        method: 'POST',
+        ...(leave ? { signal: leave } : {}),
+        headers: {
+          host: platformHost,
+          authorization: `Bearer ${key}`,
+          'laburnumstream-request-id': `r${ids}`,
+          'laburnumstream-deadline-ms': String(deadlineMs),
+          'content-length': '4',
+        },
+      },
+      (response) => {
+        let body = '';
+        response.setEncoding('utf8');
+        response.on('data', (part: string) => {
+          body += part;
+        });
+        const end = (): void =>
+          resolve({
+            status: response.statusCode!,
+            body,
+            isWhole: response.complete,
+            headers: response.headers,
+          });
+        response.once('end', end);
+        response.once('error', end);
+      },
+    );
+    sent.once('error', reject);
+    sent.end('body');
+  });
+}
+
+Given(
+  /^an entry on the platform with engines that (.+)$/,
+  async function start(this: PlatformWorld, names: string) {
+    const behaviours = names.split(', ').map((name) => Behaviours[name as keyof typeof Behaviours]);
+    this.platform = await PlatformFleet.start(behaviours);
+    this.platformEntry = await this.platform.startEntry();
+    await eventually(() => {
+      const known = this.platform.lines.filter(
+        ({ message }) => message === 'fleet: Endpoint registered.',
+      );
+      return known.length === behaviours.length;
+    }, 'all engines are known');
+  },
+);
+
+After(async function close(this: Partial<PlatformWorld>) {
+  await this.platform?.close();
+});
+
+When(/^a caller sends a request to (\w+)$/, async function send(this: PlatformWorld, name: string) {
+  this.got = await ask(this.platform, `/${name}/x`);
+});
+
+Then(
+  /^it gets (\d+) and (any|\d+) runs of it were begun$/,
+  function outcome(this: PlatformWorld, status: string, runs: string) {
+    assert.equal(this.got.status, Number(status), JSON.stringify(this.platform.lines));
+    const begun = this.platform.engines.flatMap(({ ran }) => ran);
+    if (runs !== 'any') assert.equal(begun.length, Number(runs));
+    if (status === '200') {
+      assert.equal(this.got.body, 'whole answer');
+      assert.match(String(this.got.headers['laburnumstream-server-seal']), /^seal\./);
+    }
+    if (status === '503') assert.ok(Number(this.got.headers['retry-after']) > 0);
+  },
+);
+
+Then(
+  'the engine learned the workspace and the time left and not the key',
+  function told(this: PlatformWorld) {
+    const [headers] = this.platform.engines[0]!.seen;
+    assert.equal(headers!['laburnumstream-tenant'], 'small');
+    assert.equal(headers!.authorization, undefined);
+    assert.equal(headers!['laburnumstream-expect-instance'], 'e0');
+    const left = Number(headers!['laburnumstream-deadline-ms']);
+    assert.ok(left > deadlineMs / 2 && left <= deadlineMs, `${left} ms left`);
+  },
+);
+
+Then(
+  'a request with another key gets 401 and one to another path gets 404',
+  async function unknown(this: PlatformWorld) {
+    assert.equal((await ask(this.platform, '/safe/x', 'other')).status, 401);
+    assert.equal((await ask(this.platform, '/other/x')).status, 404);
+  },
+);
+
+When('the store falls silent for 3 seconds', async function silence(this: PlatformWorld) {
+  this.platform.store.isSilent = true;
+  await sleep(3_000);
+});
+
+Then(
+  'a request with a key gets 503 and none was begun',
+  async function refused(this: PlatformWorld) {
+    assert.equal((await ask(this.platform, '/safe/x')).status, 503);
+    assert.equal((await ask(this.platform, '/safe/x', 'other')).status, 503);
+    assert.deepEqual(this.platform.engines[0]!.ran, []);
+  },
+);
+
+When('operators take the key away', function revoke(this: PlatformWorld) {
+  this.platform.store.write('op/config', configurationOf(4, ['key-2']));
+});
+
+Then('a request with a key gets 401 within 1 second', async function gone(this: PlatformWorld) {
+  const isRefused = async (): Promise<boolean> =>
+    (await ask(this.platform, '/safe/x')).status === 401;
+  await eventually(isRefused, 'the key is refused', 1_000);
+  assert.equal((await ask(this.platform, '/safe/x', 'key-2')).status, 200);
+});
+
+Then('it gets events 1 to 12 once each', function events(this: PlatformWorld) {
+  const seen = [...this.got.body.matchAll(/^id: (\d+)$/gm)].map(([, id]) => Number(id));
+  assert.deepEqual(
+    seen,
+    Array.from({ length: 12 }, (_, index) => index + 1),
+  );
+  assert.ok(this.got.isWhole, 'the answer ends as whole');
+});
+
+When(
+  'a caller sends a request to safe and leaves after 200 ms',
+  async function leave(this: PlatformWorld) {
+    await assert.rejects(ask(this.platform, '/safe/x', 'key-1', AbortSignal.timeout(200)));
+  },
+);
+
+Then('the engine is rid of it within 500 ms', async function rid(this: PlatformWorld) {
+  const { engines } = this.platform;
+  await eventually(() => engines[0]!.left === 1, 'the engine lost its caller', 500);
+});
+
+When('the first engine says that it is draining', async function drain(this: PlatformWorld) {
+  this.platform.register(this.platform.engines[0]!, 'draining');
+  await eventually(
+    () => this.platform.lines.some(({ fields }) => fields.isDraining === true),
+    'the entry knows',
+  );
+});
+
+Then(
+  'only the second engine gets the next 20 requests',
+  async function second(this: PlatformWorld) {
+    for (let sent = 0; sent < 20; sent += 1) await ask(this.platform, '/safe/x');
+    assert.deepEqual(this.platform.engines[0]!.ran, []);
+    assert.equal(this.platform.engines[1]!.ran.length, 20);
+  },
+);
+
+When('the entry is stopped while a stream runs', async function stop(this: PlatformWorld) {
+  const asked = ask(this.platform, '/stream/x');
+  await sleep(150);
+  const stopped = this.platformEntry.stop();
+  const { status } = await fetch(`http://${this.platform.settings.readiness}/`);
+  this.readiness = status;
+  this.got = await asked;
+  await stopped;
+});
+
+Then('the entry said that it is not ready', function notReady(this: PlatformWorld) {
+  assert.equal(this.readiness, 503);
+});
--- /dev/null
+++ b/features/support/platformEngine.ts
@@ -0,0 +1,121 @@
+import { createServer } from 'node:http';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { setTimeout as sleep } from 'node:timers/promises';
+
+/** How an engine deals with one request. */
+export type Behaviour = (
+  request: IncomingMessage,
+  response: ServerResponse,
+  engine: PlatformEngine,
+) => void | Promise<void>;
+
+const eventGapMs = 15;
+
+/** Heads an answer as an engine of the platform does. */
+export function head(request: IncomingMessage, engine: PlatformEngine): Record<string, string> {
+  return {
+    'laburnumstream-request-id': String(request.headers['laburnumstream-request-id']),
+    'laburnumstream-server-seal': `seal.${engine.id}`,
+  };
+}
+
+function eventOf(id: number): string {
+  return `id: ${id}\ndata: token ${id}\n\n`;
+}
+
+/** Streams events from the one after `Last-Event-Id` to `last`, and ends. */
+export function streams(last: number, before?: (id: number) => Promise<void>): Behaviour {
+  return async (request, response, engine) => {
+    response.writeHead(200, { ...head(request, engine), 'content-type': 'text/event-stream' });
+    const first = Number(request.headers['last-event-id'] ?? 0) + 1;
+    for (let id = first; id <= last && !response.destroyed; id += 1) {
+      await before?.(id);
+      response.write(eventOf(id));
+      await sleep(eventGapMs);
+    }
+    response.end();
+  };
+}
+
+/** Answers with a body. */
+export function answers(body: string): Behaviour {
+  return (request, response, engine) => {
+    response.writeHead(200, head(request, engine));
+    response.end(body);
+  };
+}
+
+/** Behaviours with a name that tests use. */
+export const Behaviours = {
+  answers: answers('whole answer'),
+  /** Runs the request and breaks the connection. */
+  breaks: (request) => {
+    request.socket.resetAndDestroy();
+  },
+  /** Refuses without running. */
+  refuses: (_request, response) => {
+    response.writeHead(503, { 'laburnumstream-not-executed': '1' });
+    response.end();
+  },
+  /** Runs the request and never answers. */
+  hangs: () => undefined,
+  streams: streams(12),
+  /** Stops in the middle of the sixth event. */
+  stops: async (request, response, engine) => {
+    response.writeHead(200, { ...head(request, engine), 'content-type': 'text/event-stream' });
+    for (let id = 1; id <= 5; id += 1) response.write(eventOf(id));
+    response.write('id: 6\nda');
+    await sleep(eventGapMs);
+    request.socket.resetAndDestroy();
+  },
+  /** Is silent for long in the middle of a stream, and goes on. */
+  pauses: streams(12, (id) => sleep(id === 6 ? 1_300 : 0)),
+} as const satisfies Record<string, Behaviour>;
+
+/** An engine, or another server of a service, on the users' platform. */
+export class PlatformEngine {
+  /** Requests that it began to run, by their ids. */
+  readonly ran: string[] = [];
+
+  /** Headers of the requests that came. */
+  readonly seen: IncomingMessage['headers'][] = [];
+
+  /** Connections that callers closed while a request ran. */
+  left = 0;
+
+  private constructor(
+    readonly id: string,
+    private readonly server: Server,
+  ) {}
+
+  static async start(id: string, behaviour: Behaviour): Promise<PlatformEngine> {
+    const server = createServer();
+    const engine = new PlatformEngine(id, server);
+    server.on('request', (request: IncomingMessage, response: ServerResponse) => {
+      request.resume();
+      engine.seen.push(request.headers);
+      if (behaviour !== Behaviours.refuses) {
+        engine.ran.push(String(request.headers['laburnumstream-request-id']));
+      }
+      response.once('close', () => {
+        if (!response.writableFinished) engine.left += 1;
+      });
+      void behaviour(request, response, engine);
+    });
+    await new Promise<void>((resolve) => {
+      server.listen(0, '127.0.0.1', () => resolve());
+    });
+    return engine;
+  }
+
+  /** IP:PORT */
+  get address(): string {
+    return `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
+  }
+
+  close(): void {
+    this.server.close();
+    this.server.closeAllConnections();
+  }
+}
--- /dev/null
+++ b/features/support/platformFleet.ts
@@ -0,0 +1,156 @@
+import { freePorts } from '@laburnumstream/bench';
+import { SeededRandom } from '@laburnumstream/common';
+import type { ForwarderSettings } from '@laburnumstream/common';
+import { ForwardingEntry } from '@laburnumstream/forwarding';
+import { StoreClient, fleetKeys, platformHeaders } from '@laburnumstream/platform';
+import { HistogramMetrics, SystemClock } from '@laburnumstream/runtime';
+import { PlatformEngine } from './platformEngine.js';
+import type { Behaviour } from './platformEngine.js';
+import { PlatformStore } from './platformStore.js';
+
+/** A line of the entry's log. */
+export interface LoggedLine {
+  readonly message: string;
+  readonly fields: Readonly<Record<string, unknown>>;
+}
+
+const host = 'desk.example';
+const timeoutMs = 2_500;
+
+function routeOf(name: string, kind: string, attempts: number): object {
+  return {
+    Name: name,
+    Host: host,
+    PathPrefix: `/${name}/`,
+    Kind: kind,
+    Service: 'desk',
+    TimeoutMs: timeoutMs,
+    GoalMs: 400,
+    GapTargetMs: 300,
+    MaxAttempts: attempts,
+    Resumable: kind === 'stream',
+  };
+}
+
+/** The operators' configuration of the tests. */
+export function configurationOf(version: number, keys: readonly string[]): object {
+  return {
+    Version: version,
+    Routes: [
+      routeOf('safe', 'safe', 2),
+      routeOf('unsafe', 'unsafe', 1),
+      routeOf('stream', 'stream', 2),
+      routeOf('single', 'stream', 1),
+    ],
+    Services: [{ Name: 'desk', MaxConns: 100 }],
+    Limits: {
+      MaxHeaderBytes: 8_192,
+      MaxBodyBytes: 1_000_000,
+      HeaderTimeoutMs: 5_000,
+      IdleTimeoutMs: 10_000,
+    },
+    Tenants: [{ Name: 'small', ApiKeys: keys }],
+  };
+}
+
+async function settingsOf(store: string): Promise<ForwarderSettings> {
+  const [callers, readiness, first] = await freePorts(3);
+  return {
+    instance: 'front-1',
+    host: '127.0.0.1',
+    dataCentre: 'a',
+    region: 'r',
+    regions: new Map([['a', 'r']]),
+    firstPort: first!,
+    linkBitsPerSecond: 1e9,
+    store: { address: store, shortestLeaseMs: 1_000 },
+    heartbeatMs: 1_200,
+    callers: `127.0.0.1:${callers}`,
+    readiness: `127.0.0.1:${readiness}`,
+    bounds: {
+      shutdownMs: 4_000,
+      drainMs: 2_000,
+      configurationMs: 1_000,
+      revocationMs: 2_500,
+      refusesWithoutProof: true,
+      evacuationMs: 5_000,
+      versionMs: 8_000,
+      addressReuseMs: 2_000,
+      retryRatio: 0.2,
+      retrySlack: 100,
+      retryWindowMs: 10_000,
+      coldFactor: 1.5,
+      coldSlack: 5,
+      eventDelayMs: 120,
+    },
+  };
+}
+
+/** One entry on a store and engines that speak as the users' platform does. */
+export class PlatformFleet {
+  readonly lines: LoggedLine[] = [];
+
+  private readonly abort = new AbortController();
+
+  private constructor(
+    readonly store: PlatformStore,
+    readonly engines: readonly PlatformEngine[],
+    readonly settings: ForwarderSettings,
+  ) {}
+
+  static async start(behaviours: readonly Behaviour[]): Promise<PlatformFleet> {
+    const store = await PlatformStore.start();
+    const engines = await Promise.all(
+      behaviours.map((behaviour, index) => PlatformEngine.start(`e${index}`, behaviour)),
+    );
+    const fleet = new PlatformFleet(store, engines, await settingsOf(store.address));
+    store.write('op/config', configurationOf(1, ['key-1']));
+    engines.forEach((engine) => fleet.register(engine, 'ready'));
+    return fleet;
+  }
+
+  /** Starts the entry and waits until it is ready. */
+  async startEntry(): Promise<ForwardingEntry> {
+    const write =
+      (part: string) =>
+      (message: string, fields: LoggedLine['fields'] = {}): void => {
+        this.lines.push({ message: `${part}: ${message}`, fields });
+      };
+    const entry = new ForwardingEntry({
+      settings: this.settings,
+      store: new StoreClient(this.store.address),
+      fleetCodec: fleetKeys,
+      headerCodec: platformHeaders,
+      clock: new SystemClock(),
+      random: new SeededRandom(7),
+      metrics: new HistogramMetrics(),
+      log: (part) => {
+        const all = write(part);
+        return { debug: all, info: all, warn: all, error: all };
+      },
+    });
+    await entry.start(this.abort.signal);
+    return entry;
+  }
+
+  /** An engine's registration. */
+  register(engine: PlatformEngine, state: 'ready' | 'draining'): void {
+    this.store.write(`servers/${engine.id}`, {
+      Service: 'desk',
+      Address: engine.address,
+      Zone: 'a',
+      Slots: 6,
+      State: state,
+      born: 1_700_000_000_000,
+    });
+  }
+
+  async close(): Promise<void> {
+    this.abort.abort();
+    this.engines.forEach((engine) => engine.close());
+    this.store.close();
+  }
+}
+
+/** The host of all routes. */
+export const platformHost = host;
--- /dev/null
+++ b/packages/cli/src/index.ts
@@ -0,0 +1,2 @@
+/** The operators' command; what tests use of it. */
+export * from './explanation.js';
--- a/packages/forwarding/src/eventRelay.ts
+++ b/packages/forwarding/src/eventRelay.ts
@@ -59,6 +59,8 @@
     private readonly exchange: Exchange,
     private readonly delivery: EventDelivery,
     private readonly clock: Clock,
+    /** Whether the stream could go on elsewhere: else its endpoint's silence ends nothing. */
+    private readonly couldGoOn: () => boolean,
   ) {
     this.outcome = new Promise((resolve) => {
       this.settle = resolve;
@@ -138,6 +140,10 @@
   private startTimer(ms: number): void {
     clearTimeout(this.timer);
     this.timer = setTimeout(() => {
+      if (!this.couldGoOn()) {
+        this.startTimer(ms);
+        return;
+      }
       this.leave();
       this.attempt?.call.abort();
       this.settle({ kind: 'fault', fault: CallFault.silent, reason: `silent for ${ms} ms` });
--- a/packages/forwarding/src/streamRun.ts
+++ b/packages/forwarding/src/streamRun.ts
@@ -68,8 +68,10 @@
   }
 
   private start(placement: Placement<EndpointHandle>): RunningAttempt {
-    const relay = new EventRelay(this.exchange, this.delivery, this.services.clock);
-    const attempt = this.attempts.send(placement, relay, this.delivery.lastEventId);
+    const { exchange, delivery, attempts } = this;
+    const couldGoOn = (): boolean => attempts.couldRepeat(placement.target);
+    const relay = new EventRelay(exchange, delivery, this.services.clock, couldGoOn);
+    const attempt = attempts.send(placement, relay, delivery.lastEventId);
     relay.follow(attempt);
     return { attempt, relay, outcome: this.until(attempt, relay) };
   }
