--- a/features/forwarding.feature
+++ b/features/forwarding.feature
@@ -36,3 +36,7 @@
     When three entries of a region hear that an engine has 6 of 16 slots free
     Then they send 7 requests together when each hears of the others
     And at most 9 together when they do not
+
+  Scenario: old version on an instance that stands still
+    Then an engine with the newest version is used whatever its reports
+    And one with an older version only while its reports are fresh and its time is not over
--- a/features/steps/forwarding.steps.ts
+++ b/features/steps/forwarding.steps.ts
@@ -8,6 +8,7 @@
   EndpointLoad,
   NamedVersions,
   RemovalHold,
+  mayBeginOn,
   roomShareOf,
 } from '@laburnumstream/decisions';
 import { AnswerCollector, ConnectionPool, EndpointCall } from '@laburnumstream/forwarding';
@@ -213,3 +214,19 @@
   const sent = fill(threeLoads(), false, 1_010);
   assert.ok(sent <= 9, `${sent} sent`);
 });
+
+const graceMs = 8_000;
+
+Then('an engine with the newest version is used whatever its reports', () => {
+  assert.ok(mayBeginOn({ outdatedMs: -Infinity, graceMs, reportAgeMs: Infinity }));
+});
+
+Then(
+  'one with an older version only while its reports are fresh and its time is not over',
+  () => {
+    assert.ok(mayBeginOn({ outdatedMs: 7_000, graceMs, reportAgeMs: 400 }));
+    // The agent and its engine stood still for 2 s; what is sent now may begin after the grace.
+    assert.ok(!mayBeginOn({ outdatedMs: 7_000, graceMs, reportAgeMs: 2_000 }));
+    assert.ok(!mayBeginOn({ outdatedMs: 7_500, graceMs, reportAgeMs: 100 }));
+  },
+);
--- a/packages/decisions/src/forwarding/endpointLoad.ts
+++ b/packages/decisions/src/forwarding/endpointLoad.ts
@@ -63,10 +63,6 @@
     private readonly isNear: boolean,
   ) {}
 
-  get hasReport(): boolean {
-    return this.reportedAt > -Infinity;
-  }
-
   /**
    * Takes a report of a moment at which `ownThen` requests of this entry were there; `allowance` is
    * the number of requests that this entry may send until the next one.
--- a/packages/decisions/src/forwarding/index.ts
+++ b/packages/decisions/src/forwarding/index.ts
@@ -13,4 +13,5 @@
 export * from './sharedRate.js';
 export * from './sharedRetryBudget.js';
 export * from './slidingCount.js';
+export * from './versionUse.js';
 export * from './waitingLine.js';
--- a/packages/forwarding/src/endpointDirectory.ts
+++ b/packages/forwarding/src/endpointDirectory.ts
@@ -5,6 +5,7 @@
   Metrics,
   ServiceProfile,
 } from '@laburnumstream/common';
+import { mayBeginOn } from '@laburnumstream/decisions';
 import type { RoomSharers } from '@laburnumstream/decisions';
 import { EndpointHandle } from './endpointHandle.js';
 import type { FleetState } from './fleetState.js';
@@ -16,8 +17,6 @@
   readonly tried: ReadonlySet<string>;
 }
 
-/** Time before the end of a named version's grace after which the old one is left, in milliseconds. */
-const versionMarginMs = 800;
 /** What may wait at an engine: a request for the next free slot, and prompts to be read. */
 export const roomLimits = { spare: 1, unreadMs: 200 } as const;
 /** Part of an endpoint's connections that entries use together. */
@@ -161,7 +160,11 @@
     const model = profile?.engine?.models[0]?.name;
     if (version === undefined || model === undefined) return false;
     const outdatedAt = this.state.namedVersions(model)?.outdatedAt(version) ?? Infinity;
-    return now - outdatedAt < this.settings.bounds.versionMs - versionMarginMs;
+    return mayBeginOn({
+      outdatedMs: now - outdatedAt,
+      graceMs: this.settings.bounds.versionMs,
+      reportAgeMs: handle.load.reportAgeMs(now),
+    });
   }
 
   private hasRoom(handle: EndpointHandle, now: number): boolean {
