Keep a cold engine's rate also among more entries than it bears requests a second

A floor of one request a second for each entry is 46 a second on the grown sites where an engine bears 17. Entries with a smaller share send once in a longer period, each with its own offset. Test: 'cold engine among many entries' (46 and 100 entries fail with the floor).

--- a/features/forwarding.feature
+++ b/features/forwarding.feature
@@ -40,3 +40,13 @@
   Scenario: old version on an instance that stands still
     Then an engine with the newest version is used whatever its reports
     And one with an older version only while its reports are fresh and its time is not over
+
+  Scenario Outline: cold engine among many entries
+    Then <entries> entries send a cold engine that bears 17 a second at most 30 in any second
+
+    Examples:
+      | entries |
+      | 1       |
+      | 7       |
+      | 46      |
+      | 100     |
--- a/features/steps/forwarding.steps.ts
+++ b/features/steps/forwarding.steps.ts
@@ -8,6 +8,7 @@
   EndpointLoad,
   NamedVersions,
   RemovalHold,
+  SharedRate,
   mayBeginOn,
   roomShareOf,
 } from '@laburnumstream/decisions';
@@ -221,12 +222,38 @@
   assert.ok(mayBeginOn({ outdatedMs: -Infinity, graceMs, reportAgeMs: Infinity }));
 });
 
+Then('one with an older version only while its reports are fresh and its time is not over', () => {
+  assert.ok(mayBeginOn({ outdatedMs: 7_000, graceMs, reportAgeMs: 400 }));
+  // The agent and its engine stood still for 2 s; what is sent now may begin after the grace.
+  assert.ok(!mayBeginOn({ outdatedMs: 7_000, graceMs, reportAgeMs: 2_000 }));
+  assert.ok(!mayBeginOn({ outdatedMs: 7_500, graceMs, reportAgeMs: 100 }));
+});
+
+/** Sends in any second that the platform's rule bears: 17 times 1.5 and 5. */
+const coldBound = 30;
+
 Then(
-  'one with an older version only while its reports are fresh and its time is not over',
-  () => {
-    assert.ok(mayBeginOn({ outdatedMs: 7_000, graceMs, reportAgeMs: 400 }));
-    // The agent and its engine stood still for 2 s; what is sent now may begin after the grace.
-    assert.ok(!mayBeginOn({ outdatedMs: 7_000, graceMs, reportAgeMs: 2_000 }));
-    assert.ok(!mayBeginOn({ outdatedMs: 7_500, graceMs, reportAgeMs: 100 }));
+  /^(\d+) entries send a cold engine that bears 17 a second at most (\d+) in any second$/,
+  (entries: string, bound: string) => {
+    assert.equal(Number(bound), coldBound);
+    [1, 2, 3].forEach((seed) => {
+      const random = new SeededRandom(seed);
+      const share = 17 / Number(entries);
+      const rates = Array.from({ length: Number(entries) }, () => new SharedRate(random.next()));
+      const sends: number[] = [];
+      for (let now = 0; now < 5_000; now += 5) {
+        rates
+          .filter((rate) => rate.fits(share, now))
+          .forEach((rate) => {
+            rate.take(share, now);
+            sends.push(now);
+          });
+      }
+      const most = Math.max(
+        ...sends.map((at) => sends.filter((s) => s >= at && s < at + 1_000).length),
+      );
+      assert.ok(most <= coldBound, `${most} sends, seed ${seed}`);
+      assert.ok(sends.length >= 0.8 * 17 * 4, `${sends.length} sends in all, seed ${seed}`);
+    });
   },
 );
--- a/packages/forwarding/src/endpointDirectory.ts
+++ b/packages/forwarding/src/endpointDirectory.ts
@@ -3,6 +3,7 @@
   Endpoint,
   FleetSettings,
   Metrics,
+  Random,
   ServiceProfile,
 } from '@laburnumstream/common';
 import { mayBeginOn } from '@laburnumstream/decisions';
@@ -35,6 +36,7 @@
     private readonly state: FleetState,
     private readonly clock: Clock,
     private readonly metrics: Metrics,
+    private readonly random: Random,
     /** Entries that share the bounds of endpoints. */
     private readonly entries: () => number,
   ) {}
@@ -99,7 +101,7 @@
   /** A request is about to be sent. */
   countSend(handle: EndpointHandle): void {
     const now = this.clock.now();
-    if (now < handle.coldUntil) handle.coldRate.take(now);
+    if (now < handle.coldUntil) handle.coldRate.take(this.coldShare(handle), now);
   }
 
   /** Entries that share the room of the endpoints of a region. */
@@ -124,7 +126,17 @@
     const isNear = region === this.settings.region;
     const { clock, metrics } = this;
     const peers = (): number => Math.max(0, this.sharers(region).near - (isNear ? 1 : 0));
-    const handle = new EndpointHandle(endpoint, profile, isNear, region, clock, metrics, peers);
+    const phase = this.random.next();
+    const handle = new EndpointHandle(
+      endpoint,
+      profile,
+      isNear,
+      region,
+      clock,
+      metrics,
+      peers,
+      phase,
+    );
     this.takeCold(handle, endpoint);
     this.handles.set(endpoint.id, handle);
   }
@@ -179,6 +191,11 @@
     if (handle.model && !handle.load.hasRoom({ ...roomLimits, slots: handle.slots }, now))
       return false;
     if (now >= coldUntil || !profile || profile.coldPerSecond <= 0) return true;
-    return coldRate.fits(Math.max(1, Math.floor(profile.coldPerSecond / entries)), now);
+    return coldRate.fits(this.coldShare(handle), now);
+  }
+
+  /** Requests a second that this entry may send to an endpoint while it is cold. */
+  private coldShare({ profile }: EndpointHandle): number {
+    return (profile?.coldPerSecond ?? 0) / Math.max(1, this.entries());
   }
 }
--- a/packages/forwarding/src/endpointHandle.ts
+++ b/packages/forwarding/src/endpointHandle.ts
@@ -23,7 +23,7 @@
 
   readonly health = new EndpointHealth();
 
-  readonly coldRate = new SharedRate();
+  readonly coldRate: SharedRate;
 
   /** Streams of this entry that it is giving. */
   private readonly streams = new Set<MovableStream>();
@@ -57,7 +57,10 @@
     metrics: Metrics,
     /** Other entries that send to it as this one does. */
     peers: () => number,
+    /** Offset of this entry's sends while the endpoint is cold, from 0 to 1. */
+    phase: number,
   ) {
+    this.coldRate = new SharedRate(phase);
     this.load = new EndpointLoad(peers, isNear);
     this.pool = new ConnectionPool(endpoint.address, clock, metrics);
     this.takeProfile(profile);
--- a/packages/forwarding/src/forwardingEntry.ts
+++ b/packages/forwarding/src/forwardingEntry.ts
@@ -93,7 +93,7 @@
       bounds.versionMs,
     );
     const entries = (): number => this.state.entries || mostEntries;
-    this.directory = new EndpointDirectory(settings, this.state, clock, metrics, entries);
+    this.directory = new EndpointDirectory(settings, this.state, clock, metrics, random, entries);
     this.line = new DispatchLine(this.directory, clock, random, metrics, log('line'));
     this.sidecars = new SidecarLinks(
       settings,
