Compare ways of admission in virtual time; give back the lead of kinds and sizes that are served more often

The part of the time to its goal that an estimate may fill now shrinks for requests whose kind and size are served more often than all.

--- a/bench/src/benches.ts
+++ b/bench/src/benches.ts
@@ -4,6 +4,7 @@
 import { decisions } from './benches/decisions.js';
 import { fairness } from './benches/fairness.js';
 import { faults } from './benches/faults.js';
+import { heavyDays } from './benches/heavyDays.js';
 import { overload } from './benches/overload.js';
 import { path } from './benches/path.js';
 import { poison } from './benches/poison.js';
@@ -24,6 +25,7 @@
   decisions,
   fairness,
   faults,
+  'heavy-days': heavyDays,
   overload,
   path,
   poison,
--- a/bench/src/index.ts
+++ b/bench/src/index.ts
@@ -3,6 +3,7 @@
 export * from './caller.js';
 export * from './fleet.js';
 export * from './fleetShape.js';
+export * from './heavyDays/heavyDay.js';
 export * from './histories/history.js';
 export * from './histories/simulation.js';
 export { Plant } from './histories/world.js';
--- /dev/null
+++ b/features/steps/heavyDays.steps.ts
@@ -0,0 +1,92 @@
+import assert from 'node:assert/strict';
+import { Then, When } from '@cucumber/cucumber';
+import { HeavyDay } from '@laburnumstream/bench';
+import type { HeavyOutcome } from '@laburnumstream/bench';
+import { ServedShares } from '@laburnumstream/decisions';
+
+interface HeavyWorld {
+  heavy: Map<string, HeavyOutcome[]>;
+}
+
+const seeds = [1, 2, 3] as const;
+const seconds = 20;
+const wayNames = ['own', 'bare-cap', 'first-come'] as const;
+
+async function play(way: string, engines: number): Promise<HeavyOutcome[]> {
+  const shape = { engines, entries: 7, regions: 3, factor: 1, seconds, way };
+  return Promise.all(seeds.map((seed) => new HeavyDay({ ...shape, seed }).run()));
+}
+
+async function playAll(engines: number): Promise<HeavyWorld['heavy']> {
+  const played = new Map<string, HeavyOutcome[]>();
+  for (const way of wayNames) played.set(way, await play(way, engines));
+  return played;
+}
+
+function mean(
+  outcomes: readonly HeavyOutcome[],
+  valueOf: (outcome: HeavyOutcome) => number,
+): number {
+  return outcomes.reduce((sum, outcome) => sum + valueOf(outcome), 0) / outcomes.length;
+}
+
+When(
+  '6 engines are asked for a third more than they can do',
+  async function over(this: HeavyWorld) {
+    this.heavy = await playAll(6);
+  },
+);
+
+When('9 engines are asked for nearly all that they can do', async function full(this: HeavyWorld) {
+  this.heavy = await playAll(9);
+});
+
+Then(
+  "the product's way has more in time than first-come and than a bare cap with each seed",
+  function compare(this: HeavyWorld) {
+    const [own, cap, first] = wayNames.map((way) =>
+      this.heavy.get(way)!.map(({ inTime }) => inTime),
+    );
+    own!.forEach((served, index) => {
+      assert.ok(served > cap![index]!, `seed ${seeds[index]}: ${served}, cap ${cap![index]}`);
+      assert.ok(served > first![index]!, `seed ${seeds[index]}: ${served}, first ${first![index]}`);
+    });
+  },
+);
+
+Then('requests whose like are served less often than all get the lead back', () => {
+  const shares = new ServedShares();
+  for (let request = 0; request < 100; request += 1) {
+    const now = request * 20;
+    shares.countAsked(['long'], now);
+    shares.countAsked(['short'], now);
+    shares.countServed(['long'], now);
+    if (request % 2 === 0) shares.countServed(['short'], now);
+  }
+  const now = 2_000;
+  assert.ok(shares.lead(['long'], now) > 0.2, `long leads by ${shares.lead(['long'], now)}`);
+  assert.ok(shares.lead(['short'], now) < -0.2, `short leads by ${shares.lead(['short'], now)}`);
+  assert.equal(shares.lead(['short'], now + 20_000), 0);
+});
+
+Then('0.9 of the best that knows all sizes is in time', function best(this: HeavyWorld) {
+  const reached = mean(
+    this.heavy.get('own')!,
+    ({ creditInTime, creditAtBest }) => creditInTime / creditAtBest,
+  );
+  assert.ok(reached >= 0.9, `${reached}`);
+});
+
+Then(
+  'workspaces, kinds and the largest tenth are served at least 0.95 times as often as all',
+  function shares(this: HeavyWorld) {
+    const own = this.heavy.get('own')!;
+    const workspace = mean(own, ({ leastWorkspaceShare }) => leastWorkspaceShare);
+    const kind = mean(own, ({ leastKindShare }) => leastKindShare);
+    const largest = mean(own, ({ largestShare }) => largestShare);
+    assert.ok(
+      workspace >= 0.95 && kind >= 0.95 && largest >= 0.95,
+      `workspace ${workspace}, kind ${kind}, largest ${largest}`,
+    );
+  },
+);
--- a/packages/decisions/src/forwarding/engineModel.ts
+++ b/packages/decisions/src/forwarding/engineModel.ts
@@ -4,6 +4,13 @@
 const thousand = 1_000;
 const million = 1_000_000;
 
+/** Classes of sizes by work, as factors of a usual request's. */
+const sizeClasses = [
+  { name: 'small', below: 0.7 },
+  { name: 'usual', below: 1.4 },
+  { name: 'large', below: 2.2 },
+  { name: 'largest', below: Infinity },
+] as const;
 /** Factor on the time of a pass for the prompts that are read between passes. */
 const readingFactor = 1.4;
 
@@ -27,6 +34,19 @@
     this.turnoverMs = this.readMs(usualPromptTokens) + (passes * this.passMs(slots)) / slots;
   }
 
+  /** The class of a request's size, by the work that it is compared with a usual request. */
+  sizeClass(promptTokens: number, answerTokens: number): string {
+    const { usualPromptTokens, usualAnswerTokens } = this.profile;
+    const usual = this.workMs(usualPromptTokens, usualAnswerTokens);
+    const factor = this.workMs(promptTokens, answerTokens) / usual;
+    return sizeClasses.find(({ below }) => factor < below)!.name;
+  }
+
+  /** Latest time to send a request whose first event is due at `goalAt`, in monotonic milliseconds. */
+  latestStart(goalAt: number, promptTokens: number): number {
+    return goalAt - this.firstEventMs(this.slots - 1, 0, promptTokens);
+  }
+
   /** Time of one pass with a number of requests that are writing. */
   passMs(writers: number): number {
     const { stride, stepMs, stepMsPerSequence, stepMsPerThousandTokens } = this.profile;
--- a/packages/decisions/src/forwarding/index.ts
+++ b/packages/decisions/src/forwarding/index.ts
@@ -10,6 +10,7 @@
 export * from './removalHold.js';
 export * from './roomShare.js';
 export * from './routeTable.js';
+export * from './servedShares.js';
 export * from './sharedRate.js';
 export * from './sharedRetryBudget.js';
 export * from './slidingCount.js';
--- a/packages/forwarding/src/attempts.ts
+++ b/packages/forwarding/src/attempts.ts
@@ -150,6 +150,8 @@
     const { head, route, service, workspace, arrivedAt, deadlineAt } = this.exchange;
     const model = this.services.directory.of(service)[0]?.model;
     const { promptTokens = 0 } = head;
+    const answerTokens = head.expectedAnswerTokens ?? head.mostAnswerTokens ?? 0;
+    const size = model?.sizeClass(promptTokens, answerTokens);
     const goalAt = this.goalAt();
     return {
       id: head.id,
@@ -158,12 +160,10 @@
       priority: workspace?.priority ?? route.priority,
       arrivedAt: this.resumedAt ?? arrivedAt,
       isReturned: this.resumedAt === undefined && this.isReturned(),
-      startBy: goalAt - (model?.firstEventMs(model.slots - 1, 0, promptTokens) ?? plainMs),
+      startBy: model?.latestStart(goalAt, promptTokens) ?? goalAt - plainMs,
       isRepeatable: this.isRepeatable,
-      demand: {
-        promptTokens,
-        answerTokens: head.expectedAnswerTokens ?? head.mostAnswerTokens ?? 0,
-      },
+      demand: { promptTokens, answerTokens },
+      groups: size === undefined ? [route.name] : [route.name, size],
       eligibility: {
         homeRegions: [route.homeRegions, workspace?.homeRegions ?? []],
         tried: this.tried,
--- a/packages/forwarding/src/dispatchLine.ts
+++ b/packages/forwarding/src/dispatchLine.ts
@@ -1,8 +1,8 @@
 import { Unavailable } from '@laburnumstream/common';
 import type { Clock, Log, Metrics, Random } from '@laburnumstream/common';
-import { WaitingLine, bestPlacement } from '@laburnumstream/decisions';
+import { ServedShares, WaitingLine, bestPlacement } from '@laburnumstream/decisions';
 import type { Demand, Placement, WaitingRequest } from '@laburnumstream/decisions';
-import type { Eligibility, EndpointDirectory } from './endpointDirectory.js';
+import type { Eligibility } from './endpointDirectory.js';
 import type { EndpointHandle } from './endpointHandle.js';
 
 /** A request that needs an endpoint. */
@@ -10,6 +10,8 @@
   readonly id: string;
   readonly service: string;
   readonly demand: Demand;
+  /** Groups of requests that are to be served equally often: its route and its size. */
+  readonly groups: readonly string[];
   readonly eligibility: Eligibility;
   /** Whether it may run more than once. */
   readonly isRepeatable: boolean;
@@ -19,6 +21,16 @@
   readonly deadlineAt: number;
 }
 
+/** The endpoints among which requests are placed. */
+export interface EndpointChoice {
+  /** Endpoints of a service. */
+  of(service: string): readonly EndpointHandle[];
+  /** Those that may get a request now. */
+  usable(service: string, eligibility: Eligibility): EndpointHandle[];
+  /** Whether any could serve a request, if it had room. */
+  canServe(service: string, eligibility: Eligibility): boolean;
+}
+
 interface Pending extends PlacedRequest {
   readonly resolve: (placement: Placement<EndpointHandle>) => void;
   readonly reject: (error: unknown) => void;
@@ -35,8 +47,11 @@
  * take is one that a request within its goal would have had.
  */
 const reservedShare = 0.2;
-/** Part of the time to the goal that the estimate may fill. */
-const estimateShare = 0.9;
+/**
+ * Part of the time to the goal that the estimate may fill: less for requests whose like are served more
+ * often than others, so that short goals and large prompts are not crowded out.
+ */
+const estimateShare = { usual: 0.75, least: 0.35, most: 1, perLead: 3 } as const;
 /** Time after which callers are told to come back, in milliseconds. */
 const returnMs = { least: 900, spread: 700 } as const;
 /** Part of a caller's time left that it waits at most before it comes back. */
@@ -46,10 +61,12 @@
 export class DispatchLine {
   private readonly lines = new Map<string, WaitingLine<Pending>>();
 
-  private timer: NodeJS.Timeout | undefined;
+  private readonly shares = new Map<string, ServedShares>();
+
+  private isScheduled = false;
 
   constructor(
-    private readonly directory: EndpointDirectory,
+    private readonly directory: EndpointChoice,
     private readonly clock: Clock,
     private readonly random: Random,
     private readonly metrics: Metrics,
@@ -60,6 +77,7 @@
   place(request: PlacedRequest, signal: AbortSignal): Promise<Placement<EndpointHandle>> {
     const now = this.clock.now();
     const line = this.lineOf(request.service);
+    if (!request.isReturned) this.sharesOf(request.service).countAsked(request.groups, now);
     const placement = line.length === 0 ? this.find(request, now) : undefined;
     if (placement) return Promise.resolve(this.took(request, placement, now));
     const startAt = now + line.expectedWaitMs(now);
@@ -98,12 +116,13 @@
   }
 
   private schedule(): void {
-    if (this.timer) return;
-    this.timer = setTimeout(() => {
-      this.timer = undefined;
+    if (this.isScheduled) return;
+    this.isScheduled = true;
+    void this.clock.sleep(lookMs).then(() => {
+      this.isScheduled = false;
       this.lookAtAll();
       if ([...this.lines.values()].some(({ length }) => length > 0)) this.schedule();
-    }, lookMs);
+    });
   }
 
   private find(request: PlacedRequest, now: number): Placement<EndpointHandle> | undefined {
@@ -111,7 +130,7 @@
     const targets = this.directory.usable(service, eligibility);
     const best = bestPlacement(targets, demand, now, this.random);
     if (!best) return undefined;
-    const left = (request.goalAt - now - wayBackMs) * estimateShare;
+    const left = (request.goalAt - now - wayBackMs) * this.estimateShareOf(request, now);
     if (!request.isReturned && best.expectedMs <= left) return best;
     const { load, slots } = best.target;
     const isLate = request.isReturned || now > request.startBy;
@@ -119,6 +138,12 @@
     return isLate && load.occupied(now) < open ? best : undefined;
   }
 
+  private estimateShareOf({ service, groups }: PlacedRequest, now: number): number {
+    const { usual, least, most, perLead } = estimateShare;
+    const share = usual - this.sharesOf(service).lead(groups, now) * perLead;
+    return Math.min(most, Math.max(least, share));
+  }
+
   /** Whether a request that is sent at `startAt` is still of use. */
   private mayWait(request: PlacedRequest, startAt: number): boolean {
     if (!this.directory.canServe(request.service, request.eligibility)) return false;
@@ -133,6 +158,7 @@
   ): Placement<EndpointHandle> {
     const { target, expectedMs } = placement;
     this.lineOf(request.service).countServed(request.workspace, now);
+    if (!request.isReturned) this.sharesOf(request.service).countServed(request.groups, now);
     this.metrics.observe('request_wait', now - request.arrivedAt);
     this.log.info('Request placed.', {
       id: request.id,
@@ -169,6 +195,15 @@
     return new Unavailable('No endpoint can answer in time.', retryAfterMs);
   }
 
+  private sharesOf(service: string): ServedShares {
+    let shares = this.shares.get(service);
+    if (!shares) {
+      shares = new ServedShares();
+      this.shares.set(service, shares);
+    }
+    return shares;
+  }
+
   private lineOf(service: string): WaitingLine<Pending> {
     let line = this.lines.get(service);
     if (!line) {
--- a/packages/forwarding/src/endpointDirectory.ts
+++ b/packages/forwarding/src/endpointDirectory.ts
@@ -8,7 +8,8 @@
 } from '@laburnumstream/common';
 import { mayBeginOn } from '@laburnumstream/decisions';
 import type { RoomSharers } from '@laburnumstream/decisions';
-import { EndpointHandle } from './endpointHandle.js';
+import type { EndpointChoice } from './dispatchLine.js';
+import { EndpointHandle, roomLimits } from './endpointHandle.js';
 import type { FleetState } from './fleetState.js';
 
 /** What a request needs of an endpoint besides room. */
@@ -18,13 +19,11 @@
   readonly tried: ReadonlySet<string>;
 }
 
-/** What may wait at an engine: a request for the next free slot, and prompts to be read. */
-export const roomLimits = { spare: 1, unreadMs: 200 } as const;
 /** Part of an endpoint's connections that entries use together. */
 const connectionShare = 0.9;
 
 /** The endpoints that this entry may use, by service. */
-export class EndpointDirectory {
+export class EndpointDirectory implements EndpointChoice {
   private readonly handles = new Map<string, EndpointHandle>();
 
   private readonly byService = new Map<string, EndpointHandle[]>();
--- a/packages/forwarding/src/endpointHandle.ts
+++ b/packages/forwarding/src/endpointHandle.ts
@@ -1,6 +1,12 @@
-import type { Clock, Endpoint, Metrics, ServiceProfile } from '@laburnumstream/common';
-import { EndpointHealth, EndpointLoad, EngineModel, SharedRate } from '@laburnumstream/decisions';
-import type { PlacementTarget } from '@laburnumstream/decisions';
+import type { Clock, Endpoint, Metrics, Random, ServiceProfile } from '@laburnumstream/common';
+import {
+  EndpointHealth,
+  EndpointLoad,
+  EngineModel,
+  SharedRate,
+  roomShareOf,
+} from '@laburnumstream/decisions';
+import type { PlacementTarget, ReportedLoad, RoomSharers } from '@laburnumstream/decisions';
 import { ConnectionPool } from './connectionPool.js';
 
 /** A stream that can go on at another endpoint. */
@@ -15,6 +21,9 @@
 /** Requests at once to a plain service that does not say how many it runs. */
 const defaultSlots = 8;
 
+/** What may wait at an engine: a request for the next free slot, and prompts to be read. */
+export const roomLimits = { spare: 1, unreadMs: 200 } as const;
+
 /** An endpoint as this entry uses it: its connections, its load and how it behaves. */
 export class EndpointHandle implements PlacementTarget {
   readonly pool: ConnectionPool;
@@ -102,6 +111,13 @@
     return this.streams.size > 0 && now - this.quietSince > silentMs;
   }
 
+  /** The agent beside the engine told its load; entries of some regions share the room. */
+  takeLoad(load: ReportedLoad, sharers: RoomSharers, random: Random, now: number): void {
+    const free = this.slots + roomLimits.spare - load.running - load.waiting;
+    const room = Math.min(free, this.model?.promptsFor(roomLimits.unreadMs) ?? free);
+    this.load.report(load, this.load.own, roomShareOf(room, sharers, random), now);
+  }
+
   takeProfile(profile: ServiceProfile | undefined): void {
     if (profile?.engine && profile.engine !== this.profile?.engine) this.model = undefined;
     this.profile = profile;
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -1,7 +1,9 @@
 /** Forwards callers' requests to endpoints, on a platform that keeps what must last in its store. */
 export * from './answerCollector.js';
 export * from './connectionPool.js';
+export * from './dispatchLine.js';
 export * from './endpointCall.js';
+export * from './endpointHandle.js';
 export * from './fleetChange.js';
 export * from './forwardingEntry.js';
 export * from './headerCodec.js';
--- a/packages/forwarding/src/sidecarLinks.ts
+++ b/packages/forwarding/src/sidecarLinks.ts
@@ -1,9 +1,7 @@
 import type { Clock, FleetSettings, Log, Metrics, Random } from '@laburnumstream/common';
-import { roomShareOf } from '@laburnumstream/decisions';
 import { FleetDatagrams } from '@laburnumstream/links';
 import type { DatagramContent, DatagramHandlers } from '@laburnumstream/links';
 import type { EndpointReport } from '@laburnumstream/protocol';
-import { roomLimits } from './endpointDirectory.js';
 import type { EndpointDirectory } from './endpointDirectory.js';
 import type { EndpointHandle } from './endpointHandle.js';
 import type { FleetState } from './fleetState.js';
@@ -121,13 +119,11 @@
       (handle.endpoint.bornAt !== 0 && handle.endpoint.bornAt !== Number(report.bornAt))
     )
       return;
-    const { load } = handle;
     const now = this.clock.now();
     const { running, waiting, pacePermille, version, isSwitching, isAnswering } = report;
-    const free = handle.slots + roomLimits.spare - running - waiting;
-    const room = Math.min(free, handle.model?.promptsFor(roomLimits.unreadMs) ?? free);
-    const allowance = roomShareOf(room, this.directory.sharers(handle.region), this.random);
-    load.report({ running, waiting, pace: pacePermille / permille }, load.own, allowance, now);
+    const sharers = this.directory.sharers(handle.region);
+    const load = { running, waiting, pace: pacePermille / permille };
+    handle.takeLoad(load, sharers, this.random, now);
     if (handle.reportedVersion !== version || handle.isSwitching !== isSwitching) {
       this.log.info('Engine changed.', { endpoint: handle.id, version, isSwitching, isAnswering });
     }
