--- a/packages/decisions/src/weights/holderTransfer.ts
+++ b/packages/decisions/src/weights/holderTransfer.ts
@@ -35,8 +35,8 @@
 
 /** Limits where nothing else is set. */
 export const holderDefaults: HolderLimits = {
-  deputyMs: 600,
-  remoteMs: 1_200,
+  deputyMs: 350,
+  remoteMs: 500,
   memberTimeoutMs: 1_500,
   originTimeoutMs: 3_000,
   avoidMs: 2_000,
--- a/packages/forwarding/src/sidecarLinks.ts
+++ b/packages/forwarding/src/sidecarLinks.ts
@@ -1,4 +1,5 @@
 import type { Clock, FleetSettings, Log, Metrics, Random } from '@laburnumstream/common';
+import { rendezvousOrder } from '@laburnumstream/common';
 import { FleetDatagrams } from '@laburnumstream/links';
 import type { DatagramContent, DatagramHandlers } from '@laburnumstream/links';
 import type { EndpointReport } from '@laburnumstream/protocol';
@@ -77,13 +78,28 @@
       if (!handle.model) return;
       const { service, address } = handle.endpoint;
       if (!news.has(service)) news.set(service, this.weightNews(handle));
-      const weights = handle.isNear ? news.get(service) : undefined;
+      const known = news.get(service);
+      const weights = known && this.tellsWeights(handle, known.namedMsAgo ?? 0) ? known : undefined;
       const reportEveryMs = handle.isNear ? reportMs.near : reportMs.far;
       const value = weights ? { reportEveryMs, weights } : { reportEveryMs };
       this.datagrams.send({ case: 'fleet', value }, address.split(':')[0]!);
     });
   }
 
+  /**
+   * Whether this entry tells an agent of weights. Agents of other regions hear of a new version from one
+   * entry of each region: those of their own may be cut off from the store.
+   */
+  private tellsWeights({ isNear, endpoint }: EndpointHandle, namedMsAgo: number): boolean {
+    if (isNear) return true;
+    const { instance, region, regions, bounds } = this.settings;
+    if (namedMsAgo > bounds.versionMs) return false;
+    const near = [...this.state.places]
+      .filter(([, { dataCentre }]) => regions.get(dataCentre) === region)
+      .map(([name]) => name);
+    return rendezvousOrder(endpoint.address, near, (name) => name)[0] === instance;
+  }
+
   private weightNews({ endpoint, profile }: EndpointHandle): WeightNewsContent | undefined {
     const engine = profile?.engine;
     const [model] = engine?.models ?? [];
