--- a/packages/decisions/src/weights/holderTransfer.ts
+++ b/packages/decisions/src/weights/holderTransfer.ts
@@ -36,7 +36,7 @@
 /** Limits where nothing else is set. */
 export const holderDefaults: HolderLimits = {
   deputyMs: 350,
-  remoteMs: 500,
+  remoteMs: 600,
   memberTimeoutMs: 1_500,
   originTimeoutMs: 3_000,
   avoidMs: 2_000,
