Put a spoilt piece again at once; test the agent beside an engine, budgets and events

Cause (test 'wrong bytes on the way', fails without the change): one piece that was spoilt while it was staged put off the whole switch and began all pieces anew. Staging stands in a module of its own now. New tests: weights beside an engine, shared budget of repeats over seeded histories, events in pieces.

--- a/features/forwarding.feature
+++ b/features/forwarding.feature
@@ -50,3 +50,9 @@
       | 7       |
       | 46      |
       | 100     |
+
+  Scenario: shared budget of repeats
+    Then over seeded histories all entries together repeat within the bound in any window
+
+  Scenario: events in pieces
+    Then a stream that arrives in pieces of any sizes gives the same events
--- /dev/null
+++ b/features/sidecar.feature
@@ -0,0 +1,18 @@
+Feature: Weights beside an engine
+
+  Scenario: empty engine
+    Given an agent beside an empty engine and an origin with version 1
+    When an entry tells it that version 1 is wanted
+    Then the engine is ordered to load version 1 with every piece right
+
+  Scenario: wrong bytes on the way
+    Given an agent beside an empty engine and an origin with version 1
+    And each fifth piece from the origin is wrong and each seventh is spoilt at the engine
+    When an entry tells it that version 1 is wanted
+    Then the engine is ordered to load version 1 with every piece right
+
+  Scenario: pieces that rot after they were staged
+    Given an agent beside an empty engine and an origin with version 1
+    When an entry tells it that version 1 is wanted
+    And the engine restarts and two staged pieces have rotted
+    Then the engine is ordered to load version 1 again with every piece right
--- a/features/steps/forwarding.steps.ts
+++ b/features/steps/forwarding.steps.ts
@@ -1,17 +1,21 @@
 import assert from 'node:assert/strict';
 import type { Socket } from 'node:net';
 import { After, Then, When } from '@cucumber/cucumber';
+import fc from 'fast-check';
 import { SeededRandom } from '@laburnumstream/common';
 import {
   AttemptSign,
   EndpointHealth,
   EndpointLoad,
+  EventSplitter,
   NamedVersions,
   RemovalHold,
   SharedRate,
+  SharedRetryBudget,
   mayBeginOn,
   roomShareOf,
 } from '@laburnumstream/decisions';
+import type { StreamEvent } from '@laburnumstream/decisions';
 import { AnswerCollector, ConnectionPool, EndpointCall } from '@laburnumstream/forwarding';
 import type { CallOutcome } from '@laburnumstream/forwarding';
 import { platformHeaders } from '@laburnumstream/platform';
@@ -257,3 +261,64 @@
     });
   },
 );
+
+const bound = { ratio: 0.2, slack: 102, windowMs: 10_000 };
+
+/** Times of requests and of the repeats that the budgets of all entries allowed. */
+function repeatsOf(entries: number, seed: number): { requests: number[]; repeats: number[] } {
+  const random = new SeededRandom(seed);
+  const budgets = Array.from(
+    { length: entries },
+    () => new SharedRetryBudget(bound, () => entries),
+  );
+  const requests: number[] = [];
+  const repeats: number[] = [];
+  for (let now = 0; now < 30_000; now += random.next() * 10) {
+    const budget = budgets[Math.floor(random.next() ** 2 * entries)]!;
+    budget.earn('model', now);
+    requests.push(now);
+    // Most requests fail in some seconds, so that the budget binds.
+    const fails = now % 7_000 < 4_000 ? 0.9 : 0.05;
+    if (random.next() < fails && budget.spend('model', now)) repeats.push(now);
+  }
+  return { requests, repeats };
+}
+
+Then('over seeded histories all entries together repeat within the bound in any window', () => {
+  [1, 7, 46].forEach((entries) => {
+    const { requests, repeats } = repeatsOf(entries, entries);
+    const countIn = (times: readonly number[], from: number): number =>
+      times.filter((at) => at >= from && at < from + bound.windowMs).length;
+    repeats.forEach((from) => {
+      const most = countIn(requests, from) * bound.ratio + bound.slack;
+      assert.ok(countIn(repeats, from) <= most, `${entries} entries, window from ${from}`);
+    });
+    assert.ok(repeats.length > 50, `${repeats.length} repeats`);
+  });
+});
+
+Then('a stream that arrives in pieces of any sizes gives the same events', () => {
+  const event = fc.record({ id: fc.nat(), data: fc.string({ unit: 'grapheme-ascii' }) });
+  const property = fc.property(
+    fc.array(event, { maxLength: 12 }),
+    fc.infiniteStream(fc.integer({ min: 1, max: 9 })),
+    (events, sizes) => {
+      const texts = events.map(({ id, data }) => `id: ${id}\ndata: ${JSON.stringify(data)}\n\n`);
+      const bytes = Buffer.from(texts.join(''));
+      const splitter = new EventSplitter();
+      const found: StreamEvent[] = [];
+      for (let at = 0; at < bytes.length;) {
+        const size = sizes.next().value as number;
+        found.push(...splitter.take(bytes.subarray(at, at + size)));
+        at += size;
+      }
+      assert.deepEqual(
+        found.map(({ id }) => id),
+        events.map(({ id }) => id),
+      );
+      assert.equal(Buffer.concat(found.map((each) => each.bytes)).toString(), texts.join(''));
+      assert.equal(splitter.partial.length, 0);
+    },
+  );
+  fc.assert(property, { seed: 3, numRuns: 300 });
+});
--- /dev/null
+++ b/features/steps/sidecar.steps.ts
@@ -0,0 +1,143 @@
+import assert from 'node:assert/strict';
+import { After, Given, Then, When } from '@cucumber/cucumber';
+import { freePorts } from '@laburnumstream/bench';
+import { SeededRandom } from '@laburnumstream/common';
+import type { SidecarSettings } from '@laburnumstream/common';
+import { FleetDatagrams } from '@laburnumstream/links';
+import { HistogramMetrics, SystemClock, readChart } from '@laburnumstream/runtime';
+import { Sidecar } from '@laburnumstream/sidecar';
+import { eventually } from '../support/assertions.js';
+import { PieceSource } from '../support/pieceSource.js';
+import { StagingEngine, testVersion } from '../support/stagingEngine.js';
+
+const model = 'm1';
+const quiet = {
+  debug: () => undefined,
+  info: () => undefined,
+  warn: () => undefined,
+  error: () => undefined,
+};
+
+interface SidecarWorld {
+  sidecarAbort: AbortController;
+  sidecarEngine: StagingEngine;
+  sidecarOrigin: PieceSource;
+  sidecarPort: number;
+  sidecarEntry: FleetDatagrams;
+  sidecarTimer: NodeJS.Timeout;
+}
+
+async function settingsOf(): Promise<SidecarSettings> {
+  // Datagrams go from the entry's address to the agent's at the same port.
+  const [first] = await freePorts(2);
+  return {
+    instance: 'side-1',
+    host: '127.0.0.1',
+    dataCentre: 'a',
+    region: 'r',
+    regions: new Map([['a', 'r']]),
+    firstPort: first!,
+    linkBitsPerSecond: 1e9,
+    store: { address: '127.0.0.1:1', shortestLeaseMs: 1_000 },
+    heartbeatMs: 1_200,
+    endpoint: '127.0.0.1:9',
+    service: 'model',
+    bounds: {
+      shutdownMs: 4_000,
+      drainMs: 2_000,
+      configurationMs: 1_000,
+      revocationMs: 2_500,
+      refusesWithoutProof: true,
+      evacuationMs: 5_000,
+      versionMs: 8_000,
+      addressReuseMs: 2_000,
+      retryRatio: 0.2,
+      retrySlack: 100,
+      retryWindowMs: 10_000,
+      coldFactor: 1.5,
+      coldSlack: 5,
+      eventDelayMs: 120,
+    },
+  };
+}
+
+Given(
+  'an agent beside an empty engine and an origin with version 1',
+  async function start(this: SidecarWorld) {
+    const settings = await settingsOf();
+    this.sidecarAbort = new AbortController();
+    this.sidecarEngine = new StagingEngine();
+    this.sidecarOrigin = new PieceSource();
+    this.sidecarPort = settings.firstPort;
+    const clock = new SystemClock();
+    const metrics = new HistogramMetrics();
+    const sidecar = new Sidecar({
+      settings,
+      engine: this.sidecarEngine,
+      origin: this.sidecarOrigin,
+      chart: readChart('switch'),
+      clock,
+      random: new SeededRandom(5),
+      metrics,
+      log: () => quiet,
+    });
+    await sidecar.start(this.sidecarAbort.signal);
+    this.sidecarEntry = new FleetDatagrams('front-1', {}, clock, metrics, quiet);
+    await this.sidecarEntry.bind('127.0.0.2', settings.firstPort, this.sidecarAbort.signal);
+  },
+);
+
+Given(
+  'each fifth piece from the origin is wrong and each seventh is spoilt at the engine',
+  function spoil(this: SidecarWorld) {
+    this.sidecarOrigin.wrongEach = 5;
+    this.sidecarEngine.spoilsEach = 7;
+  },
+);
+
+After(function close(this: Partial<SidecarWorld>) {
+  clearInterval(this.sidecarTimer);
+  this.sidecarAbort?.abort();
+});
+
+When('an entry tells it that version 1 is wanted', async function tell(this: SidecarWorld) {
+  const value = {
+    reportEveryMs: 300,
+    weights: {
+      model,
+      version: 1,
+      namedMsAgo: 20_000,
+      origin: '127.0.0.1:9',
+      originDataCentre: 'a',
+      originKbitPerS: 1_000_000,
+      layers: testVersion.layers,
+      chunks: testVersion.pieces,
+      chunkBytes: 400,
+      loadMs: 10,
+      members: [{ host: '127.0.0.1', dataCentre: 'a', version: 0 }],
+    },
+  };
+  const send = (): void => this.sidecarEntry.send({ case: 'fleet', value }, '127.0.0.1');
+  send();
+  this.sidecarTimer = setInterval(send, 200);
+  await eventually(() => this.sidecarEngine.orders.length > 0, 'a load is ordered');
+});
+
+When('the engine restarts and two staged pieces have rotted', function rot(this: SidecarWorld) {
+  this.sidecarEngine.staged.set(3, Buffer.from('rotten'));
+  this.sidecarEngine.staged.delete(8);
+  this.sidecarEngine.restart();
+});
+
+Then(
+  /^the engine is ordered to load version 1 (again )?with every piece right$/,
+  async function right(this: SidecarWorld, again: string | null) {
+    const { orders } = this.sidecarEngine;
+    const count = again ? 2 : 1;
+    await eventually(() => orders.length >= count, `${count} loads are ordered`);
+    assert.ok(
+      orders.every(({ version, isRight }) => version === 1 && isRight),
+      JSON.stringify(orders),
+    );
+  },
+);
--- a/packages/sidecar/src/weightKeeper.ts
+++ b/packages/sidecar/src/weightKeeper.ts
@@ -3,13 +3,14 @@
 import { isWorthFinishing, switchDelayMsOf, switchPlace } from '@laburnumstream/decisions';
 import { Lifecycle } from '@laburnumstream/runtime';
 import type { Notifier } from '@laburnumstream/runtime';
+import { EngineStaging } from './engineStaging.js';
 import type { EngineWatch } from './engineWatch.js';
 import type { FleetView } from './fleetView.js';
 import type { HeldVersion } from './heldVersion.js';
 import type { LocalEngine } from './localEngine.js';
 import type { PieceGossip } from './pieceGossip.js';
 import type { WeightState } from './reporter.js';
-import { VersionFetch, digestOf, fetchManifest } from './versionFetch.js';
+import { VersionFetch, fetchManifest } from './versionFetch.js';
 import type { FetchServices } from './versionFetch.js';
 import type { VersionShelf } from './versionShelf.js';
 
@@ -39,8 +40,7 @@
 
   private switching = false;
 
-  /** Version whose pieces this process has put at the engine. */
-  private stagedVersion = 0;
+  private readonly staging: EngineStaging;
 
   constructor(
     private readonly view: FleetView,
@@ -54,7 +54,9 @@
     /** Time after a version's naming at which no request may begin on an older one. */
     private readonly graceMs: number,
     private readonly onUrgent: () => void,
-  ) {}
+  ) {
+    this.staging = new EngineStaging(engine, services.metrics, services.log);
+  }
 
   /** What entries are told of the weights. */
   get weightState(): WeightState {
@@ -235,7 +237,7 @@
   private async switchOver(signal: AbortSignal): Promise<KeeperEvent> {
     const target = this.target!;
     const { model, version } = target.manifest;
-    await this.stageVerified(target, signal);
+    await this.staging.put(target, signal);
     this.switching = true;
     this.onUrgent();
     try {
@@ -265,38 +267,6 @@
     this.metrics.count('versions_loaded');
   }
 
-  /** Puts all pieces at the engine and reads each back: what lies there may have been spoilt. */
-  private async stageVerified(target: HeldVersion, signal: AbortSignal): Promise<void> {
-    const { model, version, digests } = target.manifest;
-    for (const [piece, digest] of digests.entries()) {
-      const bytes = target.pieces[piece]!;
-      const isStaged =
-        this.stagedVersion === version && (await this.lies(model, piece, digest, signal));
-      if (!isStaged) {
-        await this.engine.stage(model, piece, bytes, signal);
-        if (!(await this.lies(model, piece, digest, signal))) {
-          throw new Unavailable(`Piece ${piece} was spoilt on its way to the engine.`, pauseMs);
-        }
-      }
-    }
-    this.stagedVersion = version;
-  }
-
-  /** Whether the right piece lies at the engine. */
-  private async lies(
-    model: string,
-    piece: number,
-    digest: string,
-    signal: AbortSignal,
-  ): Promise<boolean> {
-    try {
-      return digestOf(await this.engine.stagedPiece(model, piece, signal)) === digest;
-    } catch (error) {
-      if (toFailure(error).type === 'not_found') return false;
-      throw error;
-    }
-  }
-
   private async pause(signal: AbortSignal): Promise<KeeperEvent> {
     await this.clock.sleep(pauseMs, signal);
     return 'RETRY';
