--- a/features/steps/sidecar.steps.ts
+++ b/features/steps/sidecar.steps.ts
@@ -7,6 +7,7 @@
 import { HistogramMetrics, SystemClock, readChart } from '@laburnumstream/runtime';
 import { Sidecar } from '@laburnumstream/sidecar';
 import { eventually } from '../support/assertions.js';
+import { platformBounds } from '../support/platformBounds.js';
 import { PieceSource } from '../support/pieceSource.js';
 import { StagingEngine, testVersion } from '../support/stagingEngine.js';
 
@@ -42,22 +43,7 @@
     heartbeatMs: 1_200,
     endpoint: '127.0.0.1:9',
     service: 'model',
-    bounds: {
-      shutdownMs: 4_000,
-      drainMs: 2_000,
-      configurationMs: 1_000,
-      revocationMs: 2_500,
-      refusesWithoutProof: true,
-      evacuationMs: 5_000,
-      versionMs: 8_000,
-      addressReuseMs: 2_000,
-      retryRatio: 0.2,
-      retrySlack: 100,
-      retryWindowMs: 10_000,
-      coldFactor: 1.5,
-      coldSlack: 5,
-      eventDelayMs: 120,
-    },
+    bounds: platformBounds,
   };
 }
 
--- a/features/support/platformFleet.ts
+++ b/features/support/platformFleet.ts
@@ -4,6 +4,7 @@
 import { ForwardingEntry } from '@laburnumstream/forwarding';
 import { StoreClient, fleetKeys, platformHeaders } from '@laburnumstream/platform';
 import { HistogramMetrics, SystemClock } from '@laburnumstream/runtime';
+import { platformBounds } from './platformBounds.js';
 import { PlatformEngine } from './platformEngine.js';
 import type { Behaviour } from './platformEngine.js';
 import { PlatformStore } from './platformStore.js';
@@ -67,22 +68,7 @@
     heartbeatMs: 1_200,
     callers: `127.0.0.1:${callers}`,
     readiness: `127.0.0.1:${readiness}`,
-    bounds: {
-      shutdownMs: 4_000,
-      drainMs: 2_000,
-      configurationMs: 1_000,
-      revocationMs: 2_500,
-      refusesWithoutProof: true,
-      evacuationMs: 5_000,
-      versionMs: 8_000,
-      addressReuseMs: 2_000,
-      retryRatio: 0.2,
-      retrySlack: 100,
-      retryWindowMs: 10_000,
-      coldFactor: 1.5,
-      coldSlack: 5,
-      eventDelayMs: 120,
-    },
+    bounds: platformBounds,
   };
 }
 
