Keep shares of the room where many entries of a region race; fresher loads

Pattern: with eight or more entries in a region what they tell each other comes too late for all of them. Test: 'many entries race for the same room' fails without the change.

--- a/features/forwarding.feature
+++ b/features/forwarding.feature
@@ -37,6 +37,10 @@
     Then they send 7 requests together when each hears of the others
     And at most 9 together when they do not
 
+  Scenario: many entries race for the same room
+    When eight entries of a region that heard of each other see 6 of 16 slots free at once
+    Then they send at most 12 requests together before they hear again
+
   Scenario: old version on an instance that stands still
     Then an engine with the newest version is used whatever its reports
     And one with an older version only while its reports are fresh and its time is not over
--- a/features/steps/forwarding.steps.ts
+++ b/features/steps/forwarding.steps.ts
@@ -186,11 +186,12 @@
   return sent;
 }
 
-function threeLoads(): EndpointLoad[] {
+/** Loads of one engine as `count` entries of its region see them, with 6 of 16 slots free. */
+function loadsOf(count: number): EndpointLoad[] {
   const random = new SeededRandom(3);
-  return Array.from({ length: 3 }, () => {
-    const load = new EndpointLoad(() => 2, true);
-    const allowance = roomShareOf(7, { near: 3, far: 0, isNear: true }, random);
+  return Array.from({ length: count }, () => {
+    const load = new EndpointLoad(() => count - 1, true);
+    const allowance = roomShareOf(7, { near: count, far: 0, isNear: true }, random);
     load.report({ running: 10, waiting: 0, pace: 1 }, 0, allowance, 1_000);
     return load;
   });
@@ -199,7 +200,7 @@
 When(
   'three entries of a region hear that an engine has 6 of 16 slots free',
   function hear(this: ForwardingWorld) {
-    this.loads = threeLoads();
+    this.loads = loadsOf(3);
   },
 );
 
@@ -216,7 +217,7 @@
 );
 
 Then('at most 9 together when they do not', () => {
-  const sent = fill(threeLoads(), false, 1_010);
+  const sent = fill(loadsOf(3), false, 1_010);
   assert.ok(sent <= 9, `${sent} sent`);
 });
 
@@ -322,3 +323,22 @@
   );
   fc.assert(property, { seed: 3, numRuns: 300 });
 });
+
+When(
+  'eight entries of a region that heard of each other see 6 of 16 slots free at once',
+  function race(this: ForwardingWorld) {
+    this.loads = loadsOf(8);
+    const none = { requests: 0, unreadMs: 0 };
+    this.loads.forEach((load, index) =>
+      this.loads.forEach((_, name) => name === index || load.hear(`entry ${name}`, none, 1_000)),
+    );
+  },
+);
+
+Then(
+  'they send at most 12 requests together before they hear again',
+  function bounded(this: ForwardingWorld) {
+    const sent = fill(this.loads, false, 1_005);
+    assert.ok(sent > 0 && sent <= 12, `${sent} sent`);
+  },
+);
--- a/packages/decisions/src/forwarding/endpointLoad.ts
+++ b/packages/decisions/src/forwarding/endpointLoad.ts
@@ -30,6 +30,8 @@
 
 /** Age after which what another entry told of its load says nothing any more, in milliseconds. */
 const peerStaleMs = 2_500;
+/** Peers from which on what they tell comes too late for all of them to keep to the same room. */
+const crowdedPeers = 4;
 /** Age of a report after which it says nothing any more, in milliseconds. */
 const staleMs = 1_500;
 
@@ -96,7 +98,8 @@
       return this.occupied(now) < Math.max(1, slots / (1 + this.unheardPeers(now)));
     }
     if (!this.isNear || this.unheardPeers(now) > 0) return this.startedSince < this.allowance;
-    return this.occupied(now) < slots + spare && this.unreadMs(now) < unreadMs;
+    const fits = this.occupied(now) < slots + spare && this.unreadMs(now) < unreadMs;
+    return fits && (this.peers() < crowdedPeers || this.startedSince < this.allowance);
   }
 
   /**
--- a/packages/forwarding/src/loadSharing.ts
+++ b/packages/forwarding/src/loadSharing.ts
@@ -6,7 +6,7 @@
 import type { FleetState } from './fleetState.js';
 
 /** Time in which changes are collected for each group of peers that is told, in milliseconds. */
-const collectMs = 10;
+const collectMs = 5;
 const groupPeers = 4;
 
 /**
--- a/packages/forwarding/src/sidecarLinks.ts
+++ b/packages/forwarding/src/sidecarLinks.ts
@@ -11,7 +11,7 @@
 /** Time between two datagrams to each agent, in milliseconds. */
 const tellMs = 1_000;
 /** Time between reports that are asked of agents in this region and in others, in milliseconds. */
-const reportMs = { near: 300, far: 500 } as const;
+const reportMs = { near: 150, far: 450 } as const;
 /** Time in which further changes are told with the first one, in milliseconds. */
 const changeDelayMs = 15;
 /** Time in which streams end by themselves at an engine that is about to load, in milliseconds. */
