--- a/packages/clients/src/httpModelEngine.ts
+++ b/packages/clients/src/httpModelEngine.ts
@@ -46,7 +46,7 @@
 
   constructor(
     baseUrl: string,
-    private readonly timeoutMs: number,
+    timeoutMs: number,
     /** Called when the endpoint closes or resets a connection. */
     onLoss?: () => void,
   ) {
--- a/packages/entry/src/configurationSpreader.ts
+++ b/packages/entry/src/configurationSpreader.ts
@@ -24,7 +24,7 @@
   private pulled = 0;
 
   constructor(
-    private readonly self: Instance,
+    self: Instance,
     private readonly keeper: ConfigurationKeeper,
     private readonly watcher: ConfigurationWatcher,
     private readonly peers: ConfigurationPeers,
