--- /dev/null
+++ b/features/steps/platformPrograms.steps.ts
@@ -0,0 +1,212 @@
+import assert from 'node:assert/strict';
+import { setTimeout as sleep } from 'node:timers/promises';
+import { After, Given, Then, When } from '@cucumber/cucumber';
+import { SleepAwareClock } from '@laburnumstream/common';
+import { ConfigurationProof } from '@laburnumstream/decisions';
+import { FleetFeed, FleetState } from '@laburnumstream/forwarding';
+import { FleetDatagrams } from '@laburnumstream/links';
+import { StoreClient, fleetKeys } from '@laburnumstream/platform';
+import { HistogramMetrics, SystemClock } from '@laburnumstream/runtime';
+import { eventually } from '../support/assertions.js';
+import { PlatformFleet, configurationOf } from '../support/platformFleet.js';
+import { PlatformProgram, entrySettings } from '../support/platformProgram.js';
+import type { SettingsLines } from '../support/platformProgram.js';
+import { PlatformStore } from '../support/platformStore.js';
+
+interface ProgramsWorld {
+  programStore: PlatformStore;
+  programLines: SettingsLines;
+  program: PlatformProgram;
+  feedAbort: AbortController;
+  feedState: FleetState;
+  returnedAt: number;
+  platform: PlatformFleet;
+  heardVersions: number[];
+}
+
+const quiet = {
+  debug: () => undefined,
+  info: () => undefined,
+  warn: () => undefined,
+  error: () => undefined,
+};
+const clock = new SystemClock();
+
+async function statusOf(url: string): Promise<number> {
+  try {
+    return (await fetch(url)).status;
+  } catch {
+    // The program does not listen yet.
+    return 0;
+  }
+}
+
+After(function close(this: Partial<ProgramsWorld>) {
+  this.program?.close();
+  this.programStore?.close();
+  this.feedAbort?.abort();
+});
+
+Given(
+  /^a settings file of an entry(?: without the line (\S+))?$/,
+  async function settings(this: ProgramsWorld, missing: string | null) {
+    this.programStore = await PlatformStore.start();
+    this.programStore.write('op/config', configurationOf(1, ['key-1']));
+    this.programLines = await entrySettings(this.programStore.address);
+    if (missing) delete this.programLines[missing];
+    this.program = new PlatformProgram();
+    this.program.write(this.programLines);
+  },
+);
+
+When('the entry program is started', async function start(this: ProgramsWorld) {
+  await this.program.start();
+});
+
+Then(
+  /^it ends with exit code 2 and one line that names (\S+)$/,
+  async function named(this: ProgramsWorld, field: string) {
+    assert.equal(await this.program.ended(), 2);
+    const lines = this.program.errors.trim().split('\n');
+    assert.equal(lines.length, 1, this.program.errors);
+    assert.ok(lines[0]!.includes(field), lines[0]);
+  },
+);
+
+When(
+  'it gets SIGHUP with a settings file that is broken',
+  async function reload(this: ProgramsWorld) {
+    const ready = `http://${this.programLines['Listen.Ready']}/`;
+    await eventually(async () => (await statusOf(ready)) === 200, 'the entry is ready');
+    this.program.write({ ...this.programLines, HeartbeatMs: 'often' });
+    this.program.signal('SIGHUP');
+    await sleep(300);
+  },
+);
+
+Then('it still says that it is ready', async function ready(this: ProgramsWorld) {
+  assert.equal(await statusOf(`http://${this.programLines['Listen.Ready']}/`), 200);
+});
+
+Then('its metrics are served', async function metrics(this: ProgramsWorld) {
+  const answer = await fetch(`http://127.0.0.1:${this.program.metricsPort}/metrics`);
+  assert.match(await answer.text(), /^configuration_version 1$/m);
+});
+
+Then(
+  /^after SIGTERM it ends with exit code 0 within (\d+) seconds$/,
+  async function stop(this: ProgramsWorld, seconds: string) {
+    const startedAt = clock.now();
+    this.program.signal('SIGTERM');
+    assert.equal(await this.program.ended(), 0);
+    assert.ok(clock.now() - startedAt <= Number(seconds) * 1_000);
+  },
+);
+
+Given(
+  'a feed of a store that refuses calls for 2 seconds, in which version 2 is named',
+  async function feed(this: ProgramsWorld) {
+    this.programStore = await PlatformStore.start();
+    this.programStore.write('op/version/m', { Model: 'm', Version: 1 });
+    this.feedAbort = new AbortController();
+    const metrics = new HistogramMetrics();
+    this.feedState = new FleetState(metrics, quiet, () => undefined);
+    const store = new StoreClient(this.programStore.address);
+    const proof = new ConfigurationProof(4_600, 2_500);
+    const proofClock = new SleepAwareClock(clock);
+    const follow = new FleetFeed(
+      store,
+      fleetKeys,
+      this.feedState,
+      proof,
+      proofClock,
+      clock,
+      metrics,
+      quiet,
+      8_000,
+    );
+    void follow.run(this.feedAbort.signal);
+    await eventually(() => this.feedState.namedVersions('m')?.newest === 1, 'version 1 is known');
+    this.programStore.refusal = 503;
+    await sleep(1_200);
+    this.programStore.write('op/version/m', { Model: 'm', Version: 2 });
+    await sleep(800);
+    this.programStore.refusal = undefined;
+    this.returnedAt = clock.now();
+    await eventually(() => this.feedState.namedVersions('m')?.newest === 2, 'version 2 is known');
+  },
+);
+
+Then(
+  "the version counts as named not more than 1 second before the store's return",
+  function counted(this: ProgramsWorld) {
+    const namedAt = this.feedState.namedVersions('m')!.namedAt(2)!;
+    assert.ok(namedAt >= this.returnedAt - 1_000, `${this.returnedAt - namedAt} ms before`);
+  },
+);
+
+/** What operators say of a model service whose engines stand in another region than the entry. */
+function modelConfiguration(): object {
+  const { Services, ...rest } = configurationOf(1, ['key-1']) as { Services: object[] };
+  const engine = {
+    Slots: 16,
+    KvCapacity: 685_000,
+    step_ms: 7.4,
+    per_seq_ms: 0.04,
+    context_per_k: 0.02,
+    read_per_s: 31_900,
+    pairs_per_m: 0.7,
+    chunk: 2_048,
+    usual: { prompt: 900, answer: 100 },
+    layers: 16,
+    Chunks: 48,
+    ChunkBytes: 49_152,
+    Models: [{ Name: 'm', WarmS: 0.3 }],
+  };
+  return { ...rest, Services: [...Services, { Name: 'model', MaxConns: 100, Engine: engine }] };
+}
+
+Given('an entry in one region and an agent in another', async function apart(this: ProgramsWorld) {
+  this.platform = await PlatformFleet.start([]);
+  const { store, settings } = this.platform;
+  Object.assign(settings, {
+    regions: new Map([
+      ['a', 'r'],
+      ['b', 's'],
+    ]),
+  });
+  store.write('op/config', modelConfiguration());
+  store.write('op/version/m', { Model: 'm', Version: 1 });
+  store.write('servers/far', {
+    Service: 'model',
+    Address: '127.0.0.3:9',
+    Zone: 'b',
+    Slots: 16,
+    State: 'ready',
+    layers: { From: 0, To: 16, Version: 1 },
+    born: 1,
+  });
+  this.heardVersions = [];
+  this.feedAbort = new AbortController();
+  const agent = new FleetDatagrams(
+    'side-1',
+    { fleet: ({ weights }) => weights && this.heardVersions.push(weights.version) },
+    clock,
+    new HistogramMetrics(),
+    quiet,
+  );
+  await agent.bind('127.0.0.3', settings.firstPort, this.feedAbort.signal);
+  await this.platform.startEntry();
+  await eventually(
+    () => this.platform.lines.some(({ message }) => message === 'registration: Registered.'),
+    'the entry is registered',
+  );
+});
+
+When('version 2 is named', function name(this: ProgramsWorld) {
+  this.platform.store.write('op/version/m', { Model: 'm', Version: 2 });
+});
+
+Then('the agent hears of it within 2 seconds', async function hears(this: ProgramsWorld) {
+  await eventually(() => this.heardVersions.includes(2), 'the agent hears of version 2', 2_000);
+});
--- /dev/null
+++ b/features/support/platformProgram.ts
@@ -0,0 +1,92 @@
+import { spawn } from 'node:child_process';
+import type { ChildProcess } from 'node:child_process';
+import { mkdtempSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { fileURLToPath } from 'node:url';
+import { freePorts } from '@laburnumstream/bench';
+
+const program = fileURLToPath(new URL('../../../platform/dist/entryMain.js', import.meta.url));
+
+/** Lines of the platform's settings file. */
+export type SettingsLines = Record<string, string>;
+
+/** Settings of an entry on this machine, and the port of its metrics. */
+export async function entrySettings(store: string): Promise<SettingsLines> {
+  const [callers, readiness, first] = await freePorts(3);
+  return {
+    NodeName: 'front-1',
+    Ip: '127.0.0.1',
+    Zone: 'a',
+    Region: 'r',
+    'Zones.a': 'r',
+    'Listen.Front': `127.0.0.1:${callers}`,
+    'Listen.Ready': `127.0.0.1:${readiness}`,
+    PortRange: `${first},${first! + 1}`,
+    'Limits.LinkMbps': '1000.0',
+    HeartbeatMs: '1200',
+    'Platform.Address': store,
+    'Platform.MinTtlMs': '1000',
+    'Bounds.DrainMs': '2000',
+    'Bounds.GraceS': '8',
+    'Bounds.ConfigApplyMs': '2000',
+    'Bounds.FailClosed': 'true',
+    'Bounds.RevokeMs': '5000',
+    'Bounds.RetryBudget': '0.2',
+    'Bounds.BudgetWindowS': '10',
+    'Bounds.RetrySlack': '102',
+    'Bounds.ColdOverage': '1.5',
+    'Bounds.ColdSlack': '5',
+    'Bounds.EvacuateMs': '5000',
+    'Bounds.PassMs': '120',
+    'Bounds.ReuseAfterS': '2',
+    'Bounds.version_ms': '8000',
+  };
+}
+
+/** The entry program of the platform as a process of its own. */
+export class PlatformProgram {
+  readonly file = join(mkdtempSync(join(tmpdir(), 'laburnumstream-')), 'settings.conf');
+
+  metricsPort = 0;
+
+  errors = '';
+
+  private child: ChildProcess | undefined;
+
+  private code: Promise<number | null> = Promise.resolve(null);
+
+  write(lines: SettingsLines): void {
+    const text = Object.entries(lines).map(([name, value]) => `${name}=${value}`);
+    writeFileSync(this.file, `${text.join('\n')}\n`);
+  }
+
+  async start(): Promise<void> {
+    const [port] = await freePorts(1);
+    this.metricsPort = port!;
+    const child = spawn(process.execPath, [program, '--metrics-port', String(port)], {
+      env: { PATH: process.env.PATH, LABURNUMSTREAM_CONFIG: this.file },
+      stdio: ['ignore', 'ignore', 'pipe'],
+    });
+    child.stderr.on('data', (bytes: Buffer) => {
+      this.errors += bytes.toString();
+    });
+    this.child = child;
+    this.code = new Promise((resolve) => {
+      child.once('exit', (code) => resolve(code));
+    });
+  }
+
+  signal(name: NodeJS.Signals): void {
+    this.child?.kill(name);
+  }
+
+  /** The exit code; null when a signal ended it. */
+  ended(): Promise<number | null> {
+    return this.code;
+  }
+
+  close(): void {
+    this.child?.kill('SIGKILL');
+  }
+}
--- a/packages/common/src/pauseDetector.ts
+++ b/packages/common/src/pauseDetector.ts
@@ -7,7 +7,7 @@
 }
 
 /**
- * Notices that the process stood still: stopped, swapped out, or its machine suspended. The
+ * Notices that the process stood still: stopped, swapped out, or its instance suspended. The
  * monotonic clock shows the first two; a suspended machine shows only on the wall clock.
  */
 export class PauseDetector {
--- a/packages/common/src/sleepAwareClock.ts
+++ b/packages/common/src/sleepAwareClock.ts
@@ -1,7 +1,7 @@
 import type { Clock } from './services.js';
 
 /**
- * Time that goes on while the machine sleeps, in milliseconds. The monotonic clock stands still then
+ * Time that goes on while the instance sleeps, in milliseconds. The monotonic clock stands still then
  * and the wall clock may be set, so each look adds whichever advanced more since the one before.
  */
 export class SleepAwareClock {
--- a/packages/decisions/src/forwarding/configurationProof.ts
+++ b/packages/decisions/src/forwarding/configurationProof.ts
@@ -1,6 +1,6 @@
 /**
  * Age of the proof that the configuration in use is the newest one. A proof dates from before the
- * call to the store that gave it. Times come from a clock that also runs while the machine sleeps.
+ * call to the store that gave it. Times come from a clock that also runs while the instance sleeps.
  */
 export class ConfigurationProof {
   private provenAt = -Infinity;
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -8,3 +8,5 @@
 export * from './forwardingEntry.js';
 export * from './headerCodec.js';
 export * from './heads.js';
+export * from './fleetFeed.js';
+export * from './fleetState.js';
--- a/packages/runtime/src/systemClock.ts
+++ b/packages/runtime/src/systemClock.ts
@@ -1,7 +1,7 @@
 import { operationEnded } from '@laburnumstream/common';
 import type { Clock, Random } from '@laburnumstream/common';
 
-/** The clock of the machine. */
+/** The clock of the instance. */
 export class SystemClock implements Clock {
   now(): number {
     return performance.now();
@@ -33,5 +33,5 @@
   }
 }
 
-/** The machine's source of random numbers. */
+/** The instance's source of random numbers. */
 export const systemRandom: Random = { next: Math.random };
