--- a/features/platformPrograms.feature
+++ b/features/platformPrograms.feature
@@ -17,6 +17,10 @@
     Given a feed of a store that refuses calls for 2 seconds, in which version 2 is named
     Then the version counts as named not more than 1 second before the store's return
 
+  Scenario: entry that starts while the store is away
+    Given a feed that starts while its store refuses calls and version 2 is named already
+    Then the version counts as named at least 5.5 seconds before the store's return
+
   Scenario: agents of a region whose entries are cut off
     Given an entry in one region and an agent in another
     When version 2 is named
--- a/features/steps/platformPrograms.steps.ts
+++ b/features/steps/platformPrograms.steps.ts
@@ -103,29 +103,53 @@
   },
 );
 
+/** Starts a feed of the world's store. */
+function startFeed(world: ProgramsWorld): void {
+  Object.assign(world, { feedAbort: new AbortController() });
+  const metrics = new HistogramMetrics();
+  Object.assign(world, { feedState: new FleetState(metrics, quiet, () => undefined) });
+  const feed = new FleetFeed(
+    new StoreClient(world.programStore.address),
+    fleetKeys,
+    world.feedState,
+    new ConfigurationProof(4_600, 2_500),
+    new SleepAwareClock(clock),
+    clock,
+    metrics,
+    quiet,
+    8_000,
+  );
+  void feed.run(world.feedAbort.signal);
+}
+
+Given(
+  'a feed that starts while its store refuses calls and version 2 is named already',
+  async function late(this: ProgramsWorld) {
+    this.programStore = await PlatformStore.start();
+    this.programStore.write('op/version/m', { Model: 'm', Version: 2 });
+    this.programStore.refusal = 503;
+    startFeed(this);
+    await sleep(500);
+    this.programStore.refusal = undefined;
+    this.returnedAt = clock.now();
+    await eventually(() => this.feedState.namedVersions('m')?.newest === 2, 'version 2 is known');
+  },
+);
+
+Then(
+  "the version counts as named at least 5.5 seconds before the store's return",
+  function nearlyDue(this: ProgramsWorld) {
+    const namedAt = this.feedState.namedVersions('m')!.namedAt(2)!;
+    assert.ok(this.returnedAt - namedAt >= 5_500, `${this.returnedAt - namedAt} ms before`);
+  },
+);
+
 Given(
   'a feed of a store that refuses calls for 2 seconds, in which version 2 is named',
   async function feed(this: ProgramsWorld) {
     this.programStore = await PlatformStore.start();
     this.programStore.write('op/version/m', { Model: 'm', Version: 1 });
-    this.feedAbort = new AbortController();
-    const metrics = new HistogramMetrics();
-    this.feedState = new FleetState(metrics, quiet, () => undefined);
-    const store = new StoreClient(this.programStore.address);
-    const proof = new ConfigurationProof(4_600, 2_500);
-    const proofClock = new SleepAwareClock(clock);
-    const follow = new FleetFeed(
-      store,
-      fleetKeys,
-      this.feedState,
-      proof,
-      proofClock,
-      clock,
-      metrics,
-      quiet,
-      8_000,
-    );
-    void follow.run(this.feedAbort.signal);
+    startFeed(this);
     await eventually(() => this.feedState.namedVersions('m')?.newest === 1, 'version 1 is known');
     this.programStore.refusal = 503;
     await sleep(1_200);
--- a/packages/sidecar/src/localEngine.ts
+++ b/packages/sidecar/src/localEngine.ts
@@ -15,7 +15,7 @@
     { readonly from: number; readonly to: number; readonly version: number } | undefined;
 }
 
-/** The engine beside this process. Calls throw `Unavailable` when it does not answer. */
+/** The engine beside this process. Calls fail with `Unavailable` when it does not answer. */
 export interface LocalEngine {
   state(signal?: AbortSignal): Promise<EngineState>;
   /** Numbers of the pieces that lie ready to be loaded. */
@@ -38,7 +38,7 @@
   readonly digests: readonly string[];
 }
 
-/** The origin of weights. Calls throw `Unavailable` when it does not answer. */
+/** The origin of weights. Calls fail with `Unavailable` when it does not answer. */
 export interface PieceOrigin {
   /** Throws `InvalidInput` for what cannot be read, and `NotFound` for a version that is too old. */
   manifest(
