Log how an answer was framed and how its attempt ended, and count attempts by fault

Change: 'Request answered', 'Stream ended' and 'Attempt failed' carry framing, bytes and isReused; the latter the fault by itself; counters attempts_connection, _broken, _truncated, _crossed, _silent. Test: 'explanation of a cut answer'; callers' cut bodies and ends of all kinds hold on this code too.

--- /dev/null
+++ b/features/steps/cutPath.steps.ts
@@ -0,0 +1,82 @@
+import assert from 'node:assert/strict';
+import { once } from 'node:events';
+import type { Socket } from 'node:net';
+import { setTimeout as sleep } from 'node:timers/promises';
+import { Then, When } from '@cucumber/cucumber';
+import { sendRaw } from '../support/platformCaller.js';
+import type { Got } from '../support/platformCaller.js';
+import type { PlatformFleet } from '../support/platformFleet.js';
+
+interface CutWorld {
+  platform: PlatformFleet;
+  got: Got;
+}
+
+/** Time in which a request would reach an engine, in milliseconds. */
+const reachMs = 200;
+
+async function textOf(socket: Socket): Promise<string> {
+  const parts: Buffer[] = [];
+  socket.on('data', (part: Buffer) => parts.push(part));
+  await once(socket, 'close');
+  return Buffer.concat(parts).toString();
+}
+
+Then(/^its stream is (cut|whole)$/, function outcome(this: CutWorld, end: string) {
+  const { status, body, isWhole } = this.got;
+  assert.equal(status, 200, JSON.stringify(this.platform.lines));
+  assert.equal(isWhole, end === 'whole', body);
+  const ids = [...body.matchAll(/^id: (\d+)$/gm)].map(([, id]) => Number(id));
+  const expected = end === 'whole' ? 12 : 5;
+  assert.deepEqual(
+    ids,
+    Array.from({ length: expected }, (_each, index) => index + 1),
+  );
+});
+
+Then(
+  /^a caller with HTTP\/1\.0 gets 505 for a stream and a whole answer otherwise$/,
+  async function old(this: CutWorld) {
+    const stream = sendRaw(this.platform, 'POST /stream/x HTTP/1.0', ['Content-Length: 0'], '');
+    assert.match(await textOf(stream), /^HTTP\/1\.[01] 505 /);
+    const plain = sendRaw(this.platform, 'POST /unsafe/x HTTP/1.0', ['Content-Length: 0'], '');
+    const text = await textOf(plain);
+    const [, length] = /content-length: (\d+)/i.exec(text) ?? [];
+    assert.equal(text.slice(text.indexOf('\r\n\r\n') + 4).length, Number(length));
+  },
+);
+
+const halves: Readonly<Record<string, { header: string; body: string }>> = {
+  'with a length': { header: 'Content-Length: 10', body: 'first' },
+  'in chunks': { header: 'Transfer-Encoding: chunked', body: '5\r\nfirst\r\n' },
+};
+
+const leaves: Readonly<Record<string, (socket: Socket) => void>> = {
+  closes: (socket) => socket.end(),
+  resets: (socket) => socket.resetAndDestroy(),
+};
+
+When(
+  /^a caller sends half of a body (with a length|in chunks) and (closes|resets)$/,
+  async function half(this: CutWorld, framing: string, end: string) {
+    const { header, body } = halves[framing]!;
+    const socket = sendRaw(this.platform, 'POST /unsafe/x HTTP/1.1', [header], body);
+    await once(socket, 'connect');
+    await sleep(reachMs);
+    leaves[end]!(socket);
+    await sleep(reachMs);
+    socket.destroy();
+  },
+);
+
+Then('no engine gets a request', function none(this: CutWorld) {
+  assert.deepEqual(
+    this.platform.engines.flatMap(({ seen }) => seen),
+    [],
+  );
+});
+
+Then(/^the metrics count (\w+) (\d+)$/, function count(this: CutWorld, name: string, by: string) {
+  const text = this.platform.metrics.render();
+  assert.match(text, new RegExp(`^${name}(_total)? ${by}$`, 'm'), text);
+});
--- a/features/steps/forwarding.steps.ts
+++ b/features/steps/forwarding.steps.ts
@@ -1,5 +1,4 @@
 import assert from 'node:assert/strict';
-import type { Socket } from 'node:net';
 import { After, Then, When } from '@cucumber/cucumber';
 import fc from 'fast-check';
 import { SeededRandom } from '@laburnumstream/common';
@@ -20,6 +19,7 @@
 import type { CallOutcome } from '@laburnumstream/forwarding';
 import { platformHeaders } from '@laburnumstream/platform';
 import { HistogramMetrics, SystemClock } from '@laburnumstream/runtime';
+import { sendScripted, wholeBody } from '../support/scriptedAnswers.js';
 import { ScriptedEndpoint } from '../support/scriptedEndpoint.js';
 
 interface ForwardingWorld {
@@ -30,41 +30,11 @@
   loads: EndpointLoad[];
 }
 
-/** Heads and bodies of answers, by how they tell their end. */
-const framings: Readonly<Record<string, { head: string; part: string; rest: string }>> = {
-  'a length': { head: 'Content-Length: 10', part: 'first', rest: 'other' },
-  chunks: {
-    head: 'Transfer-Encoding: chunked',
-    part: '5\r\nfirst\r\n',
-    rest: '5\r\nother\r\n0\r\n\r\n',
-  },
-  'chunks before close': {
-    head: 'Transfer-Encoding: chunked\r\nConnection: close',
-    part: '5\r\nfirst\r\n',
-    rest: '5\r\nother\r\n0\r\n\r\n',
-  },
-  neither: { head: 'Connection: close', part: 'first', rest: 'other' },
-};
-/** Time in which the first part of an answer arrives by itself, in milliseconds. */
-const partMs = 30;
-
-type Ending = (socket: Socket, rest: string) => void;
-
-const endings: Readonly<Record<string, Ending>> = {
-  'all bytes': (socket, rest) => socket.write(rest),
-  'a close': (socket, rest) => socket.end(rest),
-  'a close before the end': (socket) => socket.end(),
-  'a reset before the end': (socket) => socket.resetAndDestroy(),
-};
-
 When(
   /^an endpoint answers with (a length|chunks|chunks before close|neither) and (.+)$/,
   async function answer(this: ForwardingWorld, framing: string, ending: string) {
-    const { head, part, rest } = framings[framing]!;
     this.scripted = await ScriptedEndpoint.start((socket) => {
-      socket.write(`HTTP/1.1 200 OK\r\n${head}\r\n\r\n${part}`);
-      if (ending === 'a reset at once') socket.resetAndDestroy();
-      else setTimeout(() => endings[ending]!(socket, rest), partMs);
+      sendScripted(socket, framing, ending);
     });
     const pool = new ConnectionPool(
       this.scripted.address,
@@ -87,7 +57,7 @@
   const seen = this.outcome.kind === 'answer' ? 'whole' : this.outcome.fault;
   assert.equal(seen, end, JSON.stringify(this.outcome));
   if (this.outcome.kind === 'answer') {
-    assert.equal(this.outcome.answer.body.toString(), 'firstother');
+    assert.equal(this.outcome.answer.body.toString(), wholeBody);
   }
 });
 
--- a/features/steps/platformPath.steps.ts
+++ b/features/steps/platformPath.steps.ts
@@ -1,20 +1,12 @@
 import assert from 'node:assert/strict';
-import { request as httpRequest } from 'node:http';
-import type { IncomingMessage } from 'node:http';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { After, Given, Then, When } from '@cucumber/cucumber';
 import type { ForwardingEntry } from '@laburnumstream/forwarding';
 import { eventually } from '../support/assertions.js';
+import { ask, deadlineMs } from '../support/platformCaller.js';
+import type { Got } from '../support/platformCaller.js';
 import { Behaviours } from '../support/platformEngine.js';
-import { PlatformFleet, configurationOf, platformHost } from '../support/platformFleet.js';
-
-/** What a caller got. */
-interface Got {
-  readonly status: number;
-  readonly body: string;
-  readonly isWhole: boolean;
-  readonly headers: IncomingMessage['headers'];
-}
+import { PlatformFleet, configurationOf } from '../support/platformFleet.js';
 
 interface PlatformWorld {
   platform: PlatformFleet;
@@ -23,55 +15,6 @@
   readiness: number;
 }
 
-const deadlineMs = 2_000;
-let ids = 0;
-
-function ask(
-  { settings }: PlatformFleet,
-  path: string,
-  key = 'key-1',
-  leave?: AbortSignal,
-): Promise<Got> {
-  ids += 1;
-  const [host, port] = settings.callers.split(':');
-  return new Promise((resolve, reject) => {
-    const sent = httpRequest(
-      {
-        host,
-        port,
-        path,
-        method: 'POST',
-        ...(leave ? { signal: leave } : {}),
-        headers: {
-          host: platformHost,
-          authorization: `Bearer ${key}`,
-          'laburnumstream-request-id': `r${ids}`,
-          'laburnumstream-deadline-ms': String(deadlineMs),
-          'content-length': '4',
-        },
-      },
-      (response) => {
-        let body = '';
-        response.setEncoding('utf8');
-        response.on('data', (part: string) => {
-          body += part;
-        });
-        const end = (): void =>
-          resolve({
-            status: response.statusCode!,
-            body,
-            isWhole: response.complete,
-            headers: response.headers,
-          });
-        response.once('end', end);
-        response.once('error', end);
-      },
-    );
-    sent.once('error', reject);
-    sent.end('body');
-  });
-}
-
 Given(
   /^an entry on the platform with engines that (.+)$/,
   async function start(this: PlatformWorld, names: string) {
--- /dev/null
+++ b/features/steps/wholeAnswers.steps.ts
@@ -0,0 +1,139 @@
+import assert from 'node:assert/strict';
+import { After, Then, When } from '@cucumber/cucumber';
+import { OperatorClient } from '@laburnumstream/cli';
+import type { CallOutcome } from '@laburnumstream/forwarding';
+import { AnswerCollector, ConnectionPool, EndpointCall } from '@laburnumstream/forwarding';
+import { platformHeaders } from '@laburnumstream/platform';
+import { HistogramMetrics, SystemClock } from '@laburnumstream/runtime';
+import { answerReaders, callEndpoint } from '../support/answerReaders.js';
+import { framings, sendScripted, unframed, wholeBody } from '../support/scriptedAnswers.js';
+import { ScriptedEndpoint } from '../support/scriptedEndpoint.js';
+
+interface AnswersWorld {
+  answering: ScriptedEndpoint;
+  /** Answers that a reader took for whole, and those that it did not, by framing and ending. */
+  taken: string[];
+  refused: string[];
+  outcome: CallOutcome;
+  failure: unknown;
+}
+
+const cuts = ['a reset before the end', 'a reset at once'];
+const framed = Object.keys(framings).filter((framing) => !unframed.includes(framing));
+
+/** Framings with the endings that cut them. */
+const cutAnswers = [
+  ...Object.keys(framings).flatMap((framing) => cuts.map((ending) => [framing, ending] as const)),
+  ...framed.map((framing) => [framing, 'a close before the end'] as const),
+  ...unframed.map((framing) => [framing, 'a reset after many pieces'] as const),
+];
+
+/** Framings with the endings that belong to them. */
+const wholeAnswers = [
+  ...framed.map((framing) => [framing, 'all bytes'] as const),
+  ...Object.keys(framings).map((framing) => [framing, 'a close'] as const),
+];
+
+async function read(
+  world: AnswersWorld,
+  reader: string,
+  answers: readonly (readonly [framing: string, ending: string])[],
+): Promise<void> {
+  const { taken, refused } = Object.assign(world, { taken: [], refused: [] });
+  for (const [framing, ending] of answers) {
+    const endpoint = await ScriptedEndpoint.start((socket) =>
+      sendScripted(socket, framing, ending, 'r1'),
+    );
+    const name = `${framing}, ${ending}`;
+    await answerReaders[reader]!(endpoint.address).then(
+      (body) => taken.push(body === undefined || body === wholeBody ? name : `${name}: ${body}`),
+      (error: unknown) => refused.push(`${name}: ${String(error)}`),
+    );
+    endpoint.close();
+  }
+}
+
+After(function close(this: Partial<AnswersWorld>) {
+  this.answering?.close();
+});
+
+When(/^(.+) reads answers that are cut$/, function cut(this: AnswersWorld, reader: string) {
+  return read(this, reader, cutAnswers);
+});
+
+When(/^(.+) reads answers that end as they say$/, function whole(this: AnswersWorld, name: string) {
+  return read(this, name, wholeAnswers);
+});
+
+Then('it takes none of them for whole', function none(this: AnswersWorld) {
+  assert.deepEqual(this.taken, []);
+  assert.equal(this.refused.length, cutAnswers.length);
+});
+
+Then('it takes all of them for whole', function all(this: AnswersWorld) {
+  assert.deepEqual(this.refused, []);
+  const names = wholeAnswers.map(([framing, ending]) => `${framing}, ${ending}`);
+  assert.deepEqual(this.taken, names);
+});
+
+When(
+  /^an entry asks by (\w+) and gets (\d+) without a length$/,
+  async function ask(this: AnswersWorld, method: string, status: string) {
+    this.answering = await ScriptedEndpoint.start((socket) =>
+      socket.write(`HTTP/1.1 ${status} Any\r\nLaburnumstream-Request-Id: r1\r\n\r\n`),
+    );
+    this.outcome = await callEndpoint(this.answering.address, method);
+  },
+);
+
+Then(/^it has a whole answer with status (\d+)$/, function has(this: AnswersWorld, status: string) {
+  assert.equal(this.outcome.kind, 'answer', JSON.stringify(this.outcome));
+  if (this.outcome.kind === 'answer') assert.equal(this.outcome.answer.status, Number(status));
+});
+
+When(
+  /^an endpoint answers twice, (with|without) its id, and the second time late$/,
+  async function twice(this: AnswersWorld, how: string) {
+    let requests = 0;
+    this.answering = await ScriptedEndpoint.start((socket) => {
+      requests += 1;
+      const id = requests === 1 || how === 'with' ? 'r1' : undefined;
+      sendScripted(socket, 'a length', 'all bytes', id);
+    });
+    const { address } = this.answering;
+    const pool = new ConnectionPool(address, new SystemClock(), new HistogramMetrics());
+    for (const id of ['r1', 'r2']) {
+      const collector = new AnswerCollector();
+      const request = { method: 'GET', path: '/', id, headers: [], body: Buffer.alloc(0) };
+      new EndpointCall(pool, request, Infinity, platformHeaders, collector).start();
+      this.outcome = await collector.outcome;
+    }
+    pool.closeIdle();
+  },
+);
+
+Then(
+  /^the next request on the connection gets (\w+)$/,
+  function next(this: AnswersWorld, fault: string) {
+    assert.equal(this.outcome.kind, 'fault', JSON.stringify(this.outcome));
+    if (this.outcome.kind === 'fault') assert.equal(this.outcome.fault, fault);
+  },
+);
+
+When("the answer to an operator's change is cut", async function change(this: AnswersWorld) {
+  this.answering = await ScriptedEndpoint.start((socket) => {
+    socket.write('HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n{"version":');
+    socket.resetAndDestroy();
+  });
+  const client = new OperatorClient(`http://${this.answering.address}`, 'token');
+  this.failure = await client
+    .call('POST', 'changes', { changeId: 'change-7' })
+    .catch((error: unknown) => error);
+});
+
+Then(
+  'the operator is told that the change may have been accepted',
+  function told(this: AnswersWorld) {
+    assert.match(String(this.failure), /unknown whether .* accepted.*--change-id change-7/);
+  },
+);
--- /dev/null
+++ b/features/support/answerReaders.ts
@@ -0,0 +1,62 @@
+import { AnswerCollector, ConnectionPool, EndpointCall } from '@laburnumstream/forwarding';
+import { HttpClient, HttpPlainService, HttpWeightOrigin } from '@laburnumstream/clients';
+import { EngineClient, OriginClient, StoreClient, platformHeaders } from '@laburnumstream/platform';
+import { HistogramMetrics, SystemClock } from '@laburnumstream/runtime';
+import { PeerClient } from '@laburnumstream/sidecar';
+
+/** Reads one answer of an address IP:PORT; rejects when it is not whole. Undefined: no body is told. */
+export type AnswerReader = (address: string) => Promise<string | undefined>;
+
+const timeoutMs = 1_000;
+
+const textOf = (bytes: Uint8Array): string => Buffer.from(bytes).toString();
+
+/** Sends one request to an endpoint as an entry does. */
+export async function callEndpoint(address: string, method = 'GET', id = 'r1') {
+  const pool = new ConnectionPool(address, new SystemClock(), new HistogramMetrics());
+  const collector = new AnswerCollector();
+  const request = { method, path: '/', id, headers: [], body: Buffer.alloc(0) };
+  new EndpointCall(pool, request, Infinity, platformHeaders, collector).start();
+  const outcome = await collector.outcome;
+  pool.closeIdle();
+  return outcome;
+}
+
+/** All readers of answers over HTTP. */
+export const answerReaders: Readonly<Record<string, AnswerReader>> = {
+  'an entry': async (address) => {
+    const outcome = await callEndpoint(address);
+    if (outcome.kind === 'answer') return outcome.answer.body.toString();
+    throw new TypeError(outcome.fault);
+  },
+  'the client of plain services': async (address) => {
+    const service = new HttpPlainService(`http://${address}`, timeoutMs);
+    const { body } = await service.call(
+      { method: 'GET', path: '/x' } as Parameters<HttpPlainService['call']>[0],
+      AbortSignal.timeout(timeoutMs),
+    );
+    return body;
+  },
+  'a stream of the HTTP client': async (address) => {
+    const client = new HttpClient(`http://${address}`, timeoutMs);
+    const { body } = await client.stream({ method: 'GET', path: '/' });
+    const parts: Buffer[] = [];
+    for await (const part of body) parts.push(part);
+    return textOf(Buffer.concat(parts));
+  },
+  'the client of weights': async (address) =>
+    textOf(await new HttpWeightOrigin(`http://${address}`, timeoutMs).chunk('m', '1', 0)),
+  'the client of the store': async (address) => {
+    await new StoreClient(address).renewLease('1');
+    return undefined;
+  },
+  'the client of the origin': async (address) =>
+    textOf(await new OriginClient().piece(address, 'm', 1, 0)),
+  'the client of an engine': async (address) =>
+    textOf(await new EngineClient(address).stagedPiece('m', 0)),
+  'the client of other agents': async (address) => {
+    const [host = '', port] = address.split(':');
+    const signal = AbortSignal.timeout(timeoutMs);
+    return textOf(await new PeerClient(Number(port)).piece(host, 1, 0, signal));
+  },
+};
--- /dev/null
+++ b/features/support/platformCaller.ts
@@ -0,0 +1,89 @@
+import { request as httpRequest } from 'node:http';
+import type { IncomingMessage } from 'node:http';
+import { connect } from 'node:net';
+import type { Socket } from 'node:net';
+import { platformHost } from './platformFleet.js';
+import type { PlatformFleet } from './platformFleet.js';
+
+/** What a caller got. */
+export interface Got {
+  readonly status: number;
+  readonly body: string;
+  readonly isWhole: boolean;
+  readonly headers: IncomingMessage['headers'];
+}
+
+/** Time that callers wait, in milliseconds. */
+export const deadlineMs = 2_000;
+
+let ids = 0;
+
+/** Sends a request with a key and reads the answer. */
+export function ask(
+  { settings }: PlatformFleet,
+  path: string,
+  key = 'key-1',
+  leave?: AbortSignal,
+): Promise<Got> {
+  ids += 1;
+  const [host, port] = settings.callers.split(':');
+  return new Promise((resolve, reject) => {
+    const sent = httpRequest(
+      {
+        host,
+        port,
+        path,
+        method: 'POST',
+        ...(leave ? { signal: leave } : {}),
+        headers: {
+          host: platformHost,
+          authorization: `Bearer ${key}`,
+          'laburnumstream-request-id': `r${ids}`,
+          'laburnumstream-deadline-ms': String(deadlineMs),
+          'content-length': '4',
+        },
+      },
+      (response) => {
+        let body = '';
+        response.setEncoding('utf8');
+        response.on('data', (part: string) => {
+          body += part;
+        });
+        const end = (): void =>
+          resolve({
+            status: response.statusCode!,
+            body,
+            isWhole: response.complete,
+            headers: response.headers,
+          });
+        response.once('end', end);
+        response.once('error', end);
+      },
+    );
+    sent.once('error', reject);
+    sent.end('body');
+  });
+}
+
+/** Opens a connection to the entry and sends raw bytes after the head of a request with a key. */
+export function sendRaw(
+  { settings }: PlatformFleet,
+  request: string,
+  headers: readonly string[],
+  body: string,
+): Socket {
+  ids += 1;
+  const [host, port] = settings.callers.split(':');
+  const lines = [
+    request,
+    `Host: ${platformHost}`,
+    'Authorization: Bearer key-1',
+    `Laburnumstream-Request-Id: r${ids}`,
+    `Laburnumstream-Deadline-Ms: ${deadlineMs}`,
+    ...headers,
+  ];
+  const socket = connect(Number(port), host);
+  socket.on('error', () => undefined);
+  socket.write(`${lines.join('\r\n')}\r\n\r\n${body}`);
+  return socket;
+}
--- a/features/support/platformEngine.ts
+++ b/features/support/platformEngine.ts
@@ -1,6 +1,6 @@
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
-import type { AddressInfo } from 'node:net';
+import type { AddressInfo, Socket } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
 
 /** How an engine deals with one request. */
@@ -38,6 +38,24 @@
   };
 }
 
+/** Begins an answer that names neither a length nor chunks. */
+function beginUnframed(request: IncomingMessage, engine: PlatformEngine, type: string): void {
+  const headers = Object.entries({ ...head(request, engine), 'content-type': type });
+  const lines = headers.map(([name, value]) => `${name}: ${value}\r\n`);
+  request.socket.write(`HTTP/1.1 200 OK\r\n${lines.join('')}Connection: close\r\n\r\n`);
+}
+
+/** Streams the first five events and a part of the sixth, without a length or chunks, and ends. */
+function cutStream(end: (socket: Socket) => void): Behaviour {
+  return (request, _response, engine) => {
+    const { socket } = request;
+    beginUnframed(request, engine, 'text/event-stream');
+    const whole = [1, 2, 3, 4, 5].map(eventOf).join('');
+    socket.write(`${whole}${eventOf(6).slice(0, 8)}`);
+    end(socket);
+  };
+}
+
 /** Answers with a body. */
 export function answers(body: string): Behaviour {
   return (request, response, engine) => {
@@ -69,6 +87,22 @@
     await sleep(eventGapMs);
     request.socket.resetAndDestroy();
   },
+  /** Resets the connection within an answer without a length, right after its first bytes. */
+  resetsAnswer: (request, _response, engine) => {
+    beginUnframed(request, engine, 'text/plain');
+    request.socket.write('whole an');
+    request.socket.resetAndDestroy();
+  },
+  /** The same within a stream. */
+  resetsStream: cutStream((socket) => socket.resetAndDestroy()),
+  /** Closes the connection within an event of a stream without a length. */
+  endsWithinEvent: cutStream((socket) => socket.end()),
+  /** Streams without a length or chunks. */
+  endsUnframed: (request, _response, engine) => {
+    beginUnframed(request, engine, 'text/event-stream');
+    for (let id = 1; id <= 12; id += 1) request.socket.write(eventOf(id));
+    request.socket.end();
+  },
   /** Is silent for long in the middle of a stream, and goes on. */
   pauses: streams(12, (id) => sleep(id === 6 ? 1_300 : 0)),
 } as const satisfies Record<string, Behaviour>;
--- a/features/support/platformFleet.ts
+++ b/features/support/platformFleet.ts
@@ -76,6 +76,8 @@
 export class PlatformFleet {
   readonly lines: LoggedLine[] = [];
 
+  readonly metrics = new HistogramMetrics();
+
   private readonly abort = new AbortController();
 
   private constructor(
@@ -109,7 +111,7 @@
       headerCodec: platformHeaders,
       clock: new SystemClock(),
       random: new SeededRandom(7),
-      metrics: new HistogramMetrics(),
+      metrics: this.metrics,
       log: (part) => {
         const all = write(part);
         return { debug: all, info: all, warn: all, error: all };
--- a/packages/forwarding/src/attempts.ts
+++ b/packages/forwarding/src/attempts.ts
@@ -4,7 +4,7 @@
 import type { Placement, SharedRetryBudget } from '@laburnumstream/decisions';
 import type { DispatchLine, PlacedRequest } from './dispatchLine.js';
 import { EndpointCall } from './endpointCall.js';
-import type { CallObserver } from './endpointCall.js';
+import type { CallFault, CallObserver } from './endpointCall.js';
 import type { EndpointDirectory } from './endpointDirectory.js';
 import type { EndpointHandle } from './endpointHandle.js';
 import type { Exchange } from './exchange.js';
@@ -43,6 +43,15 @@
   ended(): void;
 }
 
+/** An attempt that brought no answer to deliver. */
+export interface FailedAttempt {
+  readonly attempt: Attempt;
+  readonly execution: Execution;
+  /** Undefined when the endpoint answered. */
+  readonly fault: CallFault | undefined;
+  readonly reason: string;
+}
+
 /** The attempts of one request: where it was sent, and whether it may be sent once more. */
 export class Attempts {
   private readonly tried = new Set<string>();
@@ -80,12 +89,13 @@
   }
 
   /**
-   * Whether the request may be sent once more after an attempt that ended with `execution`; takes it
-   * from the budget.
+   * Whether the request may be sent once more after an attempt that failed; takes it from the
+   * budget.
    */
-  mayRepeat(handle: EndpointHandle, execution: Execution, reason: string): boolean {
+  mayRepeat({ attempt, execution, fault, reason }: FailedAttempt): boolean {
     const { exchange, services } = this;
     const { budget, clock, metrics, log } = services;
+    const { handle, call } = attempt;
     if (execution !== Execution.notRun) this.runs += 1;
     this.isMoving = false;
     this.resumedAt = clock.now();
@@ -96,10 +106,13 @@
       this.runs < Math.max(1, exchange.route.maxAttempts);
     const isRepeated = allowed && budget.spend(exchange.service, clock.now());
     metrics.count(isRepeated ? 'requests_repeated' : 'attempts_failed');
+    if (fault) metrics.count(`attempts_${fault}`);
     log.info('Attempt failed.', {
       id: exchange.head.id,
       endpoint: handle.id,
+      fault: fault ?? null,
       reason,
+      ...call.evidence,
       execution,
       isRepeatable: this.isRepeatable,
       isRepeated,
--- a/packages/forwarding/src/endpointCall.ts
+++ b/packages/forwarding/src/endpointCall.ts
@@ -25,6 +25,27 @@
 /** One of the values of {@link CallFault}. */
 export type CallFault = (typeof CallFault)[keyof typeof CallFault];
 
+/** What tells the end of an answer's body. */
+export const Framing = {
+  length: 'length',
+  chunks: 'chunks',
+  /** Neither: it ends with its connection. */
+  connection: 'connection',
+} as const;
+
+/** One of the values of {@link Framing}. */
+export type Framing = (typeof Framing)[keyof typeof Framing];
+
+/** What a call has seen of its answer, for logs. */
+export interface CallEvidence {
+  /** Undefined before the answer has begun. */
+  readonly framing: Framing | undefined;
+  /** Bytes of the body. */
+  readonly bytes: number;
+  /** Whether the connection has carried another request before. */
+  readonly isReused: boolean;
+}
+
 /** What a call tells its owner. After `ended` or `failed` it tells nothing more. */
 export interface CallObserver {
   began(status: number, head: AnswerHead, rawHeaders: readonly string[]): void;
@@ -45,6 +66,16 @@
 
 const firstErrorStatus = 300;
 
+const chunkedPattern = /(^|,)\s*chunked\s*$/i;
+
+function framingOf(headers: IncomingHttpHeaders): Framing {
+  const coding = headers['transfer-encoding'];
+  if (coding !== undefined) {
+    return chunkedPattern.test(coding) ? Framing.chunks : Framing.connection;
+  }
+  return headers['content-length'] === undefined ? Framing.connection : Framing.length;
+}
+
 function textOf(raw: Dispatcher.DispatchController['rawHeaders']): string[] {
   if (!Array.isArray(raw)) return [];
   return raw.map((part) => (typeof part === 'string' ? part : part.toString('latin1')));
@@ -65,6 +96,10 @@
   /** Whether the answer names its own end, by a length or in chunks. */
   private isFramed = true;
 
+  private framing: Framing | undefined;
+
+  private bytes = 0;
+
   constructor(
     private readonly pool: ConnectionPool,
     private readonly request: CallRequest,
@@ -80,8 +115,10 @@
     return this.sent;
   }
 
-  get isReused(): boolean {
-    return this.connection.isReused;
+  /** What has been seen of the answer so far. */
+  get evidence(): CallEvidence {
+    const { framing, bytes, connection } = this;
+    return { framing, bytes, isReused: connection.isReused };
   }
 
   start(): void {
@@ -134,6 +171,7 @@
       return;
     }
     this.hasBegun = true;
+    this.framing = framingOf(headers);
     this.isFramed =
       headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
     if (!this.isFramed) this.connection.watchEnd();
@@ -141,7 +179,9 @@
   }
 
   onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
-    if (!this.hasEnded) this.observer.data(chunk);
+    if (this.hasEnded) return;
+    this.bytes += chunk.length;
+    this.observer.data(chunk);
   }
 
   onResponseEnd(): void {
--- a/packages/forwarding/src/streamRun.ts
+++ b/packages/forwarding/src/streamRun.ts
@@ -121,8 +121,8 @@
     if (outcome.kind === 'answer') return this.takeAnswer(attempt, outcome);
     this.count(attempt.handle, AttemptSign.failed);
     const execution = outcome.fault === CallFault.connection ? Execution.notRun : Execution.unknown;
-    const reason = `${outcome.fault}: ${outcome.reason}`;
-    if (this.attempts.mayRepeat(attempt.handle, execution, reason)) return false;
+    const { fault, reason } = outcome;
+    if (this.attempts.mayRepeat({ attempt, execution, fault, reason })) return false;
     if (execution === Execution.notRun) throw this.attempts.refusal();
     throw new OutcomeUnknown('The connection to the endpoint broke.');
   }
@@ -131,7 +131,7 @@
     handle.health.count(sign, this.services.clock.now());
   }
 
-  private logEnd({ handle }: Attempt): void {
+  private logEnd({ handle, call }: Attempt): void {
     const { head, route, service } = this.exchange;
     const { firstEventMs = 0, longestPauseMs, lastEventId } = this.delivery;
     const { metrics, log } = this.services;
@@ -141,6 +141,7 @@
       id: head.id,
       service,
       endpoint: handle.id,
+      ...call.evidence,
       sends: this.attempts.sends,
       firstEventMs: Math.round(firstEventMs),
       longestPauseMs: Math.round(longestPauseMs),
@@ -170,13 +171,14 @@
 
   /** Takes an answer that is no stream. */
   private takeAnswer(
-    { handle }: Attempt,
+    attempt: Attempt,
     { status, head, rawHeaders, body }: Extract<StreamOutcome, { kind: 'answer' }>,
   ): boolean {
     const { use, execution, sign } = judgeAnswer({ status, ...head });
-    this.count(handle, sign);
+    this.count(attempt.handle, sign);
     const isAnswer = use === AnswerUse.deliver && !this.hasBegun;
-    if (!isAnswer && this.attempts.mayRepeat(handle, execution, `status ${status}`)) return false;
+    const failed = { attempt, execution, fault: undefined, reason: `status ${status}` };
+    if (!isAnswer && this.attempts.mayRepeat(failed)) return false;
     if (!this.hasBegun && use !== AnswerUse.discard) {
       const headers = this.services.codec.encodeAnswerHeaders(rawHeaders);
       headers.push('content-length', String(body.length));
--- a/packages/forwarding/src/wholeAnswers.ts
+++ b/packages/forwarding/src/wholeAnswers.ts
@@ -5,7 +5,6 @@
 import { AnswerCollector } from './answerCollector.js';
 import type { CallOutcome, WholeAnswer } from './answerCollector.js';
 import { CallFault } from './endpointCall.js';
-import type { EndpointHandle } from './endpointHandle.js';
 import { deadlinePassed } from './exchange.js';
 import type { Exchange } from './exchange.js';
 
@@ -93,12 +92,13 @@
     const { use, execution, sign } = judgeAnswer({ status, ...head });
     this.count(attempt, sign);
     if (use === AnswerUse.deliver) {
-      this.deliver(exchange, handle, answer);
+      this.deliver(exchange, attempt, answer);
       return true;
     }
-    if (attempts.mayRepeat(handle, execution, `status ${status}`)) return false;
+    const reason = `status ${status}`;
+    if (attempts.mayRepeat({ attempt, execution, fault: undefined, reason })) return false;
     if (use === AnswerUse.deliverIfLast) {
-      this.deliver(exchange, handle, answer);
+      this.deliver(exchange, attempt, answer);
       return true;
     }
     if (execution === Execution.notRun) throw attempts.refusal();
@@ -111,10 +111,9 @@
     fault: CallFault,
     reason: string,
   ): boolean {
-    const { handle } = attempt;
     this.count(attempt, AttemptSign.failed);
     const execution = fault === CallFault.connection ? Execution.notRun : Execution.unknown;
-    if (attempts.mayRepeat(handle, execution, `${fault}: ${reason}`)) return false;
+    if (attempts.mayRepeat({ attempt, execution, fault, reason })) return false;
     if (execution === Execution.notRun) throw attempts.refusal();
     throw new OutcomeUnknown('The connection to the endpoint broke.');
   }
@@ -125,7 +124,7 @@
 
   private deliver(
     { response, head, service, arrivedAt }: Exchange,
-    handle: EndpointHandle,
+    { handle, call }: Attempt,
     { status, rawHeaders, body }: WholeAnswer,
   ): void {
     const { clock, log } = this.services;
@@ -134,6 +133,7 @@
       service,
       endpoint: handle.id,
       status,
+      ...call.evidence,
       ms: Math.round(clock.now() - arrivedAt),
     });
     const headers = this.services.codec.encodeAnswerHeaders(rawHeaders);
