--- a/features/wholeAnswers.feature
+++ b/features/wholeAnswers.feature
@@ -1,5 +1,21 @@
 Feature: Whole answers
 
+  # Guards against an answer that is cut by a reset and reaches its reader as whole.
+  Scenario Outline: reset is no end
+    When <reader> reads answers that are cut
+    Then it takes none of them for whole
+
+    Examples:
+      | reader                        |
+      | an entry                      |
+      | the client of plain services  |
+      | a stream of the HTTP client   |
+      | the client of weights         |
+      | the client of the store       |
+      | the client of the origin      |
+      | the client of an engine       |
+      | the client of other agents    |
+
   Scenario Outline: ends of all kinds
     When <reader> reads answers that end as they say
     Then it takes all of them for whole
@@ -15,6 +31,46 @@
       | the client of an engine       |
       | the client of other agents    |
 
+  # Guards against a whole answer without a body that is taken for a cut one.
+  Scenario Outline: answers without a body
+    When an entry asks by <method> and gets <status> without a length
+    Then it has a whole answer with status <status>
+
+    Examples:
+      | method | status |
+      | GET    | 204    |
+      | GET    | 304    |
+      | HEAD   | 200    |
+
+  # Guards against an answer that goes to another request than its own.
+  Scenario Outline: second answer that comes late
+    When an endpoint answers twice, <how>, and the second time late
+    Then the next request on the connection gets <outcome>
+
+    Examples:
+      | how             | outcome |
+      | with its id     | crossed |
+      | without its id  | crossed |
+
+  # Guards against a stream that is cut within an event and ends as whole.
+  Scenario Outline: stream that is cut
+    Given an entry on the platform with engines that <engines>
+    When a caller sends a request to <route>
+    Then its stream is <outcome>
+
+    Examples:
+      | engines                   | route  | outcome |
+      | resetsStream              | single | cut     |
+      | resetsStream, streams     | stream | whole   |
+      | endsWithinEvent           | single | cut     |
+      | endsWithinEvent, streams  | stream | whole   |
+      | endsUnframed              | single | whole   |
+
+  # Guards against a caller that can't tell a cut stream from a whole one.
+  Scenario: caller that knows no chunks
+    Given an entry on the platform with engines that streams
+    Then a caller with HTTP/1.0 gets 505 for a stream and a whole answer otherwise
+
   # Guards against a request that an endpoint gets with a part of its body.
   Scenario Outline: request that its caller cuts
     Given an entry on the platform with engines that answers
@@ -28,6 +84,10 @@
       | in chunks     | closes              |
       | in chunks     | resets              |
 
+  Scenario: operator whose answer is cut
+    When the answer to an operator's change is cut
+    Then the operator is told that the change may have been accepted
+
   Scenario: explanation of a cut answer
     Given an entry on the platform with engines that resetsAnswer
     When a caller sends a request to unsafe
