Take no reset for the end of an answer, in any client

Cause: an answer without a length ends with its connection, and who reads it must tell a close from a reset. Node reports a reset that comes together with data as an end; undici takes the error code of a reset for an end; mended the first in one client for answers without any framing. Change: one socket, ResetAwareSocket, on which a reset is always an error of its own type, and one connector for all undici clients (entry, agent, store, origin, engine, other agents, first stage's clients). The inference by headers in EndpointCall is gone, and with it answers without a body that counted as cut. An operator's command whose answer is cut now says that the change may have been accepted.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -7,7 +7,7 @@
   common: [],
   decisions: ['common'],
   protocol: [],
-  clients: ['common', 'decisions'],
+  clients: ['common', 'decisions', 'runtime'],
   runtime: ['common', 'charts'],
   links: ['common', 'decisions', 'protocol'],
   entry: ['common', 'decisions', 'links', 'clients', 'protocol', 'runtime'],
--- a/features/steps/wholeAnswers.steps.ts
+++ b/features/steps/wholeAnswers.steps.ts
@@ -18,6 +18,9 @@
   failure: unknown;
 }
 
+/** Time for which a reader has paused, in milliseconds. */
+const pausedMs = 100;
+
 const cuts = ['a reset before the end', 'a reset at once'];
 const framed = Object.keys(framings).filter((framing) => !unframed.includes(framing));
 
@@ -112,6 +115,45 @@
   },
 );
 
+When(
+  /^an endpoint ends an answer with (.+) by (.+) while its reader has paused$/,
+  async function pause(this: AnswersWorld, framing: string, ending: string) {
+    this.answering = await ScriptedEndpoint.start((socket) =>
+      sendScripted(socket, framing, ending, 'r1'),
+    );
+    const pool = new ConnectionPool(
+      this.answering.address,
+      new SystemClock(),
+      new HistogramMetrics(),
+    );
+    const collector = new AnswerCollector();
+    const request = { method: 'GET', path: '/', id: 'r1', headers: [], body: Buffer.alloc(0) };
+    const call = new EndpointCall(pool, request, Infinity, platformHeaders, {
+      began: (...answer) => collector.began(...answer),
+      data: (bytes) => {
+        collector.data(bytes);
+        call.pause();
+        setTimeout(() => call.resume(), pausedMs);
+      },
+      ended: () => collector.ended(),
+      failed: (...fault) => collector.failed(...fault),
+    });
+    call.start();
+    this.outcome = await collector.outcome;
+    pool.closeIdle();
+  },
+);
+
+Then(
+  /^the paused call ends as (whole|truncated)$/,
+  function ends(this: AnswersWorld, expected: string) {
+    const { outcome } = this;
+    const end = outcome.kind === 'answer' ? 'whole' : outcome.fault;
+    assert.equal(end, expected, JSON.stringify(outcome));
+    if (outcome.kind === 'answer') assert.equal(outcome.answer.body.toString(), wholeBody);
+  },
+);
+
 Then(
   /^the next request on the connection gets (\w+)$/,
   function next(this: AnswersWorld, fault: string) {
--- a/features/wholeAnswers.feature
+++ b/features/wholeAnswers.feature
@@ -31,6 +31,22 @@
       | the client of an engine       |
       | the client of other agents    |
 
+  # Guards against a process that ends because an answer ends while its reader has paused.
+  Scenario Outline: end while the reader has paused
+    When an endpoint ends an answer with <framing> by <ending> while its reader has paused
+    Then the paused call ends as <outcome>
+
+    Examples:
+      | framing             | ending                   | outcome   |
+      | a length            | all bytes                | whole     |
+      | chunks              | all bytes                | whole     |
+      | a length            | a close                  | whole     |
+      | chunks before close | a close                  | whole     |
+      | neither             | a close                  | whole     |
+      | chunks before close | a close before the end   | truncated |
+      | chunks before close | a reset before the end   | truncated |
+      | neither             | a reset before the end   | truncated |
+
   # Guards against a whole answer without a body that is taken for a cut one.
   Scenario Outline: answers without a body
     When an entry asks by <method> and gets <status> without a length
--- a/packages/cli/src/operatorClient.ts
+++ b/packages/cli/src/operatorClient.ts
@@ -30,7 +30,9 @@
     }).catch((error: unknown) => {
       throw unreachable(this.baseUrl, body, error);
     });
-    const value = await answer.json();
+    const value = await answer.json().catch((error: unknown) => {
+      throw unreachable(this.baseUrl, body, error);
+    });
     if (statusCode === 200) return value;
     const { error } = value as FailureBody;
     const message = error?.message ?? `HTTP status ${statusCode}`;
--- a/packages/clients/src/httpClient.ts
+++ b/packages/clients/src/httpClient.ts
@@ -1,7 +1,8 @@
 import { Pool } from 'undici';
 import type { Dispatcher } from 'undici';
-import { Aborted, StoreUnavailable } from '@laburnumstream/common';
+import { Aborted, ConnectionReset, StoreUnavailable } from '@laburnumstream/common';
 import type { Failure } from '@laburnumstream/common';
+import { connectorWith } from '@laburnumstream/runtime';
 
 /** A response with its whole body. */
 export interface Response {
@@ -24,8 +25,12 @@
 const storeUnavailable: ConnectionFailure = (message, cause) =>
   new StoreUnavailable(message, cause);
 
-/** Codes of connections that the peer closed or reset, unlike those closed by this side. */
-const lossCodes = new Set(['UND_ERR_SOCKET', 'ECONNRESET', 'EPIPE']);
+/** Code of connections that the peer closed, unlike those closed by this side. */
+const closedCode = 'UND_ERR_SOCKET';
+
+function isLoss(error: Error): boolean {
+  return error instanceof ConnectionReset || (error as { code?: string }).code === closedCode;
+}
 
 /** Joins an owner's signal with a timeout. */
 export function withTimeout(timeoutMs: number, signal?: AbortSignal): AbortSignal {
@@ -48,10 +53,10 @@
   ) {
     const url = new URL(baseUrl);
     this.prefix = url.pathname.replace(/\/$/, '');
-    this.pool = new Pool(url.origin, { connections, pipelining: 1 });
+    this.pool = new Pool(url.origin, { connections, pipelining: 1, connect: connectorWith() });
     if (!onLoss) return;
     this.pool.on('disconnect', (_origin, _targets, error) => {
-      if (lossCodes.has((error as { code?: string }).code ?? '')) onLoss();
+      if (isLoss(error)) onLoss();
     });
   }
 
--- a/packages/clients/src/httpModelEngine.ts
+++ b/packages/clients/src/httpModelEngine.ts
@@ -1,5 +1,6 @@
 import {
   Aborted,
+  ConnectTimeout,
   Failure,
   OutcomeUnknown,
   OrderRefused,
@@ -30,7 +31,7 @@
 /** Whether an error means that no connection came to be, so that nothing ran. */
 function neverConnected(cause: unknown): boolean {
   const { code } = (cause ?? {}) as { code?: string };
-  return code === 'ECONNREFUSED' || code === 'UND_ERR_CONNECT_TIMEOUT';
+  return code === 'ECONNREFUSED' || cause instanceof ConnectTimeout;
 }
 
 /** The failure of a call to an endpoint. */
--- a/packages/common/src/failures.ts
+++ b/packages/common/src/failures.ts
@@ -116,6 +116,24 @@
   }
 }
 
+/** No connection came to be in time, so nothing was sent. */
+export class ConnectTimeout extends Timeout {
+  constructor() {
+    super('No connection came to be in time.', Execution.notRun);
+  }
+}
+
+/** The peer reset the connection: an answer on it has not ended, whatever of it has come. */
+export class ConnectionReset extends Failure {
+  constructor(cause?: unknown) {
+    super('connection_reset', 'The peer reset the connection.', {
+      status: 502,
+      execution: Execution.unknown,
+      cause,
+    });
+  }
+}
+
 /** The platform's key-value service cannot be reached or answers with a fault. */
 export class StoreUnavailable extends Failure {
   constructor(message: string, cause?: unknown) {
--- a/packages/forwarding/src/endpointCall.ts
+++ b/packages/forwarding/src/endpointCall.ts
@@ -93,9 +93,6 @@
 
   private hasEnded = false;
 
-  /** Whether the answer names its own end, by a length or in chunks. */
-  private isFramed = true;
-
   private framing: Framing | undefined;
 
   private bytes = 0;
@@ -172,32 +169,18 @@
     }
     this.hasBegun = true;
     this.framing = framingOf(headers);
-    this.isFramed =
-      headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
-    if (!this.isFramed) this.connection.watchEnd();
     this.observer.began(status, head, textOf(controller.rawHeaders));
   }
 
   onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
-    if (this.hasEnded) return;
+    // The parser gives an empty chunk when a call resumes.
+    if (this.hasEnded || chunk.length === 0) return;
     this.bytes += chunk.length;
     this.observer.data(chunk);
   }
 
   onResponseEnd(): void {
     if (this.hasEnded) return;
-    if (this.isFramed) this.end();
-    else void this.endWithConnection();
-  }
-
-  private async endWithConnection(): Promise<void> {
-    const wasClosed = await this.connection.wasClosed();
-    if (this.hasEnded) return;
-    if (wasClosed) this.end();
-    else this.fail(CallFault.truncated, 'The connection was reset within an unframed answer.');
-  }
-
-  private end(): void {
     this.hasEnded = true;
     this.pool.giveBack(this.connection);
     this.observer.ended();
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -1,5 +1,6 @@
 /** What every process needs around the decision logic: settings, logs, metrics, servers, lifecycles. */
 export * from './charts.js';
+export * from './connector.js';
 export * from './digest.js';
 export * from './histogramMetrics.js';
 export * from './httpServer.js';
--- a/packages/sidecar/src/peerClient.ts
+++ b/packages/sidecar/src/peerClient.ts
@@ -1,4 +1,5 @@
 import { InvalidInput, NotFound, Unavailable } from '@laburnumstream/common';
+import { connectorWith } from '@laburnumstream/runtime';
 import { Pool } from 'undici';
 import type { PieceManifest } from './localEngine.js';
 import { PieceStatus } from './pieceServer.js';
@@ -55,7 +56,7 @@
   private poolOf(host: string): Pool {
     let pool = this.pools.get(host);
     if (!pool) {
-      const options = { connections, connect: { timeout: connectTimeoutMs } };
+      const options = { connections, connect: connectorWith(connectTimeoutMs) };
       pool = new Pool(`http://${host}:${this.port}`, options);
       this.pools.set(host, pool);
     }
