Take an answer without an id on a used connection for another request's

A caller could get the late second answer to an earlier request when that answer names no request: only an id that differed counted as crossed. 'second answer that comes late': the example without an id failed before.

--- a/features/steps/wholeAnswers.steps.ts
+++ b/features/steps/wholeAnswers.steps.ts
@@ -5,7 +5,7 @@
 import { AnswerCollector, ConnectionPool, EndpointCall } from '@laburnumstream/forwarding';
 import { platformHeaders } from '@laburnumstream/platform';
 import { HistogramMetrics, SystemClock } from '@laburnumstream/runtime';
-import { answerReaders, callEndpoint } from '../support/answerReaders.js';
+import { answerReaders, callEndpoint, callThrough } from '../support/answerReaders.js';
 import { framings, sendScripted, unframed, wholeBody } from '../support/scriptedAnswers.js';
 import { ScriptedEndpoint } from '../support/scriptedEndpoint.js';
 
@@ -56,6 +56,14 @@
   }
 }
 
+/** The outcome of the second of two requests on one connection. */
+async function secondOutcome(address: string): Promise<CallOutcome> {
+  const pool = new ConnectionPool(address, new SystemClock(), new HistogramMetrics());
+  const [, second] = [await callThrough(pool, 'r1'), await callThrough(pool, 'r2')];
+  pool.closeIdle();
+  return second;
+}
+
 After(function close(this: Partial<AnswersWorld>) {
   this.answering?.close();
 });
@@ -103,18 +111,29 @@
       const id = requests === 1 || how === 'with' ? 'r1' : undefined;
       sendScripted(socket, 'a length', 'all bytes', id);
     });
-    const { address } = this.answering;
-    const pool = new ConnectionPool(address, new SystemClock(), new HistogramMetrics());
-    for (const id of ['r1', 'r2']) {
-      const collector = new AnswerCollector();
-      const request = { method: 'GET', path: '/', id, headers: [], body: Buffer.alloc(0) };
-      new EndpointCall(pool, request, Infinity, platformHeaders, collector).start();
-      this.outcome = await collector.outcome;
-    }
-    pool.closeIdle();
+    this.outcome = await secondOutcome(this.answering.address);
+  },
+);
+
+When(
+  'an endpoint refuses the second request on a connection without an id',
+  async function refuse(this: AnswersWorld) {
+    let requests = 0;
+    this.answering = await ScriptedEndpoint.start((socket) => {
+      requests += 1;
+      const refusal = 'HTTP/1.1 503 Full\r\nLaburnumstream-Not-Executed: 1\r\n';
+      if (requests === 1) sendScripted(socket, 'a length', 'all bytes', 'r1');
+      else socket.write(`${refusal}Content-Length: 0\r\n\r\n`);
+    });
+    this.outcome = await secondOutcome(this.answering.address);
   },
 );
 
+Then('that request has a refusal', function refused(this: AnswersWorld) {
+  assert.equal(this.outcome.kind, 'answer', JSON.stringify(this.outcome));
+  if (this.outcome.kind === 'answer') assert.ok(this.outcome.answer.head.wasNotRun);
+});
+
 When(
   /^an endpoint ends an answer with (.+) by (.+) while its reader has paused$/,
   async function pause(this: AnswersWorld, framing: string, ending: string) {
--- a/features/support/answerReaders.ts
+++ b/features/support/answerReaders.ts
@@ -11,13 +11,18 @@
 
 const textOf = (bytes: Uint8Array): string => Buffer.from(bytes).toString();
 
-/** Sends one request to an endpoint as an entry does. */
-export async function callEndpoint(address: string, method = 'GET', id = 'r1') {
-  const pool = new ConnectionPool(address, new SystemClock(), new HistogramMetrics());
+/** Sends one request through an entry's connections to an endpoint. */
+export function callThrough(pool: ConnectionPool, id: string, method = 'GET') {
   const collector = new AnswerCollector();
   const request = { method, path: '/', id, headers: [], body: Buffer.alloc(0) };
   new EndpointCall(pool, request, Infinity, platformHeaders, collector).start();
-  const outcome = await collector.outcome;
+  return collector.outcome;
+}
+
+/** Sends one request to an endpoint as an entry does. */
+export async function callEndpoint(address: string, method = 'GET') {
+  const pool = new ConnectionPool(address, new SystemClock(), new HistogramMetrics());
+  const outcome = await callThrough(pool, 'r1', method);
   pool.closeIdle();
   return outcome;
 }
--- a/features/wholeAnswers.feature
+++ b/features/wholeAnswers.feature
@@ -68,6 +68,10 @@
       | with its id     | crossed |
       | without its id  | crossed |
 
+  Scenario: refusal without an id
+    When an endpoint refuses the second request on a connection without an id
+    Then that request has a refusal
+
   # Guards against a stream that is cut within an event and ends as whole.
   Scenario Outline: stream that is cut
     Given an entry on the platform with engines that <engines>
--- a/packages/forwarding/src/endpointCall.ts
+++ b/packages/forwarding/src/endpointCall.ts
@@ -1,5 +1,6 @@
 import type { IncomingHttpHeaders } from 'node:http';
-import { Aborted } from '@laburnumstream/common';
+import { Aborted, Execution } from '@laburnumstream/common';
+import { judgeAnswer } from '@laburnumstream/decisions';
 import type { Dispatcher } from 'undici';
 import type { ConnectionPool } from './connectionPool.js';
 import type { EndpointConnection } from './endpointConnection.js';
@@ -163,8 +164,8 @@
     if (this.hasEnded) return;
     this.controller = controller;
     const head = this.codec.decodeAnswerHead(headers);
-    if (head.requestId !== undefined && head.requestId !== this.request.id) {
-      this.fail(CallFault.crossed, `The answer is for ${head.requestId}.`);
+    if (!this.isOwn(status, head)) {
+      this.fail(CallFault.crossed, `The answer is for ${head.requestId ?? 'no named request'}.`);
       return;
     }
     this.hasBegun = true;
@@ -172,6 +173,17 @@
     this.observer.began(status, head, textOf(controller.rawHeaders));
   }
 
+  /**
+   * Whether an answer is for this request. One without an id can be a late second answer to an earlier
+   * request, unless this is the connection's first; refusals need not have one.
+   */
+  private isOwn(status: number, head: AnswerHead): boolean {
+    const { requestId } = head;
+    if (requestId !== undefined) return requestId === this.request.id;
+    const { execution } = judgeAnswer({ status, ...head });
+    return !this.connection.isReused || execution === Execution.notRun;
+  }
+
   onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
     // The parser gives an empty chunk when a call resumes.
     if (this.hasEnded || chunk.length === 0) return;
