Take a stream that only its connection ends, within an event, for cut

An endpoint that dies may close its connection in order. A stream without length or chunks then ended as whole, with a part of an event. It now goes on elsewhere if it may be resumed, else it is cut for the caller too.

--- a/packages/forwarding/src/eventRelay.ts
+++ b/packages/forwarding/src/eventRelay.ts
@@ -1,7 +1,7 @@
 import type { Clock } from '@laburnumstream/common';
 import { AnswerUse, EventSplitter, judgeAnswer } from '@laburnumstream/decisions';
 import type { Attempt } from './attempts.js';
-import { CallFault, isSuccess } from './endpointCall.js';
+import { CallFault, Framing, isSuccess } from './endpointCall.js';
 import type { CallObserver } from './endpointCall.js';
 import type { MovableStream } from './endpointHandle.js';
 import type { EventDelivery } from './eventDelivery.js';
@@ -109,6 +109,10 @@
 
   ended(): void {
     this.leave();
+    if (this.isStream && this.isCutWithinEvent) {
+      this.settle({ kind: 'fault', fault: CallFault.truncated, reason: 'ended within an event' });
+      return;
+    }
     if (this.isStream) {
       this.delivery.finish(this.status, this.rawHeaders, this.splitter.partial);
       this.settle({ kind: 'whole' });
@@ -132,6 +136,12 @@
     this.settle({ kind: 'fault', fault: CallFault.aborted, reason: 'ended by its owner' });
   }
 
+  /** A stream that only its connection ended, in the middle of an event, is not whole. */
+  private get isCutWithinEvent(): boolean {
+    const { framing } = this.attempt?.call.evidence ?? {};
+    return framing === Framing.connection && this.splitter.partial.length > 0;
+  }
+
   private leave(): void {
     clearTimeout(this.timer);
     this.attempt?.handle.removeStream(this);
