Refuse streams to callers that know no chunks

An answer to HTTP/1.0 has no chunks, so a stream that was cut ended like a whole one. Streams need HTTP/1.1 now (505); answers that are sent whole have a length and go to any caller. 'caller that knows no chunks' failed before.

--- a/packages/common/src/failures.ts
+++ b/packages/common/src/failures.ts
@@ -79,6 +79,13 @@
   }
 }
 
+/** Streams need a version of HTTP whose answers tell their own end. */
+export class VersionUnsupported extends Failure {
+  constructor() {
+    super('version_unsupported', 'Streams need HTTP/1.1.', { status: 505 });
+  }
+}
+
 /** The input is larger than the limit. */
 export class TooLarge extends Failure {
   constructor(message: string) {
--- a/packages/forwarding/src/eventStreams.ts
+++ b/packages/forwarding/src/eventStreams.ts
@@ -1,13 +1,20 @@
+import { VersionUnsupported } from '@laburnumstream/common';
 import type { AttemptServices } from './attempts.js';
 import type { Exchange } from './exchange.js';
 import { StreamRun } from './streamRun.js';
 
+function knowsChunks({ request }: Exchange): boolean {
+  return request.httpVersionMajor > 1 || request.httpVersionMinor >= 1;
+}
+
 /** Forwards streams of events, and lets those that may be resumed go on at another endpoint. */
 export class EventStreams {
   constructor(private readonly services: AttemptServices) {}
 
   /** Streams until the end; throws a typed failure while the caller has received nothing. */
   async serve(exchange: Exchange): Promise<void> {
+    // Without chunks a caller could not tell a stream that is cut from a whole one.
+    if (!knowsChunks(exchange)) throw new VersionUnsupported();
     const run = new StreamRun(exchange, this.services);
     try {
       await run.run();
