--- a/bench/src/index.ts
+++ b/bench/src/index.ts
@@ -11,6 +11,7 @@
 export * from './mutations/mutation.js';
 export * from './mutations/mutationRun.js';
 export * from './mutations/mutations.js';
+export * from './platformProgram.js';
 export * from './ports.js';
 export * from './weights/holderRun.js';
 export * from './weights/virtualTransfer.js';
--- a/features/support/platformProgram.ts
+++ b/bench/src/platformProgram.ts
@@ -4,9 +4,26 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { fileURLToPath } from 'node:url';
-import { freePorts } from '@laburnumstream/bench';
+import { freePorts } from './ports.js';
 
-const program = fileURLToPath(new URL('../../../platform/dist/entryMain.js', import.meta.url));
+const programs = fileURLToPath(new URL('../../platform/dist/', import.meta.url));
+
+/** The programs that run on the users' platform, by the files that start them. */
+export const PlatformMain = { entry: 'entryMain.js', agent: 'agentMain.js' } as const;
+
+/** One of the values of {@link PlatformMain}. */
+export type PlatformMain = (typeof PlatformMain)[keyof typeof PlatformMain];
+
+/** Where and what a program runs. */
+export interface ProgramChoices {
+  readonly main: PlatformMain;
+  /** Directory of the built programs; its own modules by default, else one with bundles. */
+  readonly directory?: string;
+  /** File descriptor that takes the log; none by default. */
+  readonly log?: number;
+  /** Port of the metrics; a free one by default. */
+  readonly metricsPort?: number;
+}
 
 /** Lines of the platform's settings file. */
 export type SettingsLines = Record<string, string>;
@@ -44,7 +61,7 @@
   };
 }
 
-/** The entry program of the platform as a process of its own. */
+/** A program of the platform as a process of its own; ended by its own process id only. */
 export class PlatformProgram {
   readonly file = join(mkdtempSync(join(tmpdir(), 'laburnumstream-')), 'settings.conf');
 
@@ -56,24 +73,40 @@
 
   private code: Promise<number | null> = Promise.resolve(null);
 
+  constructor(private readonly choices: ProgramChoices = { main: PlatformMain.entry }) {}
+
+  get pid(): number {
+    return this.child?.pid ?? 0;
+  }
+
+  get isRunning(): boolean {
+    const { child } = this;
+    return child?.pid !== undefined && child.exitCode === null && child.signalCode === null;
+  }
+
   write(lines: SettingsLines): void {
     const text = Object.entries(lines).map(([name, value]) => `${name}=${value}`);
     writeFileSync(this.file, `${text.join('\n')}\n`);
   }
 
   async start(): Promise<void> {
-    const [port] = await freePorts(1);
-    this.metricsPort = port!;
-    const child = spawn(process.execPath, [program, '--metrics-port', String(port)], {
+    const { main, directory = programs, log = 'ignore' } = this.choices;
+    this.metricsPort = this.choices.metricsPort ?? (await freePorts(1))[0]!;
+    const args = [join(directory, main), '--metrics-port', String(this.metricsPort)];
+    const child = spawn(process.execPath, args, {
       env: { PATH: process.env.PATH, LABURNUMSTREAM_CONFIG: this.file },
-      stdio: ['ignore', 'ignore', 'pipe'],
+      stdio: ['ignore', log, 'pipe'],
     });
-    child.stderr.on('data', (bytes: Buffer) => {
+    child.stderr?.on('data', (bytes: Buffer) => {
       this.errors += bytes.toString();
     });
     this.child = child;
     this.code = new Promise((resolve) => {
       child.once('exit', (code) => resolve(code));
+      child.once('error', (error) => {
+        this.errors += error.message;
+        resolve(null);
+      });
     });
   }
 
--- a/features/steps/platformPath.steps.ts
+++ b/features/steps/platformPath.steps.ts
@@ -4,8 +4,8 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { After, Given, Then, When } from '@cucumber/cucumber';
 import type { ForwardingEntry } from '@laburnumstream/forwarding';
+import { Behaviours } from '@laburnumstream/standins';
 import { eventually } from '../support/assertions.js';
-import { Behaviours } from '../support/platformEngine.js';
 import { PlatformFleet, configurationOf, platformHost } from '../support/platformFleet.js';
 
 /** What a caller got. */
--- a/features/steps/platformPrograms.steps.ts
+++ b/features/steps/platformPrograms.steps.ts
@@ -1,17 +1,17 @@
 import assert from 'node:assert/strict';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { After, Given, Then, When } from '@cucumber/cucumber';
+import { PlatformProgram, entrySettings } from '@laburnumstream/bench';
+import type { SettingsLines } from '@laburnumstream/bench';
 import { SleepAwareClock } from '@laburnumstream/common';
 import { ConfigurationProof } from '@laburnumstream/decisions';
 import { FleetFeed, FleetState } from '@laburnumstream/forwarding';
 import { FleetDatagrams } from '@laburnumstream/links';
 import { StoreClient, fleetKeys } from '@laburnumstream/platform';
 import { HistogramMetrics, SystemClock } from '@laburnumstream/runtime';
+import { PlatformStore } from '@laburnumstream/standins';
 import { eventually } from '../support/assertions.js';
 import { PlatformFleet, configurationOf } from '../support/platformFleet.js';
-import { PlatformProgram, entrySettings } from '../support/platformProgram.js';
-import type { SettingsLines } from '../support/platformProgram.js';
-import { PlatformStore } from '../support/platformStore.js';
 
 interface ProgramsWorld {
   programStore: PlatformStore;
--- a/features/support/platformFleet.ts
+++ b/features/support/platformFleet.ts
@@ -4,10 +4,9 @@
 import { ForwardingEntry } from '@laburnumstream/forwarding';
 import { StoreClient, fleetKeys, platformHeaders } from '@laburnumstream/platform';
 import { HistogramMetrics, SystemClock } from '@laburnumstream/runtime';
+import { PlatformEngine, PlatformStore } from '@laburnumstream/standins';
+import type { Behaviour } from '@laburnumstream/standins';
 import { platformBounds } from './platformBounds.js';
-import { PlatformEngine } from './platformEngine.js';
-import type { Behaviour } from './platformEngine.js';
-import { PlatformStore } from './platformStore.js';
 
 /** A line of the entry's log. */
 export interface LoggedLine {
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -5,6 +5,8 @@
 export * from './keyValueStandIn.js';
 export * from './originStandIn.js';
 export * from './plainStandIn.js';
+export * from './platformEngine.js';
+export * from './platformStore.js';
 export * from './relay.js';
 export * from './tokenBucket.js';
 export * from './memoryKeyValueStore.js';
--- a/features/support/platformEngine.ts
+++ b/packages/standins/src/platformEngine.ts
@@ -13,7 +13,10 @@
 const eventGapMs = 15;
 
 /** Heads an answer as an engine of the platform does. */
-export function head(request: IncomingMessage, engine: PlatformEngine): Record<string, string> {
+export function head(
+  request: IncomingMessage,
+  engine: Pick<PlatformEngine, 'id'>,
+): Record<string, string> {
   return {
     'laburnumstream-request-id': String(request.headers['laburnumstream-request-id']),
     'laburnumstream-server-seal': `seal.${engine.id}`,
@@ -89,7 +92,12 @@
     private readonly server: Server,
   ) {}
 
-  static async start(id: string, behaviour: Behaviour): Promise<PlatformEngine> {
+  static async start(
+    id: string,
+    behaviour: Behaviour,
+    host = '127.0.0.1',
+    port = 0,
+  ): Promise<PlatformEngine> {
     const server = createServer();
     const engine = new PlatformEngine(id, server);
     server.on('request', (request: IncomingMessage, response: ServerResponse) => {
@@ -103,15 +111,22 @@
       });
       void behaviour(request, response, engine);
     });
-    await new Promise<void>((resolve) => {
-      server.listen(0, '127.0.0.1', () => resolve());
+    await new Promise<void>((resolve, reject) => {
+      server.once('error', reject);
+      server.listen(port, host, () => resolve());
     });
     return engine;
   }
 
   /** IP:PORT */
   get address(): string {
-    return `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
+    const { address, port } = this.server.address() as AddressInfo;
+    return `${address}:${port}`;
+  }
+
+  /** Breaks every connection, as a crash does. */
+  closeConnections(): void {
+    this.server.closeAllConnections();
   }
 
   close(): void {
--- a/features/support/platformStore.ts
+++ b/packages/standins/src/platformStore.ts
@@ -1,6 +1,8 @@
+import { EventEmitter } from 'node:events';
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
+import { setTimeout as sleep } from 'node:timers/promises';
 
 /** A key with its value and when it was last changed. */
 interface Item {
@@ -25,8 +27,6 @@
 
 type Handler = (query: URLSearchParams, body: string, response: ServerResponse) => void;
 
-const lookMs = 5;
-
 async function bodyOf(request: IncomingMessage): Promise<string> {
   const parts: Buffer[] = [];
   for await (const part of request as AsyncIterable<Buffer>) parts.push(part);
@@ -38,6 +38,14 @@
   response.end(JSON.stringify(body));
 }
 
+/** Breaks the connection when the answer is sent. */
+function loseAnswer(response: ServerResponse): void {
+  response.writeHead = (): ServerResponse => {
+    response.destroy();
+    return response;
+  };
+}
+
 /** The users' platform store, as far as tests need it. */
 export class PlatformStore {
   /** Whether calls get no answer. */
@@ -46,6 +54,14 @@
   /** Status that all calls get; undefined for right answers. */
   refusal: number | undefined;
 
+  /** Delay before each call is carried out, in milliseconds. */
+  delayMs = 0;
+
+  /** Whether an answer is lost although the call took effect. */
+  losesAnswer: () => boolean = () => false;
+
+  private readonly changed = new EventEmitter().setMaxListeners(0);
+
   private readonly items = new Map<string, Item>();
 
   private readonly events: Event[] = [];
@@ -112,6 +128,12 @@
     this.revision += 1;
     this.items.delete(key);
     this.events.push({ Key: key, Revision: this.revision, Removed: true });
+    this.changed.emit('change');
+  }
+
+  /** Revision of the last change. */
+  get lastRevision(): number {
+    return this.revision;
   }
 
   /** Drops the history. */
@@ -129,6 +151,7 @@
     const item = { Key: key, Value: value, Revision: this.revision, Lease: lease };
     this.items.set(key, item);
     this.events.push(item);
+    this.changed.emit('change');
   }
 
   private async answer(request: IncomingMessage, response: ServerResponse): Promise<void> {
@@ -138,6 +161,8 @@
       send(response, this.refusal, {});
       return;
     }
+    if (this.delayMs > 0) await sleep(this.delayMs);
+    if (this.losesAnswer()) loseAnswer(response);
     const url = new URL(request.url ?? '/', 'http://store');
     const handler = this.handlers[url.pathname];
     if (handler) handler(url.searchParams, body, response);
@@ -147,20 +172,29 @@
   private watch(query: URLSearchParams, response: ServerResponse): void {
     const prefix = query.get('PathPrefix') ?? '';
     const after = Number(query.get('After'));
-    const until = Date.now() + Number(query.get('WaitMs'));
     if (after < this.oldest) {
       send(response, 410, {});
       return;
     }
+    const eventsNow = (): Event[] =>
+      this.events.filter(({ Key, Revision }) => Key.startsWith(prefix) && Revision > after);
+    const waiting = new AbortController();
+    const answer = (): void => {
+      waiting.abort();
+      if (!this.isSilent && !response.destroyed) {
+        send(response, 200, { events: eventsNow(), AsOf: this.revision });
+      }
+    };
     const look = (): void => {
-      const events = this.events.filter(
-        ({ Key, Revision }) => Key.startsWith(prefix) && Revision > after,
-      );
-      if (this.isSilent || response.destroyed) return;
-      if (events.length > 0 || Date.now() >= until) {
-        send(response, 200, { events, AsOf: this.revision });
-      } else setTimeout(look, lookMs);
+      if (eventsNow().length > 0) answer();
     };
+    const timer = setTimeout(answer, Number(query.get('WaitMs')));
+    waiting.signal.addEventListener('abort', () => {
+      clearTimeout(timer);
+      this.changed.off('change', look);
+    });
+    response.once('close', () => waiting.abort());
+    this.changed.on('change', look);
     look();
   }
 }
--- a/packages/standins/src/relay.ts
+++ b/packages/standins/src/relay.ts
@@ -11,6 +11,14 @@
   silentOld: 'silentOld',
   /** Accepts connections but passes nothing. */
   silent: 'silent',
+  /** Does not listen, and ends present connections. */
+  refused: 'refused',
+  /** Passes what callers send, and loses what comes back. */
+  answersLost: 'answersLost',
+  /** Loses what callers send, and passes what comes back. */
+  requestsLost: 'requestsLost',
+  /** Passes the first half of each part of an answer and resets the connection at once. */
+  cutShort: 'cutShort',
 } as const;
 
 /** One of the values of {@link RelayMode}. */
@@ -22,6 +30,11 @@
   muted: boolean;
 }
 
+/** Modes that end present connections. */
+const endingModes: readonly RelayMode[] = [RelayMode.cut, RelayMode.refused];
+/** Modes that silence present connections for good. */
+const mutingModes: readonly RelayMode[] = [RelayMode.silent, RelayMode.silentOld];
+
 /** A relay in front of one address that cuts or silences its connections. */
 export class Relay {
   private readonly pairs = new Set<Pair>();
@@ -34,18 +47,21 @@
 
   constructor(
     private readonly targetPort: number,
-    private readonly delayMs = 0,
+    /** Delay of all bytes, in milliseconds. */
+    public delayMs = 0,
+    private readonly host = '127.0.0.1',
   ) {
     this.server = createServer((near) => this.accept(near));
   }
 
   get address(): string {
-    return `127.0.0.1:${this.port}`;
+    return `${this.host}:${this.port}`;
   }
 
   async start(port = 0): Promise<this> {
-    await new Promise<void>((resolve) => {
-      this.server.listen(port, '127.0.0.1', resolve);
+    await new Promise<void>((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(port, this.host, resolve);
     });
     const address = this.server.address();
     this.port = typeof address === 'object' && address ? address.port : port;
@@ -55,10 +71,19 @@
   /** Changes the treatment of present and new connections. */
   set(mode: RelayMode): void {
     this.mode = mode;
-    if (mode === RelayMode.cut) this.pairs.forEach((pair) => this.end(pair));
+    if (endingModes.includes(mode)) this.pairs.forEach((pair) => this.end(pair));
     this.pairs.forEach((pair) => {
-      const muted = mode === RelayMode.silent || mode === RelayMode.silentOld;
-      Object.assign(pair, { muted: pair.muted || muted });
+      Object.assign(pair, { muted: pair.muted || mutingModes.includes(mode) });
+    });
+    if (mode === RelayMode.refused) this.server.close();
+    else if (!this.server.listening && this.port > 0) this.server.listen(this.port, this.host);
+  }
+
+  /** Resets present connections. */
+  reset(): void {
+    this.pairs.forEach((pair) => {
+      pair.near.resetAndDestroy();
+      this.end(pair);
     });
   }
 
@@ -83,17 +108,32 @@
 
   private pass(pair: Pair, from: Socket, to: Socket): void {
     from.setNoDelay(true);
+    const lost = from === pair.near ? RelayMode.requestsLost : RelayMode.answersLost;
     from.on('data', (bytes) => {
       if (pair.muted) return;
-      if (this.delayMs > 0) setTimeout(() => to.write(bytes), this.delayMs);
+      // A connection that has lost bytes passes nothing more in that direction.
+      if (this.mode === lost) from.removeAllListeners('data').resume();
+      else if (this.mode === RelayMode.cutShort && from === pair.far) this.cutShort(pair, bytes);
+      else if (this.delayMs > 0) setTimeout(() => to.write(bytes), this.delayMs);
       else to.write(bytes);
     });
     from.on('close', () => {
-      if (!pair.muted) this.end(pair);
+      if (pair.muted) return;
+      // What was delayed still arrives before the end.
+      setTimeout(() => {
+        to.destroySoon();
+        this.pairs.delete(pair);
+      }, this.delayMs);
     });
     from.on('error', () => undefined);
   }
 
+  private cutShort(pair: Pair, bytes: Buffer): void {
+    pair.near.write(bytes.subarray(0, Math.ceil(bytes.length / 2)));
+    pair.near.resetAndDestroy();
+    this.end(pair);
+  }
+
   private end(pair: Pair): void {
     this.pairs.delete(pair);
     pair.near.destroy();
