--- a/bench/src/mutations/mutation.ts
+++ b/bench/src/mutations/mutation.ts
@@ -1,4 +1,4 @@
-/** A mechanism that is switched off in the built code, and the scenario that must then fail. */
+/** A mechanism that is switched off in the built code, and what must then fail. */
 export interface Mutation {
   readonly name: string;
   /** Built file, from the root of the repository. */
@@ -6,6 +6,8 @@
   /** Text that stands exactly once in the built file. */
   readonly find: string;
   readonly replace: string;
-  /** Feature and scenario name. */
+  /** Feature and scenario name; the fault soak's own scenario when `soak` is given. */
   readonly test: string;
+  /** Arguments of the fault soak that notices, in place of the scenario. */
+  readonly soak?: readonly string[];
 }
--- a/bench/src/mutations/mutationRun.ts
+++ b/bench/src/mutations/mutationRun.ts
@@ -6,6 +6,8 @@
 
 const separator = ': ';
 const scenarioLimitMs = 180_000;
+/** Exit code of a soak that found a broken promise. */
+const soakBroken = 1;
 
 /** How often a text stands in another. */
 function occurrences(text: string, part: string): number {
@@ -17,6 +19,13 @@
   return occurrences(readFileSync(join(root, file), 'utf8'), find) === 1;
 }
 
+/** Runs the fault soak; true when it finds no broken promise. */
+function soakPasses(root: string, soak: readonly string[]): boolean {
+  const args = ['bench/dist/soak.js', ...soak];
+  const { status } = spawnSync(process.execPath, args, { cwd: root, timeout: scenarioLimitMs });
+  return status !== soakBroken;
+}
+
 /** Runs the scenario of a mutation; true when it passes. */
 function scenarioPasses(root: string, test: string): boolean {
   const scenario = test.slice(test.indexOf(separator) + separator.length);
@@ -26,6 +35,11 @@
   return status === 0;
 }
 
+/** Runs what notices a mutation; true when it passes. */
+function passes(root: string, { test, soak }: Mutation): boolean {
+  return soak ? soakPasses(root, soak) : scenarioPasses(root, test);
+}
+
 /**
  * Switches a mechanism off in the built code, runs its scenario and restores the file. Returns
  * whether the scenario noticed, that is, failed.
@@ -41,7 +55,7 @@
       path,
       built.replace(mutation.find, () => mutation.replace),
     );
-    return !scenarioPasses(root, mutation.test);
+    return !passes(root, mutation);
   } finally {
     writeFileSync(path, built);
   }
--- a/bench/src/mutations/mutations.ts
+++ b/bench/src/mutations/mutations.ts
@@ -1,4 +1,5 @@
 import type { Mutation } from './mutation.js';
+import { soakMutations } from './soakMutations.js';
 
 /** The mechanisms that tests are shown to need. */
 export const mutations: readonly Mutation[] = [
@@ -93,4 +94,5 @@
     replace: 'return true;',
     test: 'Calls between own processes: wrong secret',
   },
+  ...soakMutations,
 ];
--- /dev/null
+++ b/bench/src/mutations/soakMutations.ts
@@ -0,0 +1,92 @@
+import type { Mutation } from './mutation.js';
+
+const test = 'Fault soak: all kinds of faults';
+const length = ['--minutes', '0.4', '--processes', '5'];
+
+function soak(faults: string): readonly string[] {
+  return [...length, '--faults', faults];
+}
+
+/** The mechanisms that the fault soak is shown to watch over. */
+export const soakMutations: readonly Mutation[] = [
+  {
+    name: 'end of an answer without length',
+    file: 'packages/forwarding/dist/endpointConnection.js',
+    find: '(await this.tookProbe) === true',
+    replace: 'true',
+    test,
+    soak: soak('answersCutShort'),
+  },
+  {
+    name: 'answers that belong to other requests',
+    file: 'packages/forwarding/dist/endpointCall.js',
+    find: 'head.requestId !== undefined && head.requestId !== this.request.id',
+    replace: 'false',
+    test,
+    soak: soak('engineMisbehaves'),
+  },
+  {
+    name: 'no repeat of what may have run',
+    file: 'packages/decisions/dist/forwarding/attemptResult.js',
+    find: 'return isRepeatable || execution === Execution.notRun;',
+    replace: 'return true;',
+    test,
+    soak: soak('engineMisbehaves'),
+  },
+  {
+    name: 'unknown outcome of a broken connection',
+    file: 'packages/forwarding/dist/wholeAnswers.js',
+    find: 'fault === CallFault.connection ? Execution.notRun : Execution.unknown',
+    replace: 'Execution.notRun',
+    test,
+    soak: soak('engineMisbehaves'),
+  },
+  {
+    name: 'age of the proof of keys',
+    file: 'packages/forwarding/dist/callerServer.js',
+    find: 'if (!this.checks.mayHonour())',
+    replace: 'if (false)',
+    test,
+    soak: soak('keysChangeUnheard'),
+  },
+  {
+    name: 'draining endpoints',
+    file: 'packages/forwarding/dist/endpointDirectory.js',
+    find: '!endpoint.isDraining &&',
+    replace: '',
+    test,
+    soak: soak('engineLeaves'),
+  },
+  {
+    name: 'digest of a piece',
+    file: 'packages/sidecar/dist/versionFetch.js',
+    find: 'if (digestOf(bytes) !== this.held.manifest.digests[piece])',
+    replace: 'if (false)',
+    test,
+    soak: soak('originCorrupts'),
+  },
+  {
+    name: 'broken streams',
+    file: 'packages/forwarding/dist/eventRelay.js',
+    find: "this.settle({ kind: 'fault', fault, reason });",
+    replace: 'this.ended();',
+    test,
+    soak: soak('engineMisbehaves'),
+  },
+  {
+    name: 'wait for running requests of an entry that stops',
+    file: 'packages/forwarding/dist/forwardingEntry.js',
+    find: 'while (this.callers.active > 0 && clock.now() < endAt)',
+    replace: 'while (false)',
+    test,
+    soak: soak('stopEntry'),
+  },
+  {
+    name: 'shared budget of repeats',
+    file: 'packages/decisions/dist/forwarding/sharedRetryBudget.js',
+    find: 'return repeats.total(now) + 1 <= earned * share;',
+    replace: 'return true;',
+    test,
+    soak: soak('engineMisbehaves,engineSilent,answersLost'),
+  },
+];
--- a/bench/src/soak/behaviours.ts
+++ b/bench/src/soak/behaviours.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { head } from '@laburnumstream/standins';
 import { eventText, eventsOf, plainAnswer } from './answers.js';
@@ -6,8 +7,6 @@
 
 const eventGapMs = 15;
 const workMs = 12;
-/** Delay of an answer that is sent once more, in milliseconds. */
-const secondAnswerMs = 40;
 
 /** The engine on which a request runs. */
 export interface RunningEngine {
@@ -84,15 +83,22 @@
   run.response.destroy();
 }
 
+/** Answers that are sent once more when the next request comes on their connections. */
+const lateAnswers = new WeakMap<Socket, string>();
+
+/** Sends the answer that comes late on a connection, if there is one. */
+export function sendLateAnswer(socket: Socket): void {
+  const late = lateAnswers.get(socket);
+  lateAnswers.delete(socket);
+  if (late !== undefined && !socket.destroyed) socket.write(late);
+}
+
 async function answersTwice(run: Run): Promise<void> {
-  const { socket } = run.request;
-  await answers(run);
   const body = plainAnswer(run.id);
   const seal = `Laburnumstream-Request-Id: ${run.id}\r\nLaburnumstream-Server-Seal: twice`;
-  await sleep(secondAnswerMs);
-  if (!socket.destroyed && framingOf(run.id) !== Framing.close) {
-    socket.write(`HTTP/1.1 200 OK\r\n${seal}\r\nContent-Length: ${body.length}\r\n\r\n${body}`);
-  }
+  const text = `HTTP/1.1 200 OK\r\n${seal}\r\nContent-Length: ${body.length}`;
+  lateAnswers.set(run.request.socket, `${text}\r\n\r\n${body}`);
+  await answers(run);
 }
 
 async function addsBytes(run: Run): Promise<void> {
--- a/bench/src/soak/caller.ts
+++ b/bench/src/soak/caller.ts
@@ -4,10 +4,10 @@
 import type { Histogram } from 'hdr-histogram-js';
 import type { Random } from '@laburnumstream/common';
 import { plainFault, streamFault } from './answers.js';
-import { RequestEnd, SoakRule } from './history.js';
+import { RequestEnd, SoakRule, harmOf } from './history.js';
 import type { SentRequest, SoakHistory } from './history.js';
 import { pause } from './pause.js';
-import { soakHost, soakRoutes } from './shape.js';
+import { SoakBounds, soakHost, soakRoutes } from './shape.js';
 import type { SoakRoute } from './shape.js';
 
 const longestGapMs = 60;
@@ -77,6 +77,7 @@
     history.sent(request);
     const end = await this.exchange(request, leaves ? random.next() * longestStayMs : undefined);
     history.ended(id, end);
+    if (end === RequestEnd.cut) this.checkLost(request);
     if (end === RequestEnd.served) {
       this.times.recordValue(Math.max(1, Math.round(history.now() - request.sentAt)));
     }
@@ -159,6 +160,15 @@
     return complete ? RequestEnd.served : RequestEnd.cut;
   }
 
+  /** Answers that come whole or not at all are not cut by an entry that stops in order. */
+  private checkLost(request: SentRequest): void {
+    const { history } = this.context;
+    const { id, route, entry } = request;
+    if (route.kind === 'stream' || !history.hasArrived(id)) return;
+    if (!history.isQuiet([harmOf(entry)], SoakBounds.contactMs)) return;
+    history.violate(SoakRule.lost, `${route.name} ${id} was cut by ${entry}`);
+  }
+
   /** Entries that work give each request an end in its time. */
   private checkAnswered({ id, entry, route }: SentRequest, limitMs: number): void {
     const { history } = this.context;
--- a/bench/src/soak/engine.ts
+++ b/bench/src/soak/engine.ts
@@ -1,7 +1,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Random } from '@laburnumstream/common';
 import { PlatformEngine } from '@laburnumstream/standins';
-import { misbehaviours, rightBehaviours } from './behaviours.js';
+import { misbehaviours, rightBehaviours, sendLateAnswer } from './behaviours.js';
 import type { Run, RunBehaviour, RunningEngine } from './behaviours.js';
 import { checkReceived } from './checks.js';
 import { SoakRule } from './history.js';
@@ -165,6 +165,7 @@
     response: ServerResponse,
     path: string,
   ): Promise<void> {
+    sendLateAnswer(request.socket);
     const id = textOf(request, 'request-id') ?? '';
     const { history } = this.context;
     const sent = history.reached(id, this.service);
--- a/bench/src/soak/history.ts
+++ b/bench/src/soak/history.ts
@@ -23,6 +23,8 @@
   asked: 'asked',
   /** A request reached an endpoint that had left. */
   drain: 'drain',
+  /** A process that was not harmed cut a request that it had passed on, without an answer. */
+  lost: 'lost',
   /** A request had no end long after its time. */
   answered: 'answered',
   /** A program ended by itself, or not when it was asked to. */
@@ -80,6 +82,11 @@
   readonly isRepeat: boolean;
 }
 
+/** Name of the faults that hit a process without notice, besides those of its links. */
+export function harmOf(process: string): string {
+  return `${process} without notice`;
+}
+
 /** Faults that work on a process, a link or the store. */
 interface Disturbance {
   active: number;
@@ -160,6 +167,11 @@
     return this.requests.get(id);
   }
 
+  /** Whether a request has reached an endpoint. */
+  hasArrived(id: string): boolean {
+    return this.arrived.has(id);
+  }
+
   /** An endpoint has begun to run a request. */
   ran(id: string): void {
     this.runs.set(id, (this.runs.get(id) ?? 0) + 1);
--- a/bench/src/soak/process.ts
+++ b/bench/src/soak/process.ts
@@ -10,7 +10,8 @@
 
 /** Time beyond the bound in which a program that was asked to stop has to end, in milliseconds. */
 const stopSlackMs = 4_000;
-/** Time in which a new process shows that it cannot start, in milliseconds. */
+/** Time in which a new process has to say that it has started, in milliseconds. */
+const startMs = 20_000;
 const startLookMs = 50;
 
 /** How a soak runs its programs. */
@@ -71,13 +72,16 @@
     void this.watch(this.starts);
   }
 
-  /** Throws when the process cannot be started. */
+  /** Starts the process and waits until it has said so; throws when it cannot be started. */
   async startFirst(): Promise<void> {
     await this.start();
-    await sleep(startLookMs);
-    if (!this.isRunning) {
-      const reason = this.program.errors.trim().split('\n').at(-1) ?? '';
-      throw new Failure('process_not_started', `${this.name} can't be started: ${reason}`);
+    const lateAt = this.history.now() + startMs;
+    while (this.logged === this.loggedBefore) {
+      if (!this.isRunning || this.history.now() > lateAt) {
+        const said = /^\w*Error.*$/m.exec(this.program.errors)?.[0] ?? this.program.errors.trim();
+        throw new Failure('process_not_started', `${this.name} can't be started: ${said}`);
+      }
+      await sleep(startLookMs);
     }
   }
 
--- a/bench/src/soak/soakRun.ts
+++ b/bench/src/soak/soakRun.ts
@@ -3,7 +3,8 @@
 import { build } from 'hdr-histogram-js';
 import { SoakCaller } from './caller.js';
 import { checkHistory } from './checks.js';
-import { reviveEngines, soakFaults } from './faults.js';
+import { soakFaults } from './faults.js';
+import { reviveEngines } from './faults/engineFaults.js';
 import { SoakFleet } from './fleet.js';
 import { RequestEnd, SoakHistory, SoakRule } from './history.js';
 import type { Violation } from './history.js';
@@ -42,6 +43,9 @@
 const stormShare = 0.6;
 const shortestFaultMs = 200;
 const longestFaultMs = 4_000;
+/** Some faults last long enough that what is known runs out. */
+const longFaultShare = 0.15;
+const longestLongFaultMs = 9_000;
 const shortestGapMs = 150;
 const longestGapMs = 1_200;
 /** Time in which everything works again after the last fault, in milliseconds. */
@@ -130,7 +134,10 @@
 
   private cause(fleet: SoakFleet, signal: AbortSignal): Promise<void> {
     const kind = this.kinds[Math.floor(this.random.next() * this.kinds.length)]!;
-    const lastsMs = this.between(shortestFaultMs, longestFaultMs);
+    const lastsMs =
+      this.random.next() < longFaultShare
+        ? this.between(longestFaultMs, longestLongFaultMs)
+        : this.between(shortestFaultMs, longestFaultMs);
     this.faults[kind] = (this.faults[kind] ?? 0) + 1;
     this.history.note(`${kind} for ${Math.round(lastsMs)} ms`);
     return soakFaults[kind]!({ fleet, random: this.random, lastsMs, signal });
--- /dev/null
+++ b/features/steps/soak.steps.ts
@@ -0,0 +1,78 @@
+import assert from 'node:assert/strict';
+import { execFile } from 'node:child_process';
+import { readFileSync, readdirSync } from 'node:fs';
+import { fileURLToPath } from 'node:url';
+import { Then, When } from '@cucumber/cucumber';
+import { readChoices, SoakRun } from '@laburnumstream/bench';
+import type { SoakReport } from '@laburnumstream/bench';
+
+interface SoakWorld {
+  soakReport: SoakReport;
+  soakCode: number;
+  soakErrors: string;
+}
+
+const soakLimitMs = 150_000;
+const program = fileURLToPath(new URL('../../../bench/dist/soak.js', import.meta.url));
+
+/** Programs of a soak that run now and were started by this process or by one that has ended. */
+function programsLeft(): string[] {
+  return readdirSync('/proc')
+    .filter((name) => /^\d+$/.test(name))
+    .filter((id) => {
+      try {
+        const status = readFileSync(`/proc/${id}/status`, 'utf8');
+        const parent = Number(/^PPid:\s*(\d+)$/m.exec(status)?.[1]);
+        const command = readFileSync(`/proc/${id}/cmdline`, 'utf8');
+        return parent === process.pid && /(entry|agent)Main\.js/.test(command);
+      } catch {
+        // It has ended meanwhile.
+        return false;
+      }
+    });
+}
+
+When(
+  /^the fault soak runs for (\S+) minutes with seed (\d+) and (\d+) processes$/,
+  { timeout: soakLimitMs },
+  async function run(this: SoakWorld, minutes: string, seed: number, processes: number) {
+    const args = ['--minutes', minutes, '--seed', `${seed}`, '--processes', `${processes}`];
+    this.soakReport = await new SoakRun(readChoices(args)).run(new AbortController().signal);
+  },
+);
+
+Then(
+  'it has served requests on every route and kept all promises',
+  function check(this: SoakWorld) {
+    const { violations, counts, logs } = this.soakReport;
+    assert.deepEqual(violations, [], `logs: ${logs}`);
+    ['safe', 'unsafe', 'stream', 'single'].forEach((route) => {
+      assert.ok((counts[`${route} served`] ?? 0) > 0, `${route}: ${JSON.stringify(counts)}`);
+    });
+  },
+);
+
+When(/^the fault soak is started with (.+)$/, async function start(this: SoakWorld, line: string) {
+  const args = [program, ...line.split(' ')];
+  await new Promise<void>((resolve) => {
+    execFile(process.execPath, args, (failure, _out, errors) => {
+      const code = failure && typeof failure.code === 'number' ? failure.code : 0;
+      Object.assign(this, { soakCode: code, soakErrors: errors });
+      resolve();
+    });
+  });
+});
+
+Then(
+  /^the soak ends with exit code 2 and one line that names (\S+)$/,
+  function named(this: SoakWorld, name: string) {
+    assert.equal(this.soakCode, 2, this.soakErrors);
+    const lines = this.soakErrors.trim().split('\n');
+    assert.equal(lines.length, 1, this.soakErrors);
+    assert.ok(lines[0]!.includes(name), lines[0]);
+  },
+);
+
+Then('it has left no process behind', () => {
+  assert.deepEqual(programsLeft(), []);
+});
