--- /dev/null
+++ b/features/steps/timeouts.steps.ts
@@ -0,0 +1,107 @@
+import assert from 'node:assert/strict';
+import { createServer } from 'node:net';
+import type { AddressInfo, Server, Socket } from 'node:net';
+import { setTimeout as sleep } from 'node:timers/promises';
+import { setFlagsFromString } from 'node:v8';
+import { runInNewContext } from 'node:vm';
+import { After, Given, Then } from '@cucumber/cucumber';
+import { timeLimit } from '@laburnumstream/common';
+import { EngineClient, StoreClient } from '@laburnumstream/platform';
+import { HistogramMetrics, SystemClock } from '@laburnumstream/runtime';
+import { EngineWatch } from '@laburnumstream/sidecar';
+
+interface TimeoutsWorld {
+  silent: Server;
+  silentSockets: Set<Socket>;
+}
+
+const signals = 50;
+const limitMs = 200;
+const collectGapMs = 20;
+
+setFlagsFromString('--expose-gc');
+const collect = runInNewContext('gc') as () => void;
+
+/** Whether work ends within a time in which memory is collected all along. */
+async function ends(work: Promise<unknown>, withinMs: number): Promise<boolean> {
+  let hasEnded = false;
+  const end = (): void => {
+    hasEnded = true;
+  };
+  work.then(end, end);
+  const until = performance.now() + withinMs;
+  while (!hasEnded && performance.now() < until) {
+    await sleep(collectGapMs);
+    collect();
+  }
+  return hasEnded;
+}
+
+function addressOf(server: Server): string {
+  return `127.0.0.1:${(server.address() as AddressInfo).port}`;
+}
+
+function firing(signal: AbortSignal): Promise<void> {
+  return new Promise((resolve) => {
+    signal.addEventListener('abort', () => resolve());
+  });
+}
+
+Given(
+  'a server that takes connections and never answers',
+  async function start(this: TimeoutsWorld) {
+    this.silentSockets = new Set();
+    this.silent = createServer((socket) => {
+      socket.on('error', () => undefined);
+      this.silentSockets.add(socket);
+    });
+    await new Promise<void>((resolve) => {
+      this.silent.listen(0, '127.0.0.1', () => resolve());
+    });
+  },
+);
+
+After(function close(this: Partial<TimeoutsWorld>) {
+  this.silentSockets?.forEach((socket) => socket.destroy());
+  this.silent?.close();
+});
+
+Then(
+  '50 signals with a timeout of 200 ms and an owner fire although memory is collected',
+  async () => {
+    const owner = new AbortController();
+    const all = Array.from({ length: signals }, () => firing(timeLimit(limitMs, owner.signal)));
+    assert.ok(await ends(Promise.all(all), 2_000), 'not all signals fired');
+  },
+);
+
+Then(
+  'a call to it as an engine fails within 4 seconds although memory is collected',
+  async function call(this: TimeoutsWorld) {
+    const owner = new AbortController();
+    const client = new EngineClient(addressOf(this.silent));
+    assert.ok(await ends(client.state(owner.signal), 4_000), 'the call is still waiting');
+  },
+);
+
+Then(
+  'the watch of it as an engine ends a question within 2 seconds although memory is collected',
+  async function watch(this: TimeoutsWorld) {
+    const quiet = () => undefined;
+    const log = { debug: quiet, info: quiet, warn: quiet, error: quiet };
+    const engine = new EngineClient(addressOf(this.silent));
+    const metrics = new HistogramMetrics();
+    const watching = new EngineWatch(engine, new SystemClock(), metrics, log, quiet);
+    const owner = new AbortController();
+    assert.ok(await ends(watching.ask(owner.signal), 2_000), 'the question is still waiting');
+  },
+);
+
+Then(
+  'a call to it as the store fails within 3 seconds although memory is collected',
+  async function call(this: TimeoutsWorld) {
+    const owner = new AbortController();
+    const client = new StoreClient(addressOf(this.silent));
+    assert.ok(await ends(client.snapshot('', owner.signal), 3_000), 'the call is still waiting');
+  },
+);
--- /dev/null
+++ b/features/timeouts.feature
@@ -0,0 +1,16 @@
+Feature: Timeouts
+
+  Scenario: timeout beside an owner's signal
+    Then 50 signals with a timeout of 200 ms and an owner fire although memory is collected
+
+  Scenario: call to an engine that is silent
+    Given a server that takes connections and never answers
+    Then a call to it as an engine fails within 4 seconds although memory is collected
+
+  Scenario: watch of an engine that is silent
+    Given a server that takes connections and never answers
+    Then the watch of it as an engine ends a question within 2 seconds although memory is collected
+
+  Scenario: call to a store that is silent
+    Given a server that takes connections and never answers
+    Then a call to it as the store fails within 3 seconds although memory is collected
