--- a/bench/src/soak/engine.ts
+++ b/bench/src/soak/engine.ts
@@ -97,6 +97,7 @@
 
   /** Ends as a process does that is killed. */
   crash(): void {
+    this.context.history.disturb([this.name])();
     this.isDown = true;
     this.running = 0;
     this.engine?.closeConnections();
@@ -185,7 +186,7 @@
       timeLeftMs: Number(textOf(request, 'deadline-ms')),
       hasKey: request.headers.authorization !== undefined,
     });
-    history.ran(id);
+    history.ran(id, this.name);
     if (sent && this.context.keyGone(sent.key, sent.sentAt)) {
       history.violate(SoakRule.key, `${id} at ${sent.entry} ran with ${sent.key}`);
     }
--- a/bench/src/soak/soakRun.ts
+++ b/bench/src/soak/soakRun.ts
@@ -6,9 +6,10 @@
 import { soakFaults } from './faults.js';
 import { reviveEngines } from './faults/engineFaults.js';
 import { SoakFleet } from './fleet.js';
-import { RequestEnd, SoakHistory, SoakRule } from './history.js';
+import { RequestEnd, SoakHistory, SoakRule, harmOf } from './history.js';
 import type { Violation } from './history.js';
 import { pause } from './pause.js';
+import { StallWatch } from './stallWatch.js';
 import { SoakService, shapeOf, soakRoutes } from './shape.js';
 
 /** What a soak is to do. */
@@ -32,6 +33,9 @@
   /** Time of served requests that nine in ten and ninety-nine in a hundred need, in milliseconds. */
   readonly p90Ms: number;
   readonly p99Ms: number;
+  /** Times that the soak itself stood still, and the longest of them, in milliseconds. */
+  readonly stalls: number;
+  readonly longestStallMs: number;
   /** Where the programs' logs are. */
   readonly logs: string;
 }
@@ -74,15 +78,19 @@
   async run(stopped: AbortSignal): Promise<SoakReport> {
     const { seed, processes, directory } = this.choices;
     const fleet = await SoakFleet.start(shapeOf(processes), seed, this.history, directory);
+    const names = fleet.endpoints.map(({ engine }) => engine.name);
+    const harms = fleet.entries.flatMap(({ name }) => [name, harmOf(name)]);
+    const stalls = new StallWatch(this.history, [...names, ...harms]);
     try {
       if (await this.works(fleet, startMs, stopped)) await this.stormsAndCalms(fleet, stopped);
       await Promise.all(fleet.processes.map((each) => each.stop()));
     } finally {
+      stalls.end();
       this.callers.forEach((caller) => caller.close());
       await fleet.close();
     }
     checkHistory(this.history, [SoakService.desk, SoakService.model]);
-    return this.report(fleet.logs);
+    return this.report(fleet.logs, stalls);
   }
 
   private async stormsAndCalms(fleet: SoakFleet, stopped: AbortSignal): Promise<void> {
@@ -209,7 +217,7 @@
     return true;
   }
 
-  private report(logs: string): SoakReport {
+  private report(logs: string, { count, longestMs }: StallWatch): SoakReport {
     const times = build();
     this.callers.forEach((caller) => times.add(caller.times));
     return {
@@ -218,6 +226,8 @@
       faults: this.faults,
       p90Ms: times.getValueAtPercentile(90),
       p99Ms: times.getValueAtPercentile(99),
+      stalls: count,
+      longestStallMs: longestMs,
       logs,
     };
   }
