--- /dev/null
+++ b/bench/src/soak/faults.ts
@@ -0,0 +1,15 @@
+import { changes } from './faults/changes.js';
+import { engineFaults } from './faults/engineFaults.js';
+import type { SoakFault } from './faults/fault.js';
+import { linkFaults } from './faults/linkFaults.js';
+import { processFaults } from './faults/processFaults.js';
+import { storeFaults } from './faults/storeFaults.js';
+
+/** The faults that a soak combines, by name. */
+export const soakFaults: Readonly<Record<string, SoakFault>> = {
+  ...processFaults,
+  ...linkFaults,
+  ...storeFaults,
+  ...engineFaults,
+  ...changes,
+};
--- a/features/steps/platformPath.steps.ts
+++ b/features/steps/platformPath.steps.ts
@@ -2,10 +2,10 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { After, Given, Then, When } from '@cucumber/cucumber';
 import type { ForwardingEntry } from '@laburnumstream/forwarding';
+import { Behaviours } from '@laburnumstream/standins';
 import { eventually } from '../support/assertions.js';
 import { ask, deadlineMs } from '../support/platformCaller.js';
 import type { Got } from '../support/platformCaller.js';
-import { Behaviours } from '../support/platformEngine.js';
 import { PlatformFleet, configurationOf } from '../support/platformFleet.js';
 
 interface PlatformWorld {
--- a/packages/clients/src/httpClient.ts
+++ b/packages/clients/src/httpClient.ts
@@ -1,6 +1,6 @@
 import { Pool } from 'undici';
 import type { Dispatcher } from 'undici';
-import { Aborted, ConnectionReset, StoreUnavailable } from '@laburnumstream/common';
+import { Aborted, ConnectionReset, StoreUnavailable, timeLimit } from '@laburnumstream/common';
 import type { Failure } from '@laburnumstream/common';
 import { connectorWith } from '@laburnumstream/runtime';
 
@@ -32,12 +32,6 @@
   return error instanceof ConnectionReset || (error as { code?: string }).code === closedCode;
 }
 
-/** Joins an owner's signal with a timeout. */
-export function withTimeout(timeoutMs: number, signal?: AbortSignal): AbortSignal {
-  const timeout = AbortSignal.timeout(timeoutMs);
-  return signal ? AbortSignal.any([signal, timeout]) : timeout;
-}
-
 /** A small JSON and bytes client over one pool of connections. */
 export class HttpClient {
   private readonly pool: Pool;
@@ -62,7 +56,7 @@
 
   /** Sends a request and reads the whole response; throws the client's connection failure. */
   async send(request: Request): Promise<Response> {
-    const signal = withTimeout(request.timeoutMs ?? this.timeoutMs, request.signal);
+    const signal = timeLimit(request.timeoutMs ?? this.timeoutMs, request.signal);
     try {
       const { statusCode, body } = await this.pool.request({
         method: request.method,
--- a/packages/clients/src/httpModelEngine.ts
+++ b/packages/clients/src/httpModelEngine.ts
@@ -5,6 +5,7 @@
   OutcomeUnknown,
   OrderRefused,
   StaleOrder,
+  timeLimit,
   Unavailable,
 } from '@laburnumstream/common';
 import type {
@@ -14,7 +15,7 @@
   ModelEngine,
   Token,
 } from '@laburnumstream/common';
-import { HttpClient, withTimeout } from './httpClient.js';
+import { HttpClient } from './httpClient.js';
 import { linesOf } from './lines.js';
 
 const retryAfterMs = 500;
@@ -96,7 +97,7 @@
       path: '/orders',
       body: JSON.stringify(order),
       timeoutMs: orderTimeoutMs,
-      signal: signal ?? withTimeout(orderTimeoutMs),
+      signal: signal ?? timeLimit(orderTimeoutMs),
     });
     if (status === 409) throw new StaleOrder('The engine has seen a higher fencing number.');
     if (status !== 200) {
