Count versions in the first list as nearly due also when the store was away

Cause: FleetFeed started with a last answer that lay 5.5 s back, to say that the first list does not tell when its versions were named. The excuse for the store's absence took the later of that time and 1 s ago, and so wiped the 5.5 s out: an entry that starts cut off counted a version that was named long ago as named 0.9 s before the store's return and could use older weights for 6 s more.

Change: the last answer and what it left untold are two figures. The excuse applies to the time of the last answer; what the first list cannot tell lies before it, with and without an absence. The hold of removals now gets the true length of an absence at the start (it was 5.5 s too long).

Ruled out: a case for the first list beside the mechanism; counting from the process's start alone (an absence of 10 s would leave no time at all to switch after the return).

--- a/packages/forwarding/src/fleetFeed.ts
+++ b/packages/forwarding/src/fleetFeed.ts
@@ -44,9 +44,12 @@
 
   private pauseMs = firstPauseMs;
 
-  /** Monotonic time of the last answer, in milliseconds. */
+  /** Monotonic time of the last answer, before the first one of the start, in milliseconds. */
   private answeredAt: number;
 
+  /** Time before the last answer at which changes may have been made that it did not tell. */
+  private untoldMs: number;
+
   private isReachable = true;
 
   private readonly hold = new RemovalHold<FleetChange>();
@@ -63,8 +66,9 @@
     /** Time after a version's naming at which older ones are left, in milliseconds. */
     versionMs: number,
   ) {
+    this.answeredAt = clock.now();
     // When versions in the first list were named is not known: they count as nearly due.
-    this.answeredAt = clock.now() - Math.max(0, versionMs - restartGraceMs);
+    this.untoldMs = Math.max(0, versionMs - restartGraceMs);
   }
 
   /** Follows the store until the signal fires. */
@@ -122,7 +126,10 @@
    * learns of changes, so time to act on them counts from its return.
    */
   private earliestChangeAt(now: number): number {
-    return this.isReachable ? this.answeredAt : Math.max(this.answeredAt, now - returnSlackMs);
+    const knownAt = this.isReachable
+      ? this.answeredAt
+      : Math.max(this.answeredAt, now - returnSlackMs);
+    return knownAt - this.untoldMs;
   }
 
   /** Notes that the store answers, before what it says is taken. */
@@ -130,6 +137,7 @@
     const now = this.clock.now();
     if (!this.isReachable) this.hold.storeReturned(now - this.answeredAt, now);
     this.answeredAt = now;
+    this.untoldMs = 0;
   }
 
   private take(change: FleetChange, changedAt: number): void {
