Keep the bounds of all entries together over restarts and cuts

Cause, found by seeded histories of up to 10 entries that die, start together and lose the store: - The budget of repeats counted those of the last 9.5 to 10 s only, so one entry could use its whole share twice in 9.98 s (shrunk case: 1 entry, no fault, bursts at 16.0 s and 26.0 s). - The number of entries was what the last list said: entries that start together each take the whole rate of a cold endpoint (2 entries, no fault), one that stands alone after others were cut off takes all while these keep their old share, and one that starts again takes its share a second time.

Change: SlidingCount may cover the whole window, for repeats. EntryCount is the number that bounds are divided by: a number that falls counts on for the bound's window and 0.5 s, a new process counts as one of 16 (cold endpoints) or has no slack of its own (repeats) until it is registered and that time is over, and one that hears nothing of the store for 5 s takes a quarter. Shares of connections are as before.

Ruled out: 16 as the unknown number for repeats (all entries that die at once use 1.15 times the slack); holds by time alone (a cut right after the first list ends them without an answer).

--- /dev/null
+++ b/features/sharedBounds.feature
@@ -0,0 +1,7 @@
+Feature: Bounds that all entries share
+
+  Scenario: repeats of entries that die and are cut off
+    Then in 200 histories all entries together repeat within the bound in any window
+
+  Scenario: cold engine and entries that die and are cut off
+    Then in 200 histories all entries together send a cold engine what it bears in any second
--- /dev/null
+++ b/features/steps/sharedBounds.steps.ts
@@ -0,0 +1,143 @@
+import assert from 'node:assert/strict';
+import { Then } from '@cucumber/cucumber';
+import { SeededRandom } from '@laburnumstream/common';
+import { EntryCount, SharedRate, SharedRetryBudget } from '@laburnumstream/decisions';
+import fc from 'fast-check';
+import { EntryFleet } from '../support/entryFleet.js';
+import type { EntryFault } from '../support/entryFleet.js';
+import { platformBounds } from '../support/platformBounds.js';
+
+const propertySeed = 11;
+const historyMs = 40_000;
+const stepMs = 20;
+const mostEntries = 10;
+/** Requests a second that an engine bears while it is cold, and what all entries may send it. */
+const coldPerSecond = 36;
+const mostColdSends = coldPerSecond * platformBounds.coldFactor + platformBounds.coldSlack;
+
+interface SharedHistory {
+  readonly seed: number;
+  readonly entries: number;
+  readonly faults: readonly EntryFault[];
+  /** Times at which entries get requests that fail, and how many each gets. */
+  readonly bursts: readonly { readonly atMs: number; readonly each: number }[];
+}
+
+const moment = fc.integer({ min: 0, max: historyMs - 5_000 });
+
+const faults: fc.Arbitrary<EntryFault> = fc.record({
+  kind: fc.constantFrom('kill', 'cut'),
+  atMs: moment,
+  entry: fc.option(fc.nat({ max: mostEntries - 1 }), { nil: undefined }),
+  forMs: fc.integer({ min: 100, max: 20_000 }),
+});
+
+const histories: fc.Arbitrary<SharedHistory> = fc.record({
+  seed: fc.nat(),
+  entries: fc.integer({ min: 1, max: mostEntries }),
+  faults: fc.array(faults, { maxLength: 10 }),
+  bursts: fc.array(fc.record({ atMs: moment, each: fc.integer({ min: 1, max: 200 }) }), {
+    minLength: 1,
+    maxLength: 8,
+  }),
+});
+
+/** Most of the times, which ascend, that lie in one window. */
+function mostIn(times: readonly number[], windowMs: number): number {
+  let first = 0;
+  let most = 0;
+  times.forEach((time, index) => {
+    while (time - times[first]! >= windowMs) first += 1;
+    most = Math.max(most, index - first + 1);
+  });
+  return most;
+}
+
+/** Largest number of repeats beyond what requests earn, over all windows that end with a repeat. */
+function mostUnearned(repeats: readonly number[], requests: readonly number[]): number {
+  const { retryRatio, retryWindowMs } = platformBounds;
+  const countIn = (times: readonly number[], until: number): number =>
+    times.filter((at) => at <= until && at > until - retryWindowMs).length;
+  const ends = [...new Set(repeats)];
+  return Math.max(
+    0,
+    ...ends.map((until) => countIn(repeats, until) - countIn(requests, until) * retryRatio),
+  );
+}
+
+function unearnedRepeatsOf({ seed, entries, faults: struck, bursts }: SharedHistory): number {
+  const { retryRatio, retrySlack, retryWindowMs } = platformBounds;
+  const bound = { ratio: retryRatio, slack: retrySlack, windowMs: retryWindowMs };
+  const times = { now: 0 };
+  const fleet = new EntryFleet(
+    entries,
+    struck,
+    new SeededRandom(seed),
+    () => new EntryCount(Infinity, retryWindowMs),
+    (count) => new SharedRetryBudget(bound, () => count.at(times.now)),
+  );
+  const requests: number[] = [];
+  const repeats: number[] = [];
+  for (let now = 0; now < historyMs; now += stepMs) {
+    times.now = now;
+    fleet.step(now, stepMs);
+    const each = bursts
+      .filter(({ atMs }) => atMs <= now && atMs > now - stepMs)
+      .reduce((sum, burst) => sum + burst.each, 0);
+    fleet.members.forEach((budget) => {
+      for (let index = 0; index < each; index += 1) {
+        budget.earn('model', now);
+        requests.push(now);
+        if (budget.spend('model', now)) repeats.push(now);
+      }
+    });
+  }
+  return mostUnearned(repeats, requests);
+}
+
+function coldSendsOf({ seed, entries, faults: struck, bursts }: SharedHistory): number {
+  const random = new SeededRandom(seed);
+  const fleet = new EntryFleet(
+    entries,
+    struck,
+    random,
+    () => new EntryCount(16, 1_000),
+    (count) => ({ count, rate: new SharedRate(random.next()) }),
+  );
+  const sends: number[] = [];
+  for (let now = 0; now < historyMs; now += stepMs) {
+    fleet.step(now, stepMs);
+    // Requests press for 3 seconds from each burst on.
+    const isPressed = bursts.some(({ atMs }) => atMs <= now && atMs > now - 3_000);
+    fleet.members.forEach(({ count, rate }) => {
+      const share = coldPerSecond / count.at(now);
+      while (isPressed && rate.fits(share, now)) {
+        rate.take(share, now);
+        sends.push(now);
+      }
+    });
+  }
+  return mostIn(sends, 1_000);
+}
+
+Then(
+  'in {int} histories all entries together repeat within the bound in any window',
+  (numRuns: number) => {
+    const property = fc.property(histories, (history) => {
+      const unearned = unearnedRepeatsOf(history);
+      assert.ok(unearned <= platformBounds.retrySlack, `${unearned} beyond what requests earn`);
+    });
+    fc.assert(property, { seed: propertySeed, numRuns });
+  },
+);
+
+Then(
+  'in {int} histories all entries together send a cold engine what it bears in any second',
+  (numRuns: number) => {
+    const property = fc.property(histories, (history) => {
+      const most = coldSendsOf(history);
+      assert.ok(most <= mostColdSends, `${most} in a second`);
+    });
+    fc.assert(property, { seed: propertySeed, numRuns });
+  },
+);
--- a/packages/decisions/src/forwarding/index.ts
+++ b/packages/decisions/src/forwarding/index.ts
@@ -2,6 +2,7 @@
 export * from './attemptResult.js';
 export * from './configurationProof.js';
 export * from './endpointHealth.js';
+export * from './entryCount.js';
 export * from './endpointLoad.js';
 export * from './engineModel.js';
 export * from './eventSplitter.js';
--- a/packages/decisions/src/forwarding/sharedRetryBudget.ts
+++ b/packages/decisions/src/forwarding/sharedRetryBudget.ts
@@ -69,7 +69,7 @@
     let counts = this.services.get(service);
     if (!counts) {
       const { windowMs } = this.bound;
-      counts = { requests: new SlidingCount(windowMs), repeats: new SlidingCount(windowMs) };
+      counts = { requests: new SlidingCount(windowMs), repeats: new SlidingCount(windowMs, true) };
       this.services.set(service, counts);
     }
     return counts;
--- a/packages/decisions/src/forwarding/slidingCount.ts
+++ b/packages/decisions/src/forwarding/slidingCount.ts
@@ -3,7 +3,7 @@
 
 /** Counts events over a window of time that slides in small steps. */
 export class SlidingCount {
-  private readonly buckets = new Float64Array(bucketCount);
+  private readonly buckets: Float64Array;
 
   private readonly bucketMs: number;
 
@@ -12,13 +12,18 @@
 
   private sum = 0;
 
-  constructor(windowMs: number) {
+  constructor(
+    windowMs: number,
+    /** Whether no event of the window is left out: then some that are up to a step older count too. */
+    isCovering = false,
+  ) {
     this.bucketMs = windowMs / bucketCount;
+    this.buckets = new Float64Array(isCovering ? bucketCount + 1 : bucketCount);
   }
 
   add(count: number, now: number): void {
     this.advance(now);
-    this.buckets[this.newest % bucketCount]! += count;
+    this.buckets[this.newest % this.buckets.length]! += count;
     this.sum += count;
   }
 
@@ -30,10 +35,11 @@
   private advance(now: number): void {
     const current = Math.floor(now / this.bucketMs);
     if (current <= this.newest) return;
-    const first = Math.max(this.newest + 1, current - bucketCount + 1);
+    const { length } = this.buckets;
+    const first = Math.max(this.newest + 1, current - length + 1);
     for (let bucket = first; bucket <= current; bucket += 1) {
-      this.sum -= this.buckets[bucket % bucketCount]!;
-      this.buckets[bucket % bucketCount] = 0;
+      this.sum -= this.buckets[bucket % length]!;
+      this.buckets[bucket % length] = 0;
     }
     this.newest = current;
   }
--- a/packages/forwarding/src/endpointDirectory.ts
+++ b/packages/forwarding/src/endpointDirectory.ts
@@ -11,6 +11,7 @@
 import type { EndpointChoice } from './dispatchLine.js';
 import { EndpointHandle, roomLimits } from './endpointHandle.js';
 import type { FleetState } from './fleetState.js';
+import type { SharingEntries } from './sharingEntries.js';
 
 /** What a request needs of an endpoint besides room. */
 export interface Eligibility {
@@ -37,7 +38,7 @@
     private readonly metrics: Metrics,
     private readonly random: Random,
     /** Entries that share the bounds of endpoints. */
-    private readonly entries: () => number,
+    private readonly sharing: SharingEntries,
   ) {}
 
   get all(): Iterable<EndpointHandle> {
@@ -180,7 +181,7 @@
 
   private hasRoom(handle: EndpointHandle, now: number): boolean {
     if (!handle.health.mayTry(handle.load.own, now) || handle.isSilent(now)) return false;
-    const entries = Math.max(1, this.entries());
+    const entries = this.sharing.connecting;
     const { profile, pool, coldRate, coldUntil } = handle;
     const most = Math.max(
       1,
@@ -195,6 +196,6 @@
 
   /** Requests a second that this entry may send to an endpoint while it is cold. */
   private coldShare({ profile }: EndpointHandle): number {
-    return (profile?.coldPerSecond ?? 0) / Math.max(1, this.entries());
+    return (profile?.coldPerSecond ?? 0) / this.sharing.forColdEndpoints;
   }
 }
--- a/packages/forwarding/src/fleetFeed.ts
+++ b/packages/forwarding/src/fleetFeed.ts
@@ -1,7 +1,6 @@
 import { HistoryLost, InvalidInput, SleepAwareClock, toFailure } from '@laburnumstream/common';
 import type { Clock, Log, Metrics, StoreChange, StoreFeed } from '@laburnumstream/common';
 import { RemovalHold } from '@laburnumstream/decisions';
-import type { ConfigurationProof } from '@laburnumstream/decisions';
 import type { FleetChange, FleetCodec } from './fleetChange.js';
 import type { FleetState } from './fleetState.js';
 
@@ -38,6 +37,12 @@
   return {};
 }
 
+/** Is told of each call that the store answered, once its answer is taken. */
+export interface StoreProof {
+  /** The store has answered a call that began at `calledAt`. */
+  confirm(calledAt: number): void;
+}
+
 /** Keeps the state of the fleet up to date with the store, and proves how old it is. */
 export class FleetFeed {
   private revision: number | undefined;
@@ -58,7 +63,7 @@
     private readonly store: StoreFeed,
     private readonly codec: FleetCodec,
     private readonly state: FleetState,
-    private readonly proof: ConfigurationProof,
+    private readonly proof: StoreProof,
     private readonly proofClock: SleepAwareClock,
     private readonly clock: Clock,
     private readonly metrics: Metrics,
--- a/packages/forwarding/src/forwardingEntry.ts
+++ b/packages/forwarding/src/forwardingEntry.ts
@@ -19,6 +19,7 @@
 import { FleetState } from './fleetState.js';
 import type { HeaderCodec } from './headerCodec.js';
 import { serveReadiness } from './readiness.js';
+import { SharingEntries } from './sharingEntries.js';
 import { SidecarLinks } from './sidecarLinks.js';
 import { WholeAnswers } from './wholeAnswers.js';
 
@@ -35,8 +36,6 @@
   readonly log: (part: string) => Log;
 }
 
-/** Entries that share bounds as long as it is not known how many there are. */
-const mostEntries = 16;
 /** Part of the time for removed keys that a proof may be old: the rest is for requests on their way. */
 const proofShare = 0.92;
 /** Time beyond that for a new configuration after which nobody is told that a key is not there. */
@@ -81,19 +80,24 @@
       bounds.configurationMs + denialSlackMs,
     );
     this.state = new FleetState(metrics, log('fleet'), () => this.fleetChanged());
+    const { retryWindowMs } = bounds;
+    const sharing = new SharingEntries(this.state, settings.instance, clock, retryWindowMs);
+    const confirm = (calledAt: number): void => {
+      proof.confirm(calledAt);
+      sharing.storeAnswered();
+    };
     this.feed = new FleetFeed(
       store,
       fleetCodec,
       this.state,
-      proof,
+      { confirm },
       proofClock,
       clock,
       metrics,
       log('store'),
       bounds.versionMs,
     );
-    const entries = (): number => this.state.entries || mostEntries;
-    this.directory = new EndpointDirectory(settings, this.state, clock, metrics, random, entries);
+    this.directory = new EndpointDirectory(settings, this.state, clock, metrics, random, sharing);
     this.line = new DispatchLine(this.directory, clock, random, metrics, log('line'));
     this.sidecars = new SidecarLinks(
       settings,
@@ -116,12 +120,12 @@
     const bound = {
       ratio: bounds.retryRatio,
       slack: bounds.retrySlack,
-      windowMs: bounds.retryWindowMs,
+      windowMs: retryWindowMs,
     };
     const services = {
       line: this.line,
       directory: this.directory,
-      budget: new SharedRetryBudget(bound, entries),
+      budget: new SharedRetryBudget(bound, () => sharing.forRepeats),
       loadChanged: () => this.sidecars.loadChanged(),
       codec: headerCodec,
       clock,
--- /dev/null
+++ b/packages/forwarding/src/sharingEntries.ts
@@ -0,0 +1,50 @@
+import type { Clock } from '@laburnumstream/common';
+import { EntryCount } from '@laburnumstream/decisions';
+import type { FleetState } from './fleetState.js';
+
+/** Entries that share bounds as long as it is not known how many there are. */
+const mostEntries = 16;
+/** Window over which requests to a cold endpoint count, in milliseconds. */
+const coldWindowMs = 1_000;
+
+/** How many entries share the bounds that all of them keep together. */
+export class SharingEntries {
+  private readonly repeating: EntryCount;
+
+  private readonly sendingToCold = new EntryCount(mostEntries, coldWindowMs);
+
+  constructor(
+    private readonly state: FleetState,
+    /** The name under which this entry registers. */
+    private readonly instance: string,
+    private readonly clock: Clock,
+    retryWindowMs: number,
+  ) {
+    // A process that starts anew may have used its share before, so it has none of its own at first.
+    this.repeating = new EntryCount(Infinity, retryWindowMs);
+  }
+
+  /** The store has answered; the state holds what it told. */
+  storeAnswered(): void {
+    const { entries, places } = this.state;
+    const now = this.clock.now();
+    const isIncluded = places.has(this.instance);
+    this.repeating.told(entries, isIncluded, now);
+    this.sendingToCold.told(entries, isIncluded, now);
+  }
+
+  /** Entries that share endpoints' connections. */
+  get connecting(): number {
+    return this.state.entries || mostEntries;
+  }
+
+  /** Entries that share the bound on repeats. */
+  get forRepeats(): number {
+    return this.repeating.at(this.clock.now());
+  }
+
+  /** Entries that share the rate of a cold endpoint. */
+  get forColdEndpoints(): number {
+    return this.sendingToCold.at(this.clock.now());
+  }
+}
