Close connections that become idle late in a stop

Cause: a stopping entry closes idle connections once, 3 s after the signal.

Change: from then on each connection is closed when its answer is out.

Ruled out: refusing late requests (those that cross the close are not passed on anyway); a longer stop.

Measured: node features/dist/run.js features/stops.feature before: 0 passed, 1 failed (the connection ran a second request); after: 1 passed.

--- a/packages/forwarding/src/callerServer.ts
+++ b/packages/forwarding/src/callerServer.ts
@@ -71,6 +71,9 @@
 
   private isLeaving = false;
 
+  /** Whether a connection is closed as soon as it carries no request. */
+  private isClosing = false;
+
   constructor(
     private readonly state: FleetState,
     private readonly checks: ConfigurationChecks,
@@ -116,8 +119,9 @@
     this.isLeaving = true;
   }
 
-  /** Takes no more connections and closes those that carry no request. */
+  /** Takes no more connections and closes each one that carries no request, now or later. */
   closeIdle(): void {
+    this.isClosing = true;
     this.server.close();
     this.server.closeIdleConnections();
   }
@@ -133,6 +137,7 @@
     response.once('close', () => {
       if (!response.writableFinished) owner.abort(callerLeft);
     });
+    response.once('finish', () => this.isClosing && request.socket.destroySoon());
     try {
       const { routes } = this.state;
       if (!routes) throw new Unavailable('No configuration is known yet.', returnMs);
