--- a/features/sharedBounds.feature
+++ b/features/sharedBounds.feature
@@ -5,3 +5,9 @@
 
   Scenario: cold engine and entries that die and are cut off
     Then in 200 histories all entries together send a cold engine what it bears in any second
+
+  Scenario: removed keys and calls that are slow, lost or late
+    Then in 200 histories no entry honours a key later than the bound after its removal
+
+  Scenario: configuration and lists that are no snapshot
+    Then in 200 histories no entry's configuration goes back
--- a/features/steps/sharedBounds.steps.ts
+++ b/features/steps/sharedBounds.steps.ts
@@ -5,6 +5,8 @@
 import fc from 'fast-check';
 import { EntryFleet } from '../support/entryFleet.js';
 import type { EntryFault } from '../support/entryFleet.js';
+import { runFeedHistory } from '../support/feedHistory.js';
+import type { FeedFault, FeedHistory, FeedSights } from '../support/feedHistory.js';
 import { platformBounds } from '../support/platformBounds.js';
 
 const propertySeed = 11;
@@ -141,3 +143,64 @@
     fc.assert(property, { seed: propertySeed, numRuns });
   },
 );
+
+const feedHistoryMs = 15_000;
+
+const feedFaults: fc.Arbitrary<FeedFault> = fc.record({
+  kind: fc.constantFrom(
+    'slowCalls',
+    'slowPages',
+    'slowAnswers',
+    'refused',
+    'silent',
+    'historyLost',
+    'sleep',
+  ),
+  atMs: fc.integer({ min: 0, max: feedHistoryMs }),
+  forMs: fc.integer({ min: 10, max: 5_000 }),
+  delayMs: fc.integer({ min: 2, max: 1_200 }),
+});
+
+const feedHistories: fc.Arbitrary<FeedHistory> = fc.record({
+  changes: fc.array(fc.integer({ min: 100, max: feedHistoryMs }), { maxLength: 12 }),
+  faults: fc.array(feedFaults, { maxLength: 8 }),
+});
+
+/** Time at which the key was removed that is gone at `at`; undefined while it is there. */
+function removedAt({ changes }: FeedHistory, at: number): number | undefined {
+  const made = changes.filter((change) => change <= at).sort((one, other) => one - other);
+  return made.length % 2 === 1 ? made.at(-1) : undefined;
+}
+
+/** Checks what entries are seen to do over seeded histories of their feeds. */
+async function checkFeeds(
+  numRuns: number,
+  check: (history: FeedHistory, sights: FeedSights) => void,
+): Promise<void> {
+  let honoured = 0;
+  const property = fc.asyncProperty(feedHistories, async (history) => {
+    const sights = await runFeedHistory(history, feedHistoryMs);
+    honoured += sights.honouredAt.length;
+    check(history, sights);
+  });
+  await fc.assert(property, { seed: propertySeed, numRuns });
+  assert.ok(honoured > numRuns * 10, `the key was honoured ${honoured} times`);
+}
+
+Then(
+  'in {int} histories no entry honours a key later than the bound after its removal',
+  (numRuns: number) =>
+    checkFeeds(numRuns, (history, { honouredAt }) =>
+      honouredAt.forEach((at) => {
+        const ageMs = at - (removedAt(history, at) ?? at);
+        assert.ok(ageMs <= platformBounds.revocationMs, `${ageMs} ms after its removal`);
+      }),
+    ),
+);
+
+Then("in {int} histories no entry's configuration goes back", (numRuns: number) =>
+  checkFeeds(numRuns, (_history, { versions }) => {
+    const ordered = [...versions].sort((one, other) => one - other);
+    assert.deepEqual(versions, ordered);
+  }),
+);
