--- a/packages/forwarding/src/fleetFeed.ts
+++ b/packages/forwarding/src/fleetFeed.ts
@@ -1,7 +1,6 @@
 import { HistoryLost, InvalidInput, SleepAwareClock, toFailure } from '@laburnumstream/common';
 import type { Clock, Log, Metrics, StoreChange, StoreFeed } from '@laburnumstream/common';
 import { RemovalHold } from '@laburnumstream/decisions';
-import type { ConfigurationProof } from '@laburnumstream/decisions';
 import type { FleetChange, FleetCodec } from './fleetChange.js';
 import type { FleetState } from './fleetState.js';
 
@@ -38,15 +37,24 @@
   return {};
 }
 
+/** Is told of each call that the store answered, once its answer is taken. */
+export interface StoreProof {
+  /** The store has answered a call that began at `calledAt`. */
+  confirm(calledAt: number): void;
+}
+
 /** Keeps the state of the fleet up to date with the store, and proves how old it is. */
 export class FleetFeed {
   private revision: number | undefined;
 
   private pauseMs = firstPauseMs;
 
-  /** Monotonic time of the last answer, in milliseconds. */
+  /** Monotonic time of the last answer, before the first one of the start, in milliseconds. */
   private answeredAt: number;
 
+  /** Time before the last answer at which changes may have been made that it did not tell. */
+  private untoldMs: number;
+
   private isReachable = true;
 
   private readonly hold = new RemovalHold<FleetChange>();
@@ -55,7 +63,7 @@
     private readonly store: StoreFeed,
     private readonly codec: FleetCodec,
     private readonly state: FleetState,
-    private readonly proof: ConfigurationProof,
+    private readonly proof: StoreProof,
     private readonly proofClock: SleepAwareClock,
     private readonly clock: Clock,
     private readonly metrics: Metrics,
@@ -63,8 +71,9 @@
     /** Time after a version's naming at which older ones are left, in milliseconds. */
     versionMs: number,
   ) {
+    this.answeredAt = clock.now();
     // When versions in the first list were named is not known: they count as nearly due.
-    this.answeredAt = clock.now() - Math.max(0, versionMs - restartGraceMs);
+    this.untoldMs = Math.max(0, versionMs - restartGraceMs);
   }
 
   /** Follows the store until the signal fires. */
@@ -122,7 +131,10 @@
    * learns of changes, so time to act on them counts from its return.
    */
   private earliestChangeAt(now: number): number {
-    return this.isReachable ? this.answeredAt : Math.max(this.answeredAt, now - returnSlackMs);
+    const knownAt = this.isReachable
+      ? this.answeredAt
+      : Math.max(this.answeredAt, now - returnSlackMs);
+    return knownAt - this.untoldMs;
   }
 
   /** Notes that the store answers, before what it says is taken. */
@@ -130,6 +142,7 @@
     const now = this.clock.now();
     if (!this.isReachable) this.hold.storeReturned(now - this.answeredAt, now);
     this.answeredAt = now;
+    this.untoldMs = 0;
   }
 
   private take(change: FleetChange, changedAt: number): void {
