Count requests by route, outcome and reason, and show the state of entries and agents as gauges

Cause: the metrics had bare counters only: no route, outcome or reason, nothing on who waits, engines' states, versions, the proof's age, calls to the store, the budget of repeats, or the kinds of log lines left out. Change: metrics have labels (64 values of each told apart, then 'other'), types and sums; gauges are read when the metrics are, so the request's path pays for one counter. Refusals carry a typed reason. Found by the new tests, each red before its change: - a request refused for an old proof was logged with route null and isRepeatable true, so its line could be left out although it may not be repeated (route is found before the key is checked now); - a datagram sent after the socket's end threw ERR_SOCKET_DGRAM_NOT_RUNNING in a timer, which ends the process; - a caller who left in the middle of a stream counted as 'Stream cut.' Ruled out: series for each route without a bound (operators may have hundreds), gauges set on the request's path.

--- a/bench/src/heavyDays/ways.ts
+++ b/bench/src/heavyDays/ways.ts
@@ -47,6 +47,7 @@
   count: () => undefined,
   gauge: () => undefined,
   observe: () => undefined,
+  sample: () => undefined,
 };
 
 /** Region of an engine or entry: they are dealt out in turn. */
--- a/bench/src/histories/world.ts
+++ b/bench/src/histories/world.ts
@@ -53,6 +53,7 @@
   count: () => undefined,
   gauge: () => undefined,
   observe: () => undefined,
+  sample: () => undefined,
 };
 
 interface WorldEntry {
--- a/bench/src/simulatedMembers.ts
+++ b/bench/src/simulatedMembers.ts
@@ -40,6 +40,7 @@
   count: () => undefined,
   gauge: () => undefined,
   observe: () => undefined,
+  sample: () => undefined,
 };
 
 /** How many members are simulated beside the real processes. */
--- a/features/platformPrograms.feature
+++ b/features/platformPrograms.feature
@@ -13,6 +13,9 @@
     And its metrics are served
     And after SIGTERM it ends with exit code 0 within 8 seconds
 
+  Scenario: datagrams after the end
+    Then a datagram that is sent after its socket has closed is dropped
+
   Scenario: version that was named while the store was away
     Given a feed of a store that refuses calls for 2 seconds, in which version 2 is named
     Then the version counts as named not more than 1 second before the store's return
--- /dev/null
+++ b/features/steps/metrics.steps.ts
@@ -0,0 +1,184 @@
+import assert from 'node:assert/strict';
+import { request as httpRequest } from 'node:http';
+import { Then, When } from '@cucumber/cucumber';
+import type { HistogramMetrics } from '@laburnumstream/runtime';
+import { eventually } from '../support/assertions.js';
+import { valueOf } from '../support/metricsText.js';
+import { modelConfiguration, platformHost } from '../support/platformFleet.js';
+import type { PlatformFleet } from '../support/platformFleet.js';
+
+interface MetricsWorld {
+  platform: PlatformFleet;
+  sidecarMetrics: HistogramMetrics;
+}
+
+/** More requests than an entry sends to one endpoint at once. */
+const crowd = 100;
+
+/** Sends a request that nobody waits for; the signal makes its caller leave. */
+function sendOnly(
+  { settings }: PlatformFleet,
+  path: string,
+  id: string,
+  leave?: AbortSignal,
+): void {
+  const [host, port] = settings.callers.split(':');
+  const sent = httpRequest({
+    host,
+    port,
+    path,
+    method: 'POST',
+    agent: false,
+    ...(leave ? { signal: leave } : {}),
+    headers: {
+      host: platformHost,
+      authorization: 'Bearer key-1',
+      'laburnumstream-request-id': id,
+      'content-length': '0',
+    },
+  });
+  sent.on('response', (response) => response.on('error', () => undefined).resume());
+  sent.on('error', () => undefined);
+  sent.end();
+}
+
+Then(
+  /^the metrics count 1 request of route (\w+) as (\w+) for (\w+)$/,
+  async function count(this: MetricsWorld, route: string, outcome: string, reason: string) {
+    const { metrics } = this.platform;
+    const labels = { route, outcome, reason };
+    await eventually(() => valueOf(metrics, 'requests_total', { route }) > 0, 'it is counted');
+    assert.equal(valueOf(metrics, 'requests_total', labels), 1, metrics.render());
+    assert.equal(valueOf(metrics, 'requests_total', { route }), 1, metrics.render());
+  },
+);
+
+When(
+  /^a caller sends a request to (\w+) and leaves early$/,
+  function leave(this: MetricsWorld, route: string) {
+    sendOnly(this.platform, `/${route}/x`, 'left', AbortSignal.timeout(300));
+  },
+);
+
+Then('no stream counts as cut', function uncut(this: MetricsWorld) {
+  assert.equal(valueOf(this.platform.metrics, 'streams_cut_total'), 0);
+});
+
+function refusedOf({ metrics }: PlatformFleet): number {
+  const labels = { route: 'unsafe', outcome: 'refused', reason: 'overloaded' };
+  return valueOf(metrics, 'requests_total', labels);
+}
+
+When(
+  'callers send more requests than its engine may get at once',
+  async function send(this: MetricsWorld) {
+    const { platform } = this;
+    const { metrics } = platform;
+    await eventually(() => valueOf(metrics, 'entries') === 1, 'the entry is registered');
+    for (let sent = 0; sent < crowd; sent += 1) sendOnly(platform, '/unsafe/x', `crowd-${sent}`);
+    const come = (): number => valueOf(metrics, 'requests_running') + refusedOf(platform);
+    await eventually(() => come() === crowd, 'all requests have come', 2_000);
+  },
+);
+
+Then(
+  'the metrics show how many wait, and all of these are refused',
+  async function waiting(this: MetricsWorld) {
+    const { platform } = this;
+    const { metrics } = platform;
+    const refused = refusedOf(platform);
+    const waits = valueOf(metrics, 'requests_waiting', { service: 'desk' });
+    const sent = valueOf(metrics, 'endpoint_connections_total');
+    assert.ok(waits > 0 && sent > 0, metrics.render());
+    assert.equal(waits + sent + refused, crowd, metrics.render());
+    await eventually(() => valueOf(metrics, 'requests_waiting') === 0, 'none waits', 3_000);
+    assert.equal(refusedOf(platform), refused + waits);
+    assert.equal(valueOf(metrics, 'requests_running'), sent);
+  },
+);
+
+When(
+  'engines of a model with versions 1, 1 and 2 register and version 2 is named',
+  function register(this: MetricsWorld) {
+    const { store } = this.platform;
+    store.write('op/config', modelConfiguration(2));
+    [1, 1, 2].forEach((version, index) =>
+      store.write(`servers/m${index}`, {
+        Service: 'model',
+        Address: `127.0.0.${index + 2}:9`,
+        Zone: 'a',
+        Slots: 16,
+        State: 'ready',
+        layers: { From: 0, To: 16, Version: version },
+        born: 1,
+      }),
+    );
+    store.write('op/version/m', { Model: 'm', Version: 2 });
+  },
+);
+
+Then(
+  'the metrics show for desk 1 draining and 2 free endpoints',
+  function states(this: MetricsWorld) {
+    const { metrics } = this.platform;
+    assert.equal(valueOf(metrics, 'endpoints', { service: 'desk', state: 'draining' }), 1);
+    assert.equal(valueOf(metrics, 'endpoints', { service: 'desk', state: 'free' }), 2);
+    assert.equal(valueOf(metrics, 'endpoints', { service: 'desk' }), 3);
+  },
+);
+
+Then(
+  'the metrics show 2 endpoints with version 1 and 1 with version 2',
+  async function versions(this: MetricsWorld) {
+    const { metrics } = this.platform;
+    const of = (version: string): number =>
+      valueOf(metrics, 'endpoints_by_version', { service: 'model', version });
+    await eventually(() => valueOf(metrics, 'version_named', { model: 'm' }) === 2, 'it is named');
+    assert.deepEqual([of('1'), of('2')], [2, 1], metrics.render());
+  },
+);
+
+Then(
+  'the metrics show a proof younger than 1500 ms and answered calls only',
+  async function fresh(this: MetricsWorld) {
+    const { metrics } = this.platform;
+    const answered = (call: string): number =>
+      valueOf(metrics, 'store_calls_total', { call, outcome: 'answered' });
+    const calls = ['list', 'watch', 'lease'];
+    await eventually(() => calls.every((call) => answered(call) > 0), 'calls are answered');
+    const all = calls.reduce((sum, call) => sum + answered(call), 0);
+    assert.equal(valueOf(metrics, 'store_calls_total'), all, metrics.render());
+    assert.ok(valueOf(metrics, 'configuration_proof_age_ms') < 1_500, metrics.render());
+  },
+);
+
+Then(
+  'the metrics show a proof older than 2000 ms and failed calls',
+  function stale(this: MetricsWorld) {
+    const { metrics } = this.platform;
+    const failed = { call: 'watch', outcome: 'store_unavailable' };
+    assert.ok(valueOf(metrics, 'store_calls_total', failed) > 0, metrics.render());
+    assert.ok(valueOf(metrics, 'configuration_proof_age_ms') > 2_000, metrics.render());
+  },
+);
+
+Then(
+  'the metrics show 1 repeat of an allowance that is larger',
+  function budget(this: MetricsWorld) {
+    const { metrics } = this.platform;
+    assert.equal(valueOf(metrics, 'retry_budget_used', { service: 'desk' }), 1);
+    assert.ok(valueOf(metrics, 'retry_budget_allowed', { service: 'desk' }) > 1);
+  },
+);
+
+Then(
+  /^its metrics show version (\d) as served, (\d) as complete and (\d) as named$/,
+  async function weights(this: MetricsWorld, served: string, complete: string, named: string) {
+    const states = ['served', 'complete', 'named'];
+    const text = (): string =>
+      states.map((state) => valueOf(this.sidecarMetrics, 'weights_version', { state })).join();
+    const wanted = [served, complete, named].join();
+    await eventually(() => text() === wanted, `versions are ${wanted}`);
+    await eventually(() => valueOf(this.sidecarMetrics, 'engine_answering') === 1, 'it answers');
+  },
+);
--- a/features/steps/platformPrograms.steps.ts
+++ b/features/steps/platformPrograms.steps.ts
@@ -8,7 +8,7 @@
 import { StoreClient, fleetKeys } from '@laburnumstream/platform';
 import { HistogramMetrics, SystemClock } from '@laburnumstream/runtime';
 import { eventually } from '../support/assertions.js';
-import { PlatformFleet, configurationOf } from '../support/platformFleet.js';
+import { PlatformFleet, configurationOf, modelConfiguration } from '../support/platformFleet.js';
 import { PlatformProgram, entrySettings } from '../support/platformProgram.js';
 import type { SettingsLines } from '../support/platformProgram.js';
 import { PlatformStore } from '../support/platformStore.js';
@@ -169,27 +169,6 @@
   },
 );
 
-/** What operators say of a model service whose engines stand in another region than the entry. */
-function modelConfiguration(): object {
-  const { Services, ...rest } = configurationOf(1, ['key-1']) as { Services: object[] };
-  const engine = {
-    Slots: 16,
-    KvCapacity: 685_000,
-    step_ms: 7.4,
-    per_seq_ms: 0.04,
-    context_per_k: 0.02,
-    read_per_s: 31_900,
-    pairs_per_m: 0.7,
-    chunk: 2_048,
-    usual: { prompt: 900, answer: 100 },
-    layers: 16,
-    Chunks: 48,
-    ChunkBytes: 49_152,
-    Models: [{ Name: 'm', WarmS: 0.3 }],
-  };
-  return { ...rest, Services: [...Services, { Name: 'model', MaxConns: 100, Engine: engine }] };
-}
-
 Given('an entry in one region and an agent in another', async function apart(this: ProgramsWorld) {
   this.platform = await PlatformFleet.start([]);
   const { store, settings } = this.platform;
@@ -199,7 +178,7 @@
       ['b', 's'],
     ]),
   });
-  store.write('op/config', modelConfiguration());
+  store.write('op/config', modelConfiguration(1));
   store.write('op/version/m', { Model: 'm', Version: 1 });
   store.write('servers/far', {
     Service: 'model',
@@ -234,3 +213,16 @@
 Then('the agent hears of it within 2 seconds', async function hears(this: ProgramsWorld) {
   await eventually(() => this.heardVersions.includes(2), 'the agent hears of version 2', 2_000);
 });
+
+Then(
+  'a datagram that is sent after its socket has closed is dropped',
+  async function dropped(this: ProgramsWorld) {
+    this.feedAbort = new AbortController();
+    const metrics = new HistogramMetrics();
+    const datagrams = new FleetDatagrams('front-1', {}, clock, metrics, quiet);
+    await datagrams.bind('127.0.0.1', 0, this.feedAbort.signal);
+    this.feedAbort.abort();
+    const content = { case: 'fleet', value: { reportEveryMs: 300 } } as const;
+    assert.doesNotThrow(() => datagrams.send(content, '127.0.0.1'));
+  },
+);
--- a/features/steps/sidecar.steps.ts
+++ b/features/steps/sidecar.steps.ts
@@ -26,6 +26,7 @@
   sidecarPort: number;
   sidecarEntry: FleetDatagrams;
   sidecarTimer: NodeJS.Timeout;
+  sidecarMetrics: HistogramMetrics;
 }
 
 async function settingsOf(): Promise<SidecarSettings> {
@@ -57,6 +58,7 @@
     this.sidecarPort = settings.firstPort;
     const clock = new SystemClock();
     const metrics = new HistogramMetrics();
+    this.sidecarMetrics = metrics;
     const sidecar = new Sidecar({
       settings,
       engine: this.sidecarEngine,
--- a/features/support/platformFleet.ts
+++ b/features/support/platformFleet.ts
@@ -54,6 +54,27 @@
   };
 }
 
+/** The same with a service of a model, which has a version of the weights. */
+export function modelConfiguration(version: number): object {
+  const { Services, ...rest } = configurationOf(version, ['key-1']) as { Services: object[] };
+  const engine = {
+    Slots: 16,
+    KvCapacity: 685_000,
+    step_ms: 7.4,
+    per_seq_ms: 0.04,
+    context_per_k: 0.02,
+    read_per_s: 31_900,
+    pairs_per_m: 0.7,
+    chunk: 2_048,
+    usual: { prompt: 900, answer: 100 },
+    layers: 16,
+    Chunks: 48,
+    ChunkBytes: 49_152,
+    Models: [{ Name: 'm', WarmS: 0.3 }],
+  };
+  return { ...rest, Services: [...Services, { Name: 'model', MaxConns: 100, Engine: engine }] };
+}
+
 async function settingsOf(store: string): Promise<ForwarderSettings> {
   const [callers, readiness, first] = await freePorts(3);
   return {
@@ -76,6 +97,8 @@
 export class PlatformFleet {
   readonly lines: LoggedLine[] = [];
 
+  readonly metrics = new HistogramMetrics();
+
   private readonly abort = new AbortController();
 
   private constructor(
@@ -109,7 +132,7 @@
       headerCodec: platformHeaders,
       clock: new SystemClock(),
       random: new SeededRandom(7),
-      metrics: new HistogramMetrics(),
+      metrics: this.metrics,
       log: (part) => {
         const all = write(part);
         return { debug: all, info: all, warn: all, error: all };
--- a/packages/common/src/services.ts
+++ b/packages/common/src/services.ts
@@ -26,12 +26,24 @@
   error(message: string, fields?: Readonly<Record<string, unknown>>): void;
 }
 
+/** What a value of a metric belongs to, such as a route or a service. */
+export type Labels = Readonly<Record<string, string>>;
+
+/** A value that can go up and down. */
+export interface Gauge {
+  readonly name: string;
+  readonly value: number;
+  readonly labels?: Labels;
+}
+
 /** Counters, gauges and histograms of a process. */
 export interface Metrics {
-  count(name: string, by?: number): void;
+  count(name: string, labels?: Labels): void;
   gauge(name: string, value: number): void;
   /** Records a duration in milliseconds. */
-  observe(name: string, ms: number): void;
+  observe(name: string, ms: number, labels?: Labels): void;
+  /** Adds gauges that are read each time the metrics are. */
+  sample(read: () => readonly Gauge[]): void;
 }
 
 /** One stored value with the revision of its last write; revisions grow over the whole store. */
--- a/packages/decisions/src/forwarding/sharedRetryBudget.ts
+++ b/packages/decisions/src/forwarding/sharedRetryBudget.ts
@@ -14,6 +14,14 @@
 /** Part of the bound that repeats may use which are not needed. */
 const spareShare = 0.55;
 
+/** What is used of a budget of one service in the present window. */
+export interface BudgetUsage {
+  readonly service: string;
+  readonly repeats: number;
+  /** Repeats after failures that fit into the window. */
+  readonly allowed: number;
+}
+
 interface ServiceCounts {
   readonly requests: SlidingCount;
   readonly repeats: SlidingCount;
@@ -52,6 +60,15 @@
     return this.take(service, spareShare, now);
   }
 
+  /** What is used of the budget of each service. */
+  usage(now: number): BudgetUsage[] {
+    return [...this.services].map(([service, counts]) => ({
+      service,
+      repeats: counts.repeats.total(now),
+      allowed: this.earned(counts, now) * usedShare,
+    }));
+  }
+
   private take(service: string, share: number, now: number): boolean {
     if (!this.hasRoom(service, share, now)) return false;
     this.countsOf(service).repeats.add(1, now);
@@ -59,10 +76,13 @@
   }
 
   private hasRoom(service: string, share: number, now: number): boolean {
-    const { requests, repeats } = this.countsOf(service);
+    const counts = this.countsOf(service);
+    return counts.repeats.total(now) + 1 <= this.earned(counts, now) * share;
+  }
+
+  private earned({ requests }: ServiceCounts, now: number): number {
     const { ratio, slack } = this.bound;
-    const earned = requests.total(now) * ratio + slack / Math.max(1, this.entries());
-    return repeats.total(now) + 1 <= earned * share;
+    return requests.total(now) * ratio + slack / Math.max(1, this.entries());
   }
 
   private countsOf(service: string): ServiceCounts {
--- a/packages/forwarding/src/attempts.ts
+++ b/packages/forwarding/src/attempts.ts
@@ -1,4 +1,4 @@
-import { Execution, OutcomeUnknown, Unavailable } from '@laburnumstream/common';
+import { Execution, OutcomeUnknown } from '@laburnumstream/common';
 import type { Clock, Failure, Log, Metrics } from '@laburnumstream/common';
 import { mayRepeat } from '@laburnumstream/decisions';
 import type { Placement, SharedRetryBudget } from '@laburnumstream/decisions';
@@ -9,6 +9,7 @@
 import type { EndpointHandle } from './endpointHandle.js';
 import type { Exchange } from './exchange.js';
 import type { HeaderCodec } from './headerCodec.js';
+import { Refusal, RefusalReason } from './refusal.js';
 
 /** Longest idle time of a connection for a request that may not be repeated, in milliseconds. */
 const freshIdleMs = 2_500;
@@ -143,7 +144,8 @@
   /** The failure for a request whose last attempt did not run it and that is not sent any more. */
   refusal(): Failure {
     if (this.runs > 0) return new OutcomeUnknown('An earlier attempt may have run the request.');
-    return new Unavailable('The endpoints refused the request.', returnMs);
+    const message = 'The endpoints refused the request.';
+    return new Refusal(RefusalReason.endpointsRefused, message, returnMs);
   }
 
   private placedRequest(): PlacedRequest {
--- a/packages/forwarding/src/callerServer.ts
+++ b/packages/forwarding/src/callerServer.ts
@@ -1,17 +1,15 @@
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
-import {
-  Execution,
+import { NotFound, Repetition, TooLarge, Unauthenticated, toFailure } from '@laburnumstream/common';
+import type {
+  Clock,
   Failure,
-  NotFound,
-  Timeout,
-  TooLarge,
-  Unauthenticated,
-  Repetition,
-  Unavailable,
-  toFailure,
+  Log,
+  Metrics,
+  Random,
+  Route,
+  Workspace,
 } from '@laburnumstream/common';
-import type { Clock, Log, Metrics, Random, Route, Workspace } from '@laburnumstream/common';
 import { drawService } from '@laburnumstream/decisions';
 import type { RouteTable } from '@laburnumstream/decisions';
 import { callerLeft, deadlinePassed } from './exchange.js';
@@ -19,6 +17,8 @@
 import type { FleetState } from './fleetState.js';
 import type { HeaderCodec } from './headerCodec.js';
 import type { RequestHead } from './heads.js';
+import { Refusal, RefusalReason, lateFailure } from './refusal.js';
+import { RequestCounts } from './requestCounts.js';
 
 /** Forwards requests of one way of repetition. */
 export interface Forwarding {
@@ -57,12 +57,6 @@
   return query < 0 ? url : url.slice(0, query);
 }
 
-/** The route of a request and who sent it. */
-interface Admission {
-  readonly route: Route;
-  readonly workspace: Workspace | undefined;
-}
-
 /** Takes callers' requests, checks them and hands them to the forwarding of their route. */
 export class CallerServer {
   private readonly server: Server;
@@ -71,6 +65,8 @@
 
   private isLeaving = false;
 
+  private readonly counts: RequestCounts;
+
   constructor(
     private readonly state: FleetState,
     private readonly checks: ConfigurationChecks,
@@ -81,6 +77,7 @@
     private readonly metrics: Metrics,
     private readonly log: Log,
   ) {
+    this.counts = new RequestCounts(metrics);
     this.server = createServer(
       { keepAlive: true, noDelay: true, requestTimeout: 0, connectionsCheckingInterval: 5_000 },
       (request, response) => void this.handle(request, response),
@@ -135,10 +132,12 @@
     });
     try {
       const { routes } = this.state;
-      if (!routes) throw new Unavailable('No configuration is known yet.', returnMs);
-      const admission = this.admit(routes, request, head);
-      const { workspace } = admission;
-      route = admission.route;
+      if (!routes) {
+        const message = 'No configuration is known yet.';
+        throw new Refusal(RefusalReason.noConfiguration, message, returnMs);
+      }
+      route = this.findRoute(routes, request);
+      const workspace = this.admit(routes, route, head);
       const waitsMs = Math.min(head.timeLeftMs ?? route.timeoutMs, route.timeoutMs);
       timer = setTimeout(() => owner.abort(deadlinePassed), waitsMs);
       const body = await readBody(request, routes.configuration.limits.maxBodyBytes);
@@ -159,7 +158,7 @@
         signal,
       };
       await this.forwardings[route.repetition].serve(exchange);
-      this.metrics.count('requests_answered');
+      this.counts.forwarded(exchange);
     } catch (error) {
       this.fail(request, response, head, route, owner.signal, error);
     } finally {
@@ -169,28 +168,34 @@
     }
   }
 
-  /** Finds the route and checks the key. */
-  private admit(routes: RouteTable, request: IncomingMessage, head: RequestHead): Admission {
-    const { host = '' } = request.headers;
-    const route = routes.find(host.split(':')[0]!, pathOf(request.url ?? '/'));
+  private findRoute(routes: RouteTable, { headers, url = '/' }: IncomingMessage): Route {
+    const { host = '' } = headers;
+    const route = routes.find(host.split(':')[0]!, pathOf(url));
     if (!route) throw this.denial(new NotFound('No route matches the host and path.'));
-    if (route.isPublic || !routes.configuration.needsKeys) return { route, workspace: undefined };
+    return route;
+  }
+
+  /** The holder of the request's key; undefined where none is needed. */
+  private admit(routes: RouteTable, route: Route, head: RequestHead): Workspace | undefined {
+    if (route.isPublic || !routes.configuration.needsKeys) return undefined;
     // A key that is known here may have been taken away, and an unknown one may have been added.
     if (!this.checks.mayHonour()) {
       const ageMs = Math.round(this.checks.ageMs());
-      throw new Unavailable(`The proof of keys is ${ageMs} ms old.`, returnMs);
+      const message = `The proof of keys is ${ageMs} ms old.`;
+      throw new Refusal(RefusalReason.oldProof, message, returnMs);
     }
     if (head.key === undefined) throw new Unauthenticated('A key is required.');
     const workspace = routes.workspaceOf(head.key);
     if (!workspace) throw this.denial(new Unauthenticated('The key is not known.'));
-    return { route, workspace };
+    return workspace;
   }
 
   /** The failure for what is not there, unless it may have been added since the last look. */
   private denial(failure: Failure): Failure {
     if (this.checks.mayDeny()) return failure;
     const ageMs = Math.round(this.checks.ageMs());
-    return new Unavailable(`${failure.message} The configuration is ${ageMs} ms old.`, returnMs);
+    const message = `${failure.message} The configuration is ${ageMs} ms old.`;
+    return new Refusal(RefusalReason.oldConfiguration, message, returnMs);
   }
 
   private fail(
@@ -202,13 +207,13 @@
     error: unknown,
   ): void {
     if (signal.reason === callerLeft) {
-      this.metrics.count('requests_left');
+      this.counts.left(route);
       this.log.info('Caller left.', { id });
       return;
     }
-    const failure = signal.reason === deadlinePassed ? CallerServer.late(error) : toFailure(error);
+    const failure = signal.reason === deadlinePassed ? lateFailure(error) : toFailure(error);
     const { status, type, execution, retryAfterMs, message } = failure;
-    this.metrics.count(`requests_failed_${type}`);
+    this.counts.failed(route, failure);
     this.log.info('Request failed.', {
       id,
       status,
@@ -232,11 +237,4 @@
     response.writeHead(status, [...headers, 'content-length', '0']);
     response.end();
   }
-
-  /** The failure of a request whose deadline has passed. */
-  private static late(error: unknown): Failure {
-    const { execution } = toFailure(error);
-    if (execution !== Execution.notRun) return new Timeout('The deadline has passed.');
-    return new Unavailable('No endpoint was free before the deadline.', 0);
-  }
 }
--- a/packages/forwarding/src/dispatchLine.ts
+++ b/packages/forwarding/src/dispatchLine.ts
@@ -1,9 +1,9 @@
-import { Unavailable } from '@laburnumstream/common';
 import type { Clock, Log, Metrics, Random } from '@laburnumstream/common';
 import { ServedShares, WaitingLine, bestPlacement } from '@laburnumstream/decisions';
 import type { Demand, Placement, WaitingRequest } from '@laburnumstream/decisions';
 import type { Eligibility } from './endpointDirectory.js';
 import type { EndpointHandle } from './endpointHandle.js';
+import { Refusal, RefusalReason } from './refusal.js';
 
 /** A request that needs an endpoint. */
 export interface PlacedRequest extends WaitingRequest {
@@ -73,7 +73,7 @@
     private readonly log: Log,
   ) {}
 
-  /** Resolves with an endpoint; throws `Unavailable` when the request can't be served. */
+  /** Resolves with an endpoint; throws a `Refusal` when the request can't be served. */
   place(request: PlacedRequest, signal: AbortSignal): Promise<Placement<EndpointHandle>> {
     const now = this.clock.now();
     const line = this.lineOf(request.service);
@@ -85,7 +85,7 @@
     return new Promise((resolve, reject) => {
       const pending: Pending = { ...request, resolve, reject };
       const leave = (): void => {
-        if (line.remove(pending)) reject(new Unavailable('The request ended while it waited.', 0));
+        if (line.remove(pending)) reject(DispatchLine.endedInLine());
       };
       signal.addEventListener('abort', leave, { once: true });
       line.add(pending);
@@ -115,6 +115,11 @@
     this.lines.forEach((_line, service) => this.look(service));
   }
 
+  /** Number of requests that wait, by service. */
+  get waiting(): ReadonlyMap<string, number> {
+    return new Map([...this.lines].map(([service, { length }]) => [service, length]));
+  }
+
   private schedule(): void {
     if (this.isScheduled) return;
     this.isScheduled = true;
@@ -175,12 +180,11 @@
     return placement;
   }
 
-  private refusal(request: PlacedRequest, now: number): Unavailable {
+  private refusal(request: PlacedRequest, now: number): Refusal {
     const { id, service, isRepeatable } = request;
     const left = Math.max(0, request.deadlineAt - now);
     const wished = returnMs.least + this.random.next() * returnMs.spread;
     const retryAfterMs = Math.min(wished, left * longestReturnShare);
-    this.metrics.count('requests_refused');
     this.log.info('Request refused.', {
       id,
       service,
@@ -192,7 +196,12 @@
       waiting: this.lineOf(service).length,
       retryAfterMs: Math.round(retryAfterMs),
     });
-    return new Unavailable('No endpoint can answer in time.', retryAfterMs);
+    const message = 'No endpoint can answer in time.';
+    return new Refusal(RefusalReason.overloaded, message, retryAfterMs);
+  }
+
+  private static endedInLine(): Refusal {
+    return new Refusal(RefusalReason.deadline, 'The request ended while it waited.', 0);
   }
 
   private sharesOf(service: string): ServedShares {
--- a/packages/forwarding/src/endpointDirectory.ts
+++ b/packages/forwarding/src/endpointDirectory.ts
@@ -10,6 +10,7 @@
 import type { RoomSharers } from '@laburnumstream/decisions';
 import type { EndpointChoice } from './dispatchLine.js';
 import { EndpointHandle, roomLimits } from './endpointHandle.js';
+import { EndpointState } from './endpointState.js';
 import type { FleetState } from './fleetState.js';
 
 /** What a request needs of an endpoint besides room. */
@@ -97,6 +98,20 @@
     return this.of(service).some((handle) => this.mayServe(handle, eligibility, now));
   }
 
+  /** Why an endpoint gets no request now, or that it may get one. */
+  stateOf(handle: EndpointHandle): EndpointState {
+    const now = this.clock.now();
+    const { endpoint } = handle;
+    if (endpoint.isDraining) return EndpointState.draining;
+    if (this.state.isEvacuated(endpoint.dataCentre)) return EndpointState.evacuated;
+    if (!handle.isAnswering) return EndpointState.silent;
+    if (handle.isSwitching) return EndpointState.switching;
+    if (handle.model && handle.version === undefined) return EndpointState.empty;
+    if (!this.hasWeights(handle, now)) return EndpointState.outdated;
+    if (!EndpointDirectory.isSound(handle, now)) return EndpointState.resting;
+    return this.hasRoom(handle, now) ? EndpointState.free : EndpointState.full;
+  }
+
   /** A request is about to be sent. */
   countSend(handle: EndpointHandle): void {
     const now = this.clock.now();
@@ -178,8 +193,13 @@
     });
   }
 
+  /** Whether it has not failed or fallen silent lately. */
+  private static isSound(handle: EndpointHandle, now: number): boolean {
+    return handle.health.mayTry(handle.load.own, now) && !handle.isSilent(now);
+  }
+
   private hasRoom(handle: EndpointHandle, now: number): boolean {
-    if (!handle.health.mayTry(handle.load.own, now) || handle.isSilent(now)) return false;
+    if (!EndpointDirectory.isSound(handle, now)) return false;
     const entries = Math.max(1, this.entries());
     const { profile, pool, coldRate, coldUntil } = handle;
     const most = Math.max(
--- a/packages/forwarding/src/entryRegistration.ts
+++ b/packages/forwarding/src/entryRegistration.ts
@@ -1,5 +1,6 @@
 import { NotFound, toFailure } from '@laburnumstream/common';
-import type { Clock, KeyValueStore, Log } from '@laburnumstream/common';
+import type { Clock, KeyValueStore, Log, Metrics } from '@laburnumstream/common';
+import { StoreCall, StoreCallCounts } from './storeCallCounts.js';
 
 /** Renewals in the length of a lease. */
 const renewals = 3;
@@ -10,14 +11,19 @@
 export class EntryRegistration {
   private lease: string | undefined;
 
+  private readonly calls: StoreCallCounts;
+
   constructor(
     private readonly store: KeyValueStore,
     private readonly key: string,
     private readonly value: string,
     private readonly leaseMs: number,
     private readonly clock: Clock,
+    metrics: Metrics,
     private readonly log: Log,
-  ) {}
+  ) {
+    this.calls = new StoreCallCounts(metrics);
+  }
 
   /** Keeps the registration until the signal fires. */
   async run(signal: AbortSignal): Promise<void> {
@@ -43,11 +49,13 @@
     try {
       if (this.lease) await this.store.renewLease(this.lease, signal);
       else await this.register(signal);
+      this.calls.answered(StoreCall.lease);
       return this.leaseMs / renewals;
     } catch (error) {
       const failure = toFailure(error);
       if (failure instanceof NotFound) this.lease = undefined;
       if (!signal.aborted) this.log.info('Registration not renewed.', { type: failure.type });
+      this.calls.failed(StoreCall.lease, error);
       return retryMs;
     }
   }
--- a/packages/forwarding/src/eventStreams.ts
+++ b/packages/forwarding/src/eventStreams.ts
@@ -1,4 +1,5 @@
 import type { AttemptServices } from './attempts.js';
+import { callerLeft } from './exchange.js';
 import type { Exchange } from './exchange.js';
 import { StreamRun } from './streamRun.js';
 
@@ -6,13 +7,13 @@
 export class EventStreams {
   constructor(private readonly services: AttemptServices) {}
 
-  /** Streams until the end; throws a typed failure while the caller has received nothing. */
+  /** Streams until the end; throws when the caller has received nothing or has left. */
   async serve(exchange: Exchange): Promise<void> {
     const run = new StreamRun(exchange, this.services);
     try {
       await run.run();
     } catch (error) {
-      if (!run.hasBegun) throw error;
+      if (!run.hasBegun || exchange.signal.reason === callerLeft) throw error;
       // A stream that is cut must not look whole.
       this.services.metrics.count('streams_cut');
       this.services.log.warn('Stream cut.', {
--- a/packages/forwarding/src/fleetFeed.ts
+++ b/packages/forwarding/src/fleetFeed.ts
@@ -4,6 +4,7 @@
 import type { ConfigurationProof } from '@laburnumstream/decisions';
 import type { FleetChange, FleetCodec } from './fleetChange.js';
 import type { FleetState } from './fleetState.js';
+import { StoreCall, StoreCallCounts } from './storeCallCounts.js';
 
 /** Longest wait of one watch; its end proves that nothing has changed, in milliseconds. */
 const watchMs = 1_000;
@@ -51,6 +52,8 @@
 
   private readonly hold = new RemovalHold<FleetChange>();
 
+  private readonly calls: StoreCallCounts;
+
   constructor(
     private readonly store: StoreFeed,
     private readonly codec: FleetCodec,
@@ -63,6 +66,7 @@
     /** Time after a version's naming at which older ones are left, in milliseconds. */
     versionMs: number,
   ) {
+    this.calls = new StoreCallCounts(metrics);
     // When versions in the first list were named is not known: they count as nearly due.
     this.answeredAt = clock.now() - Math.max(0, versionMs - restartGraceMs);
   }
@@ -71,14 +75,17 @@
   async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       const calledAt = this.proofClock.now();
+      const call = this.revision === undefined ? StoreCall.list : StoreCall.watch;
       try {
         if (this.revision === undefined) await this.list(signal);
         else await this.follow(this.revision, signal);
         this.proof.confirm(calledAt);
+        this.calls.answered(call);
         this.reached();
         this.removeDue();
       } catch (error) {
         if (signal.aborted) return;
+        this.calls.failed(call, error);
         await this.failed(error, signal);
       }
     }
@@ -172,7 +179,6 @@
 
   private async failed(error: unknown, signal: AbortSignal): Promise<void> {
     const failure = toFailure(error);
-    this.metrics.count('store_calls_failed');
     if (failure instanceof HistoryLost) {
       this.revision = undefined;
       this.log.warn('The history is gone; reading everything.');
--- a/packages/forwarding/src/fleetState.ts
+++ b/packages/forwarding/src/fleetState.ts
@@ -80,6 +80,11 @@
     return this.versions.get(model);
   }
 
+  /** The newest named version of each model. */
+  get newestVersions(): ReadonlyMap<string, number> {
+    return new Map([...this.versions].map(([model, { newest }]) => [model, newest]));
+  }
+
   /** Takes a change that was made at `changedAt` or later, in monotonic milliseconds. */
   apply(change: FleetChange, changedAt: number): void {
     const handler = handlers[change.kind] as Handler;
--- a/packages/forwarding/src/forwardingEntry.ts
+++ b/packages/forwarding/src/forwardingEntry.ts
@@ -11,6 +11,7 @@
 import { ConfigurationProof, SharedRetryBudget } from '@laburnumstream/decisions';
 import { CallerServer } from './callerServer.js';
 import { DispatchLine } from './dispatchLine.js';
+import { entryGauges } from './entryGauges.js';
 import { EndpointDirectory } from './endpointDirectory.js';
 import { EventStreams } from './eventStreams.js';
 import { EntryRegistration } from './entryRegistration.js';
@@ -111,6 +112,7 @@
       fleetCodec.encodeEntry(settings),
       Math.max(leaseMs, settings.store.shortestLeaseMs),
       clock,
+      metrics,
       log('registration'),
     );
     const bound = {
@@ -148,6 +150,10 @@
       metrics,
       log('callers'),
     );
+    const { state, directory, line, callers } = this;
+    const { budget } = services;
+    const parts = { state, directory, line, callers, budget, checks, clock };
+    metrics.sample(() => entryGauges(parts));
   }
 
   /** Starts serving; resolves when all servers listen. */
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -10,3 +10,5 @@
 export * from './heads.js';
 export * from './fleetFeed.js';
 export * from './fleetState.js';
+export * from './refusal.js';
+export * from './requestCounts.js';
--- /dev/null
+++ b/packages/forwarding/src/storeCallCounts.ts
@@ -0,0 +1,26 @@
+import { toFailure } from '@laburnumstream/common';
+import type { Metrics } from '@laburnumstream/common';
+
+/** What an entry calls the store for. */
+export const StoreCall = {
+  list: 'list',
+  watch: 'watch',
+  /** Its own registration and its lease. */
+  lease: 'lease',
+} as const;
+
+/** One of the values of {@link StoreCall}. */
+export type StoreCall = (typeof StoreCall)[keyof typeof StoreCall];
+
+/** Counts calls to the store by what they are for and how they end. */
+export class StoreCallCounts {
+  constructor(private readonly metrics: Metrics) {}
+
+  answered(call: StoreCall): void {
+    this.metrics.count('store_calls', { call, outcome: 'answered' });
+  }
+
+  failed(call: StoreCall, error: unknown): void {
+    this.metrics.count('store_calls', { call, outcome: toFailure(error).type });
+  }
+}
--- a/packages/links/src/fleetDatagrams.ts
+++ b/packages/links/src/fleetDatagrams.ts
@@ -71,7 +71,10 @@
 
   /** Binds the socket, which closes when the signal fires. */
   bind(host: string, port: number, signal: AbortSignal): Promise<void> {
-    signal.addEventListener('abort', () => this.socket.close());
+    signal.addEventListener('abort', () => {
+      this.isBound = false;
+      this.socket.close();
+    });
     return new Promise((resolve) => {
       this.socket.bind(port, host, () => {
         this.isBound = true;
@@ -80,7 +83,7 @@
     });
   }
 
-  /** Sends to another process, whose socket is bound to the same port; nothing before `bind`. */
+  /** Sends to another process, whose socket is bound to the same port; nothing before `bind` and after its end. */
   send(content: DatagramContent, host: string): void {
     if (!this.isBound) return;
     this.sequence += 1;
--- a/packages/runtime/src/histogramMetrics.ts
+++ b/packages/runtime/src/histogramMetrics.ts
@@ -1,47 +1,106 @@
-import type { Metrics } from '@laburnumstream/common';
+import type { Gauge, Labels, Metrics } from '@laburnumstream/common';
 import { build } from 'hdr-histogram-js';
 import type { Histogram } from 'hdr-histogram-js';
+import { MetricFamily, labelText } from './metricFamily.js';
 
 const microsecondsPerMs = 1_000;
 const percentiles = [50, 95, 99] as const;
 
+type Families<Value> = Map<string, MetricFamily<Value>>;
+
+function familyOf<Value>(
+  families: Families<Value>,
+  name: string,
+  create: () => Value,
+): MetricFamily<Value> {
+  let family = families.get(name);
+  if (!family) {
+    family = new MetricFamily(create);
+    families.set(name, family);
+  }
+  return family;
+}
+
+const zero = (): number => 0;
+const emptyHistogram = (): Histogram => build({ numberOfSignificantValueDigits: 2 });
+
+function numberText(value: number): string {
+  if (Number.isFinite(value)) return String(value);
+  return value > 0 ? '+Inf' : '-Inf';
+}
+
+function valueLines(name: string, type: string, family: MetricFamily<number>): string[] {
+  const lines = [`# TYPE ${name} ${type}`];
+  for (const { labels, value } of family.all) {
+    lines.push(`${name}${labelText(labels)} ${numberText(value)}`);
+  }
+  return lines;
+}
+
+function summaryLines(name: string, family: MetricFamily<Histogram>): string[] {
+  const lines = [`# TYPE ${name} summary`];
+  for (const { labels, value: histogram } of family.all) {
+    percentiles.forEach((percentile) => {
+      const ms = histogram.getValueAtPercentile(percentile) / microsecondsPerMs;
+      const text = labelText({ ...labels, quantile: String(percentile / 100) });
+      lines.push(`${name}${text} ${ms}`);
+    });
+    const count = histogram.totalCount;
+    const sumMs = count === 0 ? 0 : (histogram.mean * count) / microsecondsPerMs;
+    lines.push(`${name}_sum${labelText(labels)} ${sumMs}`);
+    lines.push(`${name}_count${labelText(labels)} ${count}`);
+  }
+  return lines;
+}
+
 /** Metrics of one process, held in memory and rendered as text. */
 export class HistogramMetrics implements Metrics {
-  private readonly counters = new Map<string, number>();
+  private readonly counters: Families<number> = new Map();
 
-  private readonly gauges = new Map<string, number>();
+  private readonly gauges: Families<number> = new Map();
 
-  private readonly histograms = new Map<string, Histogram>();
+  private readonly histograms: Families<Histogram> = new Map();
 
-  count(name: string, by = 1): void {
-    this.counters.set(name, (this.counters.get(name) ?? 0) + by);
+  private readonly readers: (() => readonly Gauge[])[] = [];
+
+  count(name: string, labels?: Labels): void {
+    familyOf(this.counters, name, zero).of(labels).value += 1;
   }
 
   gauge(name: string, value: number): void {
-    this.gauges.set(name, value);
+    familyOf(this.gauges, name, zero).of().value = value;
   }
 
-  observe(name: string, ms: number): void {
-    let histogram = this.histograms.get(name);
-    if (!histogram) {
-      histogram = build({ numberOfSignificantValueDigits: 2 });
-      this.histograms.set(name, histogram);
-    }
+  observe(name: string, ms: number, labels?: Labels): void {
+    const { value: histogram } = familyOf(this.histograms, name, emptyHistogram).of(labels);
     histogram.recordValue(Math.max(0, Math.round(ms * microsecondsPerMs)));
   }
 
-  /** One line for each value, in the Prometheus text format. */
+  sample(read: () => readonly Gauge[]): void {
+    this.readers.push(read);
+  }
+
+  /** The Prometheus text format: the type of each metric, and one line for each value. */
   render(): string {
     const lines: string[] = [];
-    this.counters.forEach((value, name) => lines.push(`${name}_total ${value}`));
-    this.gauges.forEach((value, name) => lines.push(`${name} ${value}`));
-    this.histograms.forEach((histogram, name) => {
-      percentiles.forEach((percentile) => {
-        const ms = histogram.getValueAtPercentile(percentile) / microsecondsPerMs;
-        lines.push(`${name}_ms{quantile="${percentile / 100}"} ${ms}`);
-      });
-      lines.push(`${name}_ms_count ${histogram.totalCount}`);
-    });
+    this.counters.forEach((family, name) =>
+      lines.push(...valueLines(`${name}_total`, 'counter', family)),
+    );
+    [this.gauges, this.readGauges()].forEach((gauges) =>
+      gauges.forEach((family, name) => lines.push(...valueLines(name, 'gauge', family))),
+    );
+    this.histograms.forEach((family, name) => lines.push(...summaryLines(`${name}_ms`, family)));
     return `${lines.join('\n')}\n`;
   }
+
+  /** The gauges that are read now; those whose labels are the same are added. */
+  private readGauges(): Families<number> {
+    const gauges: Families<number> = new Map();
+    this.readers
+      .flatMap((read) => read())
+      .forEach(({ name, value, labels }) => {
+        familyOf(gauges, name, zero).of(labels).value += value;
+      });
+    return gauges;
+  }
 }
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -7,6 +7,7 @@
 export * from './lineBudget.js';
 export * from './lineOutput.js';
 export * from './logger.js';
+export * from './metricFamily.js';
 export * from './metricsServer.js';
 export * from './notifier.js';
 export * from './processAbort.js';
--- a/packages/runtime/src/logger.ts
+++ b/packages/runtime/src/logger.ts
@@ -14,6 +14,7 @@
   count: () => undefined,
   gauge: () => undefined,
   observe: () => undefined,
+  sample: () => undefined,
 };
 
 /**
@@ -59,10 +60,11 @@
   private write(level: string, message: string, fields: Fields): void {
     const mustStay = fields.isRepeatable === false;
     if (!mustStay && !this.budget.takes(message, performance.now())) {
-      this.metrics.count('log_lines_left_out');
+      this.metrics.count('log_lines_left_out', { kind: message });
       this.reportSoon();
       return;
     }
+    this.metrics.count('log_lines', { level });
     this.logger.log({ level, message, instance: this.instance, ...fields });
   }
 
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -8,6 +8,7 @@
 import { PieceGossip } from './pieceGossip.js';
 import { PieceServer } from './pieceServer.js';
 import { Reporter } from './reporter.js';
+import { sidecarGauges } from './sidecarGauges.js';
 import { Uplink } from './uplink.js';
 import { VersionShelf } from './versionShelf.js';
 import { WeightKeeper } from './weightKeeper.js';
@@ -89,6 +90,8 @@
       this.datagrams,
       clock,
     );
+    const { view, watch, keeper } = this;
+    metrics.sample(() => sidecarGauges(view, watch, keeper, shelf));
   }
 
   /** Starts working; resolves when all sockets are bound. */
