Test the logs of a real process: the command alone, a flood, and a reader that stops

Ruled out: callers without a bound on connections: on a machine with a load of 31, 200 of 6,000 got ECONNRESET before the entry saw them (no line names them: the listen queue); requests that end in line have no 'Request refused.' line.

--- /dev/null
+++ b/features/steps/processLogs.steps.ts
@@ -0,0 +1,236 @@
+import assert from 'node:assert/strict';
+import { openSync, readFileSync } from 'node:fs';
+import { join } from 'node:path';
+import { setTimeout as sleep } from 'node:timers/promises';
+import { After, Given, Then, When } from '@cucumber/cucumber';
+import { parseLogLine } from '@laburnumstream/cli';
+import type { LogLine } from '@laburnumstream/cli';
+import { eventually } from '../support/assertions.js';
+import { Callers } from '../support/callers.js';
+import type { CallerResult } from '../support/callers.js';
+import { runCommand } from '../support/commandLine.js';
+import { parseMetrics } from '../support/metricsText.js';
+import type { MetricValue } from '../support/metricsText.js';
+import { Behaviours } from '../support/platformEngine.js';
+import { PlatformFleet } from '../support/platformFleet.js';
+import { PlatformProgram, entrySettings } from '../support/platformProgram.js';
+
+/** An entry program and its callers. */
+interface RunningProgram {
+  readonly program: PlatformProgram;
+  readonly callers: Callers;
+  /** The file with its log. */
+  readonly log: string;
+}
+
+interface ProcessLogsWorld {
+  fleet: PlatformFleet;
+  programs: RunningProgram[];
+  results: CallerResult[];
+  asked: string;
+}
+
+const linesPerSecond = 100;
+const secondMs = 1_000;
+/** Least time for which the programs' proof of keys lasts, in milliseconds. */
+const proofMs = 4_600;
+
+async function metricsOf({ program }: RunningProgram): Promise<MetricValue[]> {
+  const answer = await fetch(`http://127.0.0.1:${program.metricsPort}/metrics`);
+  return parseMetrics(await answer.text());
+}
+
+async function sumOf(running: RunningProgram, name: string, kind?: string): Promise<number> {
+  const values = await metricsOf(running);
+  return values
+    .filter((value) => value.name === name && (!kind || value.labels.kind === kind))
+    .reduce((sum, { value }) => sum + value, 0);
+}
+
+async function isReady(running: RunningProgram): Promise<boolean> {
+  try {
+    const values = await metricsOf(running);
+    const has = (name: string): boolean =>
+      values.some((value) => value.name === name && value.value > 0);
+    return has('endpoints') && has('entries');
+  } catch {
+    // The program does not listen yet.
+    return false;
+  }
+}
+
+async function startProgram(
+  { store }: PlatformFleet,
+  name: string,
+  isRead: boolean,
+): Promise<RunningProgram> {
+  const lines = await entrySettings(store.address);
+  lines.NodeName = name;
+  const program = new PlatformProgram();
+  program.write(lines);
+  const log = join(program.file, '..', 'log');
+  await program.start(isRead ? openSync(log, 'w') : 'pipe');
+  const running = { program, callers: new Callers(lines['Listen.Front']!), log };
+  await eventually(() => isReady(running), `${name} is ready`);
+  return running;
+}
+
+function linesOf({ log }: RunningProgram): LogLine[] {
+  return readFileSync(log, 'utf8')
+    .split('\n')
+    .flatMap((text) => parseLogLine(text) ?? []);
+}
+
+After(async function close(this: Partial<ProcessLogsWorld>) {
+  this.programs?.forEach(({ program, callers }) => {
+    program.close();
+    callers.close();
+  });
+  await this.fleet?.close();
+});
+
+Given(
+  /^the entry program with its log in a file and an engine that (\w+)$/,
+  async function start(this: ProcessLogsWorld, behaviour: keyof typeof Behaviours) {
+    this.fleet = await PlatformFleet.start([Behaviours[behaviour]]);
+    this.programs = [await startProgram(this.fleet, 'front-1', true)];
+  },
+);
+
+When('nothing happens before', () => undefined);
+
+When('more requests run than the engine may have', async function crowd(this: ProcessLogsWorld) {
+  const [running] = this.programs;
+  for (let sent = 0; sent < 120; sent += 1) void running!.callers.send('/unsafe/x', `c${sent}`);
+  const refused = (): boolean =>
+    linesOf(running!).some(({ message }) => message === 'line: Request refused.');
+  await eventually(refused, 'some are refused', 2_000);
+});
+
+When('the store is silent until proofs are old', async function silence(this: ProcessLogsWorld) {
+  this.fleet.store.isSilent = true;
+  const [running] = this.programs;
+  const age = (): Promise<number> => sumOf(running!, 'configuration_proof_age_ms');
+  await eventually(async () => (await age()) > proofMs, 'the proof is old');
+});
+
+When(
+  /^a caller's request to unsafe gets (\d+)$/,
+  async function ask(this: ProcessLogsWorld, status: string) {
+    this.asked = 'asked';
+    const result = await this.programs[0]!.callers.send('/unsafe/x', this.asked);
+    assert.equal(result.status, Number(status));
+  },
+);
+
+Then(
+  /^the command explains its id with (.+)$/,
+  async function explain(this: ProcessLogsWorld, cause: string) {
+    const { log } = this.programs[0]!;
+    const { code, out, error } = await runCommand('', '', ['explain', this.asked, log]);
+    assert.equal(code, 0, error);
+    assert.match(out.replaceAll('\n', ' '), new RegExp(cause), out);
+  },
+);
+
+When(
+  'callers send 6000 requests at 2000 a second to unsafe',
+  async function flood(this: ProcessLogsWorld) {
+    this.results = await this.programs[0]!.callers.flood('/unsafe/x', 6_000, 2_000);
+    const faults = this.results.flatMap(({ status, fault }) => (status === 0 ? [fault] : []));
+    assert.deepEqual([...new Set(faults)], [], `${faults.length} requests without an answer`);
+    // The last lines that were left out are told a second later.
+    await sleep(secondMs);
+  },
+);
+
+Then(
+  'its log has at most 100 lines of each kind a second, but for refusals',
+  function bounded(this: ProcessLogsWorld) {
+    const lines = linesOf(this.programs[0]!).filter(({ isRepeatable }) => isRepeatable !== false);
+    const timesByKind = new Map<string, number[]>();
+    lines.forEach(({ message, timestamp }) => {
+      const times = timesByKind.get(message) ?? [];
+      timesByKind.set(message, [...times, Date.parse(timestamp)]);
+    });
+    timesByKind.forEach((times, kind) => {
+      const spanMs = times.at(-1)! - times[0]!;
+      // Seconds of the budget that the lines can touch.
+      const seconds = Math.floor(spanMs / secondMs) + 2;
+      assert.ok(times.length <= linesPerSecond * seconds, `${times.length} of ${kind}`);
+    });
+    assert.ok(timesByKind.get('requests: Request answered.')!.length >= linesPerSecond);
+  },
+);
+
+Then(
+  'lines and those that its metrics count as left out make up all requests',
+  async function complete(this: ProcessLogsWorld) {
+    const [running] = this.programs;
+    const kind = 'requests: Request answered.';
+    const written = linesOf(running!).filter(({ message }) => message === kind).length;
+    const leftOut = await sumOf(running!, 'log_lines_left_out_total', kind);
+    const answered = this.results.filter(({ status }) => status === 200).length;
+    assert.ok(leftOut > 0, `${answered} answered, none left out`);
+    assert.equal(written + leftOut, answered);
+    assert.equal(await sumOf(running!, 'log_lines_lost_total'), 0);
+  },
+);
+
+Then('each failed request has all of its lines', function failures(this: ProcessLogsWorld) {
+  const lines = linesOf(this.programs[0]!);
+  const idsOf = (all: readonly LogLine[]): string[] => all.map(({ id }) => String(id)).sort();
+  const failed = lines.filter(({ message }) => message === 'callers: Request failed.');
+  const refused = lines.filter(({ message }) => message === 'line: Request refused.');
+  const overloaded = failed.filter(({ reason }) => reason === 'No endpoint can answer in time.');
+  const unserved = this.results.filter(({ status }) => status !== 200).map(({ id }) => id);
+  assert.ok(overloaded.length > linesPerSecond * 3, `${overloaded.length} were refused`);
+  assert.deepEqual(idsOf(failed), [...unserved].sort());
+  assert.deepEqual(idsOf(refused), idsOf(overloaded));
+});
+
+Given(
+  'two entry programs, one of them with a standard output that nobody reads',
+  async function two(this: ProcessLogsWorld) {
+    this.fleet = await PlatformFleet.start([Behaviours.answers]);
+    this.programs = [];
+    for (const [name, isRead] of [
+      ['front-1', true],
+      ['front-2', false],
+    ] as const) {
+      this.programs.push(await startProgram(this.fleet, name, isRead));
+    }
+  },
+);
+
+When(
+  'both have had so many requests that lines of the one are lost',
+  async function fill(this: ProcessLogsWorld) {
+    // Lines on failures of requests that may not be repeated are never left out.
+    const path = '/unsafe/x?'.padEnd(2_000, 'x');
+    const strangers = this.programs.map(({ callers }) => new Callers(callers.address, 'other'));
+    const isFull = async (): Promise<boolean> => {
+      await Promise.all(strangers.map((callers) => callers.flood(path, 100, 1_000)));
+      return (await sumOf(this.programs[1]!, 'log_lines_lost_total')) > 0;
+    };
+    await eventually(isFull, 'lines are lost', 30_000);
+    strangers.forEach((callers) => callers.close());
+  },
+);
+
+Then(
+  '300 requests to each are served, and the one takes no longer than the other',
+  async function compare(this: ProcessLogsWorld) {
+    const times: number[][] = [[], []];
+    for (let round = 0; round < 300; round += 1) {
+      for (const [index, { callers }] of this.programs.entries()) {
+        const { status, ms } = await callers.send('/safe/x', `r${round}`);
+        assert.equal(status, 200);
+        times[index]!.push(ms);
+      }
+    }
+    const [read, unread] = times.map((all) => all.sort((a, b) => a - b));
+    const ratio = unread![150]! / read![150]!;
+    assert.ok(ratio < 1.5, `median ${unread![150]} ms, of the other ${read![150]} ms`);
+  },
+);
--- a/features/support/platformProgram.ts
+++ b/features/support/platformProgram.ts
@@ -1,5 +1,5 @@
 import { spawn } from 'node:child_process';
-import type { ChildProcess } from 'node:child_process';
+import type { ChildProcess, IOType } from 'node:child_process';
 import { mkdtempSync, writeFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
@@ -61,14 +61,15 @@
     writeFileSync(this.file, `${text.join('\n')}\n`);
   }
 
-  async start(): Promise<void> {
+  /** Starts it; its standard output goes to a file, to a pipe that nobody reads, or nowhere. */
+  async start(output: IOType | number = 'ignore'): Promise<void> {
     const [port] = await freePorts(1);
     this.metricsPort = port!;
     const child = spawn(process.execPath, [program, '--metrics-port', String(port)], {
       env: { PATH: process.env.PATH, LABURNUMSTREAM_CONFIG: this.file },
-      stdio: ['ignore', 'ignore', 'pipe'],
+      stdio: ['ignore', output, 'pipe'],
     });
-    child.stderr.on('data', (bytes: Buffer) => {
+    child.stderr!.on('data', (bytes: Buffer) => {
       this.errors += bytes.toString();
     });
     this.child = child;
