--- a/features/logs.feature
+++ b/features/logs.feature
@@ -24,3 +24,7 @@
     When the store falls silent for 3 seconds
     And a caller sends a request to safe
     Then the explanation of its id names Store not reachable.*Request failed. .*proof of keys is \d+ ms old
+
+  Scenario: process that was started anew
+    Given the log of an entry that lost the store, was started anew and then failed a request
+    Then its explanation has the start and nothing that was believed before
--- a/features/steps/logs.steps.ts
+++ b/features/steps/logs.steps.ts
@@ -1,5 +1,5 @@
 import assert from 'node:assert/strict';
-import { Then, When } from '@cucumber/cucumber';
+import { Given, Then, When } from '@cucumber/cucumber';
 import { Explanation, parseLogLine, renderStory } from '@laburnumstream/cli';
 import type { LogLine } from '@laburnumstream/cli';
 import { HistogramMetrics, LineBudget, LineOutput, LoggerFactory } from '@laburnumstream/runtime';
@@ -13,6 +13,7 @@
   output: LineOutput;
   outputMetrics: HistogramMetrics;
   platform: PlatformFleet;
+  story: string;
 }
 
 const kinds = ['Request placed.', 'Request refused.', 'Request failed.'];
@@ -99,3 +100,31 @@
   const text = renderStory(explanation.story());
   assert.match(text.replaceAll('\n', ' '), new RegExp(cause), text);
 });
+
+Given(
+  'the log of an entry that lost the store, was started anew and then failed a request',
+  function restart(this: LogsWorld) {
+    const explanation = new Explanation('r1');
+    [
+      { message: 'fleet: Configuration in force.', fields: { version: 3 } },
+      { message: 'store: Store not reachable.', fields: {} },
+      { message: 'process: Started.', fields: {} },
+      { message: 'fleet: Configuration in force.', fields: { version: 4 } },
+      { message: 'callers: Request failed.', fields: { id: 'r1' } },
+    ].forEach((line, index) => explanation.take(toLine(line, index)));
+    this.story = renderStory(explanation.story());
+  },
+);
+
+Then(
+  'its explanation has the start and nothing that was believed before',
+  function fresh(this: LogsWorld) {
+    const messages = this.story.split('\n').map((line) => /\w+: [^.]+\./.exec(line)?.[0]);
+    assert.deepEqual(messages, [
+      'process: Started.',
+      'fleet: Configuration in force.',
+      'callers: Request failed.',
+    ]);
+    assert.match(this.story, /version=4/);
+  },
+);
--- a/packages/cli/src/explanation.ts
+++ b/packages/cli/src/explanation.ts
@@ -33,6 +33,16 @@
   'process: Started.': () => 'process',
 };
 
+/** The first line of a process: what the one before it believed is gone. */
+const startMessage = 'process: Started.';
+
+/** Forgets what a process believed that has been started anew. */
+function forgetBefore({ instance }: LogLine, latest: Map<string, LogLine>): void {
+  latest.forEach((line, key) => {
+    if (line.instance === instance) latest.delete(key);
+  });
+}
+
 /** Reads one line of a log, which may have other text before it; undefined when it is none. */
 export function parseLogLine(text: string): LogLine | undefined {
   const start = text.indexOf('{');
@@ -82,7 +92,12 @@
       .forEach((line) => {
         const subject = subjects[line.message]!(line);
         if (line.timestamp > first.timestamp) during.push({ line, isBelief: true });
-        else latest.set(`${line.instance} ${subject}`, line);
+        else {
+          if (line.message === startMessage) forgetBefore(line, latest);
+          // Set anew, so that the latest belief stands last.
+          latest.delete(`${line.instance} ${subject}`);
+          latest.set(`${line.instance} ${subject}`, line);
+        }
       });
     const before = [...latest.values()].map((line) => ({ line, isBelief: true }));
     const after = [...own.map((line) => ({ line, isBelief: false })), ...during].sort((a, b) =>
