--- a/bench/src/platformProgram.ts
+++ b/bench/src/platformProgram.ts
@@ -1,5 +1,5 @@
 import { spawn } from 'node:child_process';
-import type { ChildProcess } from 'node:child_process';
+import type { ChildProcess, IOType } from 'node:child_process';
 import { mkdtempSync, writeFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
@@ -89,15 +89,16 @@
     writeFileSync(this.file, `${text.join('\n')}\n`);
   }
 
-  async start(): Promise<void> {
-    const { main, directory = programs, log = 'ignore' } = this.choices;
+  /** Starts it; its standard output goes to a file, to a pipe that nobody reads, or nowhere. */
+  async start(output: IOType | number = this.choices.log ?? 'ignore'): Promise<void> {
+    const { main, directory = programs } = this.choices;
     this.metricsPort = this.choices.metricsPort ?? (await freePorts(1))[0]!;
     const args = [join(directory, main), '--metrics-port', String(this.metricsPort)];
     const child = spawn(process.execPath, args, {
       env: { PATH: process.env.PATH, LABURNUMSTREAM_CONFIG: this.file },
-      stdio: ['ignore', log, 'pipe'],
+      stdio: ['ignore', output, 'pipe'],
     });
-    child.stderr?.on('data', (bytes: Buffer) => {
+    child.stderr!.on('data', (bytes: Buffer) => {
       this.errors += bytes.toString();
     });
     this.child = child;
--- a/features/support/platformFleet.ts
+++ b/features/support/platformFleet.ts
@@ -53,6 +53,27 @@
   };
 }
 
+/** The same with a service of a model, which has a version of the weights. */
+export function modelConfiguration(version: number): object {
+  const { Services, ...rest } = configurationOf(version, ['key-1']) as { Services: object[] };
+  const engine = {
+    Slots: 16,
+    KvCapacity: 685_000,
+    step_ms: 7.4,
+    per_seq_ms: 0.04,
+    context_per_k: 0.02,
+    read_per_s: 31_900,
+    pairs_per_m: 0.7,
+    chunk: 2_048,
+    usual: { prompt: 900, answer: 100 },
+    layers: 16,
+    Chunks: 48,
+    ChunkBytes: 49_152,
+    Models: [{ Name: 'm', WarmS: 0.3 }],
+  };
+  return { ...rest, Services: [...Services, { Name: 'model', MaxConns: 100, Engine: engine }] };
+}
+
 async function settingsOf(store: string): Promise<ForwarderSettings> {
   const [callers, readiness, first] = await freePorts(3);
   return {
--- a/packages/forwarding/src/eventStreams.ts
+++ b/packages/forwarding/src/eventStreams.ts
@@ -1,5 +1,6 @@
 import { VersionUnsupported } from '@laburnumstream/common';
 import type { AttemptServices } from './attempts.js';
+import { callerLeft } from './exchange.js';
 import type { Exchange } from './exchange.js';
 import { StreamRun } from './streamRun.js';
 
@@ -11,7 +12,7 @@
 export class EventStreams {
   constructor(private readonly services: AttemptServices) {}
 
-  /** Streams until the end; throws a typed failure while the caller has received nothing. */
+  /** Streams until the end; throws when the caller has received nothing or has left. */
   async serve(exchange: Exchange): Promise<void> {
     // Without chunks a caller could not tell a stream that is cut from a whole one.
     if (!knowsChunks(exchange)) throw new VersionUnsupported();
@@ -19,7 +20,7 @@
     try {
       await run.run();
     } catch (error) {
-      if (!run.hasBegun) throw error;
+      if (!run.hasBegun || exchange.signal.reason === callerLeft) throw error;
       // A stream that is cut must not look whole.
       this.services.metrics.count('streams_cut');
       this.services.log.warn('Stream cut.', {
--- a/packages/forwarding/src/fleetFeed.ts
+++ b/packages/forwarding/src/fleetFeed.ts
@@ -3,6 +3,7 @@
 import { RemovalHold } from '@laburnumstream/decisions';
 import type { FleetChange, FleetCodec } from './fleetChange.js';
 import type { FleetState } from './fleetState.js';
+import { StoreCall, StoreCallCounts } from './storeCallCounts.js';
 
 /** Longest wait of one watch; its end proves that nothing has changed, in milliseconds. */
 const watchMs = 1_000;
@@ -59,6 +60,8 @@
 
   private readonly hold = new RemovalHold<FleetChange>();
 
+  private readonly calls: StoreCallCounts;
+
   constructor(
     private readonly store: StoreFeed,
     private readonly codec: FleetCodec,
@@ -72,6 +75,7 @@
     versionMs: number,
   ) {
     this.answeredAt = clock.now();
+    this.calls = new StoreCallCounts(metrics);
     // When versions in the first list were named is not known: they count as nearly due.
     this.untoldMs = Math.max(0, versionMs - restartGraceMs);
   }
@@ -80,14 +84,17 @@
   async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       const calledAt = this.proofClock.now();
+      const call = this.revision === undefined ? StoreCall.list : StoreCall.watch;
       try {
         if (this.revision === undefined) await this.list(signal);
         else await this.follow(this.revision, signal);
         this.proof.confirm(calledAt);
+        this.calls.answered(call);
         this.reached();
         this.removeDue();
       } catch (error) {
         if (signal.aborted) return;
+        this.calls.failed(call, error);
         await this.failed(error, signal);
       }
     }
@@ -185,7 +192,6 @@
 
   private async failed(error: unknown, signal: AbortSignal): Promise<void> {
     const failure = toFailure(error);
-    this.metrics.count('store_calls_failed');
     if (failure instanceof HistoryLost) {
       this.revision = undefined;
       this.log.warn('The history is gone; reading everything.');
