Keep the work of a choice flat in entries and of a report flat in endpoints

Cause: each request asked every endpoint, and each endpoint counted all entries (regions looked up) and all that had told their loads; a report of one endpoint, or an ended request, compared every waiting request with all endpoints; a list of the store rebuilt the routing tables for each value; a refusal asked all endpoints again for a log field; every entry of a region told its agents of weights each second; couldRepeat built a placed request for its eligibility.

Change: FleetState counts entries by data centre as they change; PeerLoads keeps sums as loads come and lapse; DispatchLine.look takes the endpoint that changed (the look each 20 ms still asks all); FleetState.applyTogether; NewsTellers: 4 entries of an agent's region tell it each second, all of them on a change; reports further apart from 16 near or 38 far entries on; the field 'usable' of a refusal is gone.

Ruled out: a cache of rooms by service: room changes with time (pauses, cold rates).

At 34 entries the pace of reports is as before. Wall time was not measured.

--- /dev/null
+++ b/features/growth.feature
@@ -0,0 +1,32 @@
+Feature: Growth
+
+  Scenario: a choice among endpoints with more entries
+    When 40 endpoints are asked for room with 10, 100 and 700 entries
+    Then the regions looked up are as many with 700 entries as with 10
+
+  Scenario: a choice among endpoints with more entries that tell their loads
+    When an endpoint with 10, 100 and 700 entries that told their loads is asked for room
+    Then the loads read are as many with 700 entries as with 10
+
+  Scenario: loads told are summed
+    Then sums of loads told equal those of the loads that are fresh, for any history
+
+  Scenario: a request is refused
+    When a request is refused by a line with 700 endpoints
+    Then each endpoint was asked for room once
+
+  Scenario: room at one of many endpoints
+    When 20 requests wait for 700 endpoints and one of them gets room
+    Then each request was compared with that endpoint only, and one was placed
+
+  Scenario: a list with many endpoints
+    When an entry reads a list with 700 endpoints
+    Then its routing tables are built once
+
+  Scenario: agents hear of weights from a few entries
+    Then each of 40 agents hears each second from 4 of 10, 100 and 700 entries
+    And an entry that leaves changes nothing for agents that it did not tell
+
+  Scenario: reports to more entries
+    Then an agent reports at most 600 times a second to 370 entries in two regions
+    And as often as before to 34 entries in three
--- /dev/null
+++ b/features/steps/growth.steps.ts
@@ -0,0 +1,316 @@
+import assert from 'node:assert/strict';
+import { Then, When } from '@cucumber/cucumber';
+import fc from 'fast-check';
+import { SeededRandom, SleepAwareClock, Unavailable } from '@laburnumstream/common';
+import type { StoreFeed } from '@laburnumstream/common';
+import {
+  ConfigurationProof,
+  EndpointLoad,
+  NewsTellers,
+  PeerLoads,
+  bestPlacement,
+  reportIntervalMs,
+} from '@laburnumstream/decisions';
+import { DispatchLine, FleetFeed, FleetState } from '@laburnumstream/forwarding';
+import type {
+  EndpointChoice,
+  EndpointHandle,
+  FleetCodec,
+  PlacedRequest,
+} from '@laburnumstream/forwarding';
+import { VirtualClock } from '@laburnumstream/standins';
+import {
+  GrownFleet,
+  anywhere,
+  grownEndpoint,
+  grownService,
+  noMetrics,
+  quietLog,
+} from '../support/grownFleet.js';
+import { countVisits } from '../support/visits.js';
+
+interface GrowthWorld {
+  /** Work of one choice, by the number of entries. */
+  work: Map<number, number>;
+  /** Endpoints that were asked for room, in each look. */
+  asked: number[];
+  placed: string[];
+  builds: number;
+}
+
+const sizes = [10, 100, 700] as const;
+const many = 700;
+const demand = { promptTokens: 0, answerTokens: 0 };
+const idle = { running: 0, waiting: 0, pace: 1 };
+
+function workOf(measure: (entries: number) => number): Map<number, number> {
+  return new Map(sizes.map((entries) => [entries, measure(entries)]));
+}
+
+function isFlat(work: ReadonlyMap<number, number>): void {
+  assert.equal(work.get(many), work.get(sizes[0]), JSON.stringify([...work]));
+}
+
+When(
+  '40 endpoints are asked for room with 10, 100 and 700 entries',
+  function ask(this: GrowthWorld) {
+    this.work = workOf((entries) => {
+      const { directory, regions } = new GrownFleet(entries, 40);
+      const random = new SeededRandom(2);
+      [...directory.all].forEach((handle) =>
+        handle.takeLoad(idle, directory.sharers(handle.region), random, 0),
+      );
+      regions.lookups = 0;
+      bestPlacement(directory.usable(grownService, anywhere), demand, 0, random);
+      return regions.lookups;
+    });
+  },
+);
+
+Then(
+  'the regions looked up are as many with 700 entries as with 10',
+  function flat(this: GrowthWorld) {
+    isFlat(this.work);
+  },
+);
+
+When(
+  'an endpoint with 10, 100 and 700 entries that told their loads is asked for room',
+  function ask(this: GrowthWorld) {
+    this.work = workOf((entries) => {
+      const load = new EndpointLoad(() => entries, true);
+      load.report(idle, 0, 3, 0);
+      for (let entry = 0; entry < entries; entry += 1) {
+        load.hear(`front-${entry}`, { requests: 1, unreadMs: 2 }, 1);
+      }
+      return countVisits(() => load.hasRoom({ slots: many * 2, spare: 1, unreadMs: 1e6 }, 2));
+    });
+  },
+);
+
+Then('the loads read are as many with 700 entries as with 10', function flat(this: GrowthWorld) {
+  isFlat(this.work);
+});
+
+const telling = fc.record({
+  entry: fc.integer({ min: 0, max: 6 }),
+  requests: fc.integer({ min: 0, max: 9 }),
+  unreadMs: fc.integer({ min: 0, max: 300 }),
+  afterMs: fc.integer({ min: 0, max: 1_500 }),
+});
+const staleMs = 2_500;
+
+Then('sums of loads told equal those of the loads that are fresh, for any history', () => {
+  fc.assert(
+    fc.property(fc.array(telling, { maxLength: 40 }), (tellings) => {
+      const loads = new PeerLoads();
+      const last = new Map<number, { requests: number; unreadMs: number; at: number }>();
+      let now = 0;
+      tellings.forEach(({ entry, requests, unreadMs, afterMs }) => {
+        now += afterMs;
+        loads.take(`front-${entry}`, { requests, unreadMs }, now);
+        last.set(entry, { requests, unreadMs, at: now });
+        const fresh = [...last.values()].filter(({ at }) => now - at < staleMs);
+        const sum = (valueOf: (load: (typeof fresh)[number]) => number): number =>
+          fresh.reduce((total, load) => total + valueOf(load), 0);
+        assert.equal(loads.count(now), fresh.length);
+        assert.equal(
+          loads.requests(now),
+          sum((load) => load.requests),
+        );
+        assert.equal(
+          loads.unreadMs(now),
+          sum((load) => load.unreadMs),
+        );
+      });
+      assert.equal(loads.requests(now + staleMs), 0);
+    }),
+    { seed: 11 },
+  );
+});
+
+function requestOf(id: string): PlacedRequest {
+  return {
+    id,
+    service: grownService,
+    workspace: 'w',
+    priority: 1,
+    isReturned: false,
+    isRepeatable: true,
+    arrivedAt: 0,
+    startBy: 400,
+    demand,
+    groups: ['r'],
+    eligibility: anywhere,
+    goalAt: 500,
+    deadlineAt: 1_000,
+  };
+}
+
+/** A choice of endpoints that notes how many are asked for room. */
+function notingChoice(
+  handles: readonly EndpointHandle[],
+  hasRoom: (handle: EndpointHandle) => boolean,
+  asked: number[],
+): EndpointChoice {
+  return {
+    of: () => handles,
+    usable: (_service, _eligibility, among = handles) => {
+      asked.push(among.length);
+      return among.filter(hasRoom);
+    },
+    canServe: () => true,
+  };
+}
+
+When('a request is refused by a line with 700 endpoints', async function refuse(this: GrowthWorld) {
+  this.asked = [];
+  const { directory, clock } = new GrownFleet(7, many);
+  const choice = notingChoice([...directory.all], () => false, this.asked);
+  const line = new DispatchLine(choice, clock, new SeededRandom(3), noMetrics, quietLog);
+  const late = { ...requestOf('late'), startBy: -1 };
+  await assert.rejects(line.place(late, new AbortController().signal), Unavailable);
+});
+
+Then('each endpoint was asked for room once', function once(this: GrowthWorld) {
+  assert.deepEqual(this.asked, [many]);
+});
+
+When(
+  '20 requests wait for 700 endpoints and one of them gets room',
+  async function wait(this: GrowthWorld) {
+    Object.assign(this, { asked: [], placed: [] });
+    const { directory, clock } = new GrownFleet(7, many);
+    const open = new Set<EndpointHandle>();
+    const handles = [...directory.all];
+    const choice = notingChoice(handles, (handle) => open.has(handle), this.asked);
+    const line = new DispatchLine(choice, clock, new SeededRandom(3), noMetrics, quietLog);
+    for (let index = 0; index < 20; index += 1) {
+      void line.place(requestOf(`r${index}`), new AbortController().signal).then(({ target }) => {
+        this.placed.push(target.id);
+        open.delete(target);
+      });
+    }
+    const free = handles[500]!;
+    open.add(free);
+    this.asked.length = 0;
+    line.look(grownService, free);
+    await Promise.resolve();
+  },
+);
+
+Then(
+  'each request was compared with that endpoint only, and one was placed',
+  function compared(this: GrowthWorld) {
+    assert.ok(
+      this.asked.every((count) => count === 1),
+      `${Math.max(...this.asked)} at once`,
+    );
+    assert.ok(this.asked.length <= 20, `${this.asked.length} looks`);
+    assert.ok(this.placed.length > 0 && this.placed.every((id) => id === 'e500'));
+  },
+);
+
+/** A store with a list that does not change, and the codec of its values. */
+function listOf(count: number): { store: StoreFeed; codec: FleetCodec } {
+  const values = Array.from({ length: count }, (_, index) => ({
+    key: `${index}`,
+    value: '',
+    revision: 1,
+  }));
+  const store: StoreFeed = {
+    snapshot: () => Promise.resolve({ values, revision: 1 }),
+    changes: (_prefix, _after, _waitMs, signal) =>
+      new Promise((_resolve, reject) => {
+        signal?.addEventListener('abort', () => reject(new Unavailable('The test is over.', 0)));
+      }),
+  };
+  const codec: FleetCodec = {
+    prefix: '',
+    entryKey: (name) => name,
+    encodeEntry: () => '',
+    decode: ({ key }) => ({ kind: 'endpoint', id: `e${key}`, endpoint: grownEndpoint(+key) }),
+  };
+  return { store, codec };
+}
+
+When('an entry reads a list with 700 endpoints', async function read(this: GrowthWorld) {
+  this.builds = 0;
+  const abort = new AbortController();
+  const clock = new VirtualClock();
+  const state = new FleetState(noMetrics, quietLog, () => {
+    this.builds += 1;
+  });
+  const { store, codec } = listOf(many);
+  const proof = new ConfigurationProof(4_600, 2_500);
+  const proofClock = new SleepAwareClock(clock);
+  const feed = new FleetFeed(
+    store,
+    codec,
+    state,
+    proof,
+    proofClock,
+    clock,
+    noMetrics,
+    quietLog,
+    8_000,
+  );
+  void feed.run(abort.signal);
+  await new Promise((resolve) => {
+    setImmediate(resolve);
+  });
+  abort.abort();
+  assert.equal(state.endpoints.size, many);
+});
+
+Then('its routing tables are built once', function once(this: GrowthWorld) {
+  assert.equal(this.builds, 1);
+});
+
+const mostTellers = 4;
+
+function namesOf(entries: number): string[] {
+  return Array.from({ length: entries }, (_, index) => `front-${index}`);
+}
+
+/** Names of the entries that tell an agent, of all that know each other. */
+function tellersOf(agent: string, entries: readonly string[]): string[] {
+  return entries.filter((name) => {
+    const tellers = new NewsTellers(name);
+    tellers.take(entries);
+    return tellers.isAmong(agent, mostTellers);
+  });
+}
+
+Then('each of 40 agents hears each second from 4 of 10, 100 and 700 entries', () => {
+  sizes.forEach((entries) => {
+    const names = namesOf(entries);
+    const perAgent = Array.from({ length: 40 }, (_, agent) => tellersOf(`10.0.0.${agent}`, names));
+    perAgent.forEach((tellers) => assert.equal(tellers.length, mostTellers));
+  });
+});
+
+Then('an entry that leaves changes nothing for agents that it did not tell', () => {
+  const names = namesOf(20);
+  const left = names.slice(1);
+  const agents = Array.from({ length: 40 }, (_, agent) => `10.0.0.${agent}`);
+  agents.forEach((agent) => {
+    const before = tellersOf(agent, names);
+    if (before.includes('front-0')) return;
+    assert.deepEqual(tellersOf(agent, left), before);
+  });
+});
+
+const secondMs = 1_000;
+
+Then('an agent reports at most 600 times a second to 370 entries in two regions', () => {
+  const entries = 185;
+  const near = (entries * secondMs) / reportIntervalMs({ entries, isNear: true });
+  const far = (entries * secondMs) / reportIntervalMs({ entries, isNear: false });
+  assert.ok(near + far <= 600, `${near + far}`);
+});
+
+Then('as often as before to 34 entries in three', () => {
+  assert.equal(reportIntervalMs({ entries: 12, isNear: true }), 150);
+  assert.equal(reportIntervalMs({ entries: 22, isNear: false }), 450);
+});
--- a/packages/decisions/src/forwarding/endpointLoad.ts
+++ b/packages/decisions/src/forwarding/endpointLoad.ts
@@ -1,3 +1,6 @@
+import { PeerLoads } from './peerLoads.js';
+import type { PeerLoad } from './peerLoads.js';
+
 /** What an endpoint, or the process beside it, said of its load. */
 export interface ReportedLoad {
   readonly running: number;
@@ -6,19 +9,6 @@
   readonly pace: number;
 }
 
-/** What another entry has at an endpoint. */
-export interface PeerLoad {
-  readonly requests: number;
-  /** Time for its prompts that are not read yet, in milliseconds. */
-  readonly unreadMs: number;
-}
-
-/** The last that was heard of another entry's load. */
-interface HeardPeer extends PeerLoad {
-  /** Monotonic time, in milliseconds. */
-  readonly at: number;
-}
-
 /** What bounds the requests at an endpoint at once. */
 export interface LoadLimits {
   readonly slots: number;
@@ -28,8 +18,6 @@
   readonly unreadMs: number;
 }
 
-/** Age after which what another entry told of its load says nothing any more, in milliseconds. */
-const peerStaleMs = 2_500;
 /** Peers from which on what they tell comes too late for all of them to keep to the same room. */
 const crowdedPeers = 4;
 /** Age of a report after which it says nothing any more, in milliseconds. */
@@ -55,8 +43,8 @@
 
   private reportedAt = -Infinity;
 
-  /** Loads of the entries that tell them, by name. */
-  private readonly heard = new Map<string, HeardPeer>();
+  /** Loads of the entries that tell them. */
+  private readonly told = new PeerLoads();
 
   constructor(
     /** Other entries that send to the endpoint as this one does. */
@@ -76,7 +64,7 @@
     now: number,
   ): void {
     this.allowance = allowance;
-    this.others = Math.max(0, running + waiting - ownThen - this.heardRequests(now));
+    this.others = Math.max(0, running + waiting - ownThen - this.told.requests(now));
     this.pace = Math.max(1, pace);
     this.reportedAt = now;
     this.startedSince = 0;
@@ -87,7 +75,7 @@
    * taken to have sent since then what this one has: else all would fill the same free slots.
    */
   occupied(now: number): number {
-    const known = this.own + this.heardRequests(now);
+    const known = this.own + this.told.requests(now);
     if (this.reportAgeMs(now) >= staleMs) return known;
     return known + this.others + this.startedSince * this.unheardPeers(now);
   }
@@ -107,11 +95,7 @@
    * to have what this one has.
    */
   unreadMs(now: number): number {
-    let told = 0;
-    this.heard.forEach((peer) => {
-      if (now - peer.at < peerStaleMs) told += peer.unreadMs;
-    });
-    return this.ownUnreadMs * (1 + this.unheardPeers(now)) + told;
+    return this.ownUnreadMs * (1 + this.unheardPeers(now)) + this.told.unreadMs(now);
   }
 
   /** This entry's own load, as others are told. */
@@ -120,8 +104,8 @@
   }
 
   /** Another entry told its load. */
-  hear(name: string, { requests, unreadMs }: PeerLoad, now: number): void {
-    this.heard.set(name, { requests, unreadMs, at: now });
+  hear(name: string, load: PeerLoad, now: number): void {
+    this.told.take(name, load, now);
   }
 
   reportAgeMs(now: number): number {
@@ -130,19 +114,7 @@
 
   /** Entries that send there as this one does and do not tell what. */
   private unheardPeers(now: number): number {
-    let fresh = 0;
-    this.heard.forEach(({ at }) => {
-      if (now - at < peerStaleMs) fresh += 1;
-    });
-    return Math.max(0, this.peers() - fresh);
-  }
-
-  private heardRequests(now: number): number {
-    let sum = 0;
-    this.heard.forEach((peer) => {
-      if (now - peer.at < peerStaleMs) sum += peer.requests;
-    });
-    return sum;
+    return Math.max(0, this.peers() - this.told.count(now));
   }
 
   start(readMs: number): void {
--- a/packages/forwarding/src/attempts.ts
+++ b/packages/forwarding/src/attempts.ts
@@ -5,7 +5,7 @@
 import type { DispatchLine, PlacedRequest } from './dispatchLine.js';
 import { EndpointCall } from './endpointCall.js';
 import type { CallObserver } from './endpointCall.js';
-import type { EndpointDirectory } from './endpointDirectory.js';
+import type { Eligibility, EndpointDirectory } from './endpointDirectory.js';
 import type { EndpointHandle } from './endpointHandle.js';
 import type { Exchange } from './exchange.js';
 import type { HeaderCodec } from './headerCodec.js';
@@ -115,9 +115,8 @@
     const { directory, budget, clock } = services;
     if (!this.isRepeatable || this.runs + 1 >= exchange.route.maxAttempts) return false;
     const tried = new Set([...this.tried, handle.id]);
-    const { eligibility } = this.placedRequest();
     return (
-      directory.canServe(exchange.service, { ...eligibility, tried }) &&
+      directory.canServe(exchange.service, this.eligibility(tried)) &&
       budget.fits(exchange.service, clock.now())
     );
   }
@@ -164,15 +163,17 @@
       isRepeatable: this.isRepeatable,
       demand: { promptTokens, answerTokens },
       groups: size === undefined ? [route.name] : [route.name, size],
-      eligibility: {
-        homeRegions: [route.homeRegions, workspace?.homeRegions ?? []],
-        tried: this.tried,
-      },
+      eligibility: this.eligibility(this.tried),
       goalAt,
       deadlineAt,
     };
   }
 
+  private eligibility(tried: ReadonlySet<string>): Eligibility {
+    const { route, workspace } = this.exchange;
+    return { homeRegions: [route.homeRegions, workspace?.homeRegions ?? []], tried };
+  }
+
   /** Whether the caller has waited before: it has clearly less time left than its route allows. */
   private isReturned(): boolean {
     const { head, route } = this.exchange;
@@ -228,7 +229,7 @@
       wasRead();
       handle.load.end();
       loadChanged();
-      line.look(exchange.service);
+      line.look(exchange.service, handle);
     };
     directory.countSend(handle);
     this.sends += 1;
--- a/packages/forwarding/src/dispatchLine.ts
+++ b/packages/forwarding/src/dispatchLine.ts
@@ -25,8 +25,12 @@
 export interface EndpointChoice {
   /** Endpoints of a service. */
   of(service: string): readonly EndpointHandle[];
-  /** Those that may get a request now. */
-  usable(service: string, eligibility: Eligibility): EndpointHandle[];
+  /** Those that may get a request now, of all or of some. */
+  usable(
+    service: string,
+    eligibility: Eligibility,
+    among?: readonly EndpointHandle[],
+  ): EndpointHandle[];
   /** Whether any could serve a request, if it had room. */
   canServe(service: string, eligibility: Eligibility): boolean;
 }
@@ -94,13 +98,17 @@
     });
   }
 
-  /** Looks at the waiting requests of a service after room may have come. */
-  look(service: string): void {
+  /**
+   * Looks at the waiting requests of a service after room may have come, at one endpoint or anywhere.
+   * Requests that wait had no room elsewhere, so only the endpoint that changed is asked.
+   */
+  look(service: string, changed?: EndpointHandle): void {
     const line = this.lines.get(service);
     if (!line || line.length === 0) return;
     const now = this.clock.now();
+    const among = changed && [changed];
     line.ordered(now).forEach((pending) => {
-      const placement = this.find(pending, now);
+      const placement = this.find(pending, now, among);
       if (placement) {
         line.remove(pending);
         pending.resolve(this.took(pending, placement, now));
@@ -125,9 +133,13 @@
     });
   }
 
-  private find(request: PlacedRequest, now: number): Placement<EndpointHandle> | undefined {
+  private find(
+    request: PlacedRequest,
+    now: number,
+    among?: readonly EndpointHandle[],
+  ): Placement<EndpointHandle> | undefined {
     const { service, eligibility, demand } = request;
-    const targets = this.directory.usable(service, eligibility);
+    const targets = this.directory.usable(service, eligibility, among);
     const best = bestPlacement(targets, demand, now, this.random);
     if (!best) return undefined;
     const left = (request.goalAt - now - wayBackMs) * this.estimateShareOf(request, now);
@@ -188,7 +200,6 @@
       isReturned: request.isReturned,
       isRepeatable,
       endpoints: this.directory.of(service).length,
-      usable: this.directory.usable(service, request.eligibility).length,
       waiting: this.lineOf(service).length,
       retryAfterMs: Math.round(retryAfterMs),
     });
--- a/packages/forwarding/src/endpointDirectory.ts
+++ b/packages/forwarding/src/endpointDirectory.ts
@@ -83,10 +83,14 @@
     return this.byService.get(service) ?? [];
   }
 
-  /** Endpoints of a service that may get a request now. */
-  usable(service: string, eligibility: Eligibility): EndpointHandle[] {
+  /** Endpoints, by default all of a service, that may get a request now. */
+  usable(
+    service: string,
+    eligibility: Eligibility,
+    among: readonly EndpointHandle[] = this.of(service),
+  ): EndpointHandle[] {
     const now = this.clock.now();
-    return this.of(service).filter(
+    return among.filter(
       (handle) => this.mayServe(handle, eligibility, now) && this.hasRoom(handle, now),
     );
   }
--- a/packages/forwarding/src/fleetFeed.ts
+++ b/packages/forwarding/src/fleetFeed.ts
@@ -95,9 +95,7 @@
     const changes = values.flatMap((value) => this.decode(value));
     const changedAt = this.earliestChangeAt(this.clock.now());
     this.noteAnswer();
-    [...this.state.missingIn(changes), ...changes].forEach((change) =>
-      this.take(change, changedAt),
-    );
+    this.takeAll([...this.state.missingIn(changes), ...changes], changedAt);
     this.revision = revision;
   }
 
@@ -110,9 +108,10 @@
     // A change that was not waited for may have come at any time since the answer before.
     const changedAt = now - calledAt > promptMs ? now : this.earliestChangeAt(now);
     this.noteAnswer();
-    changes
-      .flatMap((change) => this.decode(change))
-      .forEach((change) => this.take(change, changedAt));
+    this.takeAll(
+      changes.flatMap((change) => this.decode(change)),
+      changedAt,
+    );
     this.revision = Math.max(after, revision);
     if (changes.length > 0) await this.clock.sleep(collectMs, signal);
   }
@@ -132,6 +131,10 @@
     this.answeredAt = now;
   }
 
+  private takeAll(changes: readonly FleetChange[], changedAt: number): void {
+    this.state.applyTogether(() => changes.forEach((change) => this.take(change, changedAt)));
+  }
+
   private take(change: FleetChange, changedAt: number): void {
     const { key, isGone } = registrationOf(change);
     if (key && !isGone) this.hold.release(key);
@@ -144,7 +147,9 @@
 
   private removeDue(): void {
     const now = this.clock.now();
-    this.hold.due(now).forEach((change) => this.state.apply(change, now));
+    this.state.applyTogether(() =>
+      this.hold.due(now).forEach((change) => this.state.apply(change, now)),
+    );
   }
 
   private decode(change: StoreChange): FleetChange[] {
--- a/packages/forwarding/src/fleetState.ts
+++ b/packages/forwarding/src/fleetState.ts
@@ -37,6 +37,15 @@
   /** Places of the registered entries by their names. */
   private readonly entryPlaces = new Map<string, EntryPlace>();
 
+  /** Number of the registered entries of each data centre. */
+  private readonly entryCounts = new Map<string, number>();
+
+  /** Number of changes of the registered entries. */
+  private entryRevision = 0;
+
+  /** Whether several changes are being taken, and whether any of them has to be told. */
+  private batch: { isChanged: boolean } | undefined;
+
   constructor(
     private readonly metrics: Metrics,
     private readonly log: Log,
@@ -62,11 +71,16 @@
     return this.entryPlaces;
   }
 
+  /** Grows with each change of the registered entries. */
+  get entriesRevision(): number {
+    return this.entryRevision;
+  }
+
   /** Number of entries that are registered in some data centres. */
   entriesIn(isIncluded: (dataCentre: string) => boolean): number {
     let count = 0;
-    this.entryPlaces.forEach(({ dataCentre }) => {
-      if (isIncluded(dataCentre)) count += 1;
+    this.entryCounts.forEach((entries, dataCentre) => {
+      if (isIncluded(dataCentre)) count += entries;
     });
     return count;
   }
@@ -86,6 +100,18 @@
     handler(this, change, changedAt);
   }
 
+  /** Takes several changes; what follows from them is done once, after the last one. */
+  applyTogether(apply: () => void): void {
+    const batch = { isChanged: false };
+    this.batch = batch;
+    try {
+      apply();
+    } finally {
+      this.batch = undefined;
+      if (batch.isChanged) this.onChange();
+    }
+  }
+
   /** The removals of what a complete list of the store no longer has. */
   missingIn(changes: readonly FleetChange[]): FleetChange[] {
     const ids = new Set<string>();
@@ -115,7 +141,7 @@
     this.table = table;
     this.metrics.gauge('configuration_version', version);
     this.log.info('Configuration in force.', { version, before: known });
-    this.onChange();
+    this.changed();
   }
 
   takeEndpoint(endpoint: Endpoint): void {
@@ -131,13 +157,13 @@
       layers: layers ? layers.to - layers.from : 0,
       isNew: known === undefined || known.bornAt !== endpoint.bornAt,
     });
-    this.onChange();
+    this.changed();
   }
 
   removeEndpoint(id: string): void {
     if (!this.endpointsById.delete(id)) return;
     this.log.info('Endpoint gone.', { endpoint: id });
-    this.onChange();
+    this.changed();
   }
 
   takeEvacuation(dataCentre: string, isActive: boolean): void {
@@ -145,7 +171,7 @@
     if (isActive) this.evacuated.add(dataCentre);
     else this.evacuated.delete(dataCentre);
     this.log.info(isActive ? 'Data centre evacuated.' : 'Data centre returned.', { dataCentre });
-    this.onChange();
+    this.changed();
   }
 
   takeVersion(model: string, version: number, namedAt: number): void {
@@ -154,12 +180,25 @@
     named.name(version, namedAt);
     this.versions.set(model, named);
     this.log.info('Version named.', { model, version });
-    this.onChange();
+    this.changed();
   }
 
   takeEntry(name: string, place: EntryPlace | undefined): void {
+    const known = this.entryPlaces.get(name);
+    if (known) this.countEntry(known.dataCentre, -1);
+    if (place) this.countEntry(place.dataCentre, 1);
     if (place === undefined) this.entryPlaces.delete(name);
     else this.entryPlaces.set(name, place);
+    this.entryRevision += 1;
     this.metrics.gauge('entries', this.entryPlaces.size);
   }
+
+  private countEntry(dataCentre: string, change: number): void {
+    this.entryCounts.set(dataCentre, (this.entryCounts.get(dataCentre) ?? 0) + change);
+  }
+
+  private changed(): void {
+    if (this.batch) this.batch.isChanged = true;
+    else this.onChange();
+  }
 }
--- a/packages/forwarding/src/forwardingEntry.ts
+++ b/packages/forwarding/src/forwardingEntry.ts
@@ -103,7 +103,7 @@
       random,
       metrics,
       log('sidecars'),
-      (service) => this.line.look(service),
+      (handle) => this.line.look(handle.endpoint.service, handle),
     );
     this.registration = new EntryRegistration(
       store,
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -2,6 +2,7 @@
 export * from './answerCollector.js';
 export * from './connectionPool.js';
 export * from './dispatchLine.js';
+export * from './endpointDirectory.js';
 export * from './endpointCall.js';
 export * from './endpointHandle.js';
 export * from './fleetChange.js';
--- a/packages/forwarding/src/sidecarLinks.ts
+++ b/packages/forwarding/src/sidecarLinks.ts
@@ -1,5 +1,5 @@
 import type { Clock, FleetSettings, Log, Metrics, Random } from '@laburnumstream/common';
-import { rendezvousOrder } from '@laburnumstream/common';
+import { NewsTellers, reportIntervalMs } from '@laburnumstream/decisions';
 import { FleetDatagrams } from '@laburnumstream/links';
 import type { DatagramContent, DatagramHandlers } from '@laburnumstream/links';
 import type { EndpointReport } from '@laburnumstream/protocol';
@@ -10,8 +10,8 @@
 
 /** Time between two datagrams to each agent, in milliseconds. */
 const tellMs = 1_000;
-/** Time between reports that are asked of agents in this region and in others, in milliseconds. */
-const reportMs = { near: 150, far: 450 } as const;
+/** Entries of a region that tell an agent of weights each second, in its own region and in others. */
+const tellers = { near: 4, far: 1 } as const;
 /** Time in which further changes are told with the first one, in milliseconds. */
 const changeDelayMs = 15;
 /** Time in which streams end by themselves at an engine that is about to load, in milliseconds. */
@@ -29,6 +29,11 @@
 
   private readonly sharing: LoadSharing;
 
+  private readonly tellers: NewsTellers;
+
+  /** Changes of the registered entries that the tellers are drawn from. */
+  private tellersRevision = -1;
+
   private timer: NodeJS.Timeout | undefined;
 
   constructor(
@@ -39,21 +44,22 @@
     private readonly random: Random,
     metrics: Metrics,
     private readonly log: Log,
-    /** A report may have made room at an endpoint of a service. */
-    private readonly onReport: (service: string) => void,
+    /** A report may have made room at an endpoint. */
+    private readonly onReport: (endpoint: EndpointHandle) => void,
   ) {
     const handlers: DatagramHandlers = {
       report: (report) => this.takeReport(report),
       load: (load, { sender }) => this.sharing.take(load, sender),
     };
     this.datagrams = new FleetDatagrams(settings.instance, handlers, clock, metrics, log);
+    this.tellers = new NewsTellers(settings.instance);
     this.sharing = new LoadSharing(settings, state, directory, this.datagrams, clock);
   }
 
   async run(signal: AbortSignal): Promise<void> {
     await this.datagrams.bind(this.settings.host, this.settings.firstPort, signal);
     while (!signal.aborted) {
-      this.tellAll();
+      this.tellAll(false);
       this.sharing.tell();
       await this.clock.sleep(tellMs, signal).catch(() => undefined);
     }
@@ -63,7 +69,7 @@
   tellSoon(): void {
     this.timer ??= setTimeout(() => {
       this.timer = undefined;
-      this.tellAll();
+      this.tellAll(true);
     }, changeDelayMs);
   }
 
@@ -72,32 +78,53 @@
     this.sharing.tellSoon();
   }
 
-  private tellAll(): void {
+  private tellAll(isChange: boolean): void {
     const news = new Map<string, WeightNewsContent | undefined>();
+    this.refreshTellers();
     [...this.directory.all].forEach((handle) => {
       if (!handle.model) return;
       const { service, address } = handle.endpoint;
       if (!news.has(service)) news.set(service, this.weightNews(handle));
       const known = news.get(service);
-      const weights = known && this.tellsWeights(handle, known.namedMsAgo ?? 0) ? known : undefined;
-      const reportEveryMs = handle.isNear ? reportMs.near : reportMs.far;
+      const tells = known && this.tellsWeights(handle, known.namedMsAgo ?? 0, isChange);
+      const weights = tells ? known : undefined;
+      const reportEveryMs = this.reportEveryMs(handle);
       const value = weights ? { reportEveryMs, weights } : { reportEveryMs };
       this.datagrams.send({ case: 'fleet', value }, address.split(':')[0]!);
     });
   }
 
   /**
-   * Whether this entry tells an agent of weights. Agents of other regions hear of a new version from one
-   * entry of each region: those of their own may be cut off from the store.
+   * Whether this entry tells an agent of weights: of a change all entries of the agent's region do, at
+   * other times a few. Agents of other regions hear of a new version from one entry of each region: those
+   * of their own may be cut off from the store.
    */
-  private tellsWeights({ isNear, endpoint }: EndpointHandle, namedMsAgo: number): boolean {
-    if (isNear) return true;
-    const { instance, region, regions, bounds } = this.settings;
-    if (namedMsAgo > bounds.versionMs) return false;
-    const near = [...this.state.places]
-      .filter(([, { dataCentre }]) => regions.get(dataCentre) === region)
-      .map(([name]) => name);
-    return rendezvousOrder(endpoint.address, near, (name) => name)[0] === instance;
+  private tellsWeights(
+    { isNear, endpoint }: EndpointHandle,
+    namedMsAgo: number,
+    isChange: boolean,
+  ): boolean {
+    const { instance, bounds } = this.settings;
+    if (!isNear) {
+      return namedMsAgo <= bounds.versionMs && this.tellers.isAmong(endpoint.address, tellers.far);
+    }
+    if (isChange || !this.state.places.has(instance)) return true;
+    return this.tellers.isAmong(endpoint.address, tellers.near);
+  }
+
+  /** Takes the entries of this region as tellers when they have changed. */
+  private refreshTellers(): void {
+    const { entriesRevision, places } = this.state;
+    if (entriesRevision === this.tellersRevision) return;
+    this.tellersRevision = entriesRevision;
+    const { region, regions } = this.settings;
+    const near = [...places].filter(([, { dataCentre }]) => regions.get(dataCentre) === region);
+    this.tellers.take(near.map(([name]) => name));
+  }
+
+  private reportEveryMs({ isNear, region }: EndpointHandle): number {
+    const { near, far } = this.directory.sharers(region);
+    return reportIntervalMs({ entries: isNear ? near : far, isNear });
   }
 
   private weightNews({ endpoint, profile }: EndpointHandle): WeightNewsContent | undefined {
@@ -147,6 +174,6 @@
     // The engine ends what it runs before it loads other weights.
     if (isSwitching && !handle.isSwitching) handle.moveStreams(settleMs);
     Object.assign(handle, { reportedVersion: version, isSwitching, isAnswering, switchAt });
-    this.onReport(handle.endpoint.service);
+    this.onReport(handle);
   }
 }
