Leave endpoints alone that err on everything, and longer each time they fall again

Cause: an endpoint that answered every request with an error of its own was never left alone, only dearer (weight 0.5): its short answers made it look free. One that goes down and up was tried anew after 250 ms each time, with all of its requests lost at each fall; a start with a new bornAt forgot all that callers had seen.

Change: five errors in a row count as a failure; three failures in a row, or a new start, count as a fall; from the second fall within 10 s the pause is four times as long, at most 4 s; one request tries the endpoint after it. The record outlives the registration for as long as a fall counts.

Ruled out: counting two failures in a row as a fall: engines that lose 4 in 10 answers would be out for 4 s at a time.

Figures (features/misleadingEndpoints.feature, before: 3 of 5 scenarios failed): pauses of three falls 500, 2000, 4000 ms, before 500 each time (with two failures 250 each time, as before); usable right after the third start within 4 s: no, before yes.

Command: node features/dist/run.js features/misleadingEndpoints.feature features/forwarding.feature features/growth.feature: 36 passed.

--- a/packages/decisions/src/forwarding/endpointHealth.ts
+++ b/packages/decisions/src/forwarding/endpointHealth.ts
@@ -13,6 +13,14 @@
 /** One of the values of {@link AttemptSign}. */
 export type AttemptSign = (typeof AttemptSign)[keyof typeof AttemptSign];
 
+/** What each sign does to the rows of failures and errors. */
+const handlers: Readonly<Record<AttemptSign, (health: EndpointHealth, now: number) => void>> = {
+  [AttemptSign.answered]: (health) => health.answered(),
+  [AttemptSign.erred]: (health, now) => health.erred(now),
+  [AttemptSign.refused]: (health, now) => health.refused(now),
+  [AttemptSign.failed]: (health, now) => health.failed(now),
+};
+
 /** How much an attempt adds to the count of failures. */
 const weights: Readonly<Record<AttemptSign, number>> = {
   [AttemptSign.answered]: 0,
@@ -27,14 +35,24 @@
 const credit = 3;
 /** Failures in a row after which an endpoint is left alone for a while. */
 const mostInRow = 2;
-/** Pause after the last of them, in milliseconds; doubles with each further one. */
+/** Failures in a row after which it counts as fallen, and not as one that fails now and then. */
+const fallInRow = 3;
+/** Errors in a row that count as a failure: so many are hardly due to the requests. */
+const mostErrorsInRow = 5;
+/** Pause after the last failure, in milliseconds; doubles with each further one. */
 const pauseMs = { first: 250, longest: 2_000 } as const;
+/** How much longer an endpoint is left alone each time that it falls again, and how long at most. */
+const fallFactor = 4;
+const longestFallPauseMs = 4_000;
+/** Time after which a fall is forgotten, in milliseconds. */
+const calmMs = 10_000;
 /** Pause after a refusal, in milliseconds: what filled the endpoint has to end first. */
 const refusedPauseMs = 60;
 
 /**
  * How an endpoint behaves as its callers see it, whatever it says of itself. After failures in a row
- * it is left alone for a while; then one request tries it.
+ * it is left alone for a while, longer each time that it comes back and falls again; then one request
+ * tries it.
  */
 export class EndpointHealth {
   private attempts = 0;
@@ -43,6 +61,13 @@
 
   private inRow = 0;
 
+  private errorsInRow = 0;
+
+  /** Times that it fell lately. */
+  private falls = 0;
+
+  private fellAt = -Infinity;
+
   private countedAt = 0;
 
   private pausedUntil = -Infinity;
@@ -52,9 +77,39 @@
     this.decay(now);
     this.attempts += 1;
     this.failures += weights[sign];
-    if (sign === AttemptSign.failed) this.failed(now);
-    else if (sign === AttemptSign.answered) this.inRow = 0;
-    else if (sign === AttemptSign.refused) this.pauseUntil(now + refusedPauseMs);
+    handlers[sign](this, now);
+  }
+
+  /** It answered. */
+  answered(): void {
+    this.inRow = 0;
+    this.errorsInRow = 0;
+  }
+
+  /** It answered with an error of its own. */
+  erred(now: number): void {
+    this.errorsInRow += 1;
+    if (this.errorsInRow < mostErrorsInRow) return;
+    this.inRow = Math.max(this.inRow, mostInRow - 1);
+    this.failed(now);
+  }
+
+  /** It refused a request: what filled it has to end first. */
+  refused(now: number): void {
+    this.pauseUntil(now + refusedPauseMs);
+  }
+
+  /** It was started anew: what it did before says nothing any more, but that it fell. */
+  restarted(now: number): void {
+    if (this.inRow < fallInRow) this.fall(now);
+    Object.assign(this, { attempts: 0, failures: 0, inRow: 0, errorsInRow: 0 });
+    this.pausedUntil = -Infinity;
+    if (this.falls > 1) this.pauseUntil(now + this.pauseAfter(0, now));
+  }
+
+  /** Whether it fell so lately that it counts. */
+  hasFallen(now: number): boolean {
+    return now - this.fellAt <= calmMs;
   }
 
   /** Part of the attempts that failed lately, from 0 to 1. */
@@ -69,11 +124,24 @@
     return this.inRow < mostInRow || running === 0;
   }
 
-  private failed(now: number): void {
+  /** It broke off, fell silent or could not be reached. */
+  failed(now: number): void {
     this.inRow += 1;
     if (this.inRow < mostInRow) return;
-    const doubled = pauseMs.first * 2 ** (this.inRow - mostInRow);
-    this.pauseUntil(now + Math.min(pauseMs.longest, doubled));
+    if (this.inRow === fallInRow) this.fall(now);
+    this.pauseUntil(now + this.pauseAfter(this.inRow - mostInRow, now));
+  }
+
+  private fall(now: number): void {
+    this.falls = this.hasFallen(now) ? this.falls + 1 : 1;
+    this.fellAt = now;
+  }
+
+  /** Pause after a failure that follows `doublings` others since it fell, in milliseconds. */
+  private pauseAfter(doublings: number, now: number): number {
+    const usual = Math.min(pauseMs.longest, pauseMs.first * 2 ** doublings);
+    if (this.falls < 2 || !this.hasFallen(now)) return usual;
+    return Math.min(longestFallPauseMs, usual * fallFactor ** (this.falls - 1));
   }
 
   private pauseUntil(at: number): void {
--- a/packages/forwarding/src/endpointDirectory.ts
+++ b/packages/forwarding/src/endpointDirectory.ts
@@ -6,7 +6,7 @@
   Random,
   ServiceProfile,
 } from '@laburnumstream/common';
-import { mayBeginOn } from '@laburnumstream/decisions';
+import { EndpointHealth, mayBeginOn } from '@laburnumstream/decisions';
 import type { RoomSharers } from '@laburnumstream/decisions';
 import type { EndpointChoice } from './dispatchLine.js';
 import { EndpointHandle, roomLimits } from './endpointHandle.js';
@@ -30,6 +30,9 @@
 
   private readonly byAddress = new Map<string, EndpointHandle>();
 
+  /** How endpoints behaved that are gone, by their ids: some come back and fall again. */
+  private readonly past = new Map<string, EndpointHealth>();
+
   constructor(
     private readonly settings: FleetSettings,
     private readonly state: FleetState,
@@ -66,8 +69,10 @@
         return;
       handle.pool.closeIdle();
       this.handles.delete(id);
+      this.past.set(id, handle.health);
     });
     endpoints.forEach((endpoint) => this.take(endpoint, services?.get(endpoint.service)));
+    this.forgetPast();
     this.byService.clear();
     this.byAddress.clear();
     this.handles.forEach((handle) => {
@@ -139,11 +144,28 @@
       metrics,
       peers,
       phase,
+      this.takeHealth(endpoint.id),
     );
     this.takeCold(handle, endpoint);
     this.handles.set(endpoint.id, handle);
   }
 
+  /** How an endpoint behaved that is new here: one that was here before was started anew. */
+  private takeHealth(id: string): EndpointHealth {
+    const health = this.past.get(id);
+    if (!health) return new EndpointHealth();
+    this.past.delete(id);
+    health.restarted(this.clock.now());
+    return health;
+  }
+
+  private forgetPast(): void {
+    const now = this.clock.now();
+    this.past.forEach((health, id) => {
+      if (!health.hasFallen(now)) this.past.delete(id);
+    });
+  }
+
   private takeCold(handle: EndpointHandle, { coldLeftMs }: Endpoint): void {
     if (coldLeftMs <= 0) return;
     Object.assign(handle, {
--- a/packages/forwarding/src/endpointHandle.ts
+++ b/packages/forwarding/src/endpointHandle.ts
@@ -30,8 +30,6 @@
 
   readonly load: EndpointLoad;
 
-  readonly health = new EndpointHealth();
-
   readonly coldRate: SharedRate;
 
   /** Streams of this entry that it is giving. */
@@ -68,6 +66,7 @@
     peers: () => number,
     /** Offset of this entry's sends while the endpoint is cold, from 0 to 1. */
     phase: number,
+    readonly health = new EndpointHealth(),
   ) {
     this.coldRate = new SharedRate(phase);
     this.load = new EndpointLoad(peers, isNear);
