Encode a datagram once for all of its receivers

Cause: an entry's loads were encoded anew for each peer (11 on the grown sites, about 66 times a second), an agent's report for each entry (34); the socket's own port was asked for at each send.

Change: FleetDatagrams.sendAll encodes once; LoadSharing and Reporter use it; the port is kept.

By count (features/growth.feature): content read once for 11 receivers as for 1.

--- a/features/growth.feature
+++ b/features/growth.feature
@@ -30,3 +30,7 @@
   Scenario: reports to more entries
     Then an agent reports at most 600 times a second to 370 entries in two regions
     And as often as before to 34 entries in three
+
+  Scenario: the same datagram to more receivers
+    When the same is sent to 1 and to 11 other processes
+    Then each receives it and it was encoded once for all
--- a/features/steps/growth.steps.ts
+++ b/features/steps/growth.steps.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import { Then, When } from '@cucumber/cucumber';
 import fc from 'fast-check';
+import { freePorts } from '@laburnumstream/bench';
 import { SeededRandom, SleepAwareClock, Unavailable } from '@laburnumstream/common';
 import type { StoreFeed } from '@laburnumstream/common';
 import {
@@ -18,7 +19,10 @@
   FleetCodec,
   PlacedRequest,
 } from '@laburnumstream/forwarding';
+import { FleetDatagrams } from '@laburnumstream/links';
+import { SystemClock } from '@laburnumstream/runtime';
 import { VirtualClock } from '@laburnumstream/standins';
+import { eventually } from '../support/assertions.js';
 import {
   GrownFleet,
   anywhere,
@@ -36,6 +40,9 @@
   asked: number[];
   placed: string[];
   builds: number;
+  /** Times that the content of a datagram was read, by the number of receivers. */
+  reads: Map<number, number>;
+  received: Map<number, number>;
 }
 
 const sizes = [10, 100, 700] as const;
@@ -314,3 +321,44 @@
   assert.equal(reportIntervalMs({ entries: 12, isNear: true }), 150);
   assert.equal(reportIntervalMs({ entries: 22, isNear: false }), 450);
 });
+
+/** Sends one datagram to some receivers on one port; returns how often its content was read. */
+async function readsOf(receivers: number, received: Map<number, number>): Promise<number> {
+  const abort = new AbortController();
+  const clock = new SystemClock();
+  const [port] = await freePorts(1);
+  const hosts = Array.from({ length: receivers }, (_, index) => `127.0.0.${index + 2}`);
+  const load = (): void => {
+    received.set(receivers, (received.get(receivers) ?? 0) + 1);
+  };
+  const binds = hosts.map((host) =>
+    new FleetDatagrams(host, { load }, clock, noMetrics, quietLog).bind(host, port!, abort.signal),
+  );
+  const sender = new FleetDatagrams('front-0', {}, clock, noMetrics, quietLog);
+  await Promise.all([...binds, sender.bind('127.0.0.1', port!, abort.signal)]);
+  let reads = 0;
+  const value = {
+    get shares() {
+      reads += 1;
+      return [];
+    },
+  };
+  sender.sendAll({ case: 'load', value }, hosts);
+  await eventually(() => received.get(receivers) === receivers, 'all have received it');
+  abort.abort();
+  return reads;
+}
+
+When('the same is sent to 1 and to 11 other processes', async function send(this: GrowthWorld) {
+  this.received = new Map();
+  this.reads = new Map([
+    [1, await readsOf(1, this.received)],
+    [11, await readsOf(11, this.received)],
+  ]);
+});
+
+Then('each receives it and it was encoded once for all', function once(this: GrowthWorld) {
+  assert.deepEqual([...this.received.values()], [1, 11]);
+  assert.ok(this.reads.get(1)! > 0);
+  assert.equal(this.reads.get(11), this.reads.get(1));
+});
--- a/packages/forwarding/src/loadSharing.ts
+++ b/packages/forwarding/src/loadSharing.ts
@@ -43,7 +43,7 @@
         const { requests, unreadMs } = load.ownLoad;
         return { address: endpoint.address, requests, unreadMs: Math.round(unreadMs) };
       });
-    peers.forEach((host) => this.datagrams.send({ case: 'load', value: { shares } }, host));
+    this.datagrams.sendAll({ case: 'load', value: { shares } }, peers);
   }
 
   /** Another entry told its load. */
--- a/packages/links/src/fleetDatagrams.ts
+++ b/packages/links/src/fleetDatagrams.ts
@@ -53,7 +53,8 @@
 
   private sequence = 0;
 
-  private isBound = false;
+  /** Port of the own socket and of all others; undefined before `bind`. */
+  private port: number | undefined;
 
   constructor(
     private readonly sender: string,
@@ -74,7 +75,7 @@
     signal.addEventListener('abort', () => this.socket.close());
     return new Promise((resolve) => {
       this.socket.bind(port, host, () => {
-        this.isBound = true;
+        this.port = this.socket.address().port;
         resolve();
       });
     });
@@ -82,16 +83,23 @@
 
   /** Sends to another process, whose socket is bound to the same port; nothing before `bind`. */
   send(content: DatagramContent, host: string): void {
-    if (!this.isBound) return;
+    this.sendAll(content, [host]);
+  }
+
+  /** Sends the same to several processes; it is encoded once. */
+  sendAll(content: DatagramContent, hosts: readonly string[]): void {
+    const { port } = this;
+    if (port === undefined || hosts.length === 0) return;
     this.sequence += 1;
     const { sender, sequence, startedAt } = this;
     const bytes = toBinary(
       DatagramSchema,
       create(DatagramSchema, { sender, sequence, startedAt, content }),
     );
-    this.socket.send(bytes, this.socket.address().port, host, (error) => {
+    const noteFailure = (error: Error | null): void => {
       if (error) this.metrics.count('datagrams_not_sent');
-    });
+    };
+    hosts.forEach((host) => this.socket.send(bytes, port, host, noteFailure));
   }
 
   private receive(bytes: Buffer, host: string): void {
--- a/packages/sidecar/src/reporter.ts
+++ b/packages/sidecar/src/reporter.ts
@@ -70,12 +70,14 @@
       isAnswering,
       ...(switchInMs === undefined ? {} : { switchInMs: Math.round(switchInMs) }),
     };
+    const hosts: string[] = [];
     this.subscribers.forEach((subscriber, name) => {
       if (now - subscriber.heardAt > subscriptionMs) this.subscribers.delete(name);
       else if (isUrgent || now - subscriber.sentAt >= subscriber.everyMs) {
         Object.assign(subscriber, { sentAt: now });
-        this.datagrams.send({ case: 'report', value }, subscriber.host);
+        hosts.push(subscriber.host);
       }
     });
+    this.datagrams.sendAll({ case: 'report', value }, hosts);
   }
 }
