Collect changes of the store for longer with more entries

Change: changeCollectionMs: 250 ms up to 17 entries, 14 ms for each entry, at most 500 ms.

Ruled out: longer watches (1 s now): their end proves the age of keys and routes.

--- a/features/growth.feature
+++ b/features/growth.feature
@@ -34,3 +34,7 @@
   Scenario: the same datagram to more receivers
     When the same is sent to 1 and to 11 other processes
     Then each receives it and it was encoded once for all
+
+  Scenario: a store that always has changes
+    When 7 and 38 entries follow a store with a change each 20 ms for 10 seconds
+    Then each of the 7 calls it at most 45 times and each of the 38 at most 25 times
--- a/features/steps/growth.steps.ts
+++ b/features/steps/growth.steps.ts
@@ -43,6 +43,8 @@
   /** Times that the content of a datagram was read, by the number of receivers. */
   reads: Map<number, number>;
   received: Map<number, number>;
+  /** Calls of one entry's feed, by the number of entries. */
+  calls: Map<number, number>;
 }
 
 const sizes = [10, 100, 700] as const;
@@ -241,28 +243,24 @@
   return { store, codec };
 }
 
+/** A feed of a state from a store. */
+function feedOf(
+  { store, codec }: { store: StoreFeed; codec: FleetCodec },
+  state: FleetState,
+  clock: VirtualClock,
+): FleetFeed {
+  const proof = new ConfigurationProof(4_600, 2_500);
+  const proofClock = new SleepAwareClock(clock);
+  return new FleetFeed(store, codec, state, proof, proofClock, clock, noMetrics, quietLog, 8_000);
+}
+
 When('an entry reads a list with 700 endpoints', async function read(this: GrowthWorld) {
   this.builds = 0;
   const abort = new AbortController();
-  const clock = new VirtualClock();
   const state = new FleetState(noMetrics, quietLog, () => {
     this.builds += 1;
   });
-  const { store, codec } = listOf(many);
-  const proof = new ConfigurationProof(4_600, 2_500);
-  const proofClock = new SleepAwareClock(clock);
-  const feed = new FleetFeed(
-    store,
-    codec,
-    state,
-    proof,
-    proofClock,
-    clock,
-    noMetrics,
-    quietLog,
-    8_000,
-  );
-  void feed.run(abort.signal);
+  void feedOf(listOf(many), state, new VirtualClock()).run(abort.signal);
   await new Promise((resolve) => {
     setImmediate(resolve);
   });
@@ -362,3 +360,47 @@
   assert.ok(this.reads.get(1)! > 0);
   assert.equal(this.reads.get(11), this.reads.get(1));
 });
+
+/** Calls in 10 s of one of some entries to a store that answers each watch with a change. */
+async function callsOf(entries: number): Promise<number> {
+  const abort = new AbortController();
+  const { clock, state } = new GrownFleet(entries, 1);
+  const { store, codec } = listOf(entries);
+  let calls = 0;
+  const changing: StoreFeed = {
+    snapshot: (prefix, signal) => store.snapshot(prefix, signal),
+    async changes(_prefix, after) {
+      calls += 1;
+      await clock.sleep(20);
+      return { changes: [{ key: '0', value: '', revision: after + 1 }], revision: after + 1 };
+    },
+  };
+  const place = { host: '10.0.0.0', dataCentre: 'a' };
+  const registering: FleetCodec = {
+    ...codec,
+    decode: ({ key }) => ({ kind: 'entry', name: `front-${key}`, place }),
+  };
+  void feedOf({ store: changing, codec: registering }, state, clock).run(abort.signal);
+  await clock.runUntil(10_000);
+  abort.abort();
+  return calls;
+}
+
+When(
+  '7 and 38 entries follow a store with a change each 20 ms for 10 seconds',
+  async function follow(this: GrowthWorld) {
+    this.calls = new Map([
+      [7, await callsOf(7)],
+      [38, await callsOf(38)],
+    ]);
+  },
+);
+
+Then(
+  'each of the 7 calls it at most 45 times and each of the 38 at most 25 times',
+  function few(this: GrowthWorld) {
+    const [small = 0, grown = 0] = [...this.calls.values()];
+    assert.ok(small > 30 && small <= 45, `${small} calls of 7 entries`);
+    assert.ok(grown > 15 && grown <= 25, `${grown} calls of 38 entries`);
+  },
+);
--- a/packages/decisions/src/forwarding/index.ts
+++ b/packages/decisions/src/forwarding/index.ts
@@ -1,5 +1,6 @@
 /** Forwarding of requests to endpoints: where they go, how long they wait, when they are repeated. */
 export * from './attemptResult.js';
+export * from './changeCollection.js';
 export * from './configurationProof.js';
 export * from './endpointHealth.js';
 export * from './endpointLoad.js';
--- a/packages/forwarding/src/fleetFeed.ts
+++ b/packages/forwarding/src/fleetFeed.ts
@@ -1,6 +1,6 @@
 import { HistoryLost, InvalidInput, SleepAwareClock, toFailure } from '@laburnumstream/common';
 import type { Clock, Log, Metrics, StoreChange, StoreFeed } from '@laburnumstream/common';
-import { RemovalHold } from '@laburnumstream/decisions';
+import { RemovalHold, changeCollectionMs } from '@laburnumstream/decisions';
 import type { ConfigurationProof } from '@laburnumstream/decisions';
 import type { FleetChange, FleetCodec } from './fleetChange.js';
 import type { FleetState } from './fleetState.js';
@@ -11,8 +11,6 @@
 const holdWatchMs = 250;
 /** The same while the store does not answer, in milliseconds. */
 const probeWatchMs = 50;
-/** Time in which further changes of endpoints are collected before the next call, in milliseconds. */
-const collectMs = 250;
 /** Time before the store's return is noticed in which changes may have been made, in milliseconds. */
 const returnSlackMs = 1_000;
 /** Time for which a new process uses older versions than the named ones, in milliseconds. */
@@ -113,7 +111,8 @@
       changedAt,
     );
     this.revision = Math.max(after, revision);
-    if (changes.length > 0) await this.clock.sleep(collectMs, signal);
+    if (changes.length === 0) return;
+    await this.clock.sleep(changeCollectionMs(this.state.entries), signal);
   }
 
   /**
