--- a/packages/decisions/src/forwarding/index.ts
+++ b/packages/decisions/src/forwarding/index.ts
@@ -1,5 +1,6 @@
 /** Forwarding of requests to endpoints: where they go, how long they wait, when they are repeated. */
 export * from './attemptResult.js';
+export * from './changeCollection.js';
 export * from './configurationProof.js';
 export * from './endpointHealth.js';
 export * from './entryCount.js';
@@ -7,8 +8,11 @@
 export * from './engineModel.js';
 export * from './eventSplitter.js';
 export * from './namedVersions.js';
+export * from './newsTellers.js';
+export * from './peerLoads.js';
 export * from './placement.js';
 export * from './removalHold.js';
+export * from './reportInterval.js';
 export * from './roomShare.js';
 export * from './routeTable.js';
 export * from './servedShares.js';
--- a/packages/forwarding/src/fleetFeed.ts
+++ b/packages/forwarding/src/fleetFeed.ts
@@ -1,6 +1,6 @@
 import { HistoryLost, InvalidInput, SleepAwareClock, toFailure } from '@laburnumstream/common';
 import type { Clock, Log, Metrics, StoreChange, StoreFeed } from '@laburnumstream/common';
-import { RemovalHold } from '@laburnumstream/decisions';
+import { RemovalHold, changeCollectionMs } from '@laburnumstream/decisions';
 import type { FleetChange, FleetCodec } from './fleetChange.js';
 import type { FleetState } from './fleetState.js';
 import { StoreCall, StoreCallCounts } from './storeCallCounts.js';
@@ -11,8 +11,6 @@
 const holdWatchMs = 250;
 /** The same while the store does not answer, in milliseconds. */
 const probeWatchMs = 50;
-/** Time in which further changes of endpoints are collected before the next call, in milliseconds. */
-const collectMs = 250;
 /** Time before the store's return is noticed in which changes may have been made, in milliseconds. */
 const returnSlackMs = 1_000;
 /** Time for which a new process uses older versions than the named ones, in milliseconds. */
@@ -111,9 +109,7 @@
     const changes = values.flatMap((value) => this.decode(value));
     const changedAt = this.earliestChangeAt(this.clock.now());
     this.noteAnswer();
-    [...this.state.missingIn(changes), ...changes].forEach((change) =>
-      this.take(change, changedAt),
-    );
+    this.takeAll([...this.state.missingIn(changes), ...changes], changedAt);
     this.revision = revision;
   }
 
@@ -126,11 +122,13 @@
     // A change that was not waited for may have come at any time since the answer before.
     const changedAt = now - calledAt > promptMs ? now : this.earliestChangeAt(now);
     this.noteAnswer();
-    changes
-      .flatMap((change) => this.decode(change))
-      .forEach((change) => this.take(change, changedAt));
+    this.takeAll(
+      changes.flatMap((change) => this.decode(change)),
+      changedAt,
+    );
     this.revision = Math.max(after, revision);
-    if (changes.length > 0) await this.clock.sleep(collectMs, signal);
+    if (changes.length === 0) return;
+    await this.clock.sleep(changeCollectionMs(this.state.entries), signal);
   }
 
   /**
@@ -152,6 +150,10 @@
     this.untoldMs = 0;
   }
 
+  private takeAll(changes: readonly FleetChange[], changedAt: number): void {
+    this.state.applyTogether(() => changes.forEach((change) => this.take(change, changedAt)));
+  }
+
   private take(change: FleetChange, changedAt: number): void {
     const { key, isGone } = registrationOf(change);
     if (key && !isGone) this.hold.release(key);
@@ -164,7 +166,9 @@
 
   private removeDue(): void {
     const now = this.clock.now();
-    this.hold.due(now).forEach((change) => this.state.apply(change, now));
+    this.state.applyTogether(() =>
+      this.hold.due(now).forEach((change) => this.state.apply(change, now)),
+    );
   }
 
   private decode(change: StoreChange): FleetChange[] {
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -2,6 +2,7 @@
 export * from './answerCollector.js';
 export * from './connectionPool.js';
 export * from './dispatchLine.js';
+export * from './endpointDirectory.js';
 export * from './endpointCall.js';
 export * from './endpointHandle.js';
 export * from './fleetChange.js';
@@ -12,3 +13,4 @@
 export * from './fleetState.js';
 export * from './refusal.js';
 export * from './requestCounts.js';
+export * from './sharingEntries.js';
--- a/packages/links/src/fleetDatagrams.ts
+++ b/packages/links/src/fleetDatagrams.ts
@@ -53,7 +53,8 @@
 
   private sequence = 0;
 
-  private isBound = false;
+  /** Port of the own socket and of all others; undefined before `bind`. */
+  private port: number | undefined;
 
   constructor(
     private readonly sender: string,
@@ -72,12 +73,12 @@
   /** Binds the socket, which closes when the signal fires. */
   bind(host: string, port: number, signal: AbortSignal): Promise<void> {
     signal.addEventListener('abort', () => {
-      this.isBound = false;
+      this.port = undefined;
       this.socket.close();
     });
     return new Promise((resolve) => {
       this.socket.bind(port, host, () => {
-        this.isBound = true;
+        this.port = this.socket.address().port;
         resolve();
       });
     });
@@ -85,16 +86,23 @@
 
   /** Sends to another process, whose socket is bound to the same port; nothing before `bind` and after its end. */
   send(content: DatagramContent, host: string): void {
-    if (!this.isBound) return;
+    this.sendAll(content, [host]);
+  }
+
+  /** Sends the same to several processes; it is encoded once. */
+  sendAll(content: DatagramContent, hosts: readonly string[]): void {
+    const { port } = this;
+    if (port === undefined || hosts.length === 0) return;
     this.sequence += 1;
     const { sender, sequence, startedAt } = this;
     const bytes = toBinary(
       DatagramSchema,
       create(DatagramSchema, { sender, sequence, startedAt, content }),
     );
-    this.socket.send(bytes, this.socket.address().port, host, (error) => {
+    const noteFailure = (error: Error | null): void => {
       if (error) this.metrics.count('datagrams_not_sent');
-    });
+    };
+    hosts.forEach((host) => this.socket.send(bytes, port, host, noteFailure));
   }
 
   private receive(bytes: Buffer, host: string): void {
