--- a/bench/src/soak/fleet.ts
+++ b/bench/src/soak/fleet.ts
@@ -78,7 +78,9 @@
       await fleet.build(shape);
       fleet.writeConfiguration();
       fleet.nameVersion(fleet.namedVersion);
-      await Promise.all(fleet.processes.map((each) => each.startFirst()));
+      const [first, ...others] = fleet.processes;
+      await first?.startFirst();
+      await Promise.all(others.map((each) => each.startFirst()));
       return fleet;
     } catch (error) {
       await fleet.close();
