--- a/bench/src/soak/soakRun.ts
+++ b/bench/src/soak/soakRun.ts
@@ -1,4 +1,5 @@
 import { setMaxListeners } from 'node:events';
+import { rmSync } from 'node:fs';
 import type { Random } from '@laburnumstream/common';
 import { SeededRandom } from '@laburnumstream/common';
 import { build } from 'hdr-histogram-js';
@@ -98,6 +99,7 @@
       await fleet.close();
     }
     checkHistory(this.history, [SoakService.desk, SoakService.model]);
+    if (this.history.violations.length === 0) rmSync(fleet.logs, { recursive: true });
     return this.report(fleet.logs, stalls);
   }
 
