--- a/bench/src/soak/soakRun.ts
+++ b/bench/src/soak/soakRun.ts
@@ -1,5 +1,5 @@
-import { setMaxListeners } from 'node:events';
-import { rmSync } from 'node:fs';
+import { rmSync, writeFileSync } from 'node:fs';
+import { join } from 'node:path';
 import type { Random } from '@laburnumstream/common';
 import { SeededRandom } from '@laburnumstream/common';
 import { build } from 'hdr-histogram-js';
@@ -10,7 +10,7 @@
 import { SoakFleet } from './fleet.js';
 import { RequestEnd, SoakHistory, SoakRule, harmOf } from './history.js';
 import type { Violation } from './history.js';
-import { pause } from './pause.js';
+import { anyOf, pause } from './pause.js';
 import { StallWatch } from './stallWatch.js';
 import { SoakService, shapeOf, soakRoutes } from './shape.js';
 
@@ -59,13 +59,6 @@
 const probeGapMs = 250;
 const startMs = 20_000;
 
-/** A signal that fires with either, for any number of listeners. */
-function anyOf(...signals: AbortSignal[]): AbortSignal {
-  const signal = AbortSignal.any(signals);
-  setMaxListeners(0, signal, ...signals);
-  return signal;
-}
-
 /** One run of the programs under faults. */
 export class SoakRun {
   private readonly history = new SoakHistory();
@@ -100,6 +93,7 @@
     }
     checkHistory(this.history, [SoakService.desk, SoakService.model]);
     if (this.history.violations.length === 0) rmSync(fleet.logs, { recursive: true });
+    else this.keepNotes(fleet.logs);
     return this.report(fleet.logs, stalls);
   }
 
@@ -227,6 +221,12 @@
     return true;
   }
 
+  /** Writes when each fault began beside the programs' logs. */
+  private keepNotes(logs: string): void {
+    const lines = this.history.notes.map(({ text, atMs }) => `${atMs} ms: ${text}\n`);
+    writeFileSync(join(logs, 'faults.log'), lines.join(''));
+  }
+
   private report(logs: string, { count, longestMs }: StallWatch): SoakReport {
     const times = build();
     this.callers.forEach((caller) => times.add(caller.times));
