--- a/bench/src/soak/soakRun.ts
+++ b/bench/src/soak/soakRun.ts
@@ -1,3 +1,5 @@
+import { rmSync, writeFileSync } from 'node:fs';
+import { join } from 'node:path';
 import type { Random } from '@laburnumstream/common';
 import { SeededRandom } from '@laburnumstream/common';
 import { build } from 'hdr-histogram-js';
@@ -8,7 +10,7 @@
 import { SoakFleet } from './fleet.js';
 import { RequestEnd, SoakHistory, SoakRule, harmOf } from './history.js';
 import type { Violation } from './history.js';
-import { pause } from './pause.js';
+import { anyOf, pause } from './pause.js';
 import { StallWatch } from './stallWatch.js';
 import { SoakService, shapeOf, soakRoutes } from './shape.js';
 
@@ -90,13 +92,15 @@
       await fleet.close();
     }
     checkHistory(this.history, [SoakService.desk, SoakService.model]);
+    if (this.history.violations.length === 0) rmSync(fleet.logs, { recursive: true });
+    else this.keepNotes(fleet.logs);
     return this.report(fleet.logs, stalls);
   }
 
   private async stormsAndCalms(fleet: SoakFleet, stopped: AbortSignal): Promise<void> {
     const endAt = this.history.now() + this.choices.minutes * minuteMs;
     const load = new AbortController();
-    const ended = AbortSignal.any([load.signal, stopped]);
+    const ended = anyOf(load.signal, stopped);
     const callers = this.startCallers(fleet, ended);
     do {
       const leftMs = endAt - this.history.now();
@@ -128,7 +132,7 @@
   /** Faults that overlap; ends when all are healed. */
   private async storm(fleet: SoakFleet, forMs: number, stopped: AbortSignal): Promise<void> {
     const healing = new AbortController();
-    const signal = AbortSignal.any([healing.signal, stopped]);
+    const signal = anyOf(healing.signal, stopped);
     const running = [reviveEngines(fleet, this.random, signal)];
     const endAt = this.history.now() + forMs;
     while (this.history.now() < endAt && !stopped.aborted) {
@@ -217,6 +221,12 @@
     return true;
   }
 
+  /** Writes when each fault began beside the programs' logs. */
+  private keepNotes(logs: string): void {
+    const lines = this.history.notes.map(({ text, atMs }) => `${atMs} ms: ${text}\n`);
+    writeFileSync(join(logs, 'faults.log'), lines.join(''));
+  }
+
   private report(logs: string, { count, longestMs }: StallWatch): SoakReport {
     const times = build();
     this.callers.forEach((caller) => times.add(caller.times));
