Reuse no connection after an answer that names no request

An endpoint may answer twice, the second time late. A refusal without an id was exempt from the check on used connections, so a late second one counted as the next request's: that request ran and counted as not run, and could run once more elsewhere (TWICE). A connection whose answer names no request is now closed, so that its second answer reaches nobody. 'second refusal that comes late without an id' failed before and passes now. What remains: a late refusal without an id after an answer that had one.

--- a/packages/forwarding/src/endpointCall.ts
+++ b/packages/forwarding/src/endpointCall.ts
@@ -94,6 +94,9 @@
 
   private hasEnded = false;
 
+  /** Whether the answer names its request. */
+  private isNamed = false;
+
   private framing: Framing | undefined;
 
   private bytes = 0;
@@ -169,6 +172,7 @@
       return;
     }
     this.hasBegun = true;
+    this.isNamed = head.requestId !== undefined;
     this.framing = framingOf(headers);
     this.observer.began(status, head, textOf(controller.rawHeaders));
   }
@@ -194,7 +198,9 @@
   onResponseEnd(): void {
     if (this.hasEnded) return;
     this.hasEnded = true;
-    this.pool.giveBack(this.connection);
+    // A late second answer without an id could not be told from the next request's.
+    if (this.isNamed) this.pool.giveBack(this.connection);
+    else this.connection.destroy();
     this.observer.ended();
   }
 
