Free the place of a connection that is given up before it is established

The HTTP client tells neither an end nor an error of a connection that is destroyed while it connects, so the pool counted it for ever: after MaxConns such calls (callers that leave, patience of 250 ms within the 400 ms of connecting) an entry has no room at that endpoint.

--- a/packages/forwarding/src/endpointConnection.ts
+++ b/packages/forwarding/src/endpointConnection.ts
@@ -24,7 +24,7 @@
 
   constructor(
     address: string,
-    /** Called once when the connection has ended. */
+    /** Called at least once when the connection has ended. */
     private readonly onEnd: (connection: EndpointConnection) => void,
     onConnect: () => void,
   ) {
@@ -56,6 +56,8 @@
 
   /** Ends the connection; a request on it fails. */
   destroy(): void {
+    // The client tells nothing of a connection that has not been established.
+    this.onEnd(this);
     this.client.destroy().catch(() => undefined);
     this.socket?.destroy();
   }
