Pass over interim answers

Since an answer on a used connection must name its request; an interim one (103) does not, so the request failed though its answer followed. 'interim answer on a used connection' failed before and passes now.

--- a/packages/forwarding/src/endpointCall.ts
+++ b/packages/forwarding/src/endpointCall.ts
@@ -65,6 +65,7 @@
   readonly body: Buffer;
 }
 
+const firstFinalStatus = 200;
 const firstErrorStatus = 300;
 
 const chunkedPattern = /(^|,)\s*chunked\s*$/i;
@@ -164,7 +165,8 @@
     status: number,
     headers: IncomingHttpHeaders,
   ): void {
-    if (this.hasEnded) return;
+    // Interim answers concern only one connection.
+    if (this.hasEnded || status < firstFinalStatus) return;
     this.controller = controller;
     const head = this.codec.decodeAnswerHead(headers);
     if (!this.isOwn(status, head)) {
