Wait a bounded time for a peer that has ended its side and reads no more

After 500 ms the connection now counts as reset. 'endpoint that ends its side and reads no more' failed before and passes now.

--- a/packages/runtime/src/resetAwareSocket.ts
+++ b/packages/runtime/src/resetAwareSocket.ts
@@ -3,6 +3,8 @@
 
 /** Bytes that may stand before a request and mean nothing. */
 const probe = '\r\n';
+/** Time in which a peer that has ended its side takes what is under way to it, in milliseconds. */
+const probeMs = 500;
 
 /** Errors by which the system tells of a reset when it is read or written. */
 const resetCodes = new Set(['ECONNRESET', 'EPIPE']);
@@ -29,7 +31,9 @@
 
   override push(chunk: unknown, encoding?: BufferEncoding): boolean {
     if (chunk !== null) return super.push(chunk, encoding);
+    const timer = setTimeout(() => this.destroy(new ConnectionReset()), probeMs);
     this.write(probe, (error) => {
+      clearTimeout(timer);
       // On an error the stream destroys itself.
       if (!error) this.holdEnd();
     });
