--- a/features/answerReview.feature
+++ b/features/answerReview.feature
@@ -19,3 +19,15 @@
   Scenario: endpoint that ends its side and reads no more
     When an endpoint ends its side within an answer and leaves a long request unread
     Then the call ends as a fault in a second
+
+  # Guards against a stream whose engine ends before its first event and that ends as whole.
+  Scenario: stream that ends before its first event
+    Given an engine that heads a stream without a length and closes its connection
+    When its caller asks for a stream
+    Then the caller gets no stream that looks whole
+
+  # Guards against an answer that a stop cuts while its caller still reads it.
+  Scenario: stop while a caller reads slowly
+    Given an engine that answers with more than a connection holds
+    When the entry stops while its caller has not read the answer
+    Then it waits for that caller
--- a/features/steps/answerReview.steps.ts
+++ b/features/steps/answerReview.steps.ts
@@ -1,30 +1,69 @@
 import assert from 'node:assert/strict';
 import { setTimeout as sleep } from 'node:timers/promises';
-import { After, Then, When } from '@cucumber/cucumber';
-import type { CallOutcome } from '@laburnumstream/forwarding';
+import { After, Given, Then, When } from '@cucumber/cucumber';
+import type { CallOutcome, ForwardingEntry } from '@laburnumstream/forwarding';
 import { AnswerCollector, ConnectionPool, EndpointCall } from '@laburnumstream/forwarding';
 import { platformHeaders } from '@laburnumstream/platform';
 import { HistogramMetrics, SystemClock } from '@laburnumstream/runtime';
+import { eventually } from '../support/assertions.js';
 import { callThrough } from '../support/answerReaders.js';
+import { ask, sendRaw } from '../support/platformCaller.js';
+import type { Got } from '../support/platformCaller.js';
+import { PlatformFleet } from '../support/platformFleet.js';
 import { ScriptedEndpoint } from '../support/scriptedEndpoint.js';
 
 interface ReviewWorld {
   reviewed: ScriptedEndpoint;
   connections: ConnectionPool;
   outcome: CallOutcome | undefined;
+  fleet: PlatformFleet;
+  entry: ForwardingEntry;
+  got: Got | undefined;
+  /** Whether the entry had stopped while its caller had not read the answer. */
+  hasStopped: boolean;
 }
 
+/** How the engine of a fleet deals with one request. */
+type EngineBehaviour = Parameters<typeof PlatformFleet.start>[0][number];
+
 const refusal = 'HTTP/1.1 503 Full\r\nLaburnumstream-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n';
 const interim = 'HTTP/1.1 103 Early Hints\r\nLink: </style.css>\r\n\r\n';
 /** Time in which an endpoint runs a request, in milliseconds. */
 const runMs = 50;
 const settleMs = 200;
 const limitMs = 1_000;
+/** Time within which a stop ends that waits for nobody, in milliseconds. */
+const stopMs = 2_600;
 /** Calls that are given up. */
 const calls = 5;
 /** More bytes than a connection holds on loopback. */
 const longBody = Buffer.alloc(16_000_000);
 
+function signedHead(id: unknown): Record<string, string> {
+  return { 'laburnumstream-request-id': String(id), 'laburnumstream-server-seal': 'seal.e0' };
+}
+
+/** Heads a stream without a length or chunks and closes the connection. */
+const endsAtOnce: EngineBehaviour = ({ socket, headers }) => {
+  const lines = Object.entries(signedHead(headers['laburnumstream-request-id']));
+  const head = lines.map(([name, value]) => `${name}: ${value}\r\n`).join('');
+  socket.end(`HTTP/1.1 200 OK\r\n${head}Connection: close\r\n\r\n`);
+};
+
+const answersLong: EngineBehaviour = ({ headers }, response) => {
+  response.writeHead(200, signedHead(headers['laburnumstream-request-id']));
+  response.end(longBody);
+};
+
+async function startFleet(world: ReviewWorld, behaviour: EngineBehaviour): Promise<void> {
+  const fleet = await PlatformFleet.start([behaviour]);
+  Object.assign(world, { fleet, entry: await fleet.startEntry() });
+  await eventually(
+    () => fleet.lines.some(({ message }) => message === 'fleet: Endpoint registered.'),
+    'the engine is known',
+  );
+}
+
 function poolOf({ address }: ScriptedEndpoint): ConnectionPool {
   return new ConnectionPool(address, new SystemClock(), new HistogramMetrics());
 }
@@ -45,6 +84,10 @@
   this.reviewed?.close();
 });
 
+After(async function closeFleet(this: Partial<ReviewWorld>) {
+  await this.fleet?.close();
+});
+
 When(
   'an endpoint refuses a request twice without an id, the second time late',
   async function twice(this: ReviewWorld) {
@@ -129,3 +172,44 @@
 Then('the call ends as a fault in a second', function fault(this: ReviewWorld) {
   assert.equal(this.outcome?.kind, 'fault', 'no outcome');
 });
+
+Given(
+  'an engine that heads a stream without a length and closes its connection',
+  function empty(this: ReviewWorld) {
+    return startFleet(this, endsAtOnce);
+  },
+);
+
+When('its caller asks for a stream', async function stream(this: ReviewWorld) {
+  this.got = await ask(this.fleet, '/single/x').catch(() => undefined);
+});
+
+Then('the caller gets no stream that looks whole', function cut(this: ReviewWorld) {
+  const { got } = this;
+  assert.equal(got?.status === 200 && got.isWhole, false, JSON.stringify(got));
+});
+
+Given('an engine that answers with more than a connection holds', function long(this: ReviewWorld) {
+  return startFleet(this, answersLong);
+});
+
+When(
+  'the entry stops while its caller has not read the answer',
+  async function stop(this: ReviewWorld) {
+    const socket = sendRaw(this.fleet, 'POST /unsafe/x HTTP/1.1', ['Content-Length: 0'], '');
+    socket.pause();
+    await eventually(
+      () => this.fleet.lines.some(({ message }) => message.endsWith('Request answered.')),
+      'the answer is under way',
+    );
+    this.hasStopped = await Promise.race([
+      this.entry.stop().then(() => true),
+      sleep(stopMs, false),
+    ]);
+    socket.destroy();
+  },
+);
+
+Then('it waits for that caller', function waits(this: ReviewWorld) {
+  assert.equal(this.hasStopped, false);
+});
