--- a/packages/forwarding/src/endpointCall.ts
+++ b/packages/forwarding/src/endpointCall.ts
@@ -65,6 +65,7 @@
   readonly body: Buffer;
 }
 
+const firstFinalStatus = 200;
 const firstErrorStatus = 300;
 
 const chunkedPattern = /(^|,)\s*chunked\s*$/i;
@@ -94,6 +95,9 @@
 
   private hasEnded = false;
 
+  /** Whether the answer names its request. */
+  private isNamed = false;
+
   private framing: Framing | undefined;
 
   private bytes = 0;
@@ -161,7 +165,8 @@
     status: number,
     headers: IncomingHttpHeaders,
   ): void {
-    if (this.hasEnded) return;
+    // Interim answers concern only one connection.
+    if (this.hasEnded || status < firstFinalStatus) return;
     this.controller = controller;
     const head = this.codec.decodeAnswerHead(headers);
     if (!this.isOwn(status, head)) {
@@ -169,6 +174,7 @@
       return;
     }
     this.hasBegun = true;
+    this.isNamed = head.requestId !== undefined;
     this.framing = framingOf(headers);
     this.observer.began(status, head, textOf(controller.rawHeaders));
   }
@@ -194,7 +200,9 @@
   onResponseEnd(): void {
     if (this.hasEnded) return;
     this.hasEnded = true;
-    this.pool.giveBack(this.connection);
+    // A late second answer without an id could not be told from the next request's.
+    if (this.isNamed) this.pool.giveBack(this.connection);
+    else this.connection.destroy();
     this.observer.ended();
   }
 
