--- a/features/steps/processLogs.steps.ts
+++ b/features/steps/processLogs.steps.ts
@@ -24,8 +24,8 @@
 }
 
 interface ProcessLogsWorld {
-  fleet: PlatformFleet;
-  programs: RunningProgram[];
+  logFleet: PlatformFleet;
+  logPrograms: RunningProgram[];
   results: CallerResult[];
   asked: string;
 }
@@ -82,25 +82,25 @@
 }
 
 After(async function close(this: Partial<ProcessLogsWorld>) {
-  this.programs?.forEach(({ program, callers }) => {
+  this.logPrograms?.forEach(({ program, callers }) => {
     program.close();
     callers.close();
   });
-  await this.fleet?.close();
+  await this.logFleet?.close();
 });
 
 Given(
   /^the entry program with its log in a file and an engine that (\w+)$/,
   async function start(this: ProcessLogsWorld, behaviour: keyof typeof Behaviours) {
-    this.fleet = await PlatformFleet.start([Behaviours[behaviour]]);
-    this.programs = [await startProgram(this.fleet, 'front-1', true)];
+    this.logFleet = await PlatformFleet.start([Behaviours[behaviour]]);
+    this.logPrograms = [await startProgram(this.logFleet, 'front-1', true)];
   },
 );
 
 When('nothing happens before', () => undefined);
 
 When('more requests run than the engine may have', async function crowd(this: ProcessLogsWorld) {
-  const [running] = this.programs;
+  const [running] = this.logPrograms;
   for (let sent = 0; sent < 120; sent += 1) void running!.callers.send('/unsafe/x', `c${sent}`);
   const refused = (): boolean =>
     linesOf(running!).some(({ message }) => message === 'line: Request refused.');
@@ -108,8 +108,8 @@
 });
 
 When('the store is silent until proofs are old', async function silence(this: ProcessLogsWorld) {
-  this.fleet.store.isSilent = true;
-  const [running] = this.programs;
+  this.logFleet.store.isSilent = true;
+  const [running] = this.logPrograms;
   const age = (): Promise<number> => sumOf(running!, 'configuration_proof_age_ms');
   await eventually(async () => (await age()) > proofMs, 'the proof is old');
 });
@@ -118,7 +118,7 @@
   /^a caller's request to unsafe gets (\d+)$/,
   async function ask(this: ProcessLogsWorld, status: string) {
     this.asked = 'asked';
-    const result = await this.programs[0]!.callers.send('/unsafe/x', this.asked);
+    const result = await this.logPrograms[0]!.callers.send('/unsafe/x', this.asked);
     assert.equal(result.status, Number(status));
   },
 );
@@ -126,7 +126,7 @@
 Then(
   /^the command explains its id with (.+)$/,
   async function explain(this: ProcessLogsWorld, cause: string) {
-    const { log } = this.programs[0]!;
+    const { log } = this.logPrograms[0]!;
     const { code, out, error } = await runCommand('', '', ['explain', this.asked, log]);
     assert.equal(code, 0, error);
     assert.match(out.replaceAll('\n', ' '), new RegExp(cause), out);
@@ -136,7 +136,7 @@
 When(
   'callers send 6000 requests at 2000 a second to unsafe',
   async function flood(this: ProcessLogsWorld) {
-    this.results = await this.programs[0]!.callers.flood('/unsafe/x', 6_000, 2_000);
+    this.results = await this.logPrograms[0]!.callers.flood('/unsafe/x', 6_000, 2_000);
     const faults = this.results.flatMap(({ status, fault }) => (status === 0 ? [fault] : []));
     assert.deepEqual([...new Set(faults)], [], `${faults.length} requests without an answer`);
     // The last lines that were left out are told a second later.
@@ -147,7 +147,9 @@
 Then(
   'its log has at most 100 lines of each kind a second, but for refusals',
   function bounded(this: ProcessLogsWorld) {
-    const lines = linesOf(this.programs[0]!).filter(({ isRepeatable }) => isRepeatable !== false);
+    const lines = linesOf(this.logPrograms[0]!).filter(
+      ({ isRepeatable }) => isRepeatable !== false,
+    );
     const timesByKind = new Map<string, number[]>();
     lines.forEach(({ message, timestamp }) => {
       const times = timesByKind.get(message) ?? [];
@@ -166,7 +168,7 @@
 Then(
   'lines and those that its metrics count as left out make up all requests',
   async function complete(this: ProcessLogsWorld) {
-    const [running] = this.programs;
+    const [running] = this.logPrograms;
     const kind = 'requests: Request answered.';
     const written = linesOf(running!).filter(({ message }) => message === kind).length;
     const leftOut = await sumOf(running!, 'log_lines_left_out_total', kind);
@@ -178,7 +180,7 @@
 );
 
 Then('each failed request has all of its lines', function failures(this: ProcessLogsWorld) {
-  const lines = linesOf(this.programs[0]!);
+  const lines = linesOf(this.logPrograms[0]!);
   const idsOf = (all: readonly LogLine[]): string[] => all.map(({ id }) => String(id)).sort();
   const failed = lines.filter(({ message }) => message === 'callers: Request failed.');
   const refused = lines.filter(({ message }) => message === 'line: Request refused.');
@@ -192,13 +194,13 @@
 Given(
   'two entry programs, one of them with a standard output that nobody reads',
   async function two(this: ProcessLogsWorld) {
-    this.fleet = await PlatformFleet.start([Behaviours.answers]);
-    this.programs = [];
+    this.logFleet = await PlatformFleet.start([Behaviours.answers]);
+    this.logPrograms = [];
     for (const [name, isRead] of [
       ['front-1', true],
       ['front-2', false],
     ] as const) {
-      this.programs.push(await startProgram(this.fleet, name, isRead));
+      this.logPrograms.push(await startProgram(this.logFleet, name, isRead));
     }
   },
 );
@@ -208,10 +210,10 @@
   async function fill(this: ProcessLogsWorld) {
     // Lines on failures of requests that may not be repeated are never left out.
     const path = '/unsafe/x?'.padEnd(2_000, 'x');
-    const strangers = this.programs.map(({ callers }) => new Callers(callers.address, 'other'));
+    const strangers = this.logPrograms.map(({ callers }) => new Callers(callers.address, 'other'));
     const isFull = async (): Promise<boolean> => {
       await Promise.all(strangers.map((callers) => callers.flood(path, 100, 1_000)));
-      return (await sumOf(this.programs[1]!, 'log_lines_lost_total')) > 0;
+      return (await sumOf(this.logPrograms[1]!, 'log_lines_lost_total')) > 0;
     };
     await eventually(isFull, 'lines are lost', 30_000);
     strangers.forEach((callers) => callers.close());
@@ -223,7 +225,7 @@
   async function compare(this: ProcessLogsWorld) {
     const times: number[][] = [[], []];
     for (let round = 0; round < 300; round += 1) {
-      for (const [index, { callers }] of this.programs.entries()) {
+      for (const [index, { callers }] of this.logPrograms.entries()) {
         const { status, ms } = await callers.send('/safe/x', `r${round}`);
         assert.equal(status, 200);
         times[index]!.push(ms);
