Take a stream without length and events for cut; reset connections that are given up

A stream that only its connection ended ended as whole when no event had come ('stream that ends before its first event', red before).

--- a/packages/forwarding/src/endpointConnection.ts
+++ b/packages/forwarding/src/endpointConnection.ts
@@ -54,12 +54,13 @@
     this.client.dispatch(options, handler);
   }
 
-  /** Ends the connection; a request on it fails. */
+  /** Ends the connection; a request on it fails, and what of it is still under way is not delivered. */
   destroy(): void {
     // The client tells nothing of a connection that has not been established.
     this.onEnd(this);
+    if (this.socket?.connecting) this.socket.destroy();
+    else this.socket?.resetAndDestroy();
     this.client.destroy().catch(() => undefined);
-    this.socket?.destroy();
   }
 
   private ended(): void {
--- a/packages/forwarding/src/eventRelay.ts
+++ b/packages/forwarding/src/eventRelay.ts
@@ -109,8 +109,9 @@
 
   ended(): void {
     this.leave();
-    if (this.isStream && this.isCutWithinEvent) {
-      this.settle({ kind: 'fault', fault: CallFault.truncated, reason: 'ended within an event' });
+    if (this.isStream && this.isCut) {
+      const reason = this.hasEvents ? 'ended within an event' : 'ended without an event';
+      this.settle({ kind: 'fault', fault: CallFault.truncated, reason });
       return;
     }
     if (this.isStream) {
@@ -136,10 +137,12 @@
     this.settle({ kind: 'fault', fault: CallFault.aborted, reason: 'ended by its owner' });
   }
 
-  /** A stream that only its connection ended, in the middle of an event, is not whole. */
-  private get isCutWithinEvent(): boolean {
+  /** A stream that only its connection ended is not whole within an event, or before the first one. */
+  private get isCut(): boolean {
     const { framing } = this.attempt?.call.evidence ?? {};
-    return framing === Framing.connection && this.splitter.partial.length > 0;
+    if (framing !== Framing.connection) return false;
+    const hasBegun = this.hasEvents || this.delivery.lastEventId !== undefined;
+    return !hasBegun || this.splitter.partial.length > 0;
   }
 
   private leave(): void {
