--- a/features/steps/answerReview.steps.ts
+++ b/features/steps/answerReview.steps.ts
@@ -16,8 +16,8 @@
   reviewed: ScriptedEndpoint;
   connections: ConnectionPool;
   outcome: CallOutcome | undefined;
-  fleet: PlatformFleet;
-  entry: ForwardingEntry;
+  reviewedFleet: PlatformFleet;
+  reviewedEntry: ForwardingEntry;
   got: Got | undefined;
   /** Whether the entry had stopped while its caller had not read the answer. */
   hasStopped: boolean;
@@ -57,7 +57,7 @@
 
 async function startFleet(world: ReviewWorld, behaviour: EngineBehaviour): Promise<void> {
   const fleet = await PlatformFleet.start([behaviour]);
-  Object.assign(world, { fleet, entry: await fleet.startEntry() });
+  Object.assign(world, { reviewedFleet: fleet, reviewedEntry: await fleet.startEntry() });
   await eventually(
     () => fleet.lines.some(({ message }) => message === 'fleet: Endpoint registered.'),
     'the engine is known',
@@ -85,7 +85,7 @@
 });
 
 After(async function closeFleet(this: Partial<ReviewWorld>) {
-  await this.fleet?.close();
+  await this.reviewedFleet?.close();
 });
 
 When(
@@ -181,7 +181,7 @@
 );
 
 When('its caller asks for a stream', async function stream(this: ReviewWorld) {
-  this.got = await ask(this.fleet, '/single/x').catch(() => undefined);
+  this.got = await ask(this.reviewedFleet, '/single/x').catch(() => undefined);
 });
 
 Then('the caller gets no stream that looks whole', function cut(this: ReviewWorld) {
@@ -196,14 +196,19 @@
 When(
   'the entry stops while its caller has not read the answer',
   async function stop(this: ReviewWorld) {
-    const socket = sendRaw(this.fleet, 'POST /unsafe/x HTTP/1.1', ['Content-Length: 0'], '');
+    const socket = sendRaw(
+      this.reviewedFleet,
+      'POST /unsafe/x HTTP/1.1',
+      ['Content-Length: 0'],
+      '',
+    );
     socket.pause();
     await eventually(
-      () => this.fleet.lines.some(({ message }) => message.endsWith('Request answered.')),
+      () => this.reviewedFleet.lines.some(({ message }) => message.endsWith('Request answered.')),
       'the answer is under way',
     );
     this.hasStopped = await Promise.race([
-      this.entry.stop().then(() => true),
+      this.reviewedEntry.stop().then(() => true),
       sleep(stopMs, false),
     ]);
     socket.destroy();
--- a/packages/forwarding/src/dispatchLine.ts
+++ b/packages/forwarding/src/dispatchLine.ts
@@ -35,7 +35,13 @@
   canServe(service: string, eligibility: Eligibility): boolean;
 }
 
-interface Pending extends PlacedRequest {
+/** A request for which endpoints are looked at. */
+interface Candidate extends PlacedRequest {
+  /** Endpoints that could have taken it at the last look at all of them; undefined before that. */
+  usable: number | undefined;
+}
+
+interface Pending extends Candidate {
   readonly resolve: (placement: Placement<EndpointHandle>) => void;
   readonly reject: (error: unknown) => void;
 }
@@ -82,12 +88,13 @@
     const now = this.clock.now();
     const line = this.lineOf(request.service);
     if (!request.isReturned) this.sharesOf(request.service).countAsked(request.groups, now);
-    const placement = line.length === 0 ? this.find(request, now) : undefined;
+    const candidate: Candidate = { ...request, usable: undefined };
+    const placement = line.length === 0 ? this.find(candidate, now) : undefined;
     if (placement) return Promise.resolve(this.took(request, placement, now));
     const startAt = now + line.expectedWaitMs(now);
-    if (!this.mayWait(request, startAt)) return Promise.reject(this.refusal(request, now));
+    if (!this.mayWait(request, startAt)) return Promise.reject(this.refusal(candidate, now));
     return new Promise((resolve, reject) => {
-      const pending: Pending = { ...request, resolve, reject };
+      const pending: Pending = { ...candidate, resolve, reject };
       const leave = (): void => {
         if (line.remove(pending)) reject(DispatchLine.endedInLine());
       };
@@ -139,12 +146,13 @@
   }
 
   private find(
-    request: PlacedRequest,
+    request: Candidate,
     now: number,
     among?: readonly EndpointHandle[],
   ): Placement<EndpointHandle> | undefined {
     const { service, eligibility, demand } = request;
     const targets = this.directory.usable(service, eligibility, among);
+    if (!among) Object.assign(request, { usable: targets.length });
     const best = bestPlacement(targets, demand, now, this.random);
     if (!best) return undefined;
     const left = (request.goalAt - now - wayBackMs) * this.estimateShareOf(request, now);
@@ -192,7 +200,7 @@
     return placement;
   }
 
-  private refusal(request: PlacedRequest, now: number): Refusal {
+  private refusal(request: Candidate, now: number): Refusal {
     const { id, service, isRepeatable } = request;
     const left = Math.max(0, request.deadlineAt - now);
     const wished = returnMs.least + this.random.next() * returnMs.spread;
@@ -204,6 +212,7 @@
       isReturned: request.isReturned,
       isRepeatable,
       endpoints: this.directory.of(service).length,
+      usable: request.usable ?? this.directory.usable(service, request.eligibility).length,
       waiting: this.lineOf(service).length,
       retryAfterMs: Math.round(retryAfterMs),
     });
--- a/packages/standins/src/platformEngine.ts
+++ b/packages/standins/src/platformEngine.ts
@@ -11,6 +11,7 @@
 ) => void | Promise<void>;
 
 const eventGapMs = 15;
+const delayMs = 100;
 
 /** Heads an answer as an engine of the platform does. */
 export function head(
@@ -81,6 +82,11 @@
   },
   /** Runs the request and never answers. */
   hangs: () => undefined,
+  /** Answers after a while. */
+  delays: async (request, response, engine) => {
+    await sleep(delayMs);
+    answers('whole answer')(request, response, engine);
+  },
   streams: streams(12),
   /** Stops in the middle of the sixth event. */
   stops: async (request, response, engine) => {
