--- a/packages/forwarding/src/attempts.ts
+++ b/packages/forwarding/src/attempts.ts
@@ -2,9 +2,10 @@
 import type { Clock, Failure, Log, Metrics } from '@laburnumstream/common';
 import { mayRepeat } from '@laburnumstream/decisions';
 import type { Placement, SharedRetryBudget } from '@laburnumstream/decisions';
+import type { Attempt, FailedAttempt } from './attempt.js';
 import type { DispatchLine, PlacedRequest } from './dispatchLine.js';
 import { EndpointCall } from './endpointCall.js';
-import type { CallFault, CallObserver } from './endpointCall.js';
+import type { CallObserver } from './endpointCall.js';
 import type { Eligibility, EndpointDirectory } from './endpointDirectory.js';
 import type { EndpointHandle } from './endpointHandle.js';
 import type { Exchange } from './exchange.js';
@@ -34,25 +35,6 @@
   readonly log: Log;
 }
 
-/** One send of a request, from its placement to its end. */
-export interface Attempt {
-  readonly handle: EndpointHandle;
-  readonly call: EndpointCall;
-  /** The endpoint has read the prompt. */
-  wasRead(): void;
-  /** The endpoint is done with the request. */
-  ended(): void;
-}
-
-/** An attempt that brought no answer to deliver. */
-export interface FailedAttempt {
-  readonly attempt: Attempt;
-  readonly execution: Execution;
-  /** Undefined when the endpoint answered. */
-  readonly fault: CallFault | undefined;
-  readonly reason: string;
-}
-
 /** The attempts of one request: where it was sent, and whether it may be sent once more. */
 export class Attempts {
   private readonly tried = new Set<string>();
--- a/packages/forwarding/src/endpointCall.ts
+++ b/packages/forwarding/src/endpointCall.ts
@@ -181,7 +181,8 @@
 
   /**
    * Whether an answer is for this request. One without an id can be a late second answer to an earlier
-   * request, unless this is the connection's first; refusals need not have one.
+   * request, unless this is the connection's first. Refusals need not have one: a late second refusal
+   * after an answer with an id can't be told from this request's own.
    */
   private isOwn(status: number, head: AnswerHead): boolean {
     const { requestId } = head;
--- a/packages/forwarding/src/eventRelay.ts
+++ b/packages/forwarding/src/eventRelay.ts
@@ -1,6 +1,6 @@
 import type { Clock } from '@laburnumstream/common';
 import { AnswerUse, EventSplitter, judgeAnswer } from '@laburnumstream/decisions';
-import type { Attempt } from './attempts.js';
+import type { Attempt } from './attempt.js';
 import { CallFault, Framing, isSuccess } from './endpointCall.js';
 import type { CallObserver } from './endpointCall.js';
 import type { MovableStream } from './endpointHandle.js';
--- a/packages/forwarding/src/streamRun.ts
+++ b/packages/forwarding/src/streamRun.ts
@@ -1,8 +1,9 @@
 import { Execution, LinkedAbort, OutcomeUnknown, Timeout } from '@laburnumstream/common';
 import { AnswerUse, AttemptSign, judgeAnswer } from '@laburnumstream/decisions';
 import type { Placement } from '@laburnumstream/decisions';
+import type { Attempt } from './attempt.js';
 import { Attempts } from './attempts.js';
-import type { Attempt, AttemptServices } from './attempts.js';
+import type { AttemptServices } from './attempts.js';
 import { CallFault } from './endpointCall.js';
 import type { EndpointHandle } from './endpointHandle.js';
 import { EventDelivery } from './eventDelivery.js';
--- a/packages/forwarding/src/wholeAnswers.ts
+++ b/packages/forwarding/src/wholeAnswers.ts
@@ -1,7 +1,8 @@
 import { Execution, OutcomeUnknown, Timeout } from '@laburnumstream/common';
 import { AnswerUse, AttemptSign, judgeAnswer } from '@laburnumstream/decisions';
+import type { Attempt } from './attempt.js';
 import { Attempts } from './attempts.js';
-import type { Attempt, AttemptServices } from './attempts.js';
+import type { AttemptServices } from './attempts.js';
 import { AnswerCollector } from './answerCollector.js';
 import type { CallOutcome, WholeAnswer } from './answerCollector.js';
 import { CallFault } from './endpointCall.js';
