Place no waiting request at an endpoint that has left

Cause (replay with the entry's lines: 'Endpoint gone.' at 9.611 s, 'Request placed.' there at 10.16 s): lets a request that ends look at its own endpoint only, without asking whether the directory still knows it. Test: 'room at an endpoint that is gone', red before.

--- a/features/growth.feature
+++ b/features/growth.feature
@@ -19,6 +19,11 @@
     When 20 requests wait for 700 endpoints and one of them gets room
     Then each request was compared with that endpoint only, and one was placed
 
+  # Guards against requests that are sent to an endpoint after it has left.
+  Scenario: room at an endpoint that is gone
+    When one of 40 endpoints leaves while it runs a request, and the request ends
+    Then no waiting request is placed there
+
   Scenario: a list with many endpoints
     When an entry reads a list with 700 endpoints
     Then its routing tables are built once
--- a/features/steps/growth.steps.ts
+++ b/features/steps/growth.steps.ts
@@ -218,6 +218,21 @@
   },
 );
 
+When(
+  'one of 40 endpoints leaves while it runs a request, and the request ends',
+  function leave(this: GrowthWorld) {
+    const { directory, state } = new GrownFleet(7, 40);
+    const left = [...directory.all][5]!;
+    state.removeEndpoint(left.id);
+    directory.refresh();
+    this.placed = directory.usable(grownService, anywhere, [left]).map(({ id }) => id);
+  },
+);
+
+Then('no waiting request is placed there', function none(this: GrowthWorld) {
+  assert.deepEqual(this.placed, []);
+});
+
 /** A store with a list that does not change, and the codec of its values. */
 function listOf(count: number): { store: StoreFeed; codec: FleetCodec } {
   const values = Array.from({ length: count }, (_, index) => ({
--- a/packages/forwarding/src/endpointDirectory.ts
+++ b/packages/forwarding/src/endpointDirectory.ts
@@ -98,10 +98,18 @@
   ): EndpointHandle[] {
     const now = this.clock.now();
     return among.filter(
-      (handle) => this.mayServe(handle, eligibility, now) && this.hasRoom(handle, now),
+      (handle) =>
+        this.isKnown(handle) &&
+        this.mayServe(handle, eligibility, now) &&
+        this.hasRoom(handle, now),
     );
   }
 
+  /** Whether an endpoint has not left; its last requests may still run. */
+  private isKnown(handle: EndpointHandle): boolean {
+    return this.handles.get(handle.id) === handle;
+  }
+
   /** Whether any endpoint of a service could serve a request, if it had room. */
   canServe(service: string, eligibility: Eligibility): boolean {
     const now = this.clock.now();
