--- a/features/steps/answerReview.steps.ts
+++ b/features/steps/answerReview.steps.ts
@@ -6,7 +6,7 @@
 import { platformHeaders } from '@laburnumstream/platform';
 import { HistogramMetrics, SystemClock } from '@laburnumstream/runtime';
 import { eventually } from '../support/assertions.js';
-import { callThrough } from '../support/answerReaders.js';
+import { secondOutcome } from '../support/answerReaders.js';
 import { ask, sendRaw } from '../support/platformCaller.js';
 import type { Got } from '../support/platformCaller.js';
 import { PlatformFleet } from '../support/platformFleet.js';
@@ -72,13 +72,6 @@
   return `HTTP/1.1 200 OK\r\nLaburnumstream-Request-Id: ${id}\r\nContent-Length: 4\r\n\r\ndone`;
 }
 
-/** The outcome of the second of two requests in turn. */
-async function secondOf(world: ReviewWorld): Promise<void> {
-  const { connections } = Object.assign(world, { connections: poolOf(world.reviewed) });
-  await callThrough(connections, 'r1');
-  Object.assign(world, { outcome: await callThrough(connections, 'r2') });
-}
-
 After(function close(this: Partial<ReviewWorld>) {
   this.connections?.closeIdle();
   this.reviewed?.close();
@@ -99,7 +92,7 @@
       if (requests > 1) setTimeout(() => socket.write(answerTo('r2')), runMs);
       answered.add(socket);
     });
-    await secondOf(this);
+    this.outcome = await secondOutcome(this.reviewed.address);
   },
 );
 
@@ -142,7 +135,7 @@
       requests += 1;
       socket.write(`${requests === 2 ? interim : ''}${answerTo(`r${requests}`)}`);
     });
-    await secondOf(this);
+    this.outcome = await secondOutcome(this.reviewed.address);
   },
 );
 
--- a/features/steps/forwarding.steps.ts
+++ b/features/steps/forwarding.steps.ts
@@ -15,10 +15,8 @@
   roomShareOf,
 } from '@laburnumstream/decisions';
 import type { StreamEvent } from '@laburnumstream/decisions';
-import { AnswerCollector, ConnectionPool, EndpointCall } from '@laburnumstream/forwarding';
 import type { CallOutcome } from '@laburnumstream/forwarding';
-import { platformHeaders } from '@laburnumstream/platform';
-import { HistogramMetrics, SystemClock } from '@laburnumstream/runtime';
+import { callEndpoint } from '../support/answerReaders.js';
 import { sendScripted, wholeBody } from '../support/scriptedAnswers.js';
 import { ScriptedEndpoint } from '../support/scriptedEndpoint.js';
 
@@ -36,16 +34,7 @@
     this.scripted = await ScriptedEndpoint.start((socket) => {
       sendScripted(socket, framing, ending);
     });
-    const pool = new ConnectionPool(
-      this.scripted.address,
-      new SystemClock(),
-      new HistogramMetrics(),
-    );
-    const collector = new AnswerCollector();
-    const request = { method: 'GET', path: '/', id: 'r1', headers: [], body: Buffer.alloc(0) };
-    new EndpointCall(pool, request, Infinity, platformHeaders, collector).start();
-    this.outcome = await collector.outcome;
-    pool.closeIdle();
+    this.outcome = await callEndpoint(this.scripted.address);
   },
 );
 
--- a/features/steps/wholeAnswers.steps.ts
+++ b/features/steps/wholeAnswers.steps.ts
@@ -5,7 +5,7 @@
 import { AnswerCollector, ConnectionPool, EndpointCall } from '@laburnumstream/forwarding';
 import { platformHeaders } from '@laburnumstream/platform';
 import { HistogramMetrics, SystemClock } from '@laburnumstream/runtime';
-import { answerReaders, callEndpoint, callThrough } from '../support/answerReaders.js';
+import { answerReaders, callEndpoint, secondOutcome } from '../support/answerReaders.js';
 import { framings, sendScripted, unframed, wholeBody } from '../support/scriptedAnswers.js';
 import { ScriptedEndpoint } from '../support/scriptedEndpoint.js';
 
@@ -56,14 +56,6 @@
   }
 }
 
-/** The outcome of the second of two requests on one connection. */
-async function secondOutcome(address: string): Promise<CallOutcome> {
-  const pool = new ConnectionPool(address, new SystemClock(), new HistogramMetrics());
-  const [, second] = [await callThrough(pool, 'r1'), await callThrough(pool, 'r2')];
-  pool.closeIdle();
-  return second;
-}
-
 After(function close(this: Partial<AnswersWorld>) {
   this.answering?.close();
 });
--- a/features/support/answerReaders.ts
+++ b/features/support/answerReaders.ts
@@ -27,6 +27,15 @@
   return outcome;
 }
 
+/** The outcome of the second of two requests, `r1` and `r2`, in turn. */
+export async function secondOutcome(address: string) {
+  const pool = new ConnectionPool(address, new SystemClock(), new HistogramMetrics());
+  await callThrough(pool, 'r1');
+  const second = await callThrough(pool, 'r2');
+  pool.closeIdle();
+  return second;
+}
+
 /** All readers of answers over HTTP. */
 export const answerReaders: Readonly<Record<string, AnswerReader>> = {
   'an entry': async (address) => {
