--- a/bench/src/heavyDays/admissionPolicies.ts
+++ b/bench/src/heavyDays/admissionPolicies.ts
@@ -102,6 +102,8 @@
           workspace,
           priority: 1,
           isCallerRetry: isReturned,
+          configurationVersion: 1,
+          configurationAgeMs: 0,
           isRetryable: true,
           arrivedAt: clock.now(),
           startBy: model.latestStart(goalAt, promptTokens),
--- a/features/steps/growth.steps.ts
+++ b/features/steps/growth.steps.ts
@@ -152,6 +152,8 @@
     workspace: 'w',
     priority: 1,
     isCallerRetry: false,
+    configurationVersion: 1,
+    configurationAgeMs: 0,
     isRetryable: true,
     arrivedAt: 0,
     startBy: 5_000,
--- a/packages/forwarding/src/callerServer.ts
+++ b/packages/forwarding/src/callerServer.ts
@@ -137,6 +137,7 @@
     response.once('finish', () => this.isClosing && request.socket.destroySoon());
     try {
       const { routes } = this.state;
+      const configurationAgeMs = this.freshness.ageMs();
       if (!routes) {
         const message = 'No configuration is known yet.';
         throw new Refusal(RefusalReason.noConfiguration, message, retryDelayMs);
@@ -158,6 +159,8 @@
         service,
         workspace,
         body,
+        configurationVersion: routes.configuration.version,
+        configurationAgeMs,
         arrivedAt,
         deadlineAt,
         signal,
--- a/packages/forwarding/src/dispatchQueue.ts
+++ b/packages/forwarding/src/dispatchQueue.ts
@@ -9,6 +9,10 @@
 export interface PlacementRequest extends QueuedRequest {
   readonly id: string;
   readonly service: string;
+  /** Version of the configuration that the request is placed by. */
+  readonly configurationVersion: number;
+  /** Age of that configuration at the request's arrival, in milliseconds. */
+  readonly configurationAgeMs: number;
   readonly demand: Demand;
   /** Groups of requests that fairness is kept between: its route and its size class. */
   readonly fairnessGroups: readonly string[];
@@ -199,6 +203,8 @@
       isReturned: request.isCallerRetry,
       leftMs: Math.round(request.goalAt - now),
       unreadMs: Math.round(target.load.unreadMs(now)),
+      configuration: request.configurationVersion,
+      proofAgeMs: Math.round(request.configurationAgeMs),
     });
     return placement;
   }
--- a/packages/forwarding/src/exchange.ts
+++ b/packages/forwarding/src/exchange.ts
@@ -12,6 +12,10 @@
   /** The workspace that the caller's key belongs to; undefined if no key is required. */
   readonly workspace: Workspace | undefined;
   readonly body: Buffer;
+  /** Version of the configuration that `route` and `workspace` are from. */
+  readonly configurationVersion: number;
+  /** Time before the arrival at which the store confirmed the configuration, in milliseconds. */
+  readonly configurationAgeMs: number;
   /** Monotonic time of its arrival, in milliseconds. */
   readonly arrivedAt: number;
   /** Monotonic time by which the response must be complete, in milliseconds. */
--- a/packages/forwarding/src/fleetWatcher.ts
+++ b/packages/forwarding/src/fleetWatcher.ts
@@ -203,10 +203,10 @@
       this.log.warn('Watch history lost; reloading the snapshot.');
       return;
     }
-    if (this.isReachable) {
-      this.isReachable = false;
-      this.log.warn('Store not reachable.', { type: failure.type, reason: failure.message });
-    }
+    const fields = { type: failure.type, reason: failure.message };
+    if (this.isReachable) this.log.warn('Store not reachable.', fields);
+    else this.log.info('Store still not reachable.', fields);
+    this.isReachable = false;
     await this.clock.sleep(this.backoffMs, signal).catch(() => undefined);
     this.backoffMs = Math.min(maxBackoffMs, this.backoffMs * 2);
   }
--- a/packages/forwarding/src/requestAttempts.ts
+++ b/packages/forwarding/src/requestAttempts.ts
@@ -154,6 +154,8 @@
     return {
       id: head.id,
       service,
+      configurationVersion: this.exchange.configurationVersion,
+      configurationAgeMs: this.exchange.configurationAgeMs,
       workspace: workspace?.name ?? '',
       priority: workspace?.priority ?? route.priority,
       arrivedAt: this.retryingSince ?? arrivedAt,
