--- a/features/support/platformCaller.ts
+++ b/features/support/platformCaller.ts
@@ -20,7 +20,7 @@
 
 /** Sends a request with an API key and reads the response; `leave` aborts it. */
 export function sendRequest(
-  { settings }: PlatformFleet,
+  { settings }: Pick<PlatformFleet, 'settings'>,
   path: string,
   key = 'key-1',
   leave?: AbortSignal,
--- /dev/null
+++ b/features/support/remoteRegion.ts
@@ -0,0 +1,203 @@
+import { freePorts } from '@laburnumstream/bench';
+import { SeededRandom } from '@laburnumstream/common';
+import type { ForwarderSettings } from '@laburnumstream/common';
+import { ForwardingEntry } from '@laburnumstream/forwarding';
+import { StoreClient, platformHeaders, storeCodec } from '@laburnumstream/platform';
+import { HistogramMetrics, SystemClock } from '@laburnumstream/runtime';
+import { Behaviours, NarrowLink, PlatformEngine, PlatformStore } from '@laburnumstream/standins';
+import { eventually } from './assertions.js';
+import { sendRequest } from './platformCaller.js';
+import type { CallerResponse } from './platformCaller.js';
+import { platformBounds } from './platformBounds.js';
+import { createConfiguration, platformHost } from './platformFleet.js';
+
+const homeRegion = 'home';
+const remoteRegion = 'remote';
+const regions = new Map([
+  ['home-a', homeRegion],
+  ['remote-a', remoteRegion],
+]);
+/** Bounds as on the users' deployments. */
+const bounds = { ...platformBounds, configurationMs: 3_000, revocationMs: 5_000 };
+/** Bandwidth for each entry of the remote region, as on the users' grown deployments. */
+const linkBytesPerSecondPerEntry = 226_000;
+const firstVersion = 2;
+
+/** A route of a large configuration. */
+function createAddedRoute(index: number): object {
+  return {
+    Name: `added-${index}`,
+    Host: `shop-${index}.example`,
+    PathPrefix: `/orders-${index}/`,
+    Kind: 'safe',
+    Service: 'desk',
+    TimeoutMs: 2_500,
+    GoalMs: 400,
+    GapTargetMs: 300,
+    MaxAttempts: 2,
+    Resumable: false,
+    Priority: 1,
+    HomeRegions: [homeRegion, remoteRegion],
+  };
+}
+
+/** A public route within `/open/` that only the home region may serve. */
+const homeRoute = {
+  Name: 'at-home',
+  Host: platformHost,
+  PathPrefix: '/open/at-home/',
+  Kind: 'safe',
+  Service: 'desk',
+  TimeoutMs: 2_500,
+  GoalMs: 400,
+  MaxAttempts: 2,
+  Public: true,
+  HomeRegions: [homeRegion],
+};
+
+/** The route that serves the same paths in any region while `homeRoute` is not there. */
+const openRoute = { ...homeRoute, Name: 'open', PathPrefix: '/open/', HomeRegions: [] };
+
+/** An entry and what it has logged. */
+interface RunningEntry {
+  readonly settings: ForwarderSettings;
+  readonly entry: ForwardingEntry;
+  /** Monotonic times at which configurations came into force, by version. */
+  readonly inForceAt: Map<number, number>;
+  readonly abort: AbortController;
+}
+
+/** Entries of a region that is connected to the store by one narrow link. */
+export class RemoteRegion {
+  readonly entries: RunningEntry[] = [];
+
+  private lastVersion = firstVersion - 1;
+
+  private constructor(
+    readonly store: PlatformStore,
+    readonly link: NarrowLink,
+    readonly homeEngine: PlatformEngine,
+    readonly remoteEngine: PlatformEngine,
+  ) {}
+
+  /** Starts the store, the link, an engine in each region and `count` entries in the remote one. */
+  static async start(count: number): Promise<RemoteRegion> {
+    const store = await PlatformStore.start();
+    const port = Number(store.address.split(':')[1]);
+    const link = await NarrowLink.start(port, linkBytesPerSecondPerEntry * count);
+    const [homeEngine, remoteEngine] = await Promise.all([
+      PlatformEngine.start('e-home', Behaviours.answers),
+      PlatformEngine.start('e-remote', Behaviours.answers),
+    ]);
+    const region = new RemoteRegion(store, link, homeEngine, remoteEngine);
+    region.writeConfiguration(0);
+    region.registerEngine(homeEngine, 'home-a');
+    region.registerEngine(remoteEngine, 'remote-a');
+    const [firstPort] = await freePorts(1);
+    for (let index = 0; index < count; index += 1) await region.startEntry(index, firstPort!);
+    await eventually(
+      () => region.entries.every(({ inForceAt }) => inForceAt.has(firstVersion)),
+      'all entries have the first configuration',
+    );
+    await eventually(() => region.registrations === count, 'all entries are registered');
+    return region;
+  }
+
+  /** Writes a new version of the configuration with `added` routes; returns the version. */
+  writeConfiguration(added: number): number {
+    this.lastVersion += 1;
+    const base = createConfiguration(this.lastVersion, ['key-1']) as { Routes: object[] };
+    const addedRoutes = Array.from({ length: added }, (_, index) => createAddedRoute(index));
+    const Routes = [...base.Routes, openRoute, ...(added > 0 ? [homeRoute] : []), ...addedRoutes];
+    this.store.write('op/config', { ...base, Routes });
+    return this.lastVersion;
+  }
+
+  /** Waits until all entries have a version; returns the longest time that one took, in milliseconds. */
+  async waitForVersion(wanted: number, writtenAt: number, timeoutMs: number): Promise<number> {
+    const hasVersion = ({ inForceAt }: RunningEntry): boolean =>
+      [...inForceAt.keys()].some((known) => known >= wanted);
+    await eventually(
+      () => this.entries.every(hasVersion),
+      `all entries have version ${wanted}`,
+      timeoutMs,
+    );
+    const times = this.entries.map(({ inForceAt }) =>
+      Math.min(...[...inForceAt].filter(([known]) => known >= wanted).map(([, at]) => at)),
+    );
+    return Math.max(...times) - writtenAt;
+  }
+
+  /** Sends a request to each entry. */
+  sendToAll(path: string): Promise<CallerResponse[]> {
+    return Promise.all(this.entries.map(({ settings }) => sendRequest({ settings }, path)));
+  }
+
+  /** Size of the current configuration in a response of the store, in bytes. */
+  get configurationBytes(): number {
+    return this.store.read('op/config')!.length;
+  }
+
+  close(): void {
+    this.entries.forEach(({ abort }) => abort.abort());
+    this.homeEngine.close();
+    this.remoteEngine.close();
+    this.link.close();
+    this.store.close();
+  }
+
+  /** Number of entries that are registered in the store. */
+  private get registrations(): number {
+    return this.store.keys('laburnumstream/entries/').length;
+  }
+
+  private registerEngine({ id, address }: PlatformEngine, dataCentre: string): void {
+    this.store.write(`servers/${id}`, {
+      Service: 'desk',
+      Address: address,
+      Zone: dataCentre,
+      Slots: 6,
+      State: 'ready',
+      born: 1_700_000_000_000,
+    });
+  }
+
+  private async startEntry(index: number, firstPort: number): Promise<void> {
+    const host = `127.0.0.${10 + index}`;
+    const [callers, readiness] = await freePorts(2);
+    const settings: ForwarderSettings = {
+      instance: `front-${index}`,
+      host,
+      dataCentre: 'remote-a',
+      region: remoteRegion,
+      regions,
+      firstPort,
+      linkBitsPerSecond: 1e9,
+      store: { address: this.link.address, minLeaseMs: 1_000 },
+      heartbeatMs: 1_200,
+      isFirstStart: true,
+      callerAddress: `127.0.0.1:${callers}`,
+      readinessAddress: `127.0.0.1:${readiness}`,
+      bounds,
+    };
+    const inForceAt = new Map<number, number>();
+    const record = (message: string, fields: Readonly<Record<string, unknown>> = {}): void => {
+      if (message === 'Configuration in force.')
+        inForceAt.set(Number(fields.version), performance.now());
+    };
+    const ignore = (): void => undefined;
+    const abort = new AbortController();
+    const entry = new ForwardingEntry({
+      settings,
+      store: new StoreClient(settings.store.address),
+      fleetCodec: storeCodec,
+      headerCodec: platformHeaders,
+      clock: new SystemClock(),
+      random: new SeededRandom(index),
+      metrics: new HistogramMetrics(),
+      log: () => ({ debug: ignore, info: record, warn: ignore, error: ignore }),
+    });
+    await entry.start(abort.signal);
+    this.entries.push({ settings, entry, inForceAt, abort });
+  }
+}
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -3,6 +3,7 @@
 export * from './httpStandIn.js';
 export * from './instanceListStandIn.js';
 export * from './keyValueStandIn.js';
+export * from './narrowLink.js';
 export * from './originStandIn.js';
 export * from './plainStandIn.js';
 export * from './platformEngine.js';
--- a/packages/standins/src/platformStore.ts
+++ b/packages/standins/src/platformStore.ts
@@ -132,6 +132,16 @@
     this.changed.emit('change');
   }
 
+  /** Returns a value as it is stored, in base64. */
+  read(key: string): string | undefined {
+    return this.items.get(key)?.Value;
+  }
+
+  /** Returns the keys with a prefix. */
+  keys(prefix: string): string[] {
+    return [...this.items.keys()].filter((key) => key.startsWith(prefix));
+  }
+
   /** Revision of the last change. */
   get lastRevision(): number {
     return this.revision;
