Tests: ports that belong to one process, and two consecutive ones for an instance

Blocks of ports were chosen by the process id alone, so that workers of several test runs at the same time could share one and take ports from each other; seen as EADDRINUSE in the logs of programs that never became ready, beside four other runs. An instance has a range of two ports, of which the second was handed out again. A program that does not become ready is ended.

--- a/bench/src/platformProgram.ts
+++ b/bench/src/platformProgram.ts
@@ -4,7 +4,7 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { fileURLToPath } from 'node:url';
-import { freePorts } from './ports.js';
+import { freePortPair, freePorts } from './ports.js';
 
 const programDirectory = fileURLToPath(new URL('../../platform/dist/', import.meta.url));
 
@@ -30,7 +30,8 @@
 
 /** Settings of an entry on this machine that uses the given store address. */
 export async function makeEntrySettings(store: string): Promise<SettingsLines> {
-  const [callers, readiness, first] = await freePorts(3);
+  const [callers, readiness] = await freePorts(2);
+  const first = await freePortPair();
   return {
     NodeName: 'front-1',
     Ip: '127.0.0.1',
@@ -39,7 +40,7 @@
     'Zones.a': 'r',
     'Listen.Front': `127.0.0.1:${callers}`,
     'Listen.Ready': `127.0.0.1:${readiness}`,
-    PortRange: `${first},${first! + 1}`,
+    PortRange: `${first},${first + 1}`,
     'Limits.LinkMbps': '1000.0',
     HeartbeatMs: '1200',
     'Platform.Address': store,
--- a/features/steps/processLogs.steps.ts
+++ b/features/steps/processLogs.steps.ts
@@ -75,7 +75,12 @@
   const log = join(program.file, '..', 'log');
   await program.start(isRead ? openSync(log, 'w') : 'pipe');
   const running = { program, callers: new Callers(lines['Listen.Front']!), log };
-  await eventually(() => isReady(running), `${name} is ready`);
+  try {
+    await eventually(() => isReady(running), `${name} is ready`);
+  } catch (error) {
+    program.close();
+    throw error;
+  }
   return running;
 }
 
--- a/features/steps/sidecar.steps.ts
+++ b/features/steps/sidecar.steps.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { After, Given, Then, When } from '@cucumber/cucumber';
-import { freePorts } from '@laburnumstream/bench';
+import { freePortPair } from '@laburnumstream/bench';
 import { SeededRandom } from '@laburnumstream/common';
 import type { SidecarSettings } from '@laburnumstream/common';
 import { FleetDatagrams } from '@laburnumstream/links';
@@ -31,14 +31,14 @@
 
 async function createSettings(): Promise<SidecarSettings> {
   // Datagrams use the same port on the entry's and the agent's address.
-  const [first] = await freePorts(2);
+  const firstPort = await freePortPair();
   return {
     instance: 'side-1',
     host: '127.0.0.1',
     dataCentre: 'a',
     region: 'r',
     regions: new Map([['a', 'r']]),
-    firstPort: first!,
+    firstPort,
     linkBitsPerSecond: 1e9,
     store: { address: '127.0.0.1:1', minLeaseMs: 1_000 },
     heartbeatMs: 1_200,
--- a/features/support/platformFleet.ts
+++ b/features/support/platformFleet.ts
@@ -1,4 +1,4 @@
-import { freePorts } from '@laburnumstream/bench';
+import { freePortPair, freePorts } from '@laburnumstream/bench';
 import { SeededRandom } from '@laburnumstream/common';
 import type { ForwarderSettings } from '@laburnumstream/common';
 import { ForwardingEntry } from '@laburnumstream/forwarding';
@@ -75,14 +75,14 @@
 }
 
 async function createSettings(store: string): Promise<ForwarderSettings> {
-  const [callers, readiness, first] = await freePorts(3);
+  const [callers, readiness] = await freePorts(2);
   return {
     instance: 'front-1',
     host: '127.0.0.1',
     dataCentre: 'a',
     region: 'r',
     regions: new Map([['a', 'r']]),
-    firstPort: first!,
+    firstPort: await freePortPair(),
     linkBitsPerSecond: 1e9,
     store: { address: store, minLeaseMs: 1_000 },
     heartbeatMs: 1_200,
--- a/features/support/remoteRegion.ts
+++ b/features/support/remoteRegion.ts
@@ -1,4 +1,4 @@
-import { freePorts } from '@laburnumstream/bench';
+import { freePortPair, freePorts } from '@laburnumstream/bench';
 import { SeededRandom } from '@laburnumstream/common';
 import type { ForwarderSettings } from '@laburnumstream/common';
 import { ForwardingEntry } from '@laburnumstream/forwarding';
@@ -93,8 +93,8 @@
     region.writeConfiguration(0);
     region.registerEngine(homeEngine, 'home-a');
     region.registerEngine(remoteEngine, 'remote-a');
-    const [firstPort] = await freePorts(1);
-    for (let index = 0; index < count; index += 1) await region.startEntry(index, firstPort!);
+    const firstPort = await freePortPair();
+    for (let index = 0; index < count; index += 1) await region.startEntry(index, firstPort);
     await eventually(
       () => region.entries.every(({ inForceAt }) => inForceAt.has(firstVersion)),
       'all entries have the first configuration',
