Read the store over a link once for a region, and for as long as it makes progress

Callers saw: requests of routes with a home ran outside it (HOME), requests with a key got 503 for 20 s and more. Cause: all entries of a region read each configuration from the store themselves, over one link. A call was given up after 0.75 to 1.7 s whether or not its response was arriving, and begun anew; what had arrived was thrown away. Once a configuration times the entries was larger than the link carries in that time, no entry of the region got any configuration again, nor could it renew its lease: congestion collapse by timeouts that do not look at progress. Change: two entries of each region, chosen by rendezvous hashing, read the store; the others read from those, compressed, with the age of the proof counted from the call of the reader. An entry that fails as a source is avoided, the next in order takes its place, and the store itself is read.

--- a/packages/common/src/failures.ts
+++ b/packages/common/src/failures.ts
@@ -141,6 +141,13 @@
   }
 }
 
+/** A response did not arrive, or stopped arriving before its end. */
+export class TransferFailed extends Failure {
+  constructor(message: string, cause?: unknown) {
+    super('transfer_failed', message, { status: 502, execution: Execution.unknown, cause });
+  }
+}
+
 /** The platform's key-value service is unreachable or responds with an error. */
 export class StoreUnavailable extends Failure {
   constructor(message: string, cause?: unknown) {
@@ -153,6 +160,14 @@
   }
 }
 
+/** Another process has had no confirmation of its content from the store for too long. */
+export class OldProof extends Failure {
+  constructor(source: string, proofAgeMs: number) {
+    const message = `The content of ${source} was confirmed ${Math.round(proofAgeMs)} ms ago.`;
+    super('old_proof', message, { status: 503 });
+  }
+}
+
 /** The store no longer keeps its history since the requested revision. */
 export class HistoryLost extends Failure {
   constructor(target: string) {
--- a/packages/common/src/services.ts
+++ b/packages/common/src/services.ts
@@ -225,10 +225,28 @@
   getLoadReport(signal?: AbortSignal): Promise<LoadReport>;
 }
 
+/** An outage of the store that has ended. */
+export interface StoreOutage {
+  readonly durationMs: number;
+  readonly endedMsAgo: number;
+}
+
+/** What is known of content that another process has read from the store and passes on. */
+export interface Provenance {
+  /** Time before the call at which the store confirmed the content as the newest, in milliseconds. */
+  readonly proofAgeMs: number;
+  /** Time for which the oldest change in the content may have been known, in milliseconds. */
+  readonly changeAgeMs: number;
+  /** The last outage that the process has seen. */
+  readonly outage: StoreOutage | undefined;
+}
+
 /** All values under a prefix as of a revision of the store. */
 export interface StoreSnapshot {
   readonly values: readonly StoredValue[];
   readonly revision: number;
+  /** Undefined when the store itself has responded. */
+  readonly provenance?: Provenance;
 }
 
 /** A write, or a deletion if `value` is undefined. */
@@ -242,6 +260,8 @@
 export interface StoreChanges {
   readonly changes: readonly StoreChange[];
   readonly revision: number;
+  /** Undefined when the store itself has responded. */
+  readonly provenance?: Provenance;
 }
 
 /** Snapshots and changes of a store's prefix. All calls throw `StoreUnavailable` during an outage. */
--- a/packages/decisions/src/forwarding/deferredRemovals.ts
+++ b/packages/decisions/src/forwarding/deferredRemovals.ts
@@ -16,9 +16,10 @@
     return this.removals.size > 0;
   }
 
-  /** Records that the store responds again after an outage of `outageMs`. */
-  storeRecovered(outageMs: number, now: number): void {
-    if (outageMs >= minOutageMs) this.deferredUntil = now + reregistrationMs;
+  /** Records that the store responds again since `endedAt`, after an outage of `outageMs`. */
+  storeRecovered(outageMs: number, endedAt: number): void {
+    if (outageMs < minOutageMs) return;
+    this.deferredUntil = Math.max(this.deferredUntil, endedAt + reregistrationMs);
   }
 
   /** Defers the removal of an expired registration; returns false when it is to be removed at once. */
--- /dev/null
+++ b/packages/decisions/src/forwarding/feedReaders.ts
@@ -0,0 +1,45 @@
+import { rendezvousOrder } from '@laburnumstream/common';
+
+/** Entries of a region that read the store themselves; two, so that one may fail. */
+const readersPerRegion = 2;
+/** Time for which an entry that failed as a source is avoided, in milliseconds. */
+const avoidanceMs = 5_000;
+const orderKey = 'store feed';
+
+/**
+ * Selects the few entries of a region that read the store themselves. The others read from those, so
+ * that the traffic between the store and the region doesn't grow with the number of entries.
+ */
+export class FeedReaders {
+  /** Entries of the region in the order in which they become readers. */
+  private order: readonly string[] = [];
+
+  /** Time until which an entry is avoided, by name. */
+  private readonly avoidedUntil = new Map<string, number>();
+
+  constructor(
+    /** Name of this entry. */
+    private readonly self: string,
+  ) {}
+
+  /** Replaces the names of the region's entries. */
+  setEntries(names: readonly string[]): void {
+    this.order = rendezvousOrder(orderKey, names, (name) => name);
+    this.avoidedUntil.forEach((_until, name) => {
+      if (!names.includes(name)) this.avoidedUntil.delete(name);
+    });
+  }
+
+  /** Avoids an entry that has failed as a source, so that the next in order takes its place. */
+  recordFailure(name: string, now: number): void {
+    this.avoidedUntil.set(name, now + avoidanceMs);
+  }
+
+  /** Returns the entry to read from, or undefined if this entry is to read the store itself. */
+  pickSource(now: number): string | undefined {
+    const usable = this.order.filter((name) => (this.avoidedUntil.get(name) ?? -Infinity) <= now);
+    const readers = usable.slice(0, readersPerRegion);
+    if (readers.includes(this.self)) return undefined;
+    return rendezvousOrder(this.self, readers, (name) => name)[0];
+  }
+}
--- a/packages/decisions/src/forwarding/index.ts
+++ b/packages/decisions/src/forwarding/index.ts
@@ -8,6 +8,7 @@
 export * from './engineModel.js';
 export * from './entryCount.js';
 export * from './eventSplitter.js';
+export * from './feedReaders.js';
 export * from './namedVersions.js';
 export * from './notifierSelection.js';
 export * from './peerLoads.js';
--- /dev/null
+++ b/packages/forwarding/src/feedClient.ts
@@ -0,0 +1,95 @@
+import { promisify } from 'node:util';
+import { gunzip } from 'node:zlib';
+import { HistoryLost, InvalidInput, Unavailable } from '@laburnumstream/common';
+import type { Provenance, StoreChanges } from '@laburnumstream/common';
+import { createConnector } from '@laburnumstream/runtime';
+import { Client } from 'undici';
+import { FeedHeader, FeedStatus, feedPath } from './feedProtocol.js';
+import type { FeedBody } from './feedProtocol.js';
+import { transfer } from './transfer.js';
+import type { TransferredResponse } from './transfer.js';
+
+const decompress = promisify(gunzip);
+const connectTimeoutMs = 300;
+/** Time that a response may take beyond the wait that was asked for, in milliseconds. */
+const responseGraceMs = 500;
+const stallMs = 500;
+const totalMs = 5_000;
+const maxBytes = 64_000_000;
+/** Delay before an entry that can't respond is asked again, in milliseconds. */
+const retryDelayMs = 1_000;
+
+/** Changes as passed on by another entry. */
+export interface RelayedChanges extends StoreChanges {
+  readonly provenance: Provenance;
+}
+
+function isFeedBody(value: unknown): value is FeedBody {
+  const { revision, changes } = value as Partial<FeedBody>;
+  return typeof revision === 'number' && Array.isArray(changes);
+}
+
+function readProvenance({ headers }: TransferredResponse): Provenance {
+  const proofAgeMs = Number(headers[FeedHeader.proofAge]);
+  const changeAgeMs = Number(headers[FeedHeader.changeAge]);
+  if (!(proofAgeMs >= 0 && changeAgeMs >= 0))
+    throw new InvalidInput('The feed does not tell its age.');
+  const durationMs = Number(headers[FeedHeader.outage]);
+  const endedMsAgo = Number(headers[FeedHeader.outageEnded]);
+  const outage = durationMs >= 0 && endedMsAgo >= 0 ? { durationMs, endedMsAgo } : undefined;
+  return { proofAgeMs, changeAgeMs, outage };
+}
+
+async function readBody({ headers, body }: TransferredResponse): Promise<FeedBody> {
+  const isCompressed = headers['content-encoding'] === 'gzip';
+  const text = isCompressed ? await decompress(body, { maxOutputLength: maxBytes }) : body;
+  const value: unknown = JSON.parse(text.toString('utf8'));
+  if (isFeedBody(value)) return value;
+  throw new InvalidInput('The feed is invalid.');
+}
+
+/** Reads the store's content from another entry, over one connection. */
+export class FeedClient {
+  private client: Client | undefined;
+
+  /** IP:PORT that `client` is connected to. */
+  private address = '';
+
+  /** Returns the changes after a revision, or all values after 0. Throws a typed failure. */
+  async read(
+    address: string,
+    after: number,
+    waitMs: number,
+    signal?: AbortSignal,
+  ): Promise<RelayedChanges> {
+    const client = this.connect(address);
+    const path = `${feedPath}?after=${after}&waitMs=${waitMs}`;
+    const limits = { firstMs: waitMs + responseGraceMs, stallMs, totalMs, maxBytes };
+    try {
+      const response = await transfer(client, { method: 'GET', path }, limits, signal);
+      if (response.status === FeedStatus.historyLost) throw new HistoryLost(path);
+      if (response.status !== FeedStatus.ok)
+        throw new Unavailable(`${address} responded with ${response.status}.`, retryDelayMs);
+      const { revision, changes } = await readBody(response);
+      return { revision, changes, provenance: readProvenance(response) };
+    } catch (error) {
+      if (!(error instanceof HistoryLost)) this.close();
+      throw error;
+    }
+  }
+
+  /** Closes the connection. */
+  close(): void {
+    void this.client?.destroy();
+    this.client = undefined;
+  }
+
+  private connect(address: string): Client {
+    if (!this.client || this.address !== address) {
+      this.close();
+      this.address = address;
+      this.client = new Client(`http://${address}`, { connect: createConnector(connectTimeoutMs) });
+    }
+    return this.client;
+  }
+}
--- /dev/null
+++ b/packages/forwarding/src/feedProtocol.ts
@@ -0,0 +1,27 @@
+import type { StoreChange } from '@laburnumstream/common';
+
+/** Path at which an entry serves the store's content to others, with the queries `after` and `waitMs`. */
+export const feedPath = '/feed';
+
+/** Statuses of responses with the store's content. */
+export const FeedStatus = {
+  ok: 200,
+  invalid: 400,
+  historyLost: 410,
+  /** The entry has read nothing from the store yet. */
+  notReady: 503,
+} as const;
+
+/** Headers that describe the content, all in milliseconds; see `Provenance`. */
+export const FeedHeader = {
+  proofAge: 'laburnumstream-feed-proof-age',
+  changeAge: 'laburnumstream-feed-change-age',
+  outage: 'laburnumstream-feed-outage',
+  outageEnded: 'laburnumstream-feed-outage-ended',
+} as const;
+
+/** Body of a response: the changes after the requested revision, or all values after 0. */
+export interface FeedBody {
+  readonly revision: number;
+  readonly changes: readonly StoreChange[];
+}
--- /dev/null
+++ b/packages/forwarding/src/feedServer.ts
@@ -0,0 +1,137 @@
+import { createServer } from 'node:http';
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { promisify } from 'node:util';
+import { gzip } from 'node:zlib';
+import type { Log, SleepAwareClock, StoreChange } from '@laburnumstream/common';
+import { Notifier } from '@laburnumstream/runtime';
+import { FeedHeader, FeedStatus, feedPath } from './feedProtocol.js';
+import type { FeedBody } from './feedProtocol.js';
+import type { StoreMirror } from './storeMirror.js';
+
+const compress = promisify(gzip);
+/** Size of a response from which it is compressed, in bytes. */
+const minCompressedBytes = 8_192;
+const compressionLevel = 1;
+/** Longest time that a reader may ask to wait, in milliseconds. */
+const maxWaitMs = 2_000;
+
+interface EncodedBody {
+  readonly bytes: Buffer;
+  readonly isCompressed: boolean;
+}
+
+async function encodeBody(body: FeedBody): Promise<EncodedBody> {
+  const bytes = Buffer.from(JSON.stringify(body));
+  if (bytes.length < minCompressedBytes) return { bytes, isCompressed: false };
+  return { bytes: await compress(bytes, { level: compressionLevel }), isCompressed: true };
+}
+
+/** Serves the mirror of the store to other entries of the region. */
+export class FeedServer {
+  private readonly changed = new Notifier();
+
+  private readonly server = createServer((request, response) => {
+    this.handle(request, response).catch((error: unknown) => {
+      this.log.info('Feed not sent.', { reason: String(error) });
+      response.destroy();
+    });
+  });
+
+  /** The last encoded response: after a change, most readers ask for the same. */
+  private lastEncoded: { readonly key: string; readonly body: Promise<EncodedBody> } | undefined;
+
+  constructor(
+    private readonly mirror: StoreMirror,
+    private readonly proofClock: SleepAwareClock,
+    private readonly log: Log,
+  ) {}
+
+  /**
+   * Listens until the signal fires; resolves when the socket is bound. If that fails, other entries read
+   * from the store instead.
+   */
+  listen(host: string, port: number, signal: AbortSignal): Promise<void> {
+    signal.addEventListener('abort', () => {
+      this.server.close();
+      this.server.closeAllConnections();
+    });
+    return new Promise((resolve) => {
+      this.server.once('error', (error) => {
+        this.log.warn('The feed is not served.', { reason: String(error) });
+        resolve();
+      });
+      this.server.listen(port, host, () => resolve());
+    });
+  }
+
+  /** Wakes the readers that wait for a change. */
+  notifyChange(): void {
+    this.changed.notify();
+  }
+
+  private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const calledAt = this.proofClock.now();
+    const { pathname, searchParams } = new URL(request.url ?? '/', 'http://feed');
+    const after = Number(searchParams.get('after'));
+    const waitMs = Math.min(maxWaitMs, Number(searchParams.get('waitMs')));
+    if (pathname !== feedPath || !Number.isInteger(after) || !(waitMs >= 0)) {
+      FeedServer.sendEmpty(response, FeedStatus.invalid);
+      return;
+    }
+    await this.waitForChange(after, waitMs, response);
+    const changes = this.mirror.changesAfter(after);
+    if (this.mirror.revision === undefined) FeedServer.sendEmpty(response, FeedStatus.notReady);
+    else if (!changes) FeedServer.sendEmpty(response, FeedStatus.historyLost);
+    else await this.send(response, after, changes, calledAt);
+  }
+
+  private async waitForChange(
+    after: number,
+    waitMs: number,
+    response: ServerResponse,
+  ): Promise<void> {
+    const { revision } = this.mirror;
+    if (revision === undefined || after === 0 || this.mirror.changesAfter(after)?.length !== 0)
+      return;
+    const closed = new AbortController();
+    response.once('close', () => closed.abort());
+    await this.changed.wait(waitMs, closed.signal);
+  }
+
+  private async send(
+    response: ServerResponse,
+    after: number,
+    changes: readonly StoreChange[],
+    calledAt: number,
+  ): Promise<void> {
+    const { revision = 0 } = this.mirror;
+    const { proofAgeMs, changeAgeMs, outage } = this.mirror.describe(
+      after,
+      calledAt,
+      this.proofClock.now(),
+    );
+    const { bytes, isCompressed } = await this.encode(after, { revision, changes });
+    response.writeHead(FeedStatus.ok, {
+      'content-length': bytes.length,
+      [FeedHeader.proofAge]: Math.ceil(proofAgeMs),
+      [FeedHeader.changeAge]: Math.ceil(changeAgeMs),
+      ...(outage && {
+        [FeedHeader.outage]: Math.round(outage.durationMs),
+        [FeedHeader.outageEnded]: Math.round(outage.endedMsAgo),
+      }),
+      ...(isCompressed && { 'content-encoding': 'gzip' }),
+    });
+    response.end(bytes);
+  }
+
+  private encode(after: number, body: FeedBody): Promise<EncodedBody> {
+    const key = `${after} ${body.revision}`;
+    if (this.lastEncoded?.key !== key) this.lastEncoded = { key, body: encodeBody(body) };
+    return this.lastEncoded.body;
+  }
+
+  private static sendEmpty(response: ServerResponse, status: number): void {
+    response.writeHead(status, { 'content-length': '0' });
+    response.end();
+  }
+}
--- a/packages/forwarding/src/fleetWatcher.ts
+++ b/packages/forwarding/src/fleetWatcher.ts
@@ -1,5 +1,12 @@
 import { HistoryLost, InvalidInput, SleepAwareClock, toFailure } from '@laburnumstream/common';
-import type { Clock, Log, Metrics, StoreChange, StoreFeed } from '@laburnumstream/common';
+import type {
+  Clock,
+  Log,
+  Metrics,
+  Provenance,
+  StoreChange,
+  StoreFeed,
+} from '@laburnumstream/common';
 import { DeferredRemovals, changeBatchWindowMs } from '@laburnumstream/decisions';
 import type { FleetChange, FleetCodec } from './fleetChange.js';
 import type { FleetState } from './fleetState.js';
@@ -85,9 +92,11 @@
       const calledAt = this.proofClock.now();
       const call = this.revision === undefined ? StoreCall.list : StoreCall.watch;
       try {
-        if (this.revision === undefined) await this.loadSnapshot(signal);
-        else await this.watchChanges(this.revision, signal);
-        this.proof.confirm(calledAt);
+        const proofAgeMs =
+          this.revision === undefined
+            ? await this.loadSnapshot(signal)
+            : await this.watchChanges(this.revision, signal);
+        this.proof.confirm(calledAt - proofAgeMs);
         this.callCounter.countSuccess(call);
         this.handleSuccess();
         this.applyDueRemovals();
@@ -105,31 +114,42 @@
     return this.deferredRemovals.hasPending ? deferredWatchTimeoutMs : watchTimeoutMs;
   }
 
-  private async loadSnapshot(signal: AbortSignal): Promise<void> {
-    const { values, revision } = await this.store.snapshot(this.codec.prefix, signal);
+  /** Returns the time before the call at which the store confirmed the content, in milliseconds. */
+  private async loadSnapshot(signal: AbortSignal): Promise<number> {
+    const { values, revision, provenance } = await this.store.snapshot(this.codec.prefix, signal);
     const changes = values.flatMap((value) => this.decode(value));
     const changedAt = this.earliestChangeAt(this.clock.now());
-    this.recordResponse();
+    this.recordResponse(provenance);
     this.applyAll([...this.state.getRemovals(changes), ...changes], changedAt);
     this.revision = revision;
+    return provenance?.proofAgeMs ?? 0;
   }
 
-  private async watchChanges(after: number, signal: AbortSignal): Promise<void> {
+  /** Returns the time before the call at which the store confirmed the content, in milliseconds. */
+  private async watchChanges(after: number, signal: AbortSignal): Promise<number> {
     const { prefix } = this.codec;
     const waitMs = this.nextWatchTimeoutMs;
     const calledAt = this.clock.now();
-    const { changes, revision } = await this.store.changes(prefix, after, waitMs, signal);
-    const now = this.clock.now();
-    // A change that was returned immediately may have been made at any time since the last response.
-    const changedAt = now - calledAt > immediateResponseMs ? now : this.earliestChangeAt(now);
-    this.recordResponse();
+    const response = await this.store.changes(prefix, after, waitMs, signal);
+    const { changes, revision, provenance } = response;
+    const changedAt = this.getChangedAt(calledAt, provenance);
+    this.recordResponse(provenance);
     this.applyAll(
       changes.flatMap((change) => this.decode(change)),
       changedAt,
     );
     this.revision = Math.max(after, revision);
-    if (changes.length === 0) return;
-    await this.clock.sleep(changeBatchWindowMs(this.state.entryCount), signal);
+    if (changes.length > 0)
+      await this.clock.sleep(changeBatchWindowMs(this.state.entryCount), signal);
+    return provenance?.proofAgeMs ?? 0;
+  }
+
+  /** Returns the earliest time at which changes in a response to a watch may have become known. */
+  private getChangedAt(calledAt: number, provenance: Provenance | undefined): number {
+    const now = this.clock.now();
+    if (provenance) return now - provenance.changeAgeMs;
+    // A change that was returned immediately may have been made at any time since the last response.
+    return now - calledAt > immediateResponseMs ? now : this.earliestChangeAt(now);
   }
 
   /**
@@ -144,11 +164,13 @@
     return knownAt - this.changeLookbackMs;
   }
 
-  /** Records a response of the store, before its changes are applied. */
-  private recordResponse(): void {
+  /** Records a response with the store's content, before its changes are applied. */
+  private recordResponse(provenance: Provenance | undefined): void {
     const now = this.clock.now();
+    const outage = provenance?.outage;
     if (!this.isReachable) this.deferredRemovals.storeRecovered(now - this.lastResponseAt, now);
-    this.lastResponseAt = now;
+    if (outage) this.deferredRemovals.storeRecovered(outage.durationMs, now - outage.endedMsAgo);
+    this.lastResponseAt = now - (provenance?.proofAgeMs ?? 0);
     this.changeLookbackMs = 0;
   }
 
--- a/packages/forwarding/src/forwardingEntry.ts
+++ b/packages/forwarding/src/forwardingEntry.ts
@@ -22,6 +22,7 @@
 import { serveReadiness } from './readiness.js';
 import { EntryCounts } from './entryCounts.js';
 import { AgentLinks } from './agentLinks.js';
+import { RegionalFeed } from './regionalFeed.js';
 import { BufferedForwarder } from './bufferedForwarder.js';
 
 /** Dependencies of an entry. */
@@ -58,6 +59,8 @@
 export class ForwardingEntry {
   private readonly state: FleetState;
 
+  private readonly feed: RegionalFeed;
+
   private readonly watcher: FleetWatcher;
 
   private readonly directory: EndpointDirectory;
@@ -86,8 +89,9 @@
       proof.confirm(calledAt);
       entryCounts.update();
     };
+    this.feed = new RegionalFeed(store, settings, this.state, proofClock, metrics, log('feed'));
     this.watcher = new FleetWatcher(
-      store,
+      this.feed,
       fleetCodec,
       this.state,
       { confirm },
@@ -170,6 +174,7 @@
   async start(signal: AbortSignal): Promise<void> {
     const { callerAddress: callers, readinessAddress: readiness } = this.dependencies.settings;
     const ready = parseAddress(readiness);
+    await this.feed.listen(signal);
     void this.watcher.run(signal);
     void this.agents.run(signal);
     void this.registration.run(signal);
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -12,5 +12,8 @@
 export * from './fleetWatcher.js';
 export * from './fleetState.js';
 export * from './refusal.js';
+export * from './regionalFeed.js';
 export * from './requestCounter.js';
 export * from './entryCounts.js';
+export * from './transfer.js';
+export * from './storeMirror.js';
--- /dev/null
+++ b/packages/forwarding/src/regionalFeed.ts
@@ -0,0 +1,193 @@
+import { HistoryLost, OldProof, toFailure } from '@laburnumstream/common';
+import type {
+  FleetSettings,
+  Log,
+  Metrics,
+  SleepAwareClock,
+  StoreChange,
+  StoreChanges,
+  StoreFeed,
+  StoreSnapshot,
+  StoredValue,
+} from '@laburnumstream/common';
+import { FeedReaders } from '@laburnumstream/decisions';
+import { FeedClient } from './feedClient.js';
+import type { RelayedChanges } from './feedClient.js';
+import { FeedServer } from './feedServer.js';
+import type { FleetState } from './fleetState.js';
+import { StoreMirror } from './storeMirror.js';
+
+/** Longest wait for a change at another entry, in milliseconds: its failure shows only after it. */
+const entryWaitMs = 600;
+/** Wait of a call to the store that follows a failed call to another entry, in milliseconds. */
+const fallbackWaitMs = 50;
+/** Age of another entry's proof from which it is taken to have lost the store, in milliseconds. */
+const maxProofAgeMs = 2_600;
+/** Response time of a watch call that did not have to wait for a change, in milliseconds. */
+const immediateResponseMs = 15;
+/** Offset of the port at which the feed is served from the first port of an instance. */
+const feedPortOffset = 1;
+
+/** Revision after which a read returns the whole content. */
+const wholeContent = 0;
+
+/** Sources of the store's content, as counted in metrics. */
+const FeedSource = { store: 'store', entry: 'entry' } as const;
+
+type FeedSource = (typeof FeedSource)[keyof typeof FeedSource];
+
+function toStoredValue({ key, value, revision }: StoreChange): StoredValue[] {
+  return value === undefined ? [] : [{ key, value, revision }];
+}
+
+/**
+ * The store's content for an entry: a few entries of each region read the store, the others read from
+ * those. So a link between regions carries a few copies of each change, however many entries there are.
+ */
+export class RegionalFeed implements StoreFeed {
+  private readonly mirror = new StoreMirror();
+
+  private readonly client = new FeedClient();
+
+  private readonly server: FeedServer;
+
+  private readonly readers: FeedReaders;
+
+  /** Revision of the registered entries that `readers` were selected from. */
+  private readersRevision = -1;
+
+  /** Time of the last response of any source on the proof clock; undefined before the first one. */
+  private respondedAt: number | undefined;
+
+  /** Whether the last call to the store has failed. */
+  private isStoreFailing = false;
+
+  constructor(
+    private readonly store: StoreFeed,
+    private readonly settings: FleetSettings,
+    private readonly state: FleetState,
+    private readonly proofClock: SleepAwareClock,
+    private readonly metrics: Metrics,
+    private readonly log: Log,
+  ) {
+    this.server = new FeedServer(this.mirror, proofClock, log);
+    this.readers = new FeedReaders(settings.instance);
+  }
+
+  /** Serves the content to other entries until the signal fires. */
+  listen(signal: AbortSignal): Promise<void> {
+    const { host, firstPort } = this.settings;
+    signal.addEventListener('abort', () => this.client.close());
+    return this.server.listen(host, firstPort + feedPortOffset, signal);
+  }
+
+  async snapshot(prefix: string, signal?: AbortSignal): Promise<StoreSnapshot> {
+    const relayed = await this.readEntry(this.pickSource(), wholeContent, 0, signal);
+    if (relayed) return { ...relayed, values: relayed.changes.flatMap(toStoredValue) };
+    return this.readStore(
+      () => this.store.snapshot(prefix, signal),
+      (snapshot, learnedAt) => this.mirror.applySnapshot(snapshot, learnedAt),
+    );
+  }
+
+  async changes(
+    prefix: string,
+    after: number,
+    waitMs: number,
+    signal?: AbortSignal,
+  ): Promise<StoreChanges> {
+    const source = this.pickSource();
+    const relayed = await this.readEntry(source, after, Math.min(waitMs, entryWaitMs), signal);
+    if (relayed) return relayed;
+    const storeWaitMs = source === undefined ? waitMs : Math.min(waitMs, fallbackWaitMs);
+    return this.readStore(
+      () => this.store.changes(prefix, after, storeWaitMs, signal),
+      (changes, learnedAt) => this.mirror.applyChanges(changes, learnedAt),
+    );
+  }
+
+  /** Returns the name of the entry to read from; undefined if this entry reads the store itself. */
+  private pickSource(): string | undefined {
+    const { region, regions } = this.settings;
+    const { entriesRevision, entryLocations } = this.state;
+    if (entriesRevision !== this.readersRevision) {
+      const local = [...entryLocations].filter(
+        ([, { dataCentre }]) => regions.get(dataCentre) === region,
+      );
+      this.readers.setEntries(local.map(([name]) => name));
+      this.readersRevision = entriesRevision;
+    }
+    return this.readers.pickSource(this.proofClock.now());
+  }
+
+  /** Reads from another entry; returns undefined if there is none or it has nothing recent. */
+  private async readEntry(
+    source: string | undefined,
+    after: number,
+    waitMs: number,
+    signal?: AbortSignal,
+  ): Promise<RelayedChanges | undefined> {
+    const location = source === undefined ? undefined : this.state.entryLocations.get(source);
+    if (source === undefined || !location) return undefined;
+    const calledAt = this.proofClock.now();
+    const address = `${location.host}:${this.settings.firstPort + feedPortOffset}`;
+    try {
+      const relayed = await this.client.read(address, after, waitMs, signal);
+      const { proofAgeMs } = relayed.provenance;
+      if (proofAgeMs > maxProofAgeMs) throw new OldProof(address, proofAgeMs);
+      this.applyRelayed(after, relayed, calledAt);
+      return relayed;
+    } catch (error) {
+      if (signal?.aborted || error instanceof HistoryLost) throw error;
+      this.readers.recordFailure(source, this.proofClock.now());
+      const { type, message: reason } = toFailure(error);
+      this.log.info('Another entry can not be read from.', { source, type, reason });
+      return undefined;
+    }
+  }
+
+  private applyRelayed(after: number, relayed: RelayedChanges, calledAt: number): void {
+    const { changes, revision, provenance } = relayed;
+    const now = this.proofClock.now();
+    const learnedAt = now - provenance.changeAgeMs;
+    if (after === wholeContent) {
+      const values = changes.flatMap(toStoredValue);
+      this.mirror.applySnapshot({ values, revision }, learnedAt);
+    } else {
+      this.mirror.applyChanges(relayed, learnedAt);
+    }
+    this.mirror.confirm(calledAt - provenance.proofAgeMs);
+    const { outage } = provenance;
+    if (outage) this.mirror.recordOutage(outage.durationMs, now - outage.endedMsAgo);
+    this.isStoreFailing = false;
+    this.handleResponse(FeedSource.entry, now);
+  }
+
+  private async readStore<Content extends StoreSnapshot | StoreChanges>(
+    read: () => Promise<Content>,
+    apply: (content: Content, learnedAt: number) => void,
+  ): Promise<Content> {
+    const calledAt = this.proofClock.now();
+    try {
+      const content = await read();
+      const now = this.proofClock.now();
+      // A change that was returned immediately may have been made at any time since the last response.
+      const isImmediate = now - calledAt <= immediateResponseMs;
+      apply(content, isImmediate ? (this.respondedAt ?? now) : now);
+      this.mirror.confirm(calledAt);
+      if (this.isStoreFailing) this.mirror.recordOutage(now - (this.respondedAt ?? now), now);
+      this.isStoreFailing = false;
+      this.handleResponse(FeedSource.store, now);
+      return content;
+    } catch (error) {
+      this.isStoreFailing = true;
+      throw error;
+    }
+  }
+
+  private handleResponse(source: FeedSource, now: number): void {
+    this.respondedAt = now;
+    this.metrics.count('feed_reads', { source });
+    this.server.notifyChange();
+  }
+}
--- /dev/null
+++ b/packages/forwarding/src/transfer.ts
@@ -0,0 +1,51 @@
+import { TransferFailed } from '@laburnumstream/common';
+import { ProgressTimeout } from '@laburnumstream/runtime';
+import type { ProgressLimits } from '@laburnumstream/runtime';
+import type { Dispatcher } from 'undici';
+
+/** Limits of reading one response. */
+export interface TransferLimits extends ProgressLimits {
+  readonly maxBytes: number;
+}
+
+/** A response that has arrived whole. */
+export interface TransferredResponse {
+  readonly status: number;
+  readonly headers: Readonly<Record<string, string | string[] | undefined>>;
+  readonly body: Buffer;
+}
+
+/**
+ * Sends a request and reads its response for as long as it makes progress. Throws `TransferFailed`, with
+ * the number of bytes that had arrived, when the connection fails or a limit is exceeded.
+ */
+export async function transfer(
+  client: Dispatcher,
+  options: Dispatcher.RequestOptions,
+  limits: TransferLimits,
+  signal?: AbortSignal,
+): Promise<TransferredResponse> {
+  const startedAt = performance.now();
+  const timeout = new ProgressTimeout(limits, signal);
+  const parts: Buffer[] = [];
+  let size = 0;
+  try {
+    const response = await client.request({ ...options, signal: timeout.signal });
+    timeout.recordProgress();
+    for await (const part of response.body as AsyncIterable<Buffer>) {
+      timeout.recordProgress();
+      parts.push(part);
+      size += part.length;
+      if (size > limits.maxBytes)
+        throw new TransferFailed(`The response is larger than ${limits.maxBytes} bytes.`);
+    }
+    const { statusCode, headers } = response;
+    return { status: statusCode, headers, body: Buffer.concat(parts) };
+  } catch (error) {
+    const progress = `${size} bytes in ${Math.round(performance.now() - startedAt)} ms`;
+    const call = `${options.method} ${options.path}`;
+    throw new TransferFailed(`${call} failed after ${progress}: ${String(error)}`, error);
+  } finally {
+    timeout.end();
+  }
+}
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -12,6 +12,7 @@
 export * from './metricsServer.js';
 export * from './notifier.js';
 export * from './processAbort.js';
+export * from './progressTimeout.js';
 export * from './settings.js';
 export * from './shutdown.js';
 export * from './systemClock.js';
