Entries that others read from: refuse at once when the store is silent for them

Readers that are cut from the store went on serving their copy until its proof was 2.6 s old; a configuration was then in force at the other entries after 4.9 s instead of 3 (features/feedFailures.feature, 'readers of a region', the readers cut from the store). A reader now knows for how long the store owes it the next part of a response, refuses after 1.1 s of it, and readers try the next entry in order at once. Its own watches take 0.7 s instead of 1 while others depend on it.

--- a/features/steps/largeConfiguration.steps.ts
+++ b/features/steps/largeConfiguration.steps.ts
@@ -2,18 +2,13 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { After, Given, Then, When } from '@cucumber/cucumber';
 import { RemoteRegion } from '../support/remoteRegion.js';
+import type { WrittenVersion } from '../support/remoteRegion.js';
 
 const msPerSecond = 1_000;
 const requestIntervalMs = 250;
 /** Time for which a version that has not come into force in time is still waited for, in milliseconds. */
 const patienceMs = 12_000;
 
-/** A version of the configuration and the monotonic time when it was written. */
-interface WrittenVersion {
-  readonly version: number;
-  readonly at: number;
-}
-
 interface LargeConfigurationWorld {
   region: RemoteRegion;
   written: WrittenVersion[];
--- a/features/support/remoteRegion.ts
+++ b/features/support/remoteRegion.ts
@@ -1,10 +1,20 @@
+import { createServer } from 'node:net';
+import type { Server } from 'node:net';
 import { freePortPair, freePorts } from '@laburnumstream/bench';
 import { SeededRandom } from '@laburnumstream/common';
 import type { ForwarderSettings } from '@laburnumstream/common';
+import { FeedReaders } from '@laburnumstream/decisions';
 import { ForwardingEntry } from '@laburnumstream/forwarding';
 import { StoreClient, platformHeaders, storeCodec } from '@laburnumstream/platform';
 import { HistogramMetrics, SystemClock } from '@laburnumstream/runtime';
-import { Behaviours, NarrowLink, PlatformEngine, PlatformStore } from '@laburnumstream/standins';
+import {
+  Behaviours,
+  NarrowLink,
+  PlatformEngine,
+  PlatformStore,
+  Relay,
+  RelayMode,
+} from '@laburnumstream/standins';
 import { eventually } from './assertions.js';
 import { sendRequest } from './platformCaller.js';
 import type { CallerResponse } from './platformCaller.js';
@@ -61,16 +71,25 @@
 /** An entry and what it has logged. */
 interface RunningEntry {
   readonly settings: ForwarderSettings;
-  readonly entry: ForwardingEntry;
+  /** The entry's connections to the store, on their way to the link. */
+  readonly storeRelay: Relay;
   /** Monotonic times at which configurations came into force, by version. */
   readonly inForceAt: Map<number, number>;
   readonly abort: AbortController;
 }
 
+/** A version of the configuration and the monotonic time when it was written. */
+export interface WrittenVersion {
+  readonly version: number;
+  readonly at: number;
+}
+
 /** Entries of a region that is connected to the store by one narrow link. */
 export class RemoteRegion {
   readonly entries: RunningEntry[] = [];
 
+  private readonly silentServers: Server[] = [];
+
   private lastVersion = firstVersion - 1;
 
   private constructor(
@@ -104,25 +123,30 @@
   }
 
   /** Writes a new version of the configuration with `added` routes; returns the version. */
-  writeConfiguration(added: number): number {
+  writeConfiguration(added: number, keys: readonly string[] = ['key-1']): number {
     this.lastVersion += 1;
-    const base = createConfiguration(this.lastVersion, ['key-1']) as { Routes: object[] };
+    const base = createConfiguration(this.lastVersion, keys) as { Routes: object[] };
     const addedRoutes = Array.from({ length: added }, (_, index) => createAddedRoute(index));
     const Routes = [...base.Routes, openRoute, ...(added > 0 ? [homeRoute] : []), ...addedRoutes];
     this.store.write('op/config', { ...base, Routes });
     return this.lastVersion;
   }
 
-  /** Waits until all entries have a version; returns the longest time that one took, in milliseconds. */
-  async waitForVersion(wanted: number, writtenAt: number, timeoutMs: number): Promise<number> {
+  /** Waits until entries have a version; returns the longest time that one took, in milliseconds. */
+  async waitForVersion(
+    wanted: number,
+    writtenAt: number,
+    timeoutMs: number,
+    entries = this.entries,
+  ): Promise<number> {
     const hasVersion = ({ inForceAt }: RunningEntry): boolean =>
       [...inForceAt.keys()].some((known) => known >= wanted);
     await eventually(
-      () => this.entries.every(hasVersion),
+      () => entries.every(hasVersion),
       `all entries have version ${wanted}`,
       timeoutMs,
     );
-    const times = this.entries.map(({ inForceAt }) =>
+    const times = entries.map(({ inForceAt }) =>
       Math.min(...[...inForceAt].filter(([known]) => known >= wanted).map(([, at]) => at)),
     );
     return Math.max(...times) - writtenAt;
@@ -130,7 +154,41 @@
 
   /** Sends a request to each entry. */
   sendToAll(path: string): Promise<CallerResponse[]> {
-    return Promise.all(this.entries.map(({ settings }) => sendRequest({ settings }, path)));
+    return this.sendTo(this.entries, path);
+  }
+
+  sendTo(entries: readonly RunningEntry[], path: string): Promise<CallerResponse[]> {
+    return Promise.all(entries.map(({ settings }) => sendRequest({ settings }, path)));
+  }
+
+  /** The entries that read the store themselves while all are well. */
+  get readers(): RunningEntry[] {
+    return this.entries.filter((entry) => this.isReader(entry));
+  }
+
+  get others(): RunningEntry[] {
+    return this.entries.filter((entry) => !this.isReader(entry));
+  }
+
+  killReaders(): void {
+    this.readers.forEach(({ abort }) => abort.abort());
+  }
+
+  /** Makes the readers accept connections of other entries without ever responding. */
+  async silenceReaders(): Promise<void> {
+    const { readers } = this;
+    this.killReaders();
+    for (const { settings } of readers) {
+      const server = createServer();
+      await new Promise<void>((resolve) => {
+        server.listen(settings.firstPort + 1, settings.host, () => resolve());
+      });
+      this.silentServers.push(server);
+    }
+  }
+
+  cutFromStore(entries: readonly RunningEntry[]): void {
+    entries.forEach(({ storeRelay }) => storeRelay.setMode(RelayMode.silent));
   }
 
   /** Size of the current configuration in a response of the store, in bytes. */
@@ -139,13 +197,23 @@
   }
 
   close(): void {
-    this.entries.forEach(({ abort }) => abort.abort());
+    this.entries.forEach(({ abort, storeRelay }) => {
+      abort.abort();
+      void storeRelay.stop();
+    });
+    this.silentServers.forEach((server) => server.close());
     this.homeEngine.close();
     this.remoteEngine.close();
     this.link.close();
     this.store.close();
   }
 
+  private isReader({ settings }: RunningEntry): boolean {
+    const readers = new FeedReaders(settings.instance);
+    readers.setEntries(this.entries.map((entry) => entry.settings.instance));
+    return readers.pickSource(0) === undefined;
+  }
+
   /** Number of entries that are registered in the store. */
   private get registrations(): number {
     return this.store.keys('laburnumstream/entries/').length;
@@ -165,6 +233,7 @@
   private async startEntry(index: number, firstPort: number): Promise<void> {
     const host = `127.0.0.${10 + index}`;
     const [callers, readiness] = await freePorts(2);
+    const storeRelay = await new Relay(Number(this.link.address.split(':')[1])).start();
     const settings: ForwarderSettings = {
       instance: `front-${index}`,
       host,
@@ -173,7 +242,7 @@
       regions,
       firstPort,
       linkBitsPerSecond: 1e9,
-      store: { address: this.link.address, minLeaseMs: 1_000 },
+      store: { address: storeRelay.address, minLeaseMs: 1_000 },
       heartbeatMs: 1_200,
       isFirstStart: true,
       callerAddress: `127.0.0.1:${callers}`,
@@ -198,6 +267,6 @@
       log: () => ({ debug: ignore, info: record, warn: ignore, error: ignore }),
     });
     await entry.start(abort.signal);
-    this.entries.push({ settings, entry, inForceAt, abort });
+    this.entries.push({ settings, storeRelay, inForceAt, abort });
   }
 }
--- a/packages/common/src/services.ts
+++ b/packages/common/src/services.ts
@@ -264,9 +264,12 @@
   readonly provenance?: Provenance;
 }
 
-/** Snapshots and changes of a store's prefix. All calls throw `StoreUnavailable` during an outage. */
+/**
+ * Snapshots and changes of a store's prefix. All calls throw `StoreUnavailable` during an outage, and call
+ * `onProgress` whenever a part of the response arrives.
+ */
 export interface StoreFeed {
-  snapshot(prefix: string, signal?: AbortSignal): Promise<StoreSnapshot>;
+  snapshot(prefix: string, signal?: AbortSignal, onProgress?: () => void): Promise<StoreSnapshot>;
   /**
    * Waits up to `waitMs` for changes after revision `after`; returns an empty list if there are none.
    * Throws `HistoryLost` if the store no longer has the history since that revision.
@@ -276,5 +279,6 @@
     after: number,
     waitMs: number,
     signal?: AbortSignal,
+    onProgress?: () => void,
   ): Promise<StoreChanges>;
 }
--- a/packages/decisions/src/forwarding/feedReaders.ts
+++ b/packages/decisions/src/forwarding/feedReaders.ts
@@ -35,6 +35,11 @@
     this.avoidedUntil.set(name, now + avoidanceMs);
   }
 
+  /** Whether there are entries that read from others. */
+  get hasFollowers(): boolean {
+    return this.order.length > readersPerRegion;
+  }
+
   /** Returns the entry to read from, or undefined if this entry is to read the store itself. */
   pickSource(now: number): string | undefined {
     const usable = this.order.filter((name) => (this.avoidedUntil.get(name) ?? -Infinity) <= now);
--- a/packages/forwarding/src/feedProtocol.ts
+++ b/packages/forwarding/src/feedProtocol.ts
@@ -8,7 +8,7 @@
   ok: 200,
   invalid: 400,
   historyLost: 410,
-  /** The entry has read nothing from the store yet. */
+  /** The entry has read nothing from the store yet, or the store has fallen silent for it. */
   notReady: 503,
 } as const;
 
--- a/packages/forwarding/src/feedServer.ts
+++ b/packages/forwarding/src/feedServer.ts
@@ -12,6 +12,8 @@
 /** Size of a response from which it is compressed, in bytes. */
 const minCompressedBytes = 8_192;
 const compressionLevel = 1;
+/** Silence of the store from which this entry is no source for others, in milliseconds. */
+const maxSilenceMs = 1_100;
 /** Longest time that a reader may ask to wait, in milliseconds. */
 const maxWaitMs = 2_000;
 
@@ -43,6 +45,8 @@
   constructor(
     private readonly mirror: StoreMirror,
     private readonly proofClock: SleepAwareClock,
+    /** Returns the time for which the store owes a response to this entry, in milliseconds. */
+    private readonly getSilenceMs: () => number,
     private readonly log: Log,
   ) {}
 
@@ -80,7 +84,9 @@
     }
     await this.waitForChange(after, waitMs, response);
     const changes = this.mirror.changesAfter(after);
-    if (this.mirror.revision === undefined) FeedServer.sendEmpty(response, FeedStatus.notReady);
+    const isSilent = this.getSilenceMs() > maxSilenceMs;
+    if (isSilent || this.mirror.revision === undefined)
+      FeedServer.sendEmpty(response, FeedStatus.notReady);
     else if (!changes) FeedServer.sendEmpty(response, FeedStatus.historyLost);
     else await this.send(response, after, changes, calledAt);
   }
@@ -95,7 +101,14 @@
       return;
     const closed = new AbortController();
     response.once('close', () => closed.abort());
-    await this.changed.wait(waitMs, closed.signal);
+    const endAt = this.proofClock.now() + waitMs;
+    // The wait ends when the store falls silent, so that readers find another source soon.
+    for (let leftMs = waitMs; leftMs > 0; leftMs = endAt - this.proofClock.now()) {
+      const untilSilentMs = maxSilenceMs - this.getSilenceMs();
+      if (untilSilentMs < 0) return;
+      await this.changed.wait(Math.min(leftMs, untilSilentMs + 1), closed.signal);
+      if (this.mirror.changesAfter(after)?.length !== 0) return;
+    }
   }
 
   private async send(
--- a/packages/forwarding/src/regionalFeed.ts
+++ b/packages/forwarding/src/regionalFeed.ts
@@ -17,10 +17,14 @@
 import type { FleetState } from './fleetState.js';
 import { StoreMirror } from './storeMirror.js';
 
+/** Longest wait for a change at the store of an entry that others read from, in milliseconds. */
+const readerWaitMs = 700;
 /** Longest wait for a change at another entry, in milliseconds: its failure shows only after it. */
 const entryWaitMs = 600;
 /** Wait of a call to the store that follows a failed call to another entry, in milliseconds. */
 const fallbackWaitMs = 50;
+/** Time for which failed attempts may delay the next one at another entry, in milliseconds. */
+const maxAttemptsMs = 300;
 /** Age of another entry's proof from which it is taken to have lost the store, in milliseconds. */
 const maxProofAgeMs = 2_600;
 /** Response time of a watch call that did not have to wait for a change, in milliseconds. */
@@ -62,6 +66,9 @@
   /** Whether the last call to the store has failed. */
   private isStoreFailing = false;
 
+  /** Time since when the store owes the next part of a response; undefined while no call is running. */
+  private silentSince: number | undefined;
+
   constructor(
     private readonly store: StoreFeed,
     private readonly settings: FleetSettings,
@@ -70,7 +77,7 @@
     private readonly metrics: Metrics,
     private readonly log: Log,
   ) {
-    this.server = new FeedServer(this.mirror, proofClock, log);
+    this.server = new FeedServer(this.mirror, proofClock, () => this.getSilenceMs(), log);
     this.readers = new FeedReaders(settings.instance);
   }
 
@@ -82,10 +89,10 @@
   }
 
   async snapshot(prefix: string, signal?: AbortSignal): Promise<StoreSnapshot> {
-    const relayed = await this.readEntry(this.pickSource(), wholeContent, 0, signal);
+    const relayed = await this.readFromEntries(wholeContent, 0, signal);
     if (relayed) return { ...relayed, values: relayed.changes.flatMap(toStoredValue) };
     return this.readStore(
-      () => this.store.snapshot(prefix, signal),
+      (onProgress) => this.store.snapshot(prefix, signal, onProgress),
       (snapshot, learnedAt) => this.mirror.applySnapshot(snapshot, learnedAt),
     );
   }
@@ -96,16 +103,43 @@
     waitMs: number,
     signal?: AbortSignal,
   ): Promise<StoreChanges> {
-    const source = this.pickSource();
-    const relayed = await this.readEntry(source, after, Math.min(waitMs, entryWaitMs), signal);
+    const isReader = this.pickSource() === undefined;
+    const relayed = await this.readFromEntries(after, Math.min(waitMs, entryWaitMs), signal);
     if (relayed) return relayed;
-    const storeWaitMs = source === undefined ? waitMs : Math.min(waitMs, fallbackWaitMs);
+    const maxWaitMs = isReader ? this.getReaderWaitMs(waitMs) : fallbackWaitMs;
     return this.readStore(
-      () => this.store.changes(prefix, after, storeWaitMs, signal),
+      (onProgress) =>
+        this.store.changes(prefix, after, Math.min(waitMs, maxWaitMs), signal, onProgress),
       (changes, learnedAt) => this.mirror.applyChanges(changes, learnedAt),
     );
   }
 
+  /** Time for which the store owes the next part of a response, in milliseconds. */
+  private getSilenceMs(): number {
+    return this.silentSince === undefined ? 0 : this.proofClock.now() - this.silentSince;
+  }
+
+  /** The wait of a call to the store, which is shorter while other entries depend on this one. */
+  private getReaderWaitMs(waitMs: number): number {
+    return this.readers.hasFollowers ? Math.min(waitMs, readerWaitMs) : waitMs;
+  }
+
+  /** Tries other entries for as long as they refuse at once; returns undefined if none can be read from. */
+  private async readFromEntries(
+    after: number,
+    waitMs: number,
+    signal?: AbortSignal,
+  ): Promise<RelayedChanges | undefined> {
+    const startedAt = this.proofClock.now();
+    let source = this.pickSource();
+    while (source !== undefined && this.proofClock.now() - startedAt < maxAttemptsMs) {
+      const relayed = await this.readEntry(source, after, waitMs, signal);
+      if (relayed) return relayed;
+      source = this.pickSource();
+    }
+    return undefined;
+  }
+
   /** Returns the name of the entry to read from; undefined if this entry reads the store itself. */
   private pickSource(): string | undefined {
     const { region, regions } = this.settings;
@@ -120,15 +154,15 @@
     return this.readers.pickSource(this.proofClock.now());
   }
 
-  /** Reads from another entry; returns undefined if there is none or it has nothing recent. */
+  /** Reads from another entry; returns undefined if it can't be reached or has nothing recent. */
   private async readEntry(
-    source: string | undefined,
+    source: string,
     after: number,
     waitMs: number,
     signal?: AbortSignal,
   ): Promise<RelayedChanges | undefined> {
-    const location = source === undefined ? undefined : this.state.entryLocations.get(source);
-    if (source === undefined || !location) return undefined;
+    const location = this.state.entryLocations.get(source);
+    if (!location) return undefined;
     const calledAt = this.proofClock.now();
     const address = `${location.host}:${this.settings.firstPort + feedPortOffset}`;
     try {
@@ -159,24 +193,26 @@
     this.mirror.confirm(calledAt - provenance.proofAgeMs);
     const { outage } = provenance;
     if (outage) this.mirror.recordOutage(outage.durationMs, now - outage.endedMsAgo);
-    this.isStoreFailing = false;
     this.handleResponse(FeedSource.entry, now);
   }
 
   private async readStore<Content extends StoreSnapshot | StoreChanges>(
-    read: () => Promise<Content>,
+    read: (onProgress: () => void) => Promise<Content>,
     apply: (content: Content, learnedAt: number) => void,
   ): Promise<Content> {
     const calledAt = this.proofClock.now();
+    const recordProgress = (): void => {
+      this.silentSince = this.proofClock.now();
+    };
     try {
-      const content = await read();
+      this.silentSince ??= calledAt;
+      const content = await read(recordProgress);
       const now = this.proofClock.now();
       // A change that was returned immediately may have been made at any time since the last response.
       const isImmediate = now - calledAt <= immediateResponseMs;
       apply(content, isImmediate ? (this.respondedAt ?? now) : now);
       this.mirror.confirm(calledAt);
       if (this.isStoreFailing) this.mirror.recordOutage(now - (this.respondedAt ?? now), now);
-      this.isStoreFailing = false;
       this.handleResponse(FeedSource.store, now);
       return content;
     } catch (error) {
@@ -187,6 +223,8 @@
 
   private handleResponse(source: FeedSource, now: number): void {
     this.respondedAt = now;
+    this.isStoreFailing = false;
+    this.silentSince = undefined;
     this.metrics.count('feed_reads', { source });
     this.server.notifyChange();
   }
--- a/packages/forwarding/src/transfer.ts
+++ b/packages/forwarding/src/transfer.ts
@@ -24,6 +24,7 @@
   options: Dispatcher.RequestOptions,
   limits: TransferLimits,
   signal?: AbortSignal,
+  onProgress: () => void = () => undefined,
 ): Promise<TransferredResponse> {
   const startedAt = performance.now();
   const timeout = new ProgressTimeout(limits, signal);
@@ -34,6 +35,7 @@
     timeout.recordProgress();
     for await (const part of response.body as AsyncIterable<Buffer>) {
       timeout.recordProgress();
+      onProgress();
       parts.push(part);
       size += part.length;
       if (size > limits.maxBytes)
