--- a/packages/forwarding/src/regionalFeed.ts
+++ b/packages/forwarding/src/regionalFeed.ts
@@ -1,4 +1,4 @@
-import { HistoryLost, OldProof, toFailure } from '@laburnumstream/common';
+import { HistoryLost, NotFound, OldProof, toFailure } from '@laburnumstream/common';
 import type {
   FleetSettings,
   Log,
@@ -161,11 +161,9 @@
     waitMs: number,
     signal?: AbortSignal,
   ): Promise<RelayedChanges | undefined> {
-    const location = this.state.entryLocations.get(source);
-    if (!location) return undefined;
     const calledAt = this.proofClock.now();
-    const address = `${location.host}:${this.settings.firstPort + feedPortOffset}`;
     try {
+      const address = this.getFeedAddress(source);
       const relayed = await this.client.read(address, after, waitMs, signal);
       const { proofAgeMs } = relayed.provenance;
       if (proofAgeMs > maxProofAgeMs) throw new OldProof(address, proofAgeMs);
@@ -180,6 +178,12 @@
     }
   }
 
+  private getFeedAddress(source: string): string {
+    const location = this.state.entryLocations.get(source);
+    if (!location) throw new NotFound(`The entry ${source} is not registered.`);
+    return `${location.host}:${this.settings.firstPort + feedPortOffset}`;
+  }
+
   private applyRelayed(after: number, relayed: RelayedChanges, calledAt: number): void {
     const { changes, revision, provenance } = relayed;
     const now = this.proofClock.now();
