--- a/bench/src/mutations/mutations.ts
+++ b/bench/src/mutations/mutations.ts
@@ -98,10 +98,31 @@
   {
     name: 'proof from before the call',
     file: 'packages/forwarding/dist/fleetWatcher.js',
-    find: 'this.proof.confirm(calledAt);',
+    find: 'this.proof.confirm(calledAt - proofAgeMs);',
     replace: 'this.proof.confirm(this.proofClock.now());',
     test: 'Bounds that all entries share: removed keys and calls that are slow, lost or late',
   },
+  {
+    name: 'age of a proof that another entry passes on',
+    file: 'packages/forwarding/dist/storeMirror.js',
+    find: 'proofAgeMs: Math.max(0, calledAt - this.confirmedAt),',
+    replace: 'proofAgeMs: 0,',
+    test: "Entries that read the store's content from each other: proof of a mirror",
+  },
+  {
+    name: 'entries that read the store for their region',
+    file: 'packages/decisions/dist/forwarding/feedReaders.js',
+    find: 'if (readers.includes(this.self))',
+    replace: 'if (readers.length > 0)',
+    test: 'Large configurations over a narrow link: copies over the link',
+  },
+  {
+    name: 'calls that end for want of progress',
+    file: 'packages/runtime/dist/progressTimeout.js',
+    find: "this.stallTimer = this.startTimer('The response stopped arriving.', this.limits.stallMs);",
+    replace: '',
+    test: 'Large configurations over a narrow link: transfer that takes longer than a call',
+  },
   {
     name: 'clock that runs during sleep',
     file: 'packages/common/dist/sleepAwareClock.js',
--- a/features/largeConfiguration.feature
+++ b/features/largeConfiguration.feature
@@ -26,3 +26,9 @@
     When 3 configurations with 1680 more routes are written 1.6 seconds apart
     And 3 seconds have passed
     Then the link has carried at most 2 copies of each
+
+  # Guards against a call to the store that is given up by its duration while its response is arriving.
+  Scenario: transfer that takes longer than a call
+    Given 1 entries behind a link that is narrow for them
+    When 1 configurations with 1680 more routes are written 0 seconds apart
+    Then each is in force at all entries within 3 seconds
