--- a/features/support/remoteRegion.ts
+++ b/features/support/remoteRegion.ts
@@ -103,6 +103,14 @@
     return region;
   }
 
+  /** Ends all entries at once and starts the same number anew, at the same time. */
+  async restartEntries(): Promise<void> {
+    const ended = this.entries.splice(0);
+    ended.forEach(({ abort }) => abort.abort());
+    const firstPort = await freePortPair();
+    await Promise.all(ended.map((_, index) => this.startEntry(index, firstPort)));
+  }
+
   /** Writes a new version of the configuration with `added` routes; returns the version. */
   writeConfiguration(added: number): number {
     this.lastVersion += 1;
