--- a/features/feedReview.feature
+++ b/features/feedReview.feature
@@ -3,8 +3,8 @@
   # Guards against entries that all read the store because their sources are still receiving a configuration.
   Scenario: transfer that takes longer than a proof may be old
     Given 6 entries behind a link that is narrow for them
-    When 1 configurations with 8000 more routes are written 1 seconds apart
-    And 16 seconds have passed
+    When 3 configurations with 4000 more routes are written 1.6 seconds apart
+    And 12 seconds have passed
     Then the link has carried at most 2 copies of each
 
   # Guards against a read of the store by each entry of a region whose sources have stopped.
