--- a/packages/forwarding/src/feedClient.ts
+++ b/packages/forwarding/src/feedClient.ts
@@ -1,10 +1,10 @@
 import { promisify } from 'node:util';
 import { gunzip } from 'node:zlib';
 import { HistoryLost, InvalidInput, Unavailable } from '@laburnumstream/common';
-import type { Provenance, StoreChanges } from '@laburnumstream/common';
+import type { Provenance, StoreChange, StoreChanges } from '@laburnumstream/common';
 import { createConnector } from '@laburnumstream/runtime';
 import { Client } from 'undici';
-import { FeedHeader, FeedStatus, feedPath } from './feedProtocol.js';
+import { FeedHeader, FeedSource, FeedStatus, feedPath } from './feedProtocol.js';
 import type { FeedBody } from './feedProtocol.js';
 import { transfer } from './transfer.js';
 import type { TransferredResponse } from './transfer.js';
@@ -14,7 +14,8 @@
 /** Time that a response may take beyond the wait that was asked for, in milliseconds. */
 const responseGraceMs = 500;
 const stallMs = 500;
-const totalMs = 5_000;
+/** Time in which a response must be complete, in milliseconds: it may make little progress for ever. */
+const totalMs = 60_000;
 const maxBytes = 64_000_000;
 /** Delay before an entry that can't respond is asked again, in milliseconds. */
 const retryDelayMs = 1_000;
@@ -22,11 +23,27 @@
 /** Changes as passed on by another entry. */
 export interface RelayedChanges extends StoreChanges {
   readonly provenance: Provenance;
+  /** Whether the other entry reads the store itself. */
+  readonly isFromReader: boolean;
+}
+
+function isChange(value: unknown, maxRevision: number): value is StoreChange {
+  const change = value as Partial<StoreChange>;
+  return (
+    typeof change.key === 'string' &&
+    (change.value === undefined || typeof change.value === 'string') &&
+    Number.isSafeInteger(change.revision) &&
+    change.revision! <= maxRevision
+  );
 }
 
 function isFeedBody(value: unknown): value is FeedBody {
   const { revision, changes } = value as Partial<FeedBody>;
-  return typeof revision === 'number' && Array.isArray(changes);
+  return (
+    Number.isSafeInteger(revision) &&
+    Array.isArray(changes) &&
+    changes.every((change) => isChange(change, revision!))
+  );
 }
 
 function readProvenance({ headers }: TransferredResponse): Provenance {
@@ -71,7 +88,8 @@
       if (response.status !== FeedStatus.ok)
         throw new Unavailable(`${address} responded with ${response.status}.`, retryDelayMs);
       const { revision, changes } = await readBody(response);
-      return { revision, changes, provenance: readProvenance(response) };
+      const isFromReader = response.headers[FeedHeader.source] === FeedSource.store;
+      return { revision, changes, provenance: readProvenance(response), isFromReader };
     } catch (error) {
       if (!(error instanceof HistoryLost)) this.close();
       throw error;
--- a/packages/forwarding/src/feedProtocol.ts
+++ b/packages/forwarding/src/feedProtocol.ts
@@ -12,8 +12,16 @@
   notReady: 503,
 } as const;
 
-/** Headers that describe the content, all in milliseconds; see `Provenance`. */
+/** Where an entry reads the store's content from. */
+export const FeedSource = { store: 'store', entry: 'entry' } as const;
+
+/** One of the values of {@link FeedSource}. */
+export type FeedSource = (typeof FeedSource)[keyof typeof FeedSource];
+
+/** Headers that describe the content, times in milliseconds; see `Provenance`. */
 export const FeedHeader = {
+  /** A `FeedSource`. */
+  source: 'laburnumstream-feed-source',
   proofAge: 'laburnumstream-feed-proof-age',
   changeAge: 'laburnumstream-feed-change-age',
   outage: 'laburnumstream-feed-outage',
--- a/packages/forwarding/src/feedServer.ts
+++ b/packages/forwarding/src/feedServer.ts
@@ -5,7 +5,7 @@
 import type { Log, SleepAwareClock, StoreChange } from '@laburnumstream/common';
 import { Notifier } from '@laburnumstream/runtime';
 import { FeedHeader, FeedStatus, feedPath } from './feedProtocol.js';
-import type { FeedBody } from './feedProtocol.js';
+import type { FeedBody, FeedSource } from './feedProtocol.js';
 import type { StoreMirror } from './storeMirror.js';
 
 const compress = promisify(gzip);
@@ -47,6 +47,8 @@
     private readonly proofClock: SleepAwareClock,
     /** Returns the time for which the store owes a response to this entry, in milliseconds. */
     private readonly getSilenceMs: () => number,
+    /** Returns where this entry reads from. */
+    private readonly getSource: () => FeedSource,
     private readonly log: Log,
   ) {}
 
@@ -126,6 +128,7 @@
     const { bytes, isCompressed } = await this.encode(after, { revision, changes });
     response.writeHead(FeedStatus.ok, {
       'content-length': bytes.length,
+      [FeedHeader.source]: this.getSource(),
       [FeedHeader.proofAge]: Math.ceil(proofAgeMs),
       [FeedHeader.changeAge]: Math.ceil(changeAgeMs),
       ...(outage && {
--- a/packages/forwarding/src/fleetWatcher.ts
+++ b/packages/forwarding/src/fleetWatcher.ts
@@ -132,7 +132,7 @@
     const calledAt = this.clock.now();
     const response = await this.store.changes(prefix, after, waitMs, signal);
     const { changes, revision, provenance } = response;
-    const changedAt = this.getChangedAt(calledAt, provenance);
+    const changedAt = this.getChangedAt(calledAt, waitMs, provenance);
     this.recordResponse(provenance);
     this.applyAll(
       changes.flatMap((change) => this.decode(change)),
@@ -145,11 +145,17 @@
   }
 
   /** Returns the earliest time at which changes in a response to a watch may have become known. */
-  private getChangedAt(calledAt: number, provenance: Provenance | undefined): number {
+  private getChangedAt(
+    calledAt: number,
+    waitMs: number,
+    provenance: Provenance | undefined,
+  ): number {
     const now = this.clock.now();
-    if (provenance) return now - provenance.changeAgeMs;
+    // The response has begun by the end of the wait, however long it took to arrive.
+    const respondedAt = Math.min(now, calledAt + waitMs);
+    if (provenance) return respondedAt - provenance.changeAgeMs;
     // A change that was returned immediately may have been made at any time since the last response.
-    return now - calledAt > immediateResponseMs ? now : this.earliestChangeAt(now);
+    return now - calledAt > immediateResponseMs ? respondedAt : this.earliestChangeAt(now);
   }
 
   /**
--- a/packages/forwarding/src/regionalFeed.ts
+++ b/packages/forwarding/src/regionalFeed.ts
@@ -11,6 +11,7 @@
   StoredValue,
 } from '@laburnumstream/common';
 import { FeedReaders } from '@laburnumstream/decisions';
+import { FeedSource } from './feedProtocol.js';
 import { FeedClient } from './feedClient.js';
 import type { RelayedChanges } from './feedClient.js';
 import { FeedServer } from './feedServer.js';
@@ -23,9 +24,9 @@
 const entryWaitMs = 600;
 /** Wait of a call to the store that follows a failed call to another entry, in milliseconds. */
 const fallbackWaitMs = 50;
-/** Time for which failed attempts may delay the next one at another entry, in milliseconds. */
-const maxAttemptsMs = 300;
-/** Age of another entry's proof from which it is taken to have lost the store, in milliseconds. */
+/** Time after which no further entry is tried, in milliseconds: one silent entry is waited for. */
+const maxAttemptsMs = 1_300;
+/** Age from which the proof of an entry that reads from others is too old, in milliseconds. */
 const maxProofAgeMs = 2_600;
 /** Response time of a watch call that did not have to wait for a change, in milliseconds. */
 const immediateResponseMs = 15;
@@ -35,11 +36,6 @@
 /** Revision after which a read returns the whole content. */
 const wholeContent = 0;
 
-/** Sources of the store's content, as counted in metrics. */
-const FeedSource = { store: 'store', entry: 'entry' } as const;
-
-type FeedSource = (typeof FeedSource)[keyof typeof FeedSource];
-
 function toStoredValue({ key, value, revision }: StoreChange): StoredValue[] {
   return value === undefined ? [] : [{ key, value, revision }];
 }
@@ -63,6 +59,9 @@
   /** Time of the last response of any source on the proof clock; undefined before the first one. */
   private respondedAt: number | undefined;
 
+  /** What this entry reads from; an entry that reads from others may be in a circle of them. */
+  private source: FeedSource = FeedSource.entry;
+
   /** Whether the last call to the store has failed. */
   private isStoreFailing = false;
 
@@ -77,7 +76,13 @@
     private readonly metrics: Metrics,
     private readonly log: Log,
   ) {
-    this.server = new FeedServer(this.mirror, proofClock, () => this.getSilenceMs(), log);
+    this.server = new FeedServer(
+      this.mirror,
+      proofClock,
+      () => this.getSilenceMs(),
+      () => this.source,
+      log,
+    );
     this.readers = new FeedReaders(settings.instance);
   }
 
@@ -92,6 +97,7 @@
     const relayed = await this.readFromEntries(wholeContent, 0, signal);
     if (relayed) return { ...relayed, values: relayed.changes.flatMap(toStoredValue) };
     return this.readStore(
+      0,
       (onProgress) => this.store.snapshot(prefix, signal, onProgress),
       (snapshot, learnedAt) => this.mirror.applySnapshot(snapshot, learnedAt),
     );
@@ -107,9 +113,10 @@
     const relayed = await this.readFromEntries(after, Math.min(waitMs, entryWaitMs), signal);
     if (relayed) return relayed;
     const maxWaitMs = isReader ? this.getReaderWaitMs(waitMs) : fallbackWaitMs;
+    const storeWaitMs = Math.min(waitMs, maxWaitMs);
     return this.readStore(
-      (onProgress) =>
-        this.store.changes(prefix, after, Math.min(waitMs, maxWaitMs), signal, onProgress),
+      storeWaitMs,
+      (onProgress) => this.store.changes(prefix, after, storeWaitMs, signal, onProgress),
       (changes, learnedAt) => this.mirror.applyChanges(changes, learnedAt),
     );
   }
@@ -166,8 +173,13 @@
       const address = this.getFeedAddress(source);
       const relayed = await this.client.read(address, after, waitMs, signal);
       const { proofAgeMs } = relayed.provenance;
-      if (proofAgeMs > maxProofAgeMs) throw new OldProof(address, proofAgeMs);
-      this.applyRelayed(after, relayed, calledAt);
+      const isOlder = relayed.revision < (this.mirror.revision ?? 0);
+      if (
+        (!relayed.isFromReader && proofAgeMs > maxProofAgeMs) ||
+        (isOlder && after === wholeContent)
+      )
+        throw new OldProof(address, proofAgeMs);
+      this.applyRelayed(after, relayed, calledAt, waitMs);
       return relayed;
     } catch (error) {
       if (signal?.aborted || error instanceof HistoryLost) throw error;
@@ -184,10 +196,15 @@
     return `${location.host}:${this.settings.firstPort + feedPortOffset}`;
   }
 
-  private applyRelayed(after: number, relayed: RelayedChanges, calledAt: number): void {
+  private applyRelayed(
+    after: number,
+    relayed: RelayedChanges,
+    calledAt: number,
+    waitMs: number,
+  ): void {
     const { changes, revision, provenance } = relayed;
     const now = this.proofClock.now();
-    const learnedAt = now - provenance.changeAgeMs;
+    const learnedAt = Math.min(now, calledAt + waitMs) - provenance.changeAgeMs;
     if (after === wholeContent) {
       const values = changes.flatMap(toStoredValue);
       this.mirror.applySnapshot({ values, revision }, learnedAt);
@@ -201,6 +218,7 @@
   }
 
   private async readStore<Content extends StoreSnapshot | StoreChanges>(
+    waitMs: number,
     read: (onProgress: () => void) => Promise<Content>,
     apply: (content: Content, learnedAt: number) => void,
   ): Promise<Content> {
@@ -214,7 +232,8 @@
       const now = this.proofClock.now();
       // A change that was returned immediately may have been made at any time since the last response.
       const isImmediate = now - calledAt <= immediateResponseMs;
-      apply(content, isImmediate ? (this.respondedAt ?? now) : now);
+      const respondedAt = Math.min(now, calledAt + waitMs);
+      apply(content, isImmediate ? (this.respondedAt ?? now) : respondedAt);
       this.mirror.confirm(calledAt);
       if (this.isStoreFailing) this.mirror.recordOutage(now - (this.respondedAt ?? now), now);
       this.handleResponse(FeedSource.store, now);
@@ -226,6 +245,7 @@
   }
 
   private handleResponse(source: FeedSource, now: number): void {
+    this.source = source;
     this.respondedAt = now;
     this.isStoreFailing = false;
     this.silentSince = undefined;
--- a/packages/forwarding/src/storeMirror.ts
+++ b/packages/forwarding/src/storeMirror.ts
@@ -47,6 +47,9 @@
   applySnapshot({ values, revision }: StoreSnapshot, learnedAt: number): void {
     this.changesByKey = new Map();
     this.forgottenRevision = revision;
+    // What was confirmed before may be newer than the snapshot.
+    if (revision < (this.revisionKnown ?? 0)) this.confirmedAt = -Infinity;
+    this.revisionKnown = revision;
     this.applyChanges({ changes: values, revision }, learnedAt);
   }
 
