Give local names of renamed properties the property's name in the sources

Renamed properties were taken apart under their old words (stride, isNear, near, far, coldLeftMs, repeats, mostWhileCold), so the old words lived on as local names. Aliases that avoid shadowing stay. Only local names and the parentheses that the formatter puts around one longer line differ.

--- a/bench/src/benches/coldStart.ts
+++ b/bench/src/benches/coldStart.ts
@@ -29,7 +29,7 @@
     }
     control.stop = true;
     await load;
-    const peak = Math.max(...engines.map(({ maxUnitsWhileCold: mostWhileCold }) => mostWhileCold));
+    const peak = Math.max(...engines.map(({ maxUnitsWhileCold }) => maxUnitsWhileCold));
     const crashes = engines.reduce((sum, { crashes: own }) => sum + own, 0);
     return [
       { name: 'most_work_over_bearable', value: peak / loadEngine.coldCapacity },
--- a/bench/src/faults/faultRun.ts
+++ b/bench/src/faults/faultRun.ts
@@ -30,7 +30,7 @@
 
 function coldOverload(engines: readonly EngineStandIn[]): number {
   const over = engines.map(
-    ({ maxUnitsWhileCold: mostWhileCold, behaviour }) => mostWhileCold - behaviour.coldCapacity,
+    ({ maxUnitsWhileCold, behaviour }) => maxUnitsWhileCold - behaviour.coldCapacity,
   );
   return Math.max(0, ...over);
 }
@@ -44,7 +44,7 @@
       (agent.engine?.runs ?? []).map((run) => ({ dataCentre: agent.dataCentre.name, run })),
     ),
     coldOverload: coldOverload(engines),
-    serving: engines.map(({ loadedDigest: serving }) => serving),
+    serving: engines.map(({ loadedDigest }) => loadedDigest),
   };
 }
 
--- a/bench/src/heavyDays/admissionPolicies.ts
+++ b/bench/src/heavyDays/admissionPolicies.ts
@@ -7,7 +7,7 @@
 /** Selects an engine for each request of one entry. */
 export interface EntryAdmission {
   /** Resolves with the index of an engine; rejects with `Unavailable` and a retry delay. */
-  place(request: HeavyRequest, isReturned: boolean, signal: AbortSignal): Promise<number>;
+  place(request: HeavyRequest, isCallerRetry: boolean, signal: AbortSignal): Promise<number>;
   /** Called on the first event of a dispatched request. */
   onFirstEvent(engine: number, request: HeavyRequest): void;
   onEnd(engine: number): void;
@@ -74,11 +74,11 @@
   const { engines, entries, entry, regions, profile, clock, random } = options;
   const region = getRegion(entry, regions);
   const handles = Array.from({ length: engines }, (_, engine) => {
-    const isNear = getRegion(engine, regions) === region;
-    const near = Math.ceil((entries - getRegion(engine, regions)) / regions);
-    const peers = (): number => (isNear ? near - 1 : near);
+    const isLocal = getRegion(engine, regions) === region;
+    const localEntries = Math.ceil((entries - getRegion(engine, regions)) / regions);
+    const peers = (): number => (isLocal ? localEntries - 1 : localEntries);
     const endpoint = makeEndpoint(engine, profile);
-    return new EndpointHandle(endpoint, profile, isNear, '', clock, noMetrics, peers, 0);
+    return new EndpointHandle(endpoint, profile, isLocal, '', clock, noMetrics, peers, 0);
   });
   const hasRoom = (handle: EndpointHandle): boolean =>
     handle.load.hasCapacity({ ...engineQueueLimits, slots: handle.slots }, clock.now());
@@ -92,7 +92,7 @@
   return {
     handles,
     entry: {
-      async place(request, isReturned, signal) {
+      async place(request, isCallerRetry, signal) {
         const { id, workspace, promptTokens, arrivesAt, kind } = request;
         const goalAt = arrivesAt + kind.goalMs;
         const answerTokens = request.events * profile.engine!.stepsPerPass;
@@ -101,7 +101,7 @@
           service,
           workspace,
           priority: 1,
-          isCallerRetry: isReturned,
+          isCallerRetry,
           isRetryable: true,
           arrivedAt: clock.now(),
           startBy: model.latestStart(goalAt, promptTokens),
--- a/bench/src/heavyDays/heavyDay.ts
+++ b/bench/src/heavyDays/heavyDay.ts
@@ -123,17 +123,17 @@
     return this.summarize(requests);
   }
 
-  private async submit(request: HeavyRequest, isReturned: boolean): Promise<void> {
+  private async submit(request: HeavyRequest, isCallerRetry: boolean): Promise<void> {
     // The exponent skews the load towards the first entries.
     const index = Math.floor(this.entries.length * this.random.next() ** 1.2);
     const { entry } = this.entries[index]!;
     const signal = AbortSignal.any([]);
     try {
-      const engine = await entry.place(request, isReturned, signal);
+      const engine = await entry.place(request, isCallerRetry, signal);
       this.dispatch(request, engine, entry);
     } catch (error) {
       if (!(error instanceof Unavailable)) throw error;
-      if (isReturned) {
+      if (isCallerRetry) {
         this.results.set(request, 'refused');
         return;
       }
@@ -164,13 +164,13 @@
 
   /** Agents report the loads of their engines to all entries. */
   private reportLoads(): void {
-    const { regions, entries: count } = this.shape;
+    const { regions, entries } = this.shape;
     const now = this.clock.now();
     this.entries.forEach(({ handles }, entry) =>
       handles.forEach((handle, engine) => {
-        const isNear = getRegion(engine, regions) === getRegion(entry, regions);
-        const near = Math.ceil((count - getRegion(engine, regions)) / regions);
-        const sharers = { local: near, remote: count - near, isLocal: isNear };
+        const isLocal = getRegion(engine, regions) === getRegion(entry, regions);
+        const local = Math.ceil((entries - getRegion(engine, regions)) / regions);
+        const sharers = { local, remote: entries - local, isLocal };
         handle.applyLoadReport(this.engines[engine]!.load, sharers, this.random, now);
       }),
     );
@@ -230,9 +230,9 @@
   /** Credit within the engines' total time when requests arrive exactly when there is capacity. */
   private optimalCredit(requests: readonly HeavyRequest[]): number {
     const { engines, seconds } = this.shape;
-    const { stepsPerPass: stride } = heavyProfile.engine!;
+    const { stepsPerPass } = heavyProfile.engine!;
     const workOf = ({ promptTokens, events }: HeavyRequest): number =>
-      this.model.workMs(promptTokens, events * stride);
+      this.model.workMs(promptTokens, events * stepsPerPass);
     let remainingMs = engines * seconds * secondMs;
     let credit = 0;
     [...requests]
--- a/bench/src/soak/fleet.ts
+++ b/bench/src/soak/fleet.ts
@@ -231,7 +231,10 @@
 
   private writeConfiguration(): void {
     this.configurationVersion += 1;
-    const { configurationVersion: version, keys, origin, extraRoutes } = this;
-    this.store.write('op/config', buildConfiguration(version, keys, origin.address, extraRoutes));
+    const { configurationVersion, keys, origin, extraRoutes } = this;
+    this.store.write(
+      'op/config',
+      buildConfiguration(configurationVersion, keys, origin.address, extraRoutes),
+    );
   }
 }
--- a/bench/src/virtual/virtualPeers.ts
+++ b/bench/src/virtual/virtualPeers.ts
@@ -30,12 +30,12 @@
     const { keeper, spreader } = callee;
     const { configuration } = keeper;
     const document = configuration.revision > revision ? keeper.document : '';
-    const { storeSilenceMs: silenceMs } = spreader;
+    const { storeSilenceMs } = spreader;
     this.network.countSent(callee.instance.name, messageBytes + document.length);
     const costMs = document ? callee.sendDocument(documentCostMs) : 0;
     await this.caller.clock.sleep(this.latencyTo(peer) + costMs, signal);
     const { revision: known, changeId } = configuration;
-    return { revision: known, changeId, document, storeSilenceMs: silenceMs };
+    return { revision: known, changeId, document, storeSilenceMs };
   }
 
   async announce(peer: Instance, revision: number, signal: AbortSignal): Promise<void> {
--- a/packages/decisions/src/forwarding/engineModel.ts
+++ b/packages/decisions/src/forwarding/engineModel.ts
@@ -28,23 +28,18 @@
   private readonly usualContextTokens: number;
 
   constructor(private readonly profile: EngineProfile) {
-    const {
-      slots,
-      stepsPerPass: stride,
-      typicalPromptTokens: usualPromptTokens,
-      typicalOutputTokens: usualAnswerTokens,
-    } = profile;
+    const { slots, stepsPerPass, typicalPromptTokens, typicalOutputTokens } = profile;
     this.slots = slots;
-    this.usualContextTokens = usualPromptTokens + usualAnswerTokens / 2;
-    const passes = Math.max(1, usualAnswerTokens / stride);
-    this.slotTurnoverMs = this.prefillMs(usualPromptTokens) + (passes * this.passMs(slots)) / slots;
+    this.usualContextTokens = typicalPromptTokens + typicalOutputTokens / 2;
+    const passes = Math.max(1, typicalOutputTokens / stepsPerPass);
+    this.slotTurnoverMs =
+      this.prefillMs(typicalPromptTokens) + (passes * this.passMs(slots)) / slots;
   }
 
   /** Size class of a request, by its work relative to a usual request. */
   sizeClass(promptTokens: number, answerTokens: number): string {
-    const { typicalPromptTokens: usualPromptTokens, typicalOutputTokens: usualAnswerTokens } =
-      this.profile;
-    const usual = this.workMs(usualPromptTokens, usualAnswerTokens);
+    const { typicalPromptTokens, typicalOutputTokens } = this.profile;
+    const usual = this.workMs(typicalPromptTokens, typicalOutputTokens);
     const factor = this.workMs(promptTokens, answerTokens) / usual;
     return sizeClasses.find(({ below }) => factor < below)!.name;
   }
@@ -56,24 +51,18 @@
 
   /** Time of one decode pass over a batch of requests. */
   passMs(batchSize: number): number {
-    const {
-      stepsPerPass: stride,
-      stepMs,
-      stepMsPerSequence,
-      stepMsPerThousandTokens,
-    } = this.profile;
+    const { stepsPerPass, stepMs, stepMsPerSequence, stepMsPerThousandTokens } = this.profile;
     const contextMs = ((batchSize * this.usualContextTokens) / thousand) * stepMsPerThousandTokens;
-    return stride * (stepMs + batchSize * stepMsPerSequence + contextMs);
+    return stepsPerPass * (stepMs + batchSize * stepMsPerSequence + contextMs);
   }
 
   /** Prefill time of a prompt. */
   prefillMs(tokens: number): number {
-    const {
-      prefillTokensPerSecond: readTokensPerSecond,
-      prefillMsPerMillionPairs: readMsPerMillionPairs,
-    } = this.profile;
+    const { prefillTokensPerSecond, prefillMsPerMillionPairs } = this.profile;
     const pairs = (tokens * tokens) / 2;
-    return (tokens / readTokensPerSecond) * secondMs + (pairs / million) * readMsPerMillionPairs;
+    return (
+      (tokens / prefillTokensPerSecond) * secondMs + (pairs / million) * prefillMsPerMillionPairs
+    );
   }
 
   /** Number of usual prompts that can be prefilled in a time; at least 1. */
--- a/packages/forwarding/src/agentLinks.ts
+++ b/packages/forwarding/src/agentLinks.ts
@@ -98,12 +98,12 @@
    * because the entries of their own region may be cut off from the store.
    */
   private shouldSendWeights(
-    { isLocal: isNear, endpoint }: EndpointHandle,
+    { isLocal, endpoint }: EndpointHandle,
     namedMsAgo: number,
     isChange: boolean,
   ): boolean {
     const { instance, bounds } = this.settings;
-    if (!isNear) {
+    if (!isLocal) {
       return (
         namedMsAgo <= bounds.versionMs &&
         this.notifiers.isSelected(endpoint.address, notifiersPerAgent.remote)
@@ -125,9 +125,9 @@
     this.notifiers.setEntries(localEntries.map(([name]) => name));
   }
 
-  private getReportIntervalMs({ isLocal: isNear, region }: EndpointHandle): number {
-    const { local: near, remote: far } = this.directory.getCapacitySharers(region);
-    return reportIntervalMs({ entries: isNear ? near : far, isLocal: isNear });
+  private getReportIntervalMs({ isLocal, region }: EndpointHandle): number {
+    const { local, remote } = this.directory.getCapacitySharers(region);
+    return reportIntervalMs({ entries: isLocal ? local : remote, isLocal });
   }
 
   private createWeightUpdate({ endpoint, profile }: EndpointHandle): WeightUpdate | undefined {
--- a/packages/forwarding/src/bufferedForwarder.ts
+++ b/packages/forwarding/src/bufferedForwarder.ts
@@ -95,15 +95,15 @@
         clock.now(),
       );
     }
-    const { action: use, execution, outcome: sign } = classifyResponse({ status, ...head });
-    this.recordHealth(attempt, sign);
-    if (use === ResponseAction.deliver) {
+    const { action, execution, outcome } = classifyResponse({ status, ...head });
+    this.recordHealth(attempt, outcome);
+    if (action === ResponseAction.deliver) {
       this.deliver(exchange, attempt, response);
       return true;
     }
     const reason = `status ${status}`;
     if (attempts.mayRetry({ attempt, execution, fault: undefined, reason })) return false;
-    if (use === ResponseAction.deliverIfLast) {
+    if (action === ResponseAction.deliverIfLast) {
       this.deliver(exchange, attempt, response);
       return true;
     }
--- a/packages/forwarding/src/endpointDirectory.ts
+++ b/packages/forwarding/src/endpointDirectory.ts
@@ -138,12 +138,12 @@
 
   /** Returns the entries that share the capacity of the endpoints of a region. */
   getCapacitySharers(region: string): CapacitySharers {
-    const { regions, region: own } = this.settings;
+    const { regions, region: ownRegion } = this.settings;
     const isInRegion = (dataCentre: string): boolean => regions.get(dataCentre) === region;
-    const isNear = region === own;
-    const near = Math.max(isNear ? 1 : 0, this.state.countEntries(isInRegion));
-    const far = Math.max(isNear ? 0 : 1, this.state.entryCount - near);
-    return { local: near, remote: far, isLocal: isNear };
+    const isLocal = region === ownRegion;
+    const local = Math.max(isLocal ? 1 : 0, this.state.countEntries(isInRegion));
+    const remote = Math.max(isLocal ? 0 : 1, this.state.entryCount - local);
+    return { local, remote, isLocal };
   }
 
   private addOrUpdate(endpoint: Endpoint, profile: ServiceProfile | undefined): void {
@@ -155,15 +155,15 @@
       return;
     }
     const region = this.settings.regions.get(endpoint.dataCentre) ?? '';
-    const isNear = region === this.settings.region;
+    const isLocal = region === this.settings.region;
     const { clock, metrics } = this;
     const peers = (): number =>
-      Math.max(0, this.getCapacitySharers(region).local - (isNear ? 1 : 0));
+      Math.max(0, this.getCapacitySharers(region).local - (isLocal ? 1 : 0));
     const phase = this.random.next();
     const handle = new EndpointHandle(
       endpoint,
       profile,
-      isNear,
+      isLocal,
       region,
       clock,
       metrics,
@@ -191,10 +191,10 @@
     });
   }
 
-  private extendColdStart(handle: EndpointHandle, { coldRemainingMs: coldLeftMs }: Endpoint): void {
-    if (coldLeftMs <= 0) return;
+  private extendColdStart(handle: EndpointHandle, { coldRemainingMs }: Endpoint): void {
+    if (coldRemainingMs <= 0) return;
     Object.assign(handle, {
-      coldUntil: Math.max(handle.coldUntil, this.clock.now() + coldLeftMs),
+      coldUntil: Math.max(handle.coldUntil, this.clock.now() + coldRemainingMs),
     });
   }
 
--- a/packages/forwarding/src/entryGauges.ts
+++ b/packages/forwarding/src/entryGauges.ts
@@ -27,8 +27,8 @@
 }
 
 function budgetGauges(budget: SharedRetryBudget, now: number): Gauge[] {
-  return budget.usage(now).flatMap(({ service, retries: repeats, allowed }) => [
-    { name: 'retry_budget_used', value: repeats, labels: { service } },
+  return budget.usage(now).flatMap(({ service, retries, allowed }) => [
+    { name: 'retry_budget_used', value: retries, labels: { service } },
     { name: 'retry_budget_allowed', value: allowed, labels: { service } },
   ]);
 }
--- a/packages/forwarding/src/loadBroadcast.ts
+++ b/packages/forwarding/src/loadBroadcast.ts
@@ -69,6 +69,6 @@
   }
 
   private get engines(): EndpointHandle[] {
-    return [...this.directory.all].filter(({ model, isLocal: isNear }) => model && isNear);
+    return [...this.directory.all].filter(({ model, isLocal }) => model && isLocal);
   }
 }
