--- a/features/steps/admission.steps.ts
+++ b/features/steps/admission.steps.ts
@@ -220,9 +220,9 @@
 Then(
   'the engine never got more than it bears while cold and no answer was cut silently',
   function check(this: AdmissionWorld) {
-    const { maxUnitsWhileCold: mostWhileCold, crashes, behaviour } = this.admissionEngine;
-    assert.ok(mostWhileCold > 0);
-    assert.ok(mostWhileCold <= behaviour.coldCapacity, `${mostWhileCold}`);
+    const { maxUnitsWhileCold, crashes, behaviour } = this.admissionEngine;
+    assert.ok(maxUnitsWhileCold > 0);
+    assert.ok(maxUnitsWhileCold <= behaviour.coldCapacity, `${maxUnitsWhileCold}`);
     assert.equal(crashes, 0);
     const isTyped = ({ ended, error }: CompletionResult) =>
       ended || typeof error?.type === 'string';
--- a/features/steps/atMostOnce.steps.ts
+++ b/features/steps/atMostOnce.steps.ts
@@ -26,7 +26,7 @@
 
 Given('a fleet with order desks', async function start(this: OrdersWorld) {
   this.ordersFleet = await Fleet.start(smallFleet, { logLevel: 'warn' });
-  this.orderCallers = this.ordersFleet.entries.map(({ callerUrl: callers }) => new Caller(callers));
+  this.orderCallers = this.ordersFleet.entries.map(({ callerUrl }) => new Caller(callerUrl));
   this.orderAnswers = [];
 });
 
--- a/features/steps/configurationProcesses.steps.ts
+++ b/features/steps/configurationProcesses.steps.ts
@@ -40,8 +40,8 @@
   return Number(body.revision);
 }
 
-async function isWatching({ operatorUrl: operators }: FleetEntry): Promise<boolean> {
-  const response = await fetch(`${operators}/metrics`);
+async function isWatching({ operatorUrl }: FleetEntry): Promise<boolean> {
+  const response = await fetch(`${operatorUrl}/metrics`);
   return /^configuration_watching 1$/m.test(await response.text());
 }
 
@@ -135,7 +135,7 @@
 });
 
 When('an operator uses the commands', async function use(this: ProcessesWorld) {
-  const { operatorUrl: operators } = this.entriesFleet.entries[0]!;
+  const { operatorUrl } = this.entriesFleet.entries[0]!;
   const folder = mkdtempSync(join(tmpdir(), 'laburnumstream-commands-'));
   const write = (name: string, value: object): string => {
     const file = join(folder, name);
@@ -149,7 +149,7 @@
     scope: { workspace: 'workspace-1' },
     policy: { weight: 3 },
   });
-  const run = (...args: string[]) => runCommand(operators, operatorToken, args);
+  const run = (...args: string[]) => runCommand(operatorUrl, operatorToken, args);
   const why = ['--reason', 'lambing season'];
   this.commandResults = {
     dryRun: await run('apply', patch, ...why, '--dry-run'),
@@ -193,8 +193,8 @@
   path: string,
   body?: object,
 ) {
-  const { operatorUrl: operators } = world.entriesFleet.entries[0]!;
-  const response = await fetch(`${operators}/admin/v1/${path}`, {
+  const { operatorUrl } = world.entriesFleet.entries[0]!;
+  const response = await fetch(`${operatorUrl}/admin/v1/${path}`, {
     method,
     headers: { authorization: `Bearer ${token}` },
     ...(body ? { body: JSON.stringify(body) } : {}),
--- a/features/steps/cutPath.steps.ts
+++ b/features/steps/cutPath.steps.ts
@@ -71,7 +71,7 @@
 
 Then('no engine gets a request', function none(this: CutWorld) {
   assert.deepEqual(
-    this.platform.engines.flatMap(({ receivedHeaders: seen }) => seen),
+    this.platform.engines.flatMap(({ receivedHeaders }) => receivedHeaders),
     [],
   );
 });
--- a/features/steps/heavyDays.steps.ts
+++ b/features/steps/heavyDays.steps.ts
@@ -13,8 +13,8 @@
 const policyNames = ['own', 'bare-cap', 'first-come'] as const;
 
 /** Simulates a heavily loaded fleet under one queueing policy, once per seed. */
-async function runPolicy(way: string, engines: number): Promise<HeavyOutcome[]> {
-  const shape = { engines, entries: 7, regions: 3, rateFactor: 1, seconds, policy: way };
+async function runPolicy(policy: string, engines: number): Promise<HeavyOutcome[]> {
+  const shape = { engines, entries: 7, regions: 3, rateFactor: 1, seconds, policy };
   return Promise.all(seeds.map((seed) => new HeavyDay({ ...shape, seed }).run()));
 }
 
@@ -76,7 +76,7 @@
 Then('0.9 of the best that knows all sizes is in time', function best(this: HeavyWorld) {
   const reached = mean(
     this.heavy.get('own')!,
-    ({ creditInTime, optimalCredit: creditAtBest }) => creditInTime / creditAtBest,
+    ({ creditInTime, optimalCredit }) => creditInTime / optimalCredit,
   );
   assert.ok(reached >= 0.9, `${reached}`);
 });
@@ -85,12 +85,9 @@
   'workspaces, kinds and the largest tenth are served at least 0.95 times as often as all',
   function shares(this: HeavyWorld) {
     const own = this.heavy.get('own')!;
-    const workspace = mean(
-      own,
-      ({ minWorkspaceShare: leastWorkspaceShare }) => leastWorkspaceShare,
-    );
-    const kind = mean(own, ({ minKindShare: leastKindShare }) => leastKindShare);
-    const largest = mean(own, ({ largestTenthShare: largestShare }) => largestShare);
+    const workspace = mean(own, ({ minWorkspaceShare }) => minWorkspaceShare);
+    const kind = mean(own, ({ minKindShare }) => minKindShare);
+    const largest = mean(own, ({ largestTenthShare }) => largestTenthShare);
     assert.ok(
       workspace >= 0.95 && kind >= 0.95 && largest >= 0.95,
       `workspace ${workspace}, kind ${kind}, largest ${largest}`,
--- a/features/steps/holderTransfer.steps.ts
+++ b/features/steps/holderTransfer.steps.ts
@@ -44,10 +44,10 @@
 Then(
   /^all pieces have left the origin within ([\d.]+) times their time on its link$/,
   function left(this: HolderWorld, bound: string) {
-    this.holderOutcomes.forEach(({ originDoneMs: leftOriginMs }) =>
+    this.holderOutcomes.forEach(({ originDoneMs }) =>
       assert.ok(
-        leftOriginMs <= originMs * Number(bound),
-        `${leftOriginMs} ms, ${originMs} at best`,
+        originDoneMs <= originMs * Number(bound),
+        `${originDoneMs} ms, ${originMs} at best`,
       ),
     );
   },
--- a/features/steps/metrics.steps.ts
+++ b/features/steps/metrics.steps.ts
@@ -21,7 +21,7 @@
   { settings }: PlatformFleet,
   path: string,
   id: string,
-  leave?: AbortSignal,
+  signal?: AbortSignal,
 ): void {
   const [host, port] = settings.callerAddress.split(':');
   const sent = httpRequest({
@@ -30,7 +30,7 @@
     path,
     method: 'POST',
     agent: false,
-    ...(leave ? { signal: leave } : {}),
+    ...(signal ? { signal } : {}),
     headers: {
       host: platformHost,
       authorization: 'Bearer key-1',
--- a/features/steps/misleadingEndpoints.steps.ts
+++ b/features/steps/misleadingEndpoints.steps.ts
@@ -97,8 +97,8 @@
 }
 
 /** Registers an endpoint with a new start time; returns whether it is eligible for requests. */
-function restart({ state, directory }: LargeFleet, index: number, bornAt: number): boolean {
-  state.setEndpoint({ ...createEndpoint(index), startedAt: bornAt });
+function restart({ state, directory }: LargeFleet, index: number, startedAt: number): boolean {
+  state.setEndpoint({ ...createEndpoint(index), startedAt });
   directory.refresh();
   return isUsable(directory, index);
 }
--- a/features/steps/path.steps.ts
+++ b/features/steps/path.steps.ts
@@ -66,7 +66,7 @@
 
 Then('every engine serves v2 and the origin sent about one copy', function check(this: PathWorld) {
   const engines = this.fleet.agents.flatMap(({ engine }) => engine ?? []);
-  assert.equal(new Set(engines.map(({ loadedDigest: serving }) => serving)).size, 1);
+  assert.equal(new Set(engines.map(({ loadedDigest }) => loadedDigest)).size, 1);
   assert.ok(this.fleet.origin.sentBytes <= weightBytes * 1.1, `${this.fleet.origin.sentBytes}`);
 });
 
--- a/features/steps/platformPath.steps.ts
+++ b/features/steps/platformPath.steps.ts
@@ -42,7 +42,7 @@
   /^it gets (\d+) and (any|\d+) runs of it were begun$/,
   function outcome(this: PlatformWorld, status: string, runs: string) {
     assert.equal(this.got.status, Number(status), JSON.stringify(this.platform.logEntries));
-    const begun = this.platform.engines.flatMap(({ startedRequestIds: ran }) => ran);
+    const begun = this.platform.engines.flatMap(({ startedRequestIds }) => startedRequestIds);
     if (runs !== 'any') assert.equal(begun.length, Number(runs));
     if (status === '200') {
       assert.equal(this.got.body, 'whole answer');
--- a/features/steps/poison.steps.ts
+++ b/features/steps/poison.steps.ts
@@ -28,9 +28,7 @@
 Given('a fleet with four engines', async function start(this: PoisonWorld) {
   const engine = { tokenMs: 5, coldCapacity: 64 };
   this.poisonFleet = await Fleet.start(fourEngines, { engine, logLevel: 'warn' });
-  this.poisonCallers = this.poisonFleet.entries.map(
-    ({ callerUrl: callers }) => new Caller(callers),
-  );
+  this.poisonCallers = this.poisonFleet.entries.map(({ callerUrl }) => new Caller(callerUrl));
   this.poisonSeen = [];
 });
 
--- a/features/steps/restart.steps.ts
+++ b/features/steps/restart.steps.ts
@@ -119,7 +119,7 @@
   async function freeze(this: RestartWorld) {
     const fleet = this.restartFleet;
     const agent = fleet.agents.find(
-      ({ dataCentre: centre, engine }) => engine && centre.name === 'south-a',
+      ({ dataCentre, engine }) => engine && dataCentre.name === 'south-a',
     )!;
     this.restartAgent = agent;
     this.restartRuns = agent.engine!.runs.length;
--- a/features/steps/rollOutSafety.steps.ts
+++ b/features/steps/rollOutSafety.steps.ts
@@ -23,8 +23,8 @@
   await this.rollOutFleet?.close();
 });
 
-async function fetchMetrics({ weightsUrl: weights }: FleetAgent): Promise<string> {
-  return (await fetch(`${weights}/metrics`)).text();
+async function fetchMetrics({ weightsUrl }: FleetAgent): Promise<string> {
+  return (await fetch(`${weightsUrl}/metrics`)).text();
 }
 
 async function awaitAll(world: RollOutSafetyWorld): Promise<void> {
--- a/features/steps/spread.steps.ts
+++ b/features/steps/spread.steps.ts
@@ -26,7 +26,7 @@
 /** Finds a running entry outside the data centre that faults are injected into. */
 function findEditor({ entries }: VirtualFleet): VirtualEntry {
   return entries.find(
-    ({ instance, isResponsive: answers }) => answers && instance.dataCentre !== dataCentre,
+    ({ instance, isResponsive }) => isResponsive && instance.dataCentre !== dataCentre,
   )!;
 }
 
@@ -55,7 +55,7 @@
 
 function assertWatchers({ entries }: VirtualFleet, count: number): void {
   const watching = entries.filter(
-    ({ isResponsive: answers, spreader }) => answers && spreader.isWatching,
+    ({ isResponsive, spreader }) => isResponsive && spreader.isWatching,
   );
   assert.equal(watching.length, count);
 }
@@ -79,7 +79,7 @@
     const revision = await virtual.applyChange(createNextPatch(virtual), findEditor(virtual));
     await virtual.advance(seconds * secondMs);
     const behind = virtual.entries.filter(
-      ({ isResponsive: answers, keeper }) => answers && keeper.configuration.revision < revision,
+      ({ isResponsive, keeper }) => isResponsive && keeper.configuration.revision < revision,
     );
     assert.deepEqual(
       behind.map(({ instance }) => instance.name),
--- a/features/steps/takeOut.steps.ts
+++ b/features/steps/takeOut.steps.ts
@@ -84,8 +84,8 @@
 Then(
   'its endpoints refuse an entry that does not know of it',
   async function check(this: TakeOutWorld) {
-    for (const { internalUrl: internal } of findEngines(this.takeOutFleet, 'south-a')) {
-      const { tokens, refusal } = await directRun(internal, service);
+    for (const { internalUrl } of findEngines(this.takeOutFleet, 'south-a')) {
+      const { tokens, refusal } = await directRun(internalUrl, service);
       assert.equal(tokens, 0);
       assert.equal(refusal?.execution, 'not run');
     }
@@ -98,9 +98,9 @@
     const fleet = this.takeOutFleet;
     const isBack = async () => (await fetchReadyStatus(findEntry(fleet, 'south-a'))) === 200;
     await eventually(isBack, 'the entry of south-a is ready');
-    const [{ weightsUrl: weights }] = findEngines(fleet, 'south-a') as [FleetAgent];
+    const [{ weightsUrl }] = findEngines(fleet, 'south-a') as [FleetAgent];
     const turnedCold = async (): Promise<boolean> => {
-      const metrics = await (await fetch(`${weights}/metrics`)).text();
+      const metrics = await (await fetch(`${weightsUrl}/metrics`)).text();
       return metrics.includes('endpoint_turned_cold_return_total 1');
     };
     await eventually(turnedCold, 'the endpoint of south-a turned cold');
--- a/features/support/platformCaller.ts
+++ b/features/support/platformCaller.ts
@@ -18,12 +18,12 @@
 
 let lastRequestId = 0;
 
-/** Sends a request with an API key and reads the response; `leave` aborts it. */
+/** Sends a request with an API key and reads the response; `signal` aborts it. */
 export function sendRequest(
   { settings }: PlatformFleet,
   path: string,
   key = 'key-1',
-  leave?: AbortSignal,
+  signal?: AbortSignal,
 ): Promise<CallerResponse> {
   lastRequestId += 1;
   const [host, port] = settings.callerAddress.split(':');
@@ -34,7 +34,7 @@
         port,
         path,
         method: 'POST',
-        ...(leave ? { signal: leave } : {}),
+        ...(signal ? { signal } : {}),
         headers: {
           host: platformHost,
           authorization: `Bearer ${key}`,
