Name locals of the weight, settings and metrics steps plainly

Locals such as work, most, fault and oddRoute now say what they hold; messages of the weight transfer say which bound was missed.

--- a/features/steps/audit.steps.ts
+++ b/features/steps/audit.steps.ts
@@ -4,11 +4,11 @@
 import type { ConfigurationWorld } from './configuration.steps.js';
 import { createPatch } from './configuration.steps.js';
 
-const secret = 'b'.repeat(64);
+const tokenHash = 'b'.repeat(64);
 
 When('ann changes the defaults and ben a token', async function go(this: ConfigurationWorld) {
   await this.editing.apply(createPatch('ann', { defaults: { maxQueue: 9 } }, 'defaults'));
-  const workspaces = { shop: { tokenHashes: [secret] } };
+  const workspaces = { shop: { tokenHashes: [tokenHash] } };
   await this.editing.apply(createPatch('ben', { workspaces }, 'token'));
 });
 
@@ -26,7 +26,7 @@
       token!.changes.map(({ path }) => path),
       ['workspaces/shop'],
     );
-    assert.ok(!JSON.stringify(trail).includes(secret));
+    assert.ok(!JSON.stringify(trail).includes(tokenHash));
   },
 );
 
@@ -43,14 +43,14 @@
 
 Then(
   'the audit trail has all {int} in order and the document holds fewer than {int}',
-  async function check(this: ConfigurationWorld, count: number, most: number) {
+  async function check(this: ConfigurationWorld, count: number, maxRecords: number) {
     const trail = await this.editing.readAuditTrail();
     const expected = Array.from({ length: count + 1 }, (_, index) => index + 1);
     assert.deepEqual(
       trail.map(({ revision }) => revision),
       expected,
     );
-    assert.ok(this.editing.storedConfiguration.audit.length < most);
+    assert.ok(this.editing.storedConfiguration.audit.length < maxRecords);
   },
 );
 
--- a/features/steps/fairness.steps.ts
+++ b/features/steps/fairness.steps.ts
@@ -12,65 +12,65 @@
 
 Then(
   'a small workspace waits at most {int} ms while two large ones flood with long requests',
-  (mostMs: number) => {
-    const run = new FairnessSimulation(32, equalWeight);
+  (maxMs: number) => {
+    const simulation = new FairnessSimulation(32, equalWeight);
     const random = new SeededRandom(seed);
     for (let index = 0; index < 2_000; index += 1) {
-      run.arrive('large-1', 1, 500 + random.next() * 1_000);
-      run.arrive('large-2', 1, 500 + random.next() * 1_000);
-      if (index % 10 === 0) run.arrive('small', 1, 100);
-      run.advance(10);
+      simulation.arrive('large-1', 1, 500 + random.next() * 1_000);
+      simulation.arrive('large-2', 1, 500 + random.next() * 1_000);
+      if (index % 10 === 0) simulation.arrive('small', 1, 100);
+      simulation.advance(10);
     }
-    const waits = run.waits.get('small') ?? [];
+    const waits = simulation.waits.get('small') ?? [];
     assert.equal(waits.length, 200);
-    assert.ok(Math.max(...waits) <= mostMs, `${Math.max(...waits)}`);
+    assert.ok(Math.max(...waits) <= maxMs, `${Math.max(...waits)}`);
   },
 );
 
 Then('two flooding workspaces of weights 3 and 1 are served 3 to 1', () => {
-  const run = new FairnessSimulation(16, (workspace) => (workspace === 'heavy' ? 3 : 1));
+  const simulation = new FairnessSimulation(16, (workspace) => (workspace === 'heavy' ? 3 : 1));
   const random = new SeededRandom(seed);
   for (let index = 0; index < 4_000; index += 1) {
-    run.arrive('heavy', 1 + Math.floor(random.next() * 3), 100);
-    run.arrive('light', 1 + Math.floor(random.next() * 3), 100);
-    run.advance(5);
+    simulation.arrive('heavy', 1 + Math.floor(random.next() * 3), 100);
+    simulation.arrive('light', 1 + Math.floor(random.next() * 3), 100);
+    simulation.advance(5);
   }
-  const ratio = run.startedUnits.get('heavy')! / run.startedUnits.get('light')!;
+  const ratio = simulation.startedUnits.get('heavy')! / simulation.startedUnits.get('light')!;
   assert.ok(Math.abs(ratio - 3) < 0.1, `${ratio}`);
 });
 
 Then('a request above the limit runs although small ones keep coming', () => {
-  const run = new FairnessSimulation(8, equalWeight);
+  const simulation = new FairnessSimulation(8, equalWeight);
   for (let index = 0; index < 200; index += 1) {
-    run.arrive(`small-${index % 20}`, 1, 100);
-    run.advance(5);
-    if (index === 50) run.arrive('large', 12, 100);
+    simulation.arrive(`small-${index % 20}`, 1, 100);
+    simulation.advance(5);
+    if (index === 50) simulation.arrive('large', 12, 100);
   }
-  assert.equal(run.waits.get('large')?.length, 1);
+  assert.equal(simulation.waits.get('large')?.length, 1);
 });
 
 Then('a full queue sheds the newest request of the heaviest workspace', () => {
-  const run = new FairnessSimulation(1, equalWeight);
-  run.arrive('a', 1, 1_000);
-  run.arrive('a', 3, 1_000);
-  const newest = run.arrive('a', 3, 1_000);
-  const newcomer = run.arrive('b', 1, 1_000);
-  assert.equal(run.evict(newcomer), newest);
-  const heavy = run.arrive('a', 4, 1_000);
-  assert.equal(run.evict(heavy), heavy);
+  const simulation = new FairnessSimulation(1, equalWeight);
+  simulation.arrive('a', 1, 1_000);
+  simulation.arrive('a', 3, 1_000);
+  const newest = simulation.arrive('a', 3, 1_000);
+  const incoming = simulation.arrive('b', 1, 1_000);
+  assert.equal(simulation.evict(incoming), newest);
+  const heaviest = simulation.arrive('a', 4, 1_000);
+  assert.equal(simulation.evict(heaviest), heaviest);
 });
 
 Then('a workspace that asks for more than it takes is not served less', () => {
   const queue = new FairQueue(equalWeight);
   const started = { honest: 0, cautious: 0 };
   const units = { honest: 1, cautious: 4 };
-  const room = { limit: 100, inFlight: 0, fits: () => true };
+  const capacity = { limit: 100, inFlight: 0, fits: () => true };
   for (let index = 0; index < 1_000; index += 1) {
     queue.enqueue({ workspace: 'honest', units: units.honest });
     queue.enqueue({ workspace: 'cautious', units: units.cautious });
-    const workspace = queue.dequeue(room)!.workspace as keyof typeof started;
+    const workspace = queue.dequeue(capacity)!.workspace as keyof typeof started;
     started[workspace] += 1;
-    queue.start(workspace, units[workspace], room.limit);
+    queue.start(workspace, units[workspace], capacity.limit);
     queue.finish(workspace, units[workspace], 1);
   }
   assert.ok(Math.abs(started.honest - started.cautious) <= 5, JSON.stringify(started));
--- a/features/steps/histories.steps.ts
+++ b/features/steps/histories.steps.ts
@@ -5,7 +5,7 @@
 import fc from 'fast-check';
 
 const propertySeed = 7;
-const historiesWithFault = 60;
+const historiesPerFault = 60;
 
 type Finding = 'mostRuns' | 'falseNotRun' | 'lostOrCrossed';
 
@@ -63,7 +63,7 @@
   'histories run with the planted fault {word}',
   async function plant(this: HistoriesWorld, name: keyof typeof PlantedFault) {
     this.plantedVerdicts = [];
-    for (let seed = 1; seed <= historiesWithFault; seed += 1) {
+    for (let seed = 1; seed <= historiesPerFault; seed += 1) {
       this.plantedVerdicts.push(await runHistory(drawPlan(seed, 6, 12), PlantedFault[name]));
     }
   },
--- a/features/steps/holderTransfer.steps.ts
+++ b/features/steps/holderTransfer.steps.ts
@@ -11,7 +11,7 @@
 const seeds = [1, 2, 3] as const;
 const secondMs = 1_000;
 const noOutage = { fromMs: 0, untilMs: 0 };
-const work: Omit<HolderScenario, 'seed'> = {
+const baseScenario: Omit<HolderScenario, 'seed'> = {
   regions: [7, 7, 5],
   holders: [0, 0, 0],
   chunks: 48,
@@ -26,7 +26,8 @@
   failingShare: 0,
   originDown: noOutage,
 };
-const originMs = ((work.chunks * work.chunkBytes * 8) / work.originRate) * secondMs;
+const originLinkMs =
+  ((baseScenario.chunks * baseScenario.chunkBytes * 8) / baseScenario.originRate) * secondMs;
 const originOutages: Readonly<Record<string, HolderScenario['originDown']>> = {
   up: noOutage,
   'away after 1600 ms': { fromMs: 1_600, untilMs: 60_000 },
@@ -37,17 +38,19 @@
   /^19 empty members fetch a version and the origin is (.+)$/,
   function fetch(this: HolderWorld, name: string) {
     const originDown = originOutages[name]!;
-    this.holderOutcomes = seeds.map((seed) => new HolderRun({ ...work, originDown, seed }).run());
+    this.holderOutcomes = seeds.map((seed) =>
+      new HolderRun({ ...baseScenario, originDown, seed }).run(),
+    );
   },
 );
 
 Then(
   /^all pieces have left the origin within ([\d.]+) times their time on its link$/,
-  function left(this: HolderWorld, bound: string) {
+  function check(this: HolderWorld, maxFactor: string) {
     this.holderOutcomes.forEach(({ originDoneMs }) =>
       assert.ok(
-        originDoneMs <= originMs * Number(bound),
-        `${originDoneMs} ms, ${originMs} at best`,
+        originDoneMs <= originLinkMs * Number(maxFactor),
+        `${originDoneMs} ms; the origin's link needs ${originLinkMs} ms`,
       ),
     );
   },
@@ -55,10 +58,10 @@
 
 Then(
   /^at most ([\d.]+) copies left it and everyone is complete within ([\d.]+) s$/,
-  function complete(this: HolderWorld, copies: string, seconds: string) {
+  function complete(this: HolderWorld, maxCopies: string, seconds: string) {
     this.holderOutcomes.forEach(({ originCopies, incomplete, completeMs }) => {
       assert.equal(incomplete, 0);
-      assert.ok(originCopies <= Number(copies), `${originCopies} copies`);
+      assert.ok(originCopies <= Number(maxCopies), `${originCopies} copies`);
       assert.ok(completeMs.at(-1)! <= Number(seconds) * secondMs, `${completeMs.at(-1)} ms`);
     });
   },
--- a/features/steps/metricsText.steps.ts
+++ b/features/steps/metricsText.steps.ts
@@ -46,16 +46,16 @@
   assert.equal(sumMetric(this.metrics, 'requests_total', { route: 'other' }), 100_000 - 64);
 });
 
-const oddRoute = 'a "quoted" \\ route\nof two lines, {x="y"}';
+const routeToEscape = 'a "quoted" \\ route\nof two lines, {x="y"}';
 
 When(
   'counters, gauges and durations with odd labels are rendered',
   function render(this: TextWorld) {
     this.metrics = new HistogramMetrics();
-    this.metrics.count('requests', { route: oddRoute });
+    this.metrics.count('requests', { route: routeToEscape });
     this.metrics.gauge('entries', 7);
     this.metrics.registerGauges(() => [{ name: 'proof_age_ms', value: Infinity }]);
-    [10, 20, 30].forEach((ms) => this.metrics.observe('wait', ms, { route: oddRoute }));
+    [10, 20, 30].forEach((ms) => this.metrics.observe('wait', ms, { route: routeToEscape }));
   },
 );
 
@@ -67,13 +67,13 @@
       values.every(({ type }) => type !== undefined),
       this.metrics.render(),
     );
-    assert.equal(sumMetric(this.metrics, 'requests_total', { route: oddRoute }), 1);
+    assert.equal(sumMetric(this.metrics, 'requests_total', { route: routeToEscape }), 1);
     assert.equal(sumMetric(this.metrics, 'entries'), 7);
     assert.equal(sumMetric(this.metrics, 'proof_age_ms'), Infinity);
-    assert.equal(sumMetric(this.metrics, 'wait_ms_count', { route: oddRoute }), 3);
-    const sum = sumMetric(this.metrics, 'wait_ms_sum', { route: oddRoute });
+    assert.equal(sumMetric(this.metrics, 'wait_ms_count', { route: routeToEscape }), 3);
+    const sum = sumMetric(this.metrics, 'wait_ms_sum', { route: routeToEscape });
     assert.ok(Math.abs(sum - 60) < 1, `${sum} ms`);
-    const median = sumMetric(this.metrics, 'wait_ms', { route: oddRoute, quantile: '0.5' });
+    const median = sumMetric(this.metrics, 'wait_ms', { route: routeToEscape, quantile: '0.5' });
     assert.ok(Math.abs(median - 20) < 0.5, `${median} ms`);
   },
 );
--- a/features/steps/proof.steps.ts
+++ b/features/steps/proof.steps.ts
@@ -28,7 +28,7 @@
 }
 
 /** Names of all scenarios, as "FEATURE: SCENARIO". */
-function scenarioNames(): Set<string> {
+function readScenarioNames(): Set<string> {
   const files = readdirSync(`${root}features`).filter((name) => name.endsWith('.feature'));
   return new Set(
     files.flatMap((file) => {
@@ -48,7 +48,7 @@
 Then(
   'each row names existing files, tests and benches and a known state',
   function check(this: ProofWorld) {
-    const scenarios = scenarioNames();
+    const scenarios = readScenarioNames();
     this.proofRows.forEach(({ point, files, tests, benches, state }) => {
       files.forEach((file) => assert.ok(existsSync(`${root}${file}`), `${point}: no file ${file}`));
       tests.forEach((test) => assert.ok(scenarios.has(test), `${point}: no test ${test}`));
@@ -82,9 +82,9 @@
 });
 
 Then('each fits the built code and names an existing test', function check(this: ProofWorld) {
-  const scenarios = scenarioNames();
+  const scenarios = readScenarioNames();
   this.proofMutations.forEach((mutation) => {
-    assert.ok(isApplicable(root, mutation), `${mutation.name} does not fit ${mutation.file}`);
+    assert.ok(isApplicable(root, mutation), `${mutation.name} matches nothing in ${mutation.file}`);
     assert.ok(scenarios.has(mutation.test), `${mutation.name}: no test ${mutation.test}`);
   });
 });
--- a/features/steps/rollOutSafety.steps.ts
+++ b/features/steps/rollOutSafety.steps.ts
@@ -27,7 +27,7 @@
   return (await fetch(`${weightsUrl}/metrics`)).text();
 }
 
-async function awaitAll(world: RollOutSafetyWorld): Promise<void> {
+async function waitUntilAllServeV2(world: RollOutSafetyWorld): Promise<void> {
   const { rollOutFleet: fleet } = world;
   await fleet.waitUntil(() => fleet.isRolledOut(model), 'the roll-out is done', timeoutMs);
   const served = world.rollOutAgents.map(({ engine }) => engine!.loadedDigest);
@@ -46,7 +46,7 @@
 Then(
   'all engines of the roll-out serve v2 and refused chunks are counted',
   async function check(this: RollOutSafetyWorld) {
-    await awaitAll(this);
+    await waitUntilAllServeV2(this);
     const metrics = await Promise.all(this.rollOutAgents.map(fetchMetrics));
     assert.ok(metrics.some((text) => text.includes('weight_chunks_corrupt')));
   },
@@ -64,7 +64,7 @@
 Then('the other engines serve v2', async function check(this: RollOutSafetyWorld) {
   const others = this.rollOutAgents.filter((agent) => agent !== this.chosenAgent);
   const isDone = () => others.every(({ engine }) => engine!.loadedDigest !== this.digestOfV1);
-  await this.rollOutFleet.waitUntil(isDone, 'the others serve v2', timeoutMs);
+  await this.rollOutFleet.waitUntil(isDone, 'the other engines serve v2', timeoutMs);
   assert.equal(this.chosenAgent.engine!.loadedDigest, this.digestOfV1);
 });
 
@@ -73,10 +73,10 @@
   const { engine } = this.chosenAgent;
   await this.rollOutFleet.waitUntil(
     () => engine!.loadedDigest !== this.digestOfV1,
-    'it serves v2',
+    'the engine serves v2',
     timeoutMs,
   );
-  await awaitAll(this);
+  await waitUntilAllServeV2(this);
 });
 
 When('the store is down while version v2 spreads', async function down(this: RollOutSafetyWorld) {
@@ -90,7 +90,7 @@
   const isWaiting = (log: string) => log.includes('store_unavailable');
   await this.rollOutFleet.waitUntil(
     () => logs().every(isWaiting),
-    'all wait for a slot',
+    'all agents wait for a switch slot',
     timeoutMs,
   );
   assert.deepEqual(new Set(served()), new Set([this.digestOfV1]));
@@ -98,7 +98,7 @@
 
 Then('all engines serve v2 once the store is back', async function back(this: RollOutSafetyWorld) {
   this.rollOutFleet.keyValue.faults.down = false;
-  await awaitAll(this);
+  await waitUntilAllServeV2(this);
 });
 
 When(
@@ -112,13 +112,14 @@
 Then(
   'the roll-out stops with a reason and all engines serve v1',
   async function check(this: RollOutSafetyWorld) {
-    const release = async () => (await this.rollOutFleet.admin('GET', `roll-outs/${model}`)).body;
+    const fetchRollOut = async () =>
+      (await this.rollOutFleet.admin('GET', `roll-outs/${model}`)).body;
     await this.rollOutFleet.waitUntil(
-      async () => Boolean((await release()).stopped),
-      'it is stopped',
+      async () => Boolean((await fetchRollOut()).stopped),
+      'the roll-out is stopped',
       timeoutMs,
     );
-    const { version, stopped } = await release();
+    const { version, stopped } = await fetchRollOut();
     assert.equal(version, 'v1');
     assert.match(String(stopped), /v2: .* failed to load/);
     const served = this.rollOutAgents.map(({ engine }) => engine!.loadedDigest);
@@ -136,9 +137,9 @@
   this.chosenAgent = this.rollOutAgents[0]!;
   const engine = this.chosenAgent.engine!;
   engine.crash();
-  for (let again = 0; again < 2; again += 1) {
+  for (let crashes = 0; crashes < 2; crashes += 1) {
     const isBack = () => engine.loadedDigest === this.digestOfV1;
-    await this.rollOutFleet.waitUntil(isBack, 'it serves v1', timeoutMs);
+    await this.rollOutFleet.waitUntil(isBack, 'the engine serves v1', timeoutMs);
     engine.crash();
   }
 });
@@ -148,7 +149,7 @@
   assert.equal(engine!.loadedDigest, '');
   await this.rollOutFleet.waitUntil(
     () => engine!.loadedDigest === this.digestOfV1,
-    'it serves v1',
+    'the engine serves v1',
     timeoutMs,
   );
 });
@@ -168,7 +169,7 @@
   const { engine } = this.chosenAgent;
   await this.rollOutFleet.waitUntil(
     () => engine!.loadedDigest === this.digestOfV1,
-    'it serves v1',
+    'the engine serves v1',
     timeoutMs,
   );
 });
--- a/features/steps/routing.steps.ts
+++ b/features/steps/routing.steps.ts
@@ -15,8 +15,8 @@
 const location = { dataCentre: 'a', region: 'x' };
 const locations = [location, { dataCentre: 'b', region: 'x' }, { dataCentre: 'c', region: 'y' }];
 
-function createMember(name: string, where = location): RoutingMember {
-  return { target: Object.assign(createTarget(name), { limit }), ...where };
+function createMember(name: string, memberLocation = location): RoutingMember {
+  return { target: Object.assign(createTarget(name), { limit }), ...memberLocation };
 }
 
 function createMembers(count: number): RoutingMember[] {
@@ -28,7 +28,9 @@
 }
 
 Then('an entry uses its data centre, then its region, then others, as they fill up', () => {
-  const members = locations.map((where) => createMember(`engine-${where.dataCentre}`, where));
+  const members = locations.map((memberLocation) =>
+    createMember(`engine-${memberLocation.dataCentre}`, memberLocation),
+  );
   const table = new RoutingTable('entry', location, members);
   const random = new SeededRandom(seed);
   members.forEach(({ target }) => {
@@ -39,7 +41,9 @@
 });
 
 Then('an entry with full endpoints everywhere asks one of its own data centre', () => {
-  const members = locations.map((where) => createMember(`engine-${where.dataCentre}`, where));
+  const members = locations.map((memberLocation) =>
+    createMember(`engine-${memberLocation.dataCentre}`, memberLocation),
+  );
   members.forEach(({ target }) => fillToLimit(target));
   const table = new RoutingTable('entry', location, members);
   assert.equal(table.choose(0, new SeededRandom(seed))?.name, 'engine-a');
@@ -47,12 +51,12 @@
 
 Then(
   '{int} entries with late reports spread work within {float} of the mean',
-  (entries: number, most: number) => {
+  (entries: number, maxRatio: number) => {
     const endpoints = 30;
-    const roomy = 1_000;
+    const highLimit = 1_000;
     const tables = Array.from({ length: entries }, (_, index) => {
       const members = createMembers(endpoints);
-      members.forEach(({ target }) => Object.assign(target, { limit: roomy }));
+      members.forEach(({ target }) => Object.assign(target, { limit: highLimit }));
       return { members, table: new RoutingTable(`entry-${index}`, location, members) };
     });
     const random = new SeededRandom(seed);
@@ -71,7 +75,7 @@
       );
     }
     const mean = (entries * 30) / endpoints;
-    assert.ok(Math.max(...units) <= mean * most, `${Math.max(...units) / mean}`);
+    assert.ok(Math.max(...units) <= mean * maxRatio, `${Math.max(...units) / mean}`);
   },
 );
 
@@ -108,7 +112,7 @@
     targets.forEach((lost) => {
       const rest = targets.filter((target) => target !== lost);
       const changed = pickSubset('entry-1', rest, subsetSize).filter(
-        (one) => !subset.includes(one),
+        (target) => !subset.includes(target),
       );
       assert.ok(changed.length <= 1);
     });
--- a/features/steps/settings.steps.ts
+++ b/features/steps/settings.steps.ts
@@ -6,7 +6,7 @@
 import { anyJson, damagedJson, sampleInputs } from '../support/fuzzInputs.js';
 
 const file = 'entry.jsonc';
-const valid = [
+const validLines = [
   '// Settings of an entry.',
   '{',
   '"role": "entry",',
@@ -25,13 +25,13 @@
   '"listen": {"callers": "127.0.0.1:4", "operators": "127.0.0.1:5", "internal": "127.0.0.1:6"},',
   '}',
 ];
-const faultPattern = /^entry\.jsonc:\d+: /;
+const errorPattern = /^entry\.jsonc:\d+: /;
 
 interface SettingsWorld {
-  settingsFaults: (string | undefined)[];
+  settingsErrors: (string | undefined)[];
 }
 
-function parseFault(text: string): string | undefined {
+function readSettingsError(text: string): string | undefined {
   try {
     parseSettings(parseRole(file, text), file, text);
     return undefined;
@@ -44,40 +44,40 @@
 When(
   /^the settings line (\d+) is (.+)$/,
   function replace(this: SettingsWorld, line: string, text: string) {
-    assert.equal(parseFault(valid.join('\n')), undefined);
-    const changed = valid.map((each, index) => (index + 1 === Number(line) ? text : each));
-    this.settingsFaults = [parseFault(changed.join('\n'))];
+    assert.equal(readSettingsError(validLines.join('\n')), undefined);
+    const changed = validLines.map((each, index) => (index + 1 === Number(line) ? text : each));
+    this.settingsErrors = [readSettingsError(changed.join('\n'))];
   },
 );
 
 Then(
   /^the fault is at line (\d+) and names (.+) and (.+)$/,
   function check(this: SettingsWorld, line: string, key: string, expected: string) {
-    const [fault = ''] = this.settingsFaults;
-    assert.ok(fault.startsWith(`${file}:${line}: ${key}`), fault);
-    assert.ok(fault.includes(expected), fault);
+    const [message = ''] = this.settingsErrors;
+    assert.ok(message.startsWith(`${file}:${line}: ${key}`), message);
+    assert.ok(message.includes(expected), message);
   },
 );
 
 When('{int} fuzzed settings files are checked', function fuzz(this: SettingsWorld, count: number) {
-  const whole = JSON.parse(
-    valid
+  const settings = JSON.parse(
+    validLines
       .filter((line) => !line.startsWith('//'))
       .join('\n')
       .replace(/,\n([}\]])/g, '\n$1'),
   ) as Record<string, unknown>;
   const changed = fc
-    .tuple(fc.constantFrom(...Object.keys(whole), 'unknown'), anyJson)
-    .map(([key, value]) => ({ ...whole, [key]: value }));
-  this.settingsFaults = sampleInputs(damagedJson(fc.oneof(changed, anyJson)), count).map(
-    parseFault,
+    .tuple(fc.constantFrom(...Object.keys(settings), 'unknown'), anyJson)
+    .map(([key, value]) => ({ ...settings, [key]: value }));
+  this.settingsErrors = sampleInputs(damagedJson(fc.oneof(changed, anyJson)), count).map(
+    readSettingsError,
   );
 });
 
 Then('each is valid or refused with file and line', function check(this: SettingsWorld) {
-  const refused = this.settingsFaults.filter((fault) => fault !== undefined);
-  assert.ok(refused.length > 0 && refused.length < this.settingsFaults.length);
-  refused.forEach((fault) => {
-    fault.split('\n').forEach((line) => assert.match(line, faultPattern));
+  const refused = this.settingsErrors.filter((message) => message !== undefined);
+  assert.ok(refused.length > 0 && refused.length < this.settingsErrors.length);
+  refused.forEach((message) => {
+    message.split('\n').forEach((line) => assert.match(line, errorPattern));
   });
 });
--- a/features/steps/sidecar.steps.ts
+++ b/features/steps/sidecar.steps.ts
@@ -31,14 +31,14 @@
 
 async function createSettings(): Promise<SidecarSettings> {
   // Datagrams use the same port on the entry's and the agent's address.
-  const [first] = await freePorts(2);
+  const [firstPort] = await freePorts(2);
   return {
     instance: 'side-1',
     host: '127.0.0.1',
     dataCentre: 'a',
     region: 'r',
     regions: new Map([['a', 'r']]),
-    firstPort: first!,
+    firstPort: firstPort!,
     linkBitsPerSecond: 1e9,
     store: { address: '127.0.0.1:1', minLeaseMs: 1_000 },
     heartbeatMs: 1_200,
@@ -77,7 +77,7 @@
 
 Given(
   'each fifth piece from the origin is wrong and each seventh is spoilt at the engine',
-  function spoil(this: SidecarWorld) {
+  function corrupt(this: SidecarWorld) {
     this.sidecarOrigin.corruptEvery = 5;
     this.sidecarEngine.corruptEvery = 7;
   },
@@ -88,7 +88,7 @@
   this.sidecarAbort?.abort();
 });
 
-When('an entry tells it that version 1 is wanted', async function tell(this: SidecarWorld) {
+When('an entry tells it that version 1 is wanted', async function announce(this: SidecarWorld) {
   const value = {
     reportEveryMs: 300,
     weights: {
@@ -111,7 +111,7 @@
   await eventually(() => this.sidecarEngine.orders.length > 0, 'a load is ordered');
 });
 
-When('the engine restarts and two staged pieces have rotted', function rot(this: SidecarWorld) {
+When('the engine restarts and two staged pieces have rotted', function damage(this: SidecarWorld) {
   this.sidecarEngine.staged.set(3, Buffer.from('rotten'));
   this.sidecarEngine.staged.delete(8);
   this.sidecarEngine.restart();
@@ -119,10 +119,10 @@
 
 Then(
   /^the engine is ordered to load version 1 (again )?with every piece right$/,
-  async function right(this: SidecarWorld, again: string | null) {
+  async function check(this: SidecarWorld, again: string | null) {
     const { orders } = this.sidecarEngine;
-    const count = again ? 2 : 1;
-    await eventually(() => orders.length >= count, `${count} loads are ordered`);
+    const expectedOrders = again ? 2 : 1;
+    await eventually(() => orders.length >= expectedOrders, `${expectedOrders} loads are ordered`);
     assert.ok(
       orders.every(({ version, isRight }) => version === 1 && isRight),
       JSON.stringify(orders),
--- a/features/steps/weightsScale.steps.ts
+++ b/features/steps/weightsScale.steps.ts
@@ -4,7 +4,7 @@
 import type { VirtualOutcome, VirtualScenario } from '@laburnumstream/bench';
 
 interface WeightsScaleWorld {
-  weightWork: Omit<VirtualScenario, 'scheme'>;
+  weightScenario: Omit<VirtualScenario, 'scheme'>;
   weightOutcome: VirtualOutcome;
 }
 
@@ -13,48 +13,54 @@
   function prepare(this: WeightsScaleWorld, instances: number, seed: number) {
     const links = { originCopies: 4, instanceCopies: 2, regionCopies: 2 };
     const shape = { instances, regions: 2, dataCentres: 6, chunks: 256 };
-    this.weightWork = { seed, ...shape, failingShare: 0.05, corruptShare: 0.001, ...links };
+    this.weightScenario = { seed, ...shape, failingShare: 0.05, corruptShare: 0.001, ...links };
   },
 );
 
 When('it runs by the scheme trees', function run(this: WeightsScaleWorld) {
   const scheme = VirtualScheme.trees;
-  this.weightOutcome = new VirtualTransfer({ ...this.weightWork, scheme }).run();
+  this.weightOutcome = new VirtualTransfer({ ...this.weightScenario, scheme }).run();
 });
 
 Then('every surviving instance is whole', function check(this: WeightsScaleWorld) {
   assert.equal(this.weightOutcome.incomplete, 0);
-  assert.ok(this.weightOutcome.corruptChunks > 0, 'No chunk was corrupt: the run shows nothing.');
-  assert.ok(this.weightOutcome.failedMembers > 0, 'No member died: the run shows nothing.');
+  assert.ok(
+    this.weightOutcome.corruptChunks > 0,
+    'No chunk was corrupt, so the run shows nothing.',
+  );
+  assert.ok(this.weightOutcome.failedMembers > 0, 'No member failed, so the run shows nothing.');
 });
 
 Then(
   'the origin sent at most {float} copies and each remote region took at most {float}',
-  function check(this: WeightsScaleWorld, fromOrigin: number, intoRegion: number) {
+  function check(this: WeightsScaleWorld, maxOriginCopies: number, maxRemoteCopies: number) {
     const { originCopies, remoteCopies } = this.weightOutcome;
-    assert.ok(originCopies <= fromOrigin, `The origin sent ${originCopies} copies.`);
-    assert.ok(remoteCopies <= intoRegion, `A remote region took ${remoteCopies} copies.`);
+    assert.ok(originCopies <= maxOriginCopies, `The origin sent ${originCopies} copies.`);
+    assert.ok(remoteCopies <= maxRemoteCopies, `A remote region received ${remoteCopies} copies.`);
   },
 );
 
 Then(
   'its time is at most {float} of the lower bound',
-  function check(this: WeightsScaleWorld, most: number) {
+  function check(this: WeightsScaleWorld, maxRatio: number) {
     const { timeOverBound } = this.weightOutcome;
-    assert.ok(timeOverBound <= most, `It took ${timeOverBound} of the bound.`);
+    assert.ok(timeOverBound <= maxRatio, `It took ${timeOverBound} times the lower bound.`);
   },
 );
 
 Then('trees take less time than each other scheme', function check(this: WeightsScaleWorld) {
-  const timeOf = (scheme: VirtualScheme) =>
-    new VirtualTransfer({ ...this.weightWork, scheme }).run().timeOverBound;
-  const trees = timeOf(VirtualScheme.trees);
+  const computeTimeOverBound = (scheme: VirtualScheme) =>
+    new VirtualTransfer({ ...this.weightScenario, scheme }).run().timeOverBound;
+  const treesTime = computeTimeOverBound(VirtualScheme.trees);
   Object.values(VirtualScheme)
     .filter((scheme) => scheme !== VirtualScheme.trees)
-    .forEach((scheme) => assert.ok(trees < timeOf(scheme), `${scheme} takes no longer.`));
+    .forEach((scheme) =>
+      assert.ok(treesTime < computeTimeOverBound(scheme), `${scheme} takes no longer than trees.`),
+    );
 });
 
 Then('two runs have the same outcome', function check(this: WeightsScaleWorld) {
-  const run = () => new VirtualTransfer({ ...this.weightWork, scheme: VirtualScheme.trees }).run();
+  const run = () =>
+    new VirtualTransfer({ ...this.weightScenario, scheme: VirtualScheme.trees }).run();
   assert.deepEqual(run(), run());
 });
