Name locals of the request and response steps plainly

got, seen, answer and choices were used for responses, results and options; the shared world field got is response in all three files that set or read it. Messages of waits say what is awaited. Titles, step texts and waits stay.

--- a/features/steps/answerReview.steps.ts
+++ b/features/steps/answerReview.steps.ts
@@ -18,7 +18,7 @@
   outcome: CallOutcome | undefined;
   reviewedFleet: PlatformFleet;
   reviewedEntry: ForwardingEntry;
-  got: CallerResponse | undefined;
+  response: CallerResponse | undefined;
   /** Whether the entry stopped although its caller had not read the response. */
   hasStopped: boolean;
 }
@@ -174,12 +174,12 @@
 );
 
 When('its caller asks for a stream', async function stream(this: ReviewWorld) {
-  this.got = await sendRequest(this.reviewedFleet, '/single/x').catch(() => undefined);
+  this.response = await sendRequest(this.reviewedFleet, '/single/x').catch(() => undefined);
 });
 
 Then('the caller gets no stream that looks whole', function cut(this: ReviewWorld) {
-  const { got } = this;
-  assert.equal(got?.status === 200 && got.isWhole, false, JSON.stringify(got));
+  const { response } = this;
+  assert.equal(response?.status === 200 && response.isWhole, false, JSON.stringify(response));
 });
 
 Given('an engine that answers with more than a connection holds', function long(this: ReviewWorld) {
--- a/features/steps/answers.steps.ts
+++ b/features/steps/answers.steps.ts
@@ -16,8 +16,8 @@
 interface AnswersWorld {
   answersFleet: Fleet;
   answersCaller: Caller;
-  answersSeen: CompletionResult;
-  answersResults: { assembled: boolean; naive: boolean }[];
+  answersResult: CompletionResult;
+  assemblyResults: { filtered: boolean; unfiltered: boolean }[];
 }
 
 Given('a fleet with relays that streams slowly', async function start(this: AnswersWorld) {
@@ -31,26 +31,29 @@
   await this.answersFleet?.close();
 });
 
-function engineAgents({ answersFleet }: AnswersWorld): FleetAgent[] {
+function getEngineAgents({ answersFleet }: AnswersWorld): FleetAgent[] {
   return answersFleet.agents.filter(({ engine }) => engine);
 }
 
-/** Streams a response and calls `act` with the agent that runs the request, in mid-stream. */
+/**
+ * Starts a streamed response and calls `disturb` with the agent that runs the request after about ten
+ * tokens.
+ */
 async function streamWithDisturbance(
   world: AnswersWorld,
-  act: (agent: FleetAgent) => void,
+  disturb: (agent: FleetAgent) => void,
   signal?: AbortSignal,
 ): Promise<void> {
-  const choices = { maxTokens: tokenCount, ...(signal ? { signal } : {}) };
-  const answer = world.answersCaller.complete('assistant', answersPrompt, choices);
-  answer.catch(() => undefined);
-  const running = () => engineAgents(world).find(({ engine }) => engine!.running > 0);
-  await eventually(() => running() !== undefined, 'an engine runs the request');
+  const options = { maxTokens: tokenCount, ...(signal ? { signal } : {}) };
+  const pendingResult = world.answersCaller.complete('assistant', answersPrompt, options);
+  pendingResult.catch(() => undefined);
+  const findRunningAgent = () => getEngineAgents(world).find(({ engine }) => engine!.running > 0);
+  await eventually(() => findRunningAgent() !== undefined, 'an engine runs the request');
   await new Promise((resolve) => {
     setTimeout(resolve, tokenMs * 10);
   });
-  act(running()!);
-  if (!signal) Object.assign(world, { answersSeen: await answer });
+  disturb(findRunningAgent()!);
+  if (!signal) Object.assign(world, { answersResult: await pendingResult });
 }
 
 When(
@@ -69,17 +72,17 @@
   });
 });
 
-When('the engine dies while an answer streams', async function die(this: AnswersWorld) {
+When('the engine dies while an answer streams', async function crash(this: AnswersWorld) {
   await streamWithDisturbance(this, ({ engine }) => engine!.crash());
 });
 
-When('all engines die while an answer streams', async function die(this: AnswersWorld) {
+When('all engines die while an answer streams', async function crash(this: AnswersWorld) {
   await streamWithDisturbance(this, () =>
-    engineAgents(this).forEach(({ engine }) => engine!.crash()),
+    getEngineAgents(this).forEach(({ engine }) => engine!.crash()),
   );
 });
 
-When('the caller goes while an answer streams', async function go(this: AnswersWorld) {
+When('the caller goes while an answer streams', async function disconnect(this: AnswersWorld) {
   const abort = new AbortController();
   await streamWithDisturbance(this, () => abort.abort(), abort.signal);
 });
@@ -89,27 +92,27 @@
   return Array.from({ length: count }, (_, index) => computeToken(weights, answersPrompt, index));
 }
 
-function assertComplete({ answersSeen }: AnswersWorld): void {
-  assert.equal(answersSeen.ended, true, JSON.stringify(answersSeen.error));
-  assert.deepEqual(answersSeen.tokens, createExpectedTokens(tokenCount));
+function assertComplete({ answersResult }: AnswersWorld): void {
+  assert.equal(answersResult.ended, true, JSON.stringify(answersResult.error));
+  assert.deepEqual(answersResult.tokens, createExpectedTokens(tokenCount));
 }
 
 Then('the answer is whole and the engines ran it once', function check(this: AnswersWorld) {
   assertComplete(this);
-  const runs = engineAgents(this).flatMap(({ engine }) => engine!.runs);
+  const runs = getEngineAgents(this).flatMap(({ engine }) => engine!.runs);
   assert.equal(runs.length, 1);
 });
 
 Then('the answer is whole and another engine went on with it', function check(this: AnswersWorld) {
   assertComplete(this);
-  const runs = engineAgents(this).flatMap(({ engine }) => engine!.runs);
+  const runs = getEngineAgents(this).flatMap(({ engine }) => engine!.runs);
   assert.equal(runs.filter(({ resumeFrom }) => resumeFrom > 0).length, 1);
 });
 
 Then(
   'the answer ends with a typed error and without its end mark',
   function check(this: AnswersWorld) {
-    const { ended, tokens, error } = this.answersSeen;
+    const { ended, tokens, error } = this.answersResult;
     assert.equal(ended, false);
     assert.ok(tokens.length > 0 && tokens.length < tokenCount);
     assert.deepEqual(tokens, createExpectedTokens(tokens.length));
@@ -119,9 +122,9 @@
 );
 
 Then('no engine runs anything soon after', async function check(this: AnswersWorld) {
-  const idle = () => engineAgents(this).every(({ engine }) => engine!.running === 0);
-  const { runs } = engineAgents(this).find(({ engine }) => engine!.runs.length > 0)!.engine!;
-  await eventually(idle, 'the engines are idle', (tokenCount * tokenMs) / 3);
+  const areIdle = () => getEngineAgents(this).every(({ engine }) => engine!.running === 0);
+  const { runs } = getEngineAgents(this).find(({ engine }) => engine!.runs.length > 0)!.engine!;
+  await eventually(areIdle, 'the engines are idle', (tokenCount * tokenMs) / 3);
   assert.equal(runs.length, 1);
 });
 
@@ -145,7 +148,7 @@
 
 /** Duplicates frames and interleaves those of an earlier attempt and of another request. */
 function addStaleFrames(texts: readonly string[], random: SeededRandom): ReplayedFrame[] {
-  const strangers = [
+  const staleFrames = [
     ...createFrames('request', 1, texts),
     ...createFrames(
       'other',
@@ -154,9 +157,11 @@
     ),
   ];
   return createFrames('request', 2, texts).flatMap((frame) => {
-    const stranger = strangers[Math.floor(random.next() * strangers.length)]!;
-    const doubled = random.next() < 0.3 ? [frame] : [];
-    return random.next() < 0.5 ? [stranger, frame, ...doubled] : [frame, ...doubled, stranger];
+    const staleFrame = staleFrames[Math.floor(random.next() * staleFrames.length)]!;
+    const duplicate = random.next() < 0.3 ? [frame] : [];
+    return random.next() < 0.5
+      ? [staleFrame, frame, ...duplicate]
+      : [frame, ...duplicate, staleFrame];
   });
 }
 
@@ -179,22 +184,22 @@
   '{int} answers come with late, doubled and crossed frames',
   function mix(this: AnswersWorld, count: number) {
     const random = new SeededRandom(5);
-    this.answersResults = Array.from({ length: count }, (_, run) => {
+    this.assemblyResults = Array.from({ length: count }, (_, run) => {
       const texts = Array.from({ length: 20 }, (__, index) => ` ${run}-${index}`);
       const frames = addStaleFrames(texts, random);
       const order = new FrameOrder('request', 2);
       return {
-        assembled: isComplete(frames, texts, (frame) => order.accepts(frame)),
-        naive: isComplete(frames, texts, () => true),
+        filtered: isComplete(frames, texts, (frame) => order.accepts(frame)),
+        unfiltered: isComplete(frames, texts, () => true),
       };
     });
   },
 );
 
 Then('each answer is whole and its own', function check(this: AnswersWorld) {
-  assert.ok(this.answersResults.every(({ assembled }) => assembled));
+  assert.ok(this.assemblyResults.every(({ filtered }) => filtered));
 });
 
 Then('an assembly that takes every frame is caught', function check(this: AnswersWorld) {
-  assert.ok(this.answersResults.some(({ naive }) => !naive));
+  assert.ok(this.assemblyResults.some(({ unfiltered }) => !unfiltered));
 });
--- a/features/steps/atMostOnce.steps.ts
+++ b/features/steps/atMostOnce.steps.ts
@@ -17,7 +17,7 @@
 interface OrdersWorld {
   ordersFleet: Fleet;
   orderCallers: Caller[];
-  orderAnswers: OrderResponse[];
+  orderResponses: OrderResponse[];
   orderTexts: string[];
   orderReads: number;
 }
@@ -27,7 +27,7 @@
 Given('a fleet with order desks', async function start(this: OrdersWorld) {
   this.ordersFleet = await Fleet.start(smallFleet, { logLevel: 'warn' });
   this.orderCallers = this.ordersFleet.entries.map(({ callerUrl }) => new Caller(callerUrl));
-  this.orderAnswers = [];
+  this.orderResponses = [];
 });
 
 After(async function close(this: Partial<OrdersWorld>) {
@@ -45,16 +45,16 @@
 }
 
 async function order(
-  { orderCallers, orderAnswers }: OrdersWorld,
+  { orderCallers, orderResponses }: OrdersWorld,
   entry: number,
   body = orderBody,
   key = 'order-1',
 ): Promise<OrderResponse> {
   const headers = { 'idempotency-key': key };
-  const reply = await orderCallers[entry]!.call('desk', '/orders', body, { headers });
-  const answer = { ...reply, order: body };
-  orderAnswers.push(answer);
-  return answer;
+  const callResponse = await orderCallers[entry]!.call('desk', '/orders', body, { headers });
+  const response = { ...callResponse, order: body };
+  orderResponses.push(response);
+  return response;
 }
 
 function parseError({ body }: OrderResponse): OrderError {
@@ -66,17 +66,17 @@
   async function send(this: OrdersWorld) {
     await order(this, 0);
     await order(this, 0);
-    const replayed = async () => (await order(this, 1)).status === 200;
+    const isReplayed = async () => (await order(this, 1)).status === 200;
     // The outcome is recorded concurrently with the first response, so other agents may see it later.
-    await eventually(replayed, 'the outcome is recorded');
-    this.orderAnswers = this.orderAnswers.filter(({ status }) => status === 200);
+    await eventually(isReplayed, 'the outcome is recorded');
+    this.orderResponses = this.orderResponses.filter(({ status }) => status === 200);
   },
 );
 
 Then('the order ran once and each answer is the same', function check(this: OrdersWorld) {
   assert.equal(countRuns(this), 1);
-  assert.equal(this.orderAnswers.length, 3);
-  this.orderAnswers.forEach((answer) => assert.deepEqual(answer, this.orderAnswers[0]));
+  assert.equal(this.orderResponses.length, 3);
+  this.orderResponses.forEach((response) => assert.deepEqual(response, this.orderResponses[0]));
 });
 
 When('the key of an order comes with another body', async function send(this: OrdersWorld) {
@@ -87,9 +87,9 @@
 Then(
   'the second order is refused with {int} as {string} and {string}',
   function check(this: OrdersWorld, status: number, type: string, execution: string) {
-    assert.equal(this.orderAnswers[1]!.status, status);
-    assert.equal(parseError(this.orderAnswers[1]!).type, type);
-    assert.equal(parseError(this.orderAnswers[1]!).execution, execution);
+    assert.equal(this.orderResponses[1]!.status, status);
+    assert.equal(parseError(this.orderResponses[1]!).type, type);
+    assert.equal(parseError(this.orderResponses[1]!).execution, execution);
     assert.equal(countRuns(this, '{"tags":41}'), 0);
   },
 );
@@ -97,7 +97,7 @@
 When(
   'the answer of an order is lost and the order is sent again through each entry',
   async function send(this: OrdersWorld) {
-    getPlainServices(this).forEach((desk) => Object.assign(desk, { dropNext: 1 }));
+    getPlainServices(this).forEach((plainService) => Object.assign(plainService, { dropNext: 1 }));
     for (const entry of [0, 0, 1]) await order(this, entry);
   },
 );
@@ -105,7 +105,9 @@
 When(
   'the agent is killed during an order and the order is sent again through each entry',
   async function send(this: OrdersWorld) {
-    getPlainServices(this).forEach((desk) => Object.assign(desk, { workMs: 1_000 }));
+    getPlainServices(this).forEach((plainService) =>
+      Object.assign(plainService, { workMs: 1_000 }),
+    );
     const first = order(this, 0);
     await eventually(() => countRuns(this) > 0, 'the order runs');
     const agent = this.ordersFleet.agents.find(({ plain }) => plain && plain.runs.length > 0);
@@ -119,10 +121,10 @@
   'the order ran once and each answer says that it may have run',
   function check(this: OrdersWorld) {
     assert.equal(countRuns(this), 1);
-    assert.equal(this.orderAnswers.length, 3);
-    this.orderAnswers.forEach((answer) => {
-      assert.ok([409, 502].includes(answer.status), `${answer.status}`);
-      assert.equal(parseError(answer).execution, 'unknown');
+    assert.equal(this.orderResponses.length, 3);
+    this.orderResponses.forEach((response) => {
+      assert.ok([409, 502].includes(response.status), `${response.status}`);
+      assert.equal(parseError(response).execution, 'unknown');
     });
   },
 );
@@ -157,9 +159,9 @@
   const completion = await caller!.complete('assistant', 'Which tags are free?');
   assert.equal(completion.ended, true);
   const status = await caller!.call('desk', '/status', '', { method: 'GET' });
-  this.orderAnswers.push({ ...status, order: '' });
+  this.orderResponses.push({ ...status, order: '' });
   const unkeyed = await caller!.call('desk', '/orders', '{"without":"key"}');
-  this.orderAnswers.push({ ...unkeyed, order: '' });
+  this.orderResponses.push({ ...unkeyed, order: '' });
   await order(this, 0);
 });
 
@@ -167,12 +169,12 @@
   'all but the order with a key are served and that did not run',
   function check(this: OrdersWorld) {
     assert.deepEqual(
-      this.orderAnswers.map(({ status }) => status),
+      this.orderResponses.map(({ status }) => status),
       [200, 200, 503],
     );
     // Without the store, an agent can't know whether an earlier request with the key was executed.
-    assert.equal(parseError(this.orderAnswers[2]!).type, 'store_unavailable');
-    assert.equal(parseError(this.orderAnswers[2]!).execution, 'unknown');
+    assert.equal(parseError(this.orderResponses[2]!).type, 'store_unavailable');
+    assert.equal(parseError(this.orderResponses[2]!).execution, 'unknown');
     assert.equal(countRuns(this, '{"without":"key"}'), 1);
     assert.equal(countRuns(this), 0);
   },
@@ -192,14 +194,14 @@
 );
 
 Then('no order ran twice and none that was called not run ran', function check(this: OrdersWorld) {
-  const bodies = getPlainServices(this).flatMap(({ runs }) => runs.map(({ body }) => body));
-  assert.equal(new Set(bodies).size, bodies.length);
-  const orders = [...new Set(this.orderAnswers.map(({ order: body }) => body))];
+  const executedBodies = getPlainServices(this).flatMap(({ runs }) => runs.map(({ body }) => body));
+  assert.equal(new Set(executedBodies).size, executedBodies.length);
+  const orders = [...new Set(this.orderResponses.map(({ order: body }) => body))];
   orders.forEach((body) => {
-    const last = this.orderAnswers.filter((answer) => answer.order === body).at(-1)!;
+    const last = this.orderResponses.filter((response) => response.order === body).at(-1)!;
     const isRefused = last.status !== 200 && parseError(last).execution === 'not run';
     assert.ok(
-      !isRefused || !bodies.includes(body),
+      !isRefused || !executedBodies.includes(body),
       `${body} was executed although it was reported as not run`,
     );
   });
--- a/features/steps/cutPath.steps.ts
+++ b/features/steps/cutPath.steps.ts
@@ -9,7 +9,7 @@
 
 interface CutWorld {
   platform: PlatformFleet;
-  got: CallerResponse;
+  response: CallerResponse;
 }
 
 /** Time within which a forwarded request would reach an engine, in milliseconds. */
@@ -23,7 +23,7 @@
 }
 
 Then(/^its stream is (cut|whole)$/, function outcome(this: CutWorld, end: string) {
-  const { status, body, isWhole } = this.got;
+  const { status, body, isWhole } = this.response;
   assert.equal(status, 200, JSON.stringify(this.platform.logEntries));
   assert.equal(isWhole, end === 'whole', body);
   const ids = [...body.matchAll(/^id: (\d+)$/gm)].map(([, id]) => Number(id));
--- a/features/steps/fuzz.steps.ts
+++ b/features/steps/fuzz.steps.ts
@@ -22,7 +22,7 @@
 interface FuzzWorld {
   outcomes: unknown[];
   fuzzFleet: Fleet;
-  answers: FuzzResponse[];
+  responses: FuzzResponse[];
   memoryBefore: number;
 }
 
@@ -100,23 +100,26 @@
 }
 
 async function sendAll(url: string, token: string, paths: string[], bodies: string[]) {
-  const answers: FuzzResponse[] = [];
+  const responses: FuzzResponse[] = [];
   for (const [index, body] of bodies.entries()) {
-    answers.push(await send(url, paths[index]!, body, token));
+    responses.push(await send(url, paths[index]!, body, token));
   }
-  return answers;
+  return responses;
 }
 
 When('an entry gets {int} fuzzed caller requests', async function fuzz(this: FuzzWorld, n: number) {
-  const wrong = fc.record({ prompt: fc.constantFrom('', 0, null, []), max_tokens: anyJson });
-  const bodies = sampleInputs(damagedJson(fc.oneof(wrong, objectsWith(['adapter', 'stream']))), n);
+  const invalidBody = fc.record({ prompt: fc.constantFrom('', 0, null, []), max_tokens: anyJson });
+  const bodies = sampleInputs(
+    damagedJson(fc.oneof(invalidBody, objectsWith(['adapter', 'stream']))),
+    n,
+  );
   const services = fc.constantFrom('assistant', 'desk', 'none', '..', '%00');
   const kinds = fc.constantFrom('completions', 'calls/../x', 'completions/', '');
   const path = fc
     .tuple(services, kinds)
     .map(([service, kind]) => `/v1/services/${service}/${kind}`);
   const paths = sampleInputs(path, n).map((each) => each.replace('desk/calls', 'none/calls'));
-  this.answers = await sendAll(getEntry(this).callerUrl, 'token-of-workspace-0', paths, bodies);
+  this.responses = await sendAll(getEntry(this).callerUrl, 'token-of-workspace-0', paths, bodies);
 });
 
 When(
@@ -127,21 +130,21 @@
     );
     const part = fc.constantFrom('configuration', 'exceptions', 'roll-outs/none', 'x', 'status');
     const paths = sampleInputs(part, n).map((each) => `/admin/v1/${each}`);
-    this.answers = await sendAll(getEntry(this).operatorUrl, operatorToken, paths, bodies);
+    this.responses = await sendAll(getEntry(this).operatorUrl, operatorToken, paths, bodies);
   },
 );
 
 async function assertServes(fleet: Fleet): Promise<void> {
   const caller = new Caller(fleet.entries[0]!.callerUrl);
-  const seen = await caller.complete('assistant', 'Still there?');
+  const result = await caller.complete('assistant', 'Still there?');
   await caller.close();
-  assert.equal(seen.ended, true);
+  assert.equal(result.ended, true);
 }
 
 Then(
   'each is refused with a typed error body and the entry still serves',
   async function check(this: FuzzWorld) {
-    this.answers.forEach(({ status, text }) => {
+    this.responses.forEach(({ status, text }) => {
       assert.ok(status >= 400 && status < 500, `${status} ${text}`);
       const { error } = JSON.parse(text) as { error: { type: string; execution: string } };
       assert.match(error.type, /^[a-z_]+$/);
--- a/features/steps/path.steps.ts
+++ b/features/steps/path.steps.ts
@@ -9,15 +9,15 @@
 const weightBytes = 1_048_576;
 const model = 'assistant-model';
 const prompt = 'Which numbers are free?';
-/** Tokens of a response that takes longer than all delays of a shutdown together. */
-const longAnswer = 1_200;
+/** Token count of a response that takes longer than all delays of a shutdown together. */
+const longAnswerTokens = 1_200;
 
 setDefaultTimeout(scenarioTimeoutMs);
 
 interface PathWorld {
   fleet: Fleet;
   caller: Caller;
-  seen: CompletionResult;
+  result: CompletionResult;
   order: { status: number };
   exitCode: number | null;
 }
@@ -35,16 +35,16 @@
 When(
   'a caller streams a completion of {int} tokens',
   async function stream(this: PathWorld, maxTokens: number) {
-    this.seen = await this.caller.complete('assistant', prompt, { maxTokens });
+    this.result = await this.caller.complete('assistant', prompt, { maxTokens });
   },
 );
 
 Then('the whole answer comes from the loaded weights', function check(this: PathWorld) {
-  const weights = sha256(makeContent(model, 'v1', weightBytes));
-  const expected = this.seen.tokens.map((_, index) => computeToken(weights, prompt, index));
-  assert.equal(this.seen.tokens.length, 8);
-  assert.deepEqual(this.seen.tokens, expected);
-  assert.equal(this.seen.ended, true);
+  const weightsDigest = sha256(makeContent(model, 'v1', weightBytes));
+  const expected = this.result.tokens.map((_, index) => computeToken(weightsDigest, prompt, index));
+  assert.equal(this.result.tokens.length, 8);
+  assert.deepEqual(this.result.tokens, expected);
+  assert.equal(this.result.ended, true);
 });
 
 When('a caller places an order', async function order(this: PathWorld) {
@@ -70,20 +70,21 @@
   assert.ok(this.fleet.origin.sentBytes <= weightBytes * 1.1, `${this.fleet.origin.sentBytes}`);
 });
 
-When('an agent gets SIGTERM while it streams', async function term(this: PathWorld) {
+When('an agent gets SIGTERM while it streams', async function terminate(this: PathWorld) {
   const [first] = this.fleet.agents;
-  const answer = this.caller.complete('assistant', prompt, { maxTokens: longAnswer });
-  const running = () => this.fleet.agents.find(({ engine }) => engine && engine.running > 0);
-  await this.fleet.waitUntil(() => Boolean(running()), 'an engine runs the request');
-  const agent = running() ?? first!;
+  const pendingResult = this.caller.complete('assistant', prompt, { maxTokens: longAnswerTokens });
+  const findRunningAgent = () =>
+    this.fleet.agents.find(({ engine }) => engine && engine.running > 0);
+  await this.fleet.waitUntil(() => Boolean(findRunningAgent()), 'an engine runs the request');
+  const agent = findRunningAgent() ?? first!;
   agent.process.signal('SIGTERM');
-  this.seen = await answer;
+  this.result = await pendingResult;
   this.exitCode = await agent.process.waitForExit();
 });
 
 Then('the answer is whole and the agent exits with 0', function check(this: PathWorld) {
-  assert.equal(this.seen.ended, true);
-  assert.equal(this.seen.tokens.length, longAnswer);
+  assert.equal(this.result.ended, true);
+  assert.equal(this.result.tokens.length, longAnswerTokens);
   const runs = this.fleet.agents.flatMap(({ engine }) => engine?.runs ?? []);
   assert.equal(runs.length, 1, 'Another engine had to resume the response.');
   assert.equal(this.exitCode, 0);
--- a/features/steps/platformPath.steps.ts
+++ b/features/steps/platformPath.steps.ts
@@ -11,7 +11,7 @@
 interface PlatformWorld {
   platform: PlatformFleet;
   platformEntry: ForwardingEntry;
-  got: CallerResponse;
+  response: CallerResponse;
   readiness: number;
 }
 
@@ -22,11 +22,11 @@
     this.platform = await PlatformFleet.start(behaviours);
     this.platformEntry = await this.platform.startEntry();
     await eventually(() => {
-      const known = this.platform.logEntries.filter(
+      const registrations = this.platform.logEntries.filter(
         ({ message }) => message === 'fleet: Endpoint registered.',
       );
-      return known.length === behaviours.length;
-    }, 'all engines are known');
+      return registrations.length === behaviours.length;
+    }, 'all engines are registered');
   },
 );
 
@@ -35,20 +35,22 @@
 });
 
 When(/^a caller sends a request to (\w+)$/, async function send(this: PlatformWorld, name: string) {
-  this.got = await sendRequest(this.platform, `/${name}/x`);
+  this.response = await sendRequest(this.platform, `/${name}/x`);
 });
 
 Then(
   /^it gets (\d+) and (any|\d+) runs of it were begun$/,
   function outcome(this: PlatformWorld, status: string, runs: string) {
-    assert.equal(this.got.status, Number(status), JSON.stringify(this.platform.logEntries));
-    const begun = this.platform.engines.flatMap(({ startedRequestIds }) => startedRequestIds);
-    if (runs !== 'any') assert.equal(begun.length, Number(runs));
+    assert.equal(this.response.status, Number(status), JSON.stringify(this.platform.logEntries));
+    const startedRequests = this.platform.engines.flatMap(
+      ({ startedRequestIds }) => startedRequestIds,
+    );
+    if (runs !== 'any') assert.equal(startedRequests.length, Number(runs));
     if (status === '200') {
-      assert.equal(this.got.body, 'whole answer');
-      assert.match(String(this.got.headers['laburnumstream-server-seal']), /^seal\./);
+      assert.equal(this.response.body, 'whole answer');
+      assert.match(String(this.response.headers['laburnumstream-server-seal']), /^seal\./);
     }
-    if (status === '503') assert.ok(Number(this.got.headers['retry-after']) > 0);
+    if (status === '503') assert.ok(Number(this.response.headers['retry-after']) > 0);
   },
 );
 
@@ -59,8 +61,11 @@
     assert.equal(headers!['laburnumstream-tenant'], 'small');
     assert.equal(headers!.authorization, undefined);
     assert.equal(headers!['laburnumstream-expect-instance'], 'e0');
-    const left = Number(headers!['laburnumstream-deadline-ms']);
-    assert.ok(left > deadlineMs / 2 && left <= deadlineMs, `${left} ms left`);
+    const remainingMs = Number(headers!['laburnumstream-deadline-ms']);
+    assert.ok(
+      remainingMs > deadlineMs / 2 && remainingMs <= deadlineMs,
+      `${remainingMs} ms remaining`,
+    );
   },
 );
 
@@ -98,12 +103,12 @@
 });
 
 Then('it gets events 1 to 12 once each', function events(this: PlatformWorld) {
-  const seen = [...this.got.body.matchAll(/^id: (\d+)$/gm)].map(([, id]) => Number(id));
+  const eventIds = [...this.response.body.matchAll(/^id: (\d+)$/gm)].map(([, id]) => Number(id));
   assert.deepEqual(
-    seen,
+    eventIds,
     Array.from({ length: 12 }, (_, index) => index + 1),
   );
-  assert.ok(this.got.isWhole, 'the answer ends as whole');
+  assert.ok(this.response.isWhole, 'the response is complete');
 });
 
 When(
@@ -115,14 +120,18 @@
 
 Then('the engine is rid of it within 500 ms', async function rid(this: PlatformWorld) {
   const { engines } = this.platform;
-  await eventually(() => engines[0]!.clientDisconnects === 1, 'the engine lost its caller', 500);
+  await eventually(
+    () => engines[0]!.clientDisconnects === 1,
+    'the engine sees its client disconnect',
+    500,
+  );
 });
 
 When('the first engine says that it is draining', async function drain(this: PlatformWorld) {
   this.platform.registerEngine(this.platform.engines[0]!, 'draining');
   await eventually(
     () => this.platform.logEntries.some(({ fields }) => fields.isDraining === true),
-    'the entry knows',
+    'the entry has logged that the engine is draining',
   );
 });
 
@@ -136,12 +145,12 @@
 );
 
 When('the entry is stopped while a stream runs', async function stop(this: PlatformWorld) {
-  const asked = sendRequest(this.platform, '/stream/x');
+  const pendingResponse = sendRequest(this.platform, '/stream/x');
   await sleep(150);
   const stopped = this.platformEntry.stop();
   const { status } = await fetch(`http://${this.platform.settings.readinessAddress}/`);
   this.readiness = status;
-  this.got = await asked;
+  this.response = await pendingResponse;
   await stopped;
 });
 
--- a/features/steps/stops.steps.ts
+++ b/features/steps/stops.steps.ts
@@ -55,9 +55,9 @@
 );
 
 Then('the stream is whole', function whole(this: StopsWorld) {
-  const ids = [...this.stopText.matchAll(/^id: (\d+)$/gm)].map(([, id]) => Number(id));
+  const eventIds = [...this.stopText.matchAll(/^id: (\d+)$/gm)].map(([, id]) => Number(id));
   assert.deepEqual(
-    ids,
+    eventIds,
     Array.from({ length: 12 }, (_, index) => index + 1),
   );
 });
@@ -66,6 +66,6 @@
   await sleep(200);
   this.stopCaller.write(createRequestText('late'));
   await sleep(300);
-  const ran = this.platform.engines.flatMap((engine) => engine.startedRequestIds);
-  assert.deepEqual(ran, ['long']);
+  const startedIds = this.platform.engines.flatMap((engine) => engine.startedRequestIds);
+  assert.deepEqual(startedIds, ['long']);
 });
