Name locals of the process and operator steps plainly

Locals such as strike, why, flags, told and ask now say what they do or hold. The comment on leftover processes of the soak names only what the code checks: children of this process.

--- a/features/steps/configurationProcesses.steps.ts
+++ b/features/steps/configurationProcesses.steps.ts
@@ -21,8 +21,8 @@
 interface ProcessesWorld {
   entriesFleet: Fleet;
   frozen: FleetEntry;
-  changedTo: number;
-  answers: { status: number; body: Record<string, unknown> }[];
+  expectedRevision: number;
+  responses: { status: number; body: Record<string, unknown> }[];
   commandResults: Record<string, CommandResult>;
 }
 
@@ -46,11 +46,11 @@
 }
 
 async function findWatchers({ entries }: Fleet): Promise<FleetEntry[]> {
-  const flags = await Promise.all(entries.map((entry) => isWatching(entry)));
-  return entries.filter((_, index) => flags[index]);
+  const areWatching = await Promise.all(entries.map((entry) => isWatching(entry)));
+  return entries.filter((_, index) => areWatching[index]);
 }
 
-function change(fleet: Fleet, maxQueue: number, entry = fleet.entries[0]!) {
+function sendChange(fleet: Fleet, maxQueue: number, entry = fleet.entries[0]!) {
   return fleet.admin('POST', 'configuration', { reason: 'test', defaults: { maxQueue } }, entry);
 }
 
@@ -76,42 +76,42 @@
 
 When(
   'one watcher freezes, the other is killed and a change is made',
-  async function strike(this: ProcessesWorld) {
+  async function injectFaults(this: ProcessesWorld) {
     const { entriesFleet: fleet } = this;
-    const two = async () => (await findWatchers(fleet)).length === 2;
-    await eventually(two, 'two entries watch', waitTimeoutMs);
+    const hasTwoWatchers = async () => (await findWatchers(fleet)).length === 2;
+    await eventually(hasTwoWatchers, 'two entries watch', waitTimeoutMs);
     const [frozen, killed] = await findWatchers(fleet);
     this.frozen = frozen!;
     frozen!.process.signal('SIGSTOP');
     await killed!.process.kill();
     const other = fleet.entries.find((entry) => entry !== frozen && entry !== killed)!;
-    const { body } = await change(fleet, 33, other);
-    this.changedTo = Number(body.revision);
+    const { body } = await sendChange(fleet, 33, other);
+    this.expectedRevision = Number(body.revision);
   },
 );
 
 Then(
   'the running entries take it, the frozen one after it wakes, and none goes back',
   async function check(this: ProcessesWorld) {
-    const { entriesFleet: fleet, frozen, changedTo } = this;
+    const { entriesFleet: fleet, frozen, expectedRevision } = this;
     const running = fleet.entries.filter((entry) => entry !== frozen && entry.process.isRunning);
     assert.equal(running.length, 2);
-    await waitUntilInForce(fleet, running, changedTo);
+    await waitUntilInForce(fleet, running, expectedRevision);
     frozen.process.signal('SIGCONT');
-    await waitUntilInForce(fleet, [frozen], changedTo);
+    await waitUntilInForce(fleet, [frozen], expectedRevision);
     fleet.entries.forEach((entry) => assert.equal(countLoggedReverts(entry), 0));
   },
 );
 
 When('the store goes down and an entry is replaced', async function replace(this: ProcessesWorld) {
   const { entriesFleet: fleet } = this;
-  this.changedTo = await fetchRevision(fleet, fleet.entries[0]!);
+  this.expectedRevision = await fetchRevision(fleet, fleet.entries[0]!);
   fleet.keyValue.faults.down = true;
   const [, replaced] = fleet.entries;
   await replaced!.process.kill();
   replaced!.process.start();
-  const started = async () => (await fetchRevision(fleet, replaced!).catch(() => -1)) >= 0;
-  await eventually(started, 'the new entry answers', waitTimeoutMs);
+  const hasStarted = async () => (await fetchRevision(fleet, replaced!).catch(() => -1)) >= 0;
+  await eventually(hasStarted, 'the new entry responds', waitTimeoutMs);
 });
 
 Then(
@@ -119,8 +119,8 @@
   async function check(this: ProcessesWorld) {
     const { entriesFleet: fleet } = this;
     const [, replaced] = fleet.entries;
-    await waitUntilInForce(fleet, [replaced!], this.changedTo);
-    const { status, body } = await change(fleet, 34, replaced);
+    await waitUntilInForce(fleet, [replaced!], this.expectedRevision);
+    const { status, body } = await sendChange(fleet, 34, replaced);
     assert.equal(status, 503);
     assert.equal((body.error as { type: string }).type, 'not_accepted');
   },
@@ -129,12 +129,12 @@
 Then('a change is accepted once the store is back', async function check(this: ProcessesWorld) {
   const { entriesFleet: fleet } = this;
   fleet.keyValue.faults.down = false;
-  const accepted = async () => (await change(fleet, 35)).status === 200;
-  await eventually(accepted, 'a change is accepted', waitTimeoutMs);
-  await waitUntilInForce(fleet, fleet.entries, this.changedTo + 1);
+  const isAccepted = async () => (await sendChange(fleet, 35)).status === 200;
+  await eventually(isAccepted, 'a change is accepted', waitTimeoutMs);
+  await waitUntilInForce(fleet, fleet.entries, this.expectedRevision + 1);
 });
 
-When('an operator uses the commands', async function use(this: ProcessesWorld) {
+When('an operator uses the commands', async function runCommands(this: ProcessesWorld) {
   const { operatorUrl } = this.entriesFleet.entries[0]!;
   const folder = mkdtempSync(join(tmpdir(), 'laburnumstream-commands-'));
   const write = (name: string, value: object): string => {
@@ -150,13 +150,13 @@
     policy: { weight: 3 },
   });
   const run = (...args: string[]) => runCommand(operatorUrl, operatorToken, args);
-  const why = ['--reason', 'lambing season'];
+  const reasonArguments = ['--reason', 'lambing season'];
   this.commandResults = {
-    dryRun: await run('apply', patch, ...why, '--dry-run'),
-    apply: await run('apply', patch, ...why, '--change-id', 'change-21'),
-    again: await run('apply', patch, ...why, '--change-id', 'change-21', '--json'),
-    conflict: await run('apply', other, ...why, '--if-revision', '1'),
-    add: await run('exceptions', 'add', exception, ...why),
+    dryRun: await run('apply', patch, ...reasonArguments, '--dry-run'),
+    apply: await run('apply', patch, ...reasonArguments, '--change-id', 'change-21'),
+    again: await run('apply', patch, ...reasonArguments, '--change-id', 'change-21', '--json'),
+    conflict: await run('apply', other, ...reasonArguments, '--if-revision', '1'),
+    add: await run('exceptions', 'add', exception, ...reasonArguments),
     list: await run('exceptions', 'list'),
     audit: await run('audit', '--limit', '2'),
     auditJson: await run('audit', '--since', '1', '--json'),
@@ -186,7 +186,7 @@
   },
 );
 
-async function call(
+async function callAdmin(
   world: ProcessesWorld,
   token: string,
   method: string,
@@ -219,8 +219,9 @@
   async function check(this: ProcessesWorld) {
     const patch = { reason: 'test', defaults: { maxQueue: 40 } };
     const post = async (token: string, body: object) =>
-      (await call(this, token, 'POST', 'configuration', body)).status;
-    const get = async (token: string) => (await call(this, token, 'GET', 'configuration')).status;
+      (await callAdmin(this, token, 'POST', 'configuration', body)).status;
+    const get = async (token: string) =>
+      (await callAdmin(this, token, 'GET', 'configuration')).status;
     assert.equal(await post(operatorToken, patch), 401);
     assert.equal(await post(tokens.vic, patch), 403);
     assert.equal(await get(tokens.vic), 200);
@@ -229,10 +230,10 @@
     assert.equal(await post(tokens.next, { reason: 'replace the token', ...replaced }), 200);
     assert.equal(await get(tokens.ann), 401);
     assert.equal(await get(tokens.next), 200);
-    const locked = { reason: 'mistake', operators: { ann: null } };
-    assert.equal(await post(tokens.next, locked), 400);
-    const shown = await call(this, tokens.vic, 'GET', 'configuration');
-    const audit = await call(this, tokens.vic, 'GET', 'audit');
+    const lockout = { reason: 'mistake', operators: { ann: null } };
+    assert.equal(await post(tokens.next, lockout), 400);
+    const shown = await callAdmin(this, tokens.vic, 'GET', 'configuration');
+    const audit = await callAdmin(this, tokens.vic, 'GET', 'audit');
     const text = JSON.stringify([shown, audit]);
     Object.values(tokens).forEach((token) => assert.ok(!text.includes(sha256(token))));
   },
@@ -241,25 +242,25 @@
 When(
   'an operator sends {int} changes at once',
   async function flood(this: ProcessesWorld, count: number) {
-    const bad = { reason: 'flood', unknownPart: {} };
+    const invalidChange = { reason: 'flood', unknownPart: {} };
     const sends = Array.from({ length: count }, () =>
-      call(this, operatorToken, 'POST', 'configuration', bad),
+      callAdmin(this, operatorToken, 'POST', 'configuration', invalidChange),
     );
-    this.answers = await Promise.all(sends);
+    this.responses = await Promise.all(sends);
   },
 );
 
 Then(
   'some are refused as overloaded with the time to wait and reading still works',
   async function check(this: ProcessesWorld) {
-    const refused = this.answers.filter(({ status }) => status === 429);
+    const refused = this.responses.filter(({ status }) => status === 429);
     assert.ok(refused.length > 0);
     refused.forEach(({ body }) => {
       const { type, retryAfterMs } = body.error as { type: string; retryAfterMs: number };
       assert.equal(type, 'overloaded');
       assert.ok(retryAfterMs > 0);
     });
-    const { status } = await call(this, operatorToken, 'GET', 'status');
+    const { status } = await callAdmin(this, operatorToken, 'GET', 'status');
     assert.equal(status, 200);
   },
 );
--- a/features/steps/outage.steps.ts
+++ b/features/steps/outage.steps.ts
@@ -13,7 +13,7 @@
 
 const service = 'assistant';
 const secret = 'secret-of-the-outage-tests';
-const times = { memberTimeoutMs: 3_000, dataCentreTimeoutMs: 10_000, returnRampMs: 1_000 };
+const timeouts = { memberTimeoutMs: 3_000, dataCentreTimeoutMs: 10_000, returnRampMs: 1_000 };
 
 interface OutageWorld {
   outageFleet: Fleet;
@@ -47,12 +47,12 @@
   'requests are answered whole and a change is refused as not accepted',
   async function check(this: OutageWorld) {
     for (let index = 0; index < 10; index += 1) {
-      const seen = await this.outageCaller.complete(service, `draft ${index}`, { maxTokens: 2 });
-      assert.equal(seen.ended, true, JSON.stringify(seen.error));
+      const result = await this.outageCaller.complete(service, `draft ${index}`, { maxTokens: 2 });
+      assert.equal(result.ended, true, JSON.stringify(result.error));
     }
     const path = 'data-centres/south-a/take-out';
-    const answer = await this.outageFleet.admin('POST', path, { reason: 'test' });
-    assert.equal(answer.status, 503);
+    const response = await this.outageFleet.admin('POST', path, { reason: 'test' });
+    assert.equal(response.status, 503);
   },
 );
 
@@ -67,14 +67,14 @@
   async function check(this: OutageWorld) {
     const [entry] = this.outageFleet.entries;
     const isReady = async (): Promise<boolean> => {
-      const answer = await fetch(`${entry!.callerUrl}/ready`).catch(() => undefined);
-      return answer?.status === 200;
+      const response = await fetch(`${entry!.callerUrl}/ready`).catch(() => undefined);
+      return response?.status === 200;
     };
     await eventually(isReady, 'the new entry is ready', 30_000);
     const caller = new Caller(entry!.callerUrl);
-    const seen = await caller.complete(service, 'a draft', { maxTokens: 2 });
+    const result = await caller.complete(service, 'a draft', { maxTokens: 2 });
     await caller.close();
-    assert.equal(seen.ended, true, JSON.stringify(seen.error));
+    assert.equal(result.ended, true, JSON.stringify(result.error));
   },
 );
 
@@ -95,7 +95,7 @@
     this.outageRelay = await new Relay(port!).start();
     this.outageRelay.setMode('cut');
     const clock = new SystemClock();
-    this.outageDirectory = new MemberDirectory(clock, 'north-a', times, new SeededRandom(1));
+    this.outageDirectory = new MemberDirectory(clock, 'north-a', timeouts, new SeededRandom(1));
     this.outageMember = createMember('agent-1', {
       service,
       address: `http://${this.outageRelay.address}`,
@@ -118,18 +118,18 @@
       await new SystemClock().sleep(50);
     }
     outageRelay.setMode('open');
-    const isBack = (): boolean => {
+    const isCandidate = (): boolean => {
       outageDirectory.recordHeartbeat({ ...outageMember, beat: BigInt(Date.now()) });
       return outageDirectory.candidates(service, isOpen).length === 1;
     };
-    await eventually(isBack, 'the agent is back', 20_000);
+    await eventually(isCandidate, 'the agent is a candidate again', 20_000);
   },
 );
 
 Given('an entry whose news of another data centre stop', function cut(this: OutageWorld) {
   this.outageNow = 0;
   const clock = { now: () => this.outageNow, wall: () => 0, sleep: () => Promise.resolve() };
-  this.outageDirectory = new MemberDirectory(clock, 'north-a', times, new SeededRandom(1));
+  this.outageDirectory = new MemberDirectory(clock, 'north-a', timeouts, new SeededRandom(1));
   this.outageDirectory.mergeRecord(createMember('far', { service, dataCentre: 'south-a' }));
   this.outageDirectory.members.confirmDataCentre('south-a', 0, 0);
 });
@@ -137,16 +137,16 @@
 Then(
   "its own endpoints stay and the other's are left out until the cut heals",
   function check(this: OutageWorld) {
-    const names = (): string[] => {
+    const getCandidateNames = (): string[] => {
       this.outageDirectory.recordHeartbeat(
         createMember('near', { service, beat: BigInt(this.outageNow + 1) }),
       );
       return this.outageDirectory.candidates(service, isOpen).map(({ name }) => name);
     };
-    assert.deepEqual(names().sort(), ['far', 'near']);
+    assert.deepEqual(getCandidateNames().sort(), ['far', 'near']);
     this.outageNow = 11_000;
-    assert.deepEqual(names(), ['near']);
+    assert.deepEqual(getCandidateNames(), ['near']);
     this.outageDirectory.members.confirmDataCentre('south-a', 0, this.outageNow);
-    assert.deepEqual(names().sort(), ['far', 'near']);
+    assert.deepEqual(getCandidateNames().sort(), ['far', 'near']);
   },
 );
--- a/features/steps/security.steps.ts
+++ b/features/steps/security.steps.ts
@@ -12,13 +12,13 @@
   securityFleet: Fleet;
   securityCaller: Caller;
   securityError: unknown;
-  securitySeen: CompletionResult[];
+  securityResults: CompletionResult[];
 }
 
 Given('a fleet for secrets', async function start(this: SecurityWorld) {
   this.securityFleet = await Fleet.start(smallFleet, { logLevel: 'info' });
   this.securityCaller = new Caller(this.securityFleet.entries[0]!.callerUrl);
-  this.securitySeen = [];
+  this.securityResults = [];
 });
 
 After(async function close(this: Partial<SecurityWorld>) {
@@ -41,28 +41,28 @@
   assert.match(metrics, /internal_calls_unauthenticated_total 1/);
 });
 
-async function ask(world: SecurityWorld): Promise<void> {
+async function sendRequests(world: SecurityWorld): Promise<void> {
   for (let index = 0; index < 5; index += 1) {
-    world.securitySeen.push(await world.securityCaller.complete(service, `draft ${index}`));
+    world.securityResults.push(await world.securityCaller.complete(service, `draft ${index}`));
   }
 }
 
 async function change(world: SecurityWorld, secrets: readonly string[]): Promise<void> {
   const { entries, agents } = world.securityFleet;
   const processes = [...entries, ...agents].map(({ process }) => process);
-  const count = (text: string): number => text.split('Secrets replaced.').length;
+  const countReplacements = (text: string): number => text.split('Secrets replaced.').length;
   for (const process of processes) {
-    const before = count(process.log);
+    const before = countReplacements(process.log);
     process.changeSettings({ secrets });
     process.signal('SIGHUP');
-    await eventually(() => count(process.log) > before, 'the secrets are replaced');
-    await ask(world);
+    await eventually(() => countReplacements(process.log) > before, 'the secrets are replaced');
+    await sendRequests(world);
   }
 }
 
 When(
   'all processes take a new secret beside the old and then the new one alone',
-  async function changeAll(this: SecurityWorld) {
+  async function rotateSecrets(this: SecurityWorld) {
     await change(this, [internalSecret, newSecret]);
     await change(this, [newSecret, internalSecret]);
     await change(this, [newSecret]);
@@ -72,12 +72,14 @@
 Then(
   'requests were answered whole all the time and the old secret is refused',
   async function check(this: SecurityWorld) {
-    assert.ok(this.securitySeen.length > 0);
-    this.securitySeen.forEach(({ ended, error }) => assert.equal(ended, true, String(error?.type)));
+    assert.ok(this.securityResults.length > 0);
+    this.securityResults.forEach(({ ended, error }) =>
+      assert.equal(ended, true, String(error?.type)),
+    );
     const [agent] = this.securityFleet.agents;
-    const refused = directRun(agent!.internalUrl, service, internalSecret);
-    await assert.rejects(refused, { execution: 'not run' });
-    const served = await directRun(agent!.internalUrl, service, newSecret);
-    assert.equal(served.tokens, 4);
+    const rejectedCall = directRun(agent!.internalUrl, service, internalSecret);
+    await assert.rejects(rejectedCall, { execution: 'not run' });
+    const acceptedRun = await directRun(agent!.internalUrl, service, newSecret);
+    assert.equal(acceptedRun.tokens, 4);
   },
 );
--- a/features/steps/soak.steps.ts
+++ b/features/steps/soak.steps.ts
@@ -8,15 +8,15 @@
 
 interface SoakWorld {
   soakReport: SoakReport;
-  soakCode: number;
-  soakErrors: string;
+  soakExitCode: number;
+  soakStderr: string;
 }
 
 const soakTimeoutMs = 150_000;
 const program = fileURLToPath(new URL('../../../bench/dist/soak.js', import.meta.url));
 
-/** Finds running processes of a soak whose parent is this process or has ended. */
-function findLeftoverPrograms(): string[] {
+/** Finds running processes of a soak whose parent is this process. */
+function findLeftoverProcesses(): string[] {
   return readdirSync('/proc')
     .filter((name) => /^\d+$/.test(name))
     .filter((id) => {
@@ -55,9 +55,9 @@
 When(/^the fault soak is started with (.+)$/, async function start(this: SoakWorld, line: string) {
   const args = [program, ...line.split(' ')];
   await new Promise<void>((resolve) => {
-    execFile(process.execPath, args, (failure, _out, errors) => {
-      const code = failure && typeof failure.code === 'number' ? failure.code : 0;
-      Object.assign(this, { soakCode: code, soakErrors: errors });
+    execFile(process.execPath, args, (failure, _out, stderr) => {
+      const exitCode = failure && typeof failure.code === 'number' ? failure.code : 0;
+      Object.assign(this, { soakExitCode: exitCode, soakStderr: stderr });
       resolve();
     });
   });
@@ -65,14 +65,14 @@
 
 Then(
   /^the soak ends with exit code 2 and one line that names (\S+)$/,
-  function named(this: SoakWorld, name: string) {
-    assert.equal(this.soakCode, 2, this.soakErrors);
-    const lines = this.soakErrors.trim().split('\n');
-    assert.equal(lines.length, 1, this.soakErrors);
+  function check(this: SoakWorld, name: string) {
+    assert.equal(this.soakExitCode, 2, this.soakStderr);
+    const lines = this.soakStderr.trim().split('\n');
+    assert.equal(lines.length, 1, this.soakStderr);
     assert.ok(lines[0]!.includes(name), lines[0]);
   },
 );
 
 Then('it has left no process behind', () => {
-  assert.deepEqual(findLeftoverPrograms(), []);
+  assert.deepEqual(findLeftoverProcesses(), []);
 });
--- a/features/steps/takeOut.steps.ts
+++ b/features/steps/takeOut.steps.ts
@@ -14,13 +14,13 @@
   takeOutAnswer: Promise<CompletionResult>;
 }
 
-function findEntry(fleet: Fleet, dataCentre: string): FleetEntry {
-  return fleet.entries.find(({ dataCentre: centre }) => centre.name === dataCentre)!;
+function findEntry(fleet: Fleet, dataCentreName: string): FleetEntry {
+  return fleet.entries.find(({ dataCentre }) => dataCentre.name === dataCentreName)!;
 }
 
-function findEngines(fleet: Fleet, dataCentre: string): FleetAgent[] {
+function findEngines(fleet: Fleet, dataCentreName: string): FleetAgent[] {
   return fleet.agents.filter(
-    ({ dataCentre: centre, engine }) => engine && centre.name === dataCentre,
+    ({ dataCentre, engine }) => engine && dataCentre.name === dataCentreName,
   );
 }
 
@@ -55,7 +55,7 @@
   await eventually(isOut, 'the entry of south-a is not ready');
 });
 
-When('operators return south-a', async function returnIt(this: TakeOutWorld) {
+When('operators return south-a', async function returnToService(this: TakeOutWorld) {
   await this.takeOutAnswer;
   await this.takeOutFleet.admin('POST', 'data-centres/south-a/return', { reason: 'test' });
 });
@@ -70,14 +70,14 @@
   'its entry is not ready but serves what still comes from north-a',
   async function check(this: TakeOutWorld) {
     const fleet = this.takeOutFleet;
-    const before = findEngines(fleet, 'south-a').map(({ engine }) => engine!.runs.length);
+    const runsBefore = findEngines(fleet, 'south-a').map(({ engine }) => engine!.runs.length);
     assert.equal(await fetchReadyStatus(findEntry(fleet, 'south-a')), 503);
     for (let index = 0; index < 5; index += 1) {
-      const seen = await this.takeOutCaller.complete(service, `late ${index}`, { maxTokens: 2 });
-      assert.equal(seen.ended, true, JSON.stringify(seen.error));
+      const result = await this.takeOutCaller.complete(service, `late ${index}`, { maxTokens: 2 });
+      assert.equal(result.ended, true, JSON.stringify(result.error));
     }
-    const after = findEngines(fleet, 'south-a').map(({ engine }) => engine!.runs.length);
-    assert.deepEqual(after, before);
+    const runsAfter = findEngines(fleet, 'south-a').map(({ engine }) => engine!.runs.length);
+    assert.deepEqual(runsAfter, runsBefore);
   },
 );
 
@@ -96,13 +96,13 @@
   'its entry is ready and its endpoints start with the cold limit',
   async function check(this: TakeOutWorld) {
     const fleet = this.takeOutFleet;
-    const isBack = async () => (await fetchReadyStatus(findEntry(fleet, 'south-a'))) === 200;
-    await eventually(isBack, 'the entry of south-a is ready');
+    const isReady = async () => (await fetchReadyStatus(findEntry(fleet, 'south-a'))) === 200;
+    await eventually(isReady, 'the entry of south-a is ready');
     const [{ weightsUrl }] = findEngines(fleet, 'south-a') as [FleetAgent];
-    const turnedCold = async (): Promise<boolean> => {
+    const hasTurnedCold = async (): Promise<boolean> => {
       const metrics = await (await fetch(`${weightsUrl}/metrics`)).text();
       return metrics.includes('endpoint_turned_cold_return_total 1');
     };
-    await eventually(turnedCold, 'the endpoint of south-a turned cold');
+    await eventually(hasTurnedCold, 'the endpoint of south-a turned cold');
   },
 );
