Call the outcome of a call that has a response response, as elsewhere

CallOutcome named it answer, the outcome of streams response. The value stays inside the process. recordHealth and the parts of classifyResponse take the same words.

--- a/features/steps/answerReview.steps.ts
+++ b/features/steps/answerReview.steps.ts
@@ -98,7 +98,7 @@
 
 Then('the next request is not taken for refused', function own(this: ReviewWorld) {
   const { outcome } = this;
-  const wasRefused = outcome?.kind === 'answer' && outcome.response.head.wasNotRun;
+  const wasRefused = outcome?.kind === 'response' && outcome.response.head.wasNotRun;
   assert.equal(wasRefused, false, JSON.stringify(outcome));
 });
 
@@ -141,8 +141,8 @@
 
 Then('that request has its own answer', function answered(this: ReviewWorld) {
   const { outcome } = this;
-  assert.equal(outcome?.kind, 'answer', JSON.stringify(outcome));
-  if (outcome?.kind === 'answer') assert.equal(outcome.response.body.toString(), 'done');
+  assert.equal(outcome?.kind, 'response', JSON.stringify(outcome));
+  if (outcome?.kind === 'response') assert.equal(outcome.response.body.toString(), 'done');
 });
 
 When(
--- a/features/steps/forwarding.steps.ts
+++ b/features/steps/forwarding.steps.ts
@@ -43,9 +43,9 @@
 });
 
 Then(/^the call ends as (whole|truncated)$/, function check(this: ForwardingWorld, end: string) {
-  const actual = this.outcome.kind === 'answer' ? 'whole' : this.outcome.fault;
+  const actual = this.outcome.kind === 'response' ? 'whole' : this.outcome.fault;
   assert.equal(actual, end, JSON.stringify(this.outcome));
-  if (this.outcome.kind === 'answer') {
+  if (this.outcome.kind === 'response') {
     assert.equal(this.outcome.response.body.toString(), wholeBody);
   }
 });
--- a/features/steps/wholeAnswers.steps.ts
+++ b/features/steps/wholeAnswers.steps.ts
@@ -98,8 +98,8 @@
 );
 
 Then(/^it has a whole answer with status (\d+)$/, function has(this: AnswersWorld, status: string) {
-  assert.equal(this.outcome.kind, 'answer', JSON.stringify(this.outcome));
-  if (this.outcome.kind === 'answer') assert.equal(this.outcome.response.status, Number(status));
+  assert.equal(this.outcome.kind, 'response', JSON.stringify(this.outcome));
+  if (this.outcome.kind === 'response') assert.equal(this.outcome.response.status, Number(status));
 });
 
 When(
@@ -130,8 +130,8 @@
 );
 
 Then('that request has a refusal', function refused(this: AnswersWorld) {
-  assert.equal(this.outcome.kind, 'answer', JSON.stringify(this.outcome));
-  if (this.outcome.kind === 'answer') assert.ok(this.outcome.response.head.wasNotRun);
+  assert.equal(this.outcome.kind, 'response', JSON.stringify(this.outcome));
+  if (this.outcome.kind === 'response') assert.ok(this.outcome.response.head.wasNotRun);
 });
 
 When(
@@ -167,9 +167,9 @@
   /^the paused call ends as (whole|truncated)$/,
   function ends(this: AnswersWorld, expected: string) {
     const { outcome } = this;
-    const end = outcome.kind === 'answer' ? 'whole' : outcome.fault;
+    const end = outcome.kind === 'response' ? 'whole' : outcome.fault;
     assert.equal(end, expected, JSON.stringify(outcome));
-    if (outcome.kind === 'answer') assert.equal(outcome.response.body.toString(), wholeBody);
+    if (outcome.kind === 'response') assert.equal(outcome.response.body.toString(), wholeBody);
   },
 );
 
--- a/features/support/responseReaders.ts
+++ b/features/support/responseReaders.ts
@@ -43,7 +43,7 @@
 export const responseReaders: Readonly<Record<string, ResponseReader>> = {
   'an entry': async (address) => {
     const outcome = await callEndpoint(address);
-    if (outcome.kind === 'answer') return outcome.response.body.toString();
+    if (outcome.kind === 'response') return outcome.response.body.toString();
     throw new TypeError(outcome.fault);
   },
   'the client of plain services': async (address) => {
--- a/packages/forwarding/src/bufferedForwarder.ts
+++ b/packages/forwarding/src/bufferedForwarder.ts
@@ -33,7 +33,7 @@
       clearTimeout(timer);
       attempt.markEnded();
       const isDone =
-        outcome.kind === 'answer'
+        outcome.kind === 'response'
           ? this.handleResponse(exchange, attempts, attempt, outcome.response)
           : this.handleFault(attempts, attempt, outcome.fault, outcome.reason);
       if (isDone) return;
@@ -124,8 +124,8 @@
     throw new OutcomeUnknown('The connection to the endpoint failed.');
   }
 
-  private recordHealth({ handle }: Attempt, sign: AttemptOutcome): void {
-    handle.health.recordAttempt(sign, this.services.clock.now());
+  private recordHealth({ handle }: Attempt, outcome: AttemptOutcome): void {
+    handle.health.recordAttempt(outcome, this.services.clock.now());
   }
 
   private deliver(
--- a/packages/forwarding/src/responseCollector.ts
+++ b/packages/forwarding/src/responseCollector.ts
@@ -11,7 +11,7 @@
 
 /** Outcome of a call: a response or a fault. */
 export type CallOutcome =
-  | { readonly kind: 'answer'; readonly response: BufferedResponse }
+  | { readonly kind: 'response'; readonly response: BufferedResponse }
   | { readonly kind: 'fault'; readonly fault: CallFault; readonly reason: string };
 
 /** Buffers the response of one call. */
@@ -40,7 +40,7 @@
 
   onEnd(): void {
     const response = { ...this.start!, body: Buffer.concat(this.chunks) };
-    this.settle({ kind: 'answer', response });
+    this.settle({ kind: 'response', response });
   }
 
   onFailure(fault: CallFault, reason: string): void {
--- a/packages/forwarding/src/streamSession.ts
+++ b/packages/forwarding/src/streamSession.ts
@@ -128,8 +128,8 @@
     throw new OutcomeUnknown('The connection to the endpoint failed.');
   }
 
-  private recordHealth(handle: EndpointHandle, sign: AttemptOutcome): void {
-    handle.health.recordAttempt(sign, this.services.clock.now());
+  private recordHealth(handle: EndpointHandle, outcome: AttemptOutcome): void {
+    handle.health.recordAttempt(outcome, this.services.clock.now());
   }
 
   private recordCompletion({ handle, call }: Attempt): void {
@@ -176,12 +176,12 @@
     attempt: Attempt,
     { status, head, rawHeaders, body }: Extract<StreamOutcome, { kind: 'response' }>,
   ): boolean {
-    const { action: use, execution, outcome: sign } = classifyResponse({ status, ...head });
-    this.recordHealth(attempt.handle, sign);
-    const isDeliverable = use === ResponseAction.deliver && !this.hasStarted;
+    const { action, execution, outcome } = classifyResponse({ status, ...head });
+    this.recordHealth(attempt.handle, outcome);
+    const isDeliverable = action === ResponseAction.deliver && !this.hasStarted;
     const failed = { attempt, execution, fault: undefined, reason: `status ${status}` };
     if (!isDeliverable && this.attempts.mayRetry(failed)) return false;
-    if (!this.hasStarted && use !== ResponseAction.discard) {
+    if (!this.hasStarted && action !== ResponseAction.discard) {
       const headers = this.services.codec.encodeResponseHeaders(rawHeaders);
       headers.push('content-length', String(body.length));
       this.exchange.response.writeHead(status, headers);
