--- a/features/steps/growthPlans.steps.ts
+++ b/features/steps/growthPlans.steps.ts
@@ -12,9 +12,9 @@
 /** Returns the entries that send fleet updates to an agent, when all entries know each other. */
 function findSenders(agent: string, entries: readonly string[]): string[] {
   return entries.filter((name) => {
-    const tellers = new NotifierSelection(name);
-    tellers.setEntries(entries);
-    return tellers.isSelected(agent, maxSenders);
+    const selection = new NotifierSelection(name);
+    selection.setEntries(entries);
+    return selection.isSelected(agent, maxSenders);
   });
 }
 
@@ -41,9 +41,9 @@
 
 Then('an agent reports at most 600 times a second to 370 entries in two regions', () => {
   const entries = 185;
-  const near = (entries * secondMs) / reportIntervalMs({ entries, isLocal: true });
-  const far = (entries * secondMs) / reportIntervalMs({ entries, isLocal: false });
-  assert.ok(near + far <= 600, `${near + far}`);
+  const localReports = (entries * secondMs) / reportIntervalMs({ entries, isLocal: true });
+  const remoteReports = (entries * secondMs) / reportIntervalMs({ entries, isLocal: false });
+  assert.ok(localReports + remoteReports <= 600, `${localReports + remoteReports}`);
 });
 
 Then('as often as before to 34 entries in three', () => {
