--- a/features/steps/overload.steps.ts
+++ b/features/steps/overload.steps.ts
@@ -12,7 +12,7 @@
 
 interface OverloadWorld {
   overloadFleet: Fleet;
-  overloadMost: number;
+  overloadMaxUnits: number;
   overloadLarge: CompletionResult[];
   overloadSmall: CompletionResult[];
 }
@@ -42,26 +42,26 @@
   for (let retry = 0; retry < 20; retry += 1) assert.ok(budget.tryAcquire('small'));
 });
 
-async function flood(fleet: Fleet): Promise<CompletionResult[]> {
-  const callers = fleet.entries.flatMap(({ callerUrl: address }) =>
-    ['token-of-workspace-0', 'token-of-workspace-1'].map((token) => new Caller(address, token)),
+async function sendLargeRequests(fleet: Fleet): Promise<CompletionResult[]> {
+  const callers = fleet.entries.flatMap(({ callerUrl }) =>
+    ['token-of-workspace-0', 'token-of-workspace-1'].map((token) => new Caller(callerUrl, token)),
   );
   const answers = Array.from({ length: 200 }, (_, index) =>
     callers[index % callers.length]!.complete('assistant', `large ${index}`, { maxTokens: 40 }),
   );
-  const seen = await Promise.all(answers);
+  const results = await Promise.all(answers);
   await Promise.all(callers.map((caller) => caller.close()));
-  return seen;
+  return results;
 }
 
-async function trickle(fleet: Fleet): Promise<CompletionResult[]> {
+async function sendSmallRequests(fleet: Fleet): Promise<CompletionResult[]> {
   const caller = new Caller(fleet.entries[0]!.callerUrl, 'token-of-workspace-2');
-  const seen: CompletionResult[] = [];
+  const results: CompletionResult[] = [];
   for (let index = 0; index < 10; index += 1) {
-    seen.push(await caller.complete('assistant', `small ${index}`, { maxTokens: 4 }));
+    results.push(await caller.complete('assistant', `small ${index}`, { maxTokens: 4 }));
   }
   await caller.close();
-  return seen;
+  return results;
 }
 
 Given(
@@ -76,13 +76,16 @@
       logLevel: 'warn',
     });
     const engines = this.overloadFleet.agents.map((agent) => agent.engine!);
-    this.overloadMost = 0;
+    this.overloadMaxUnits = 0;
     const sampler = setInterval(() => {
-      this.overloadMost = Math.max(this.overloadMost, ...engines.map((each) => each.runningUnits));
+      this.overloadMaxUnits = Math.max(
+        this.overloadMaxUnits,
+        ...engines.map((each) => each.runningUnits),
+      );
     }, 1);
-    const small = trickle(this.overloadFleet);
+    const small = sendSmallRequests(this.overloadFleet);
     [this.overloadLarge, this.overloadSmall] = await Promise.all([
-      flood(this.overloadFleet),
+      sendLargeRequests(this.overloadFleet),
       small,
     ]);
     clearInterval(sampler);
@@ -96,7 +99,7 @@
     const answered = this.overloadLarge.filter(({ ended }) => ended);
     assert.ok(refused.length > 0 && answered.length > 0, `${refused.length} refused`);
     const runs = this.overloadFleet.agents.flatMap(({ engine }) => engine!.runs);
-    const ran = new Set(runs.map(({ prompt }) => prompt));
+    const executedPrompts = new Set(runs.map(({ prompt }) => prompt));
     this.overloadLarge.forEach(({ ended, status, error }, index) => {
       if (ended) return;
       assert.equal(status, 429);
@@ -104,11 +107,11 @@
       assert.ok(Number(error?.retryAfterMs) > 0);
       // A connection lost before the refusal leaves the execution unknown, which is allowed; a
       // request that is reported as `not run` must not have been executed.
-      assert.equal(error?.execution === 'not run' && ran.has(`large ${index}`), false);
+      assert.equal(error?.execution === 'not run' && executedPrompts.has(`large ${index}`), false);
     });
     assert.ok(refused.some(({ error }) => error?.execution === 'not run'));
     assert.ok(this.overloadSmall.every(({ ended }) => ended));
-    assert.ok(this.overloadMost <= 8, `${this.overloadMost}`);
+    assert.ok(this.overloadMaxUnits <= 8, `${this.overloadMaxUnits}`);
   },
 );
 
