Detect a configuration that goes back: replicas, repeated events, events one by one

Cause: the simulated store of the watch histories returned all events of a watch in one batch that ends with the newest configuration, and lists of the present only. An older configuration thus was replaced within its batch, before any observation: the test passed without the check of the version in FleetState.setConfiguration. Ruled out: late responses (a watch makes one call at a time, and a call that timed out is never applied).

Change: a second step of the scenario runs 200 histories in which lists come from a replica up to 1.2 s old, watches repeat known events or send one event a call, beside slow pages, lost history and sleep. It also counts the responses that end with an older configuration, and fails when there are too few of them. The first step keeps its histories; versions are now also sampled every 50 ms.

--- a/features/sharedBounds.feature
+++ b/features/sharedBounds.feature
@@ -9,5 +9,8 @@
   Scenario: removed keys and calls that are slow, lost or late
     Then in 200 histories no entry honours a key later than the bound after its removal
 
+  # A reload from a replica, events that repeat what a list already held and events that arrive one by
+  # one hand an entry an older configuration after a newer one: it must not come into force.
   Scenario: configuration and lists that are no snapshot
     Then in 200 histories no entry's configuration goes back
+    And in 200 histories with old responses no entry's configuration goes back
--- a/features/steps/sharedBounds.steps.ts
+++ b/features/steps/sharedBounds.steps.ts
@@ -155,25 +155,53 @@
 
 const watchHistoryMs = 15_000;
 
-const watchFaults: fc.Arbitrary<WatchFault> = fc.record({
-  kind: fc.constantFrom(
-    'slowCalls',
+const watchFaultKinds = [
+  'slowCalls',
+  'slowPages',
+  'slowResponses',
+  'refused',
+  'silent',
+  'historyLost',
+  'sleep',
+] as const;
+
+function createWatchHistories(
+  kinds: readonly WatchFault['kind'][],
+  minEvents: number,
+  maxFaults: number,
+): fc.Arbitrary<WatchHistory> {
+  const watchFaults: fc.Arbitrary<WatchFault> = fc.record({
+    kind: fc.constantFrom(...kinds),
+    atMs: fc.integer({ min: 0, max: watchHistoryMs }),
+    forMs: fc.integer({ min: 10, max: 5_000 }),
+    delayMs: fc.integer({ min: 2, max: 1_200 }),
+  });
+  const changeAtMs = fc.integer({ min: 100, max: watchHistoryMs });
+  return fc.record({
+    changes: fc.array(changeAtMs, { minLength: minEvents, maxLength: 12 }),
+    faults: fc.array(watchFaults, { minLength: minEvents, maxLength: maxFaults }),
+  });
+}
+
+const watchHistories = createWatchHistories(watchFaultKinds, 0, 8);
+
+/** Histories of a store that also answers from replicas, repeats events and sends them one by one. */
+const staleHistories = createWatchHistories(
+  [
     'slowPages',
     'slowResponses',
-    'refused',
-    'silent',
     'historyLost',
     'sleep',
-  ),
-  atMs: fc.integer({ min: 0, max: watchHistoryMs }),
-  forMs: fc.integer({ min: 10, max: 5_000 }),
-  delayMs: fc.integer({ min: 2, max: 1_200 }),
-});
+    'replicaReads',
+    'singleEvents',
+    'repeatedEvents',
+  ],
+  6,
+  16,
+);
 
-const watchHistories: fc.Arbitrary<WatchHistory> = fc.record({
-  changes: fc.array(fc.integer({ min: 100, max: watchHistoryMs }), { maxLength: 12 }),
-  faults: fc.array(watchFaults, { maxLength: 8 }),
-});
+/** Minimum number of responses of each call, a history, that end with an older configuration. */
+const minOlderResponses = 0.2;
 
 /** Time of the key's removal that is in force at `at`; undefined while the key is present. */
 function removedAt({ changes }: WatchHistory, at: number): number | undefined {
@@ -183,11 +211,12 @@
 
 /** Checks observations of entries over seeded histories of their store watches. */
 async function checkWatchHistories(
+  generated: fc.Arbitrary<WatchHistory>,
   numRuns: number,
   check: (history: WatchHistory, observations: WatchObservations) => void,
 ): Promise<void> {
   let honoured = 0;
-  const property = fc.asyncProperty(watchHistories, async (history) => {
+  const property = fc.asyncProperty(generated, async (history) => {
     const observations = await runWatchHistory(history, watchHistoryMs);
     honoured += observations.honouredAt.length;
     check(history, observations);
@@ -199,7 +228,7 @@
 Then(
   'in {int} histories no entry honours a key later than the bound after its removal',
   (numRuns: number) =>
-    checkWatchHistories(numRuns, (history, { honouredAt }) =>
+    checkWatchHistories(watchHistories, numRuns, (history, { honouredAt }) =>
       honouredAt.forEach((at) => {
         const ageMs = at - (removedAt(history, at) ?? at);
         assert.ok(ageMs <= platformBounds.revocationMs, `${ageMs} ms after its removal`);
@@ -207,9 +236,28 @@
     ),
 );
 
+/** Checks that the versions in force ascend. */
+function checkAscending({ versions }: WatchObservations): void {
+  const ordered = [...versions].sort((one, other) => one - other);
+  assert.deepEqual(versions, ordered);
+}
+
 Then("in {int} histories no entry's configuration goes back", (numRuns: number) =>
-  checkWatchHistories(numRuns, (_history, { versions }) => {
-    const ordered = [...versions].sort((one, other) => one - other);
-    assert.deepEqual(versions, ordered);
-  }),
+  checkWatchHistories(watchHistories, numRuns, (_history, observations) =>
+    checkAscending(observations),
+  ),
+);
+
+Then(
+  "in {int} histories with old responses no entry's configuration goes back",
+  async (numRuns: number) => {
+    const older = { snapshot: 0, changes: 0 };
+    await checkWatchHistories(staleHistories, numRuns, (_history, observations) => {
+      older.snapshot += observations.olderResponses.snapshot;
+      older.changes += observations.olderResponses.changes;
+      checkAscending(observations);
+    });
+    const least = Math.min(older.snapshot, older.changes);
+    assert.ok(least >= numRuns * minOlderResponses, JSON.stringify(older));
+  },
 );
--- a/features/support/watchHistory.ts
+++ b/features/support/watchHistory.ts
@@ -11,10 +11,19 @@
 /** An interval in which store calls fail or are slow, or in which the instance is suspended. */
 export interface WatchFault {
   readonly kind:
-    'slowCalls' | 'slowPages' | 'slowResponses' | 'refused' | 'silent' | 'historyLost' | 'sleep';
+    | 'slowCalls'
+    | 'slowPages'
+    | 'slowResponses'
+    | 'refused'
+    | 'silent'
+    | 'historyLost'
+    | 'sleep'
+    | 'replicaReads'
+    | 'singleEvents'
+    | 'repeatedEvents';
   readonly atMs: number;
   readonly forMs: number;
-  /** Delay of slow calls, pages and responses, in milliseconds. */
+  /** Delay of slow calls, pages and responses, or the age of a replica, in milliseconds. */
   readonly delayMs: number;
 }
 
@@ -29,15 +38,24 @@
 export interface WatchObservations {
   /** Sampling times at which it honoured the key, in milliseconds. */
   readonly honouredAt: readonly number[];
-  /** Version of the configuration in force after each change of the entry's state. */
+  /** Version of the configuration in force at each sampling time and change of the entry's state. */
   readonly versions: readonly number[];
+  /**
+   * Number of responses, by call, that ended with a configuration older than the newest one of the
+   * responses before.
+   */
+  readonly olderResponses: Readonly<Record<StoreRead, number>>;
 }
 
+type StoreRead = 'snapshot' | 'changes';
+
 const prefix = 'configuration';
 const key = 'key';
 const latencyMs = 2;
 const callTimeoutMs = 1_000;
 const samplingMs = 50;
+/** Number of known events that a repeating watch sends again. */
+const repeatedEvents = 2;
 const silentLog = {
   debug: () => undefined,
   info: () => undefined,
@@ -67,6 +85,10 @@
 
 /** Store in virtual time that holds one configuration; calls to it are subject to the faults. */
 class SimulatedStore {
+  readonly olderResponses: Record<StoreRead, number> = { snapshot: 0, changes: 0 };
+
+  private newestSent = 0;
+
   constructor(
     private readonly history: WatchHistory,
     private readonly clock: VirtualClock,
@@ -75,11 +97,13 @@
 
   async snapshot(_prefix: string, signal?: AbortSignal): Promise<StoreSnapshot> {
     await this.delayCall('slowCalls', signal);
-    const revision = this.revisionAt(this.clock.now());
+    const ageMs = this.faultAt('replicaReads')?.delayMs ?? 0;
+    const revision = this.revisionAt(this.clock.now() - ageMs);
     // A paged list isn't a consistent snapshot: its values may be newer than its revision.
     await this.clock.sleep(this.faultAt('slowPages')?.delayMs ?? latencyMs, signal);
-    const version = this.revisionAt(this.clock.now());
+    const version = this.revisionAt(this.clock.now() - ageMs);
     await this.delayCall('slowResponses', signal);
+    this.recordResponse('snapshot', version);
     return {
       values: [{ key: prefix, value: encodeConfiguration(version), revision: version }],
       revision,
@@ -98,13 +122,18 @@
     while (this.revisionAt(this.clock.now()) <= after && this.clock.now() < until) {
       await this.clock.sleep(samplingMs, signal);
     }
-    const revision = this.revisionAt(this.clock.now());
-    const changes = Array.from({ length: Math.max(0, revision - after) }, (_, index) => ({
+    const newest = this.revisionAt(this.clock.now());
+    const sendsOne = newest > after && this.faultAt('singleEvents') !== undefined;
+    // A store that repeats events starts before the requested revision and may end before it too.
+    const first = this.faultAt('repeatedEvents') ? Math.max(1, after - repeatedEvents) : after + 1;
+    const revision = sendsOne ? first : newest;
+    const changes = Array.from({ length: Math.max(0, revision - first + 1) }, (_, index) => ({
       key: prefix,
-      value: encodeConfiguration(after + index + 1),
-      revision: after + index + 1,
+      value: encodeConfiguration(first + index),
+      revision: first + index,
     }));
     await this.delayCall('slowResponses', signal);
+    if (changes.length > 0) this.recordResponse('changes', revision);
     return { changes, revision };
   }
 
@@ -113,6 +142,11 @@
     return 1 + this.history.changes.filter((at) => at <= now).length;
   }
 
+  private recordResponse(call: StoreRead, version: number): void {
+    if (version < this.newestSent) this.olderResponses[call] += 1;
+    this.newestSent = Math.max(this.newestSent, version);
+  }
+
   private faultAt(kind: WatchFault['kind']): WatchFault | undefined {
     const now = this.clock.now();
     return this.history.faults.find(
@@ -173,11 +207,12 @@
   const honouredAt: number[] = [];
   for (let at = samplingMs; at <= lengthMs; at += samplingMs) {
     await clock.runUntil(at);
+    versions.push(state.routes?.configuration.version ?? 0);
     if (instance.suspensionEndAt(at) !== undefined) continue;
     const honoursKey =
       state.routes?.findWorkspace(key) !== undefined && proof.mayAcceptKeys(proofClock.now());
     if (honoursKey) honouredAt.push(at);
   }
   abort.abort();
-  return { honouredAt, versions };
+  return { honouredAt, versions, olderResponses: store.olderResponses };
 }
