Close callers' connections at a stop only when their answers have been sent

Cause: Server.close and closeIdleConnections of Node close each connection whose response has been ended, even if megabytes of it are still to be written; and the stop waited only for handlers. An answer that a caller reads slowly was cut when idle connections are closed. Besides, a connection was ended when any response had been sent, also if a further request on it had been passed on to an engine.

Ruled out: the wait for handlers alone (they end when the body is handed over); overriding closeIdleConnections, which Server.close calls internally only by Node's choice. Ending idle connections before they are destroyed: a request read in between would get no answer.

Change: CallerConnections tracks the requests of each connection. A listener of its own hands connections to the HTTP server, whose close is no longer called. A connection is idle once its requests are handled, their responses finished, nothing is left to write and nothing of a further request was read. 'active' counts responses that have not been sent in full, so that the stop waits for them until the shutdown's end.

--- a/packages/forwarding/src/callerServer.ts
+++ b/packages/forwarding/src/callerServer.ts
@@ -1,5 +1,7 @@
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import { createServer as createListener } from 'node:net';
+import type { Server as Listener } from 'node:net';
 import { NotFound, RouteKind, TooLarge, Unauthenticated, toFailure } from '@laburnumstream/common';
 import type {
   Clock,
@@ -12,6 +14,7 @@
 } from '@laburnumstream/common';
 import { pickService } from '@laburnumstream/decisions';
 import type { RouteTable } from '@laburnumstream/decisions';
+import { CallerConnections } from './callerConnections.js';
 import { callerDisconnected, deadlineExceeded } from './exchange.js';
 import type { Exchange } from './exchange.js';
 import type { FleetState } from './fleetState.js';
@@ -61,12 +64,12 @@
 export class CallerServer {
   private readonly server: Server;
 
-  private running = 0;
+  /** Separate from `server`, whose close cuts responses that have not been sent in full. */
+  private readonly listener: Listener;
 
-  private isDraining = false;
+  private readonly connections = new CallerConnections();
 
-  /** Whether each connection is closed as soon as it is idle. */
-  private isClosing = false;
+  private isDraining = false;
 
   private readonly counter: RequestCounter;
 
@@ -81,23 +84,29 @@
     private readonly log: Log,
   ) {
     this.counter = new RequestCounter(metrics);
-    this.server = createServer(
-      { keepAlive: true, noDelay: true, requestTimeout: 0, connectionsCheckingInterval: 5_000 },
-      (request, response) => void this.handle(request, response),
+    this.server = createServer({ requestTimeout: 0 }, (request, response) => {
+      void this.serve(request, response);
+    });
+    this.listener = createListener(
+      { keepAlive: true, noDelay: true, allowHalfOpen: true },
+      (socket) => {
+        this.connections.add(socket);
+        this.server.emit('connection', socket);
+      },
     );
     this.applyLimits();
   }
 
-  /** Number of requests that are being served. */
+  /** Number of requests that are being served; the last byte of the response ends the service. */
   get active(): number {
-    return this.running;
+    return this.connections.activeRequests;
   }
 
   /** Starts listening; rejects if the address can't be bound. */
   listen(host: string, port: number): Promise<void> {
     return new Promise((resolve, reject) => {
-      this.server.once('error', reject);
-      this.server.listen(port, host, () => resolve());
+      this.listener.once('error', reject);
+      this.listener.listen(port, host, () => resolve());
     });
   }
 
@@ -118,13 +127,20 @@
 
   /** Stops accepting connections and closes each existing one as soon as it is idle. */
   closeIdle(): void {
-    this.isClosing = true;
-    this.server.close();
-    this.server.closeIdleConnections();
+    this.listener.close();
+    this.connections.closeIdle();
+  }
+
+  private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const end = this.connections.begin(request.socket, response);
+    try {
+      await this.handle(request, response);
+    } finally {
+      end();
+    }
   }
 
   private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
-    this.running += 1;
     const arrivedAt = this.clock.now();
     if (this.isDraining) response.setHeader('connection', 'close');
     const head = this.codec.decodeRequestHead(request.headers);
@@ -134,7 +150,6 @@
     response.once('close', () => {
       if (!response.writableFinished) controller.abort(callerDisconnected);
     });
-    response.once('finish', () => this.isClosing && request.socket.destroySoon());
     try {
       const { routes } = this.state;
       if (!routes) {
@@ -168,7 +183,6 @@
       this.handleFailure(request, response, head, route, controller.signal, error);
     } finally {
       clearTimeout(timer);
-      this.running -= 1;
       this.metrics.observe('request', this.clock.now() - arrivedAt);
     }
   }
