Send news of pieces to all agents of a region in turn

Cause: each agent sent its regular messages to the first 24 agents of the region's list. Later ones got none: they knew only what the first 24 hold and which members serve the version, and could fetch pieces only from these.

Ruled out: answers as a way out (they go only to agents that asked, and those ask the first 24); more messages a round (their number in the region grows with the square of its size).

Change: a round goes to the next 24 agents by name, each agent starting behind itself (PeerRotation). The number of messages stays. Regions of up to 25 agents get the same messages as before. In larger ones a pair exchanges news every 100 ms x size / 24 instead of each 100 ms or never.

Test: 60 agents with one piece each; fails on the code before. No transfer was timed.

--- a/features/sidecar.feature
+++ b/features/sidecar.feature
@@ -16,3 +16,11 @@
     When an entry tells it that version 1 is wanted
     And the engine restarts and two staged pieces have rotted
     Then the engine is ordered to load version 1 again with every piece right
+
+  # Agents beyond the first 24 of a region must get regular messages too: otherwise the others learn
+  # only from those 24 what they hold, and fetch all pieces from them.
+  Scenario: news of pieces in a large region
+    Given 60 agents of a region, each with one piece of a version
+    When they exchange news for 500 ms
+    Then each of them knows the holder of each piece
+    And none of them receives over 1.5 times as many messages as the average
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -21,6 +21,7 @@
 export * from './manifest.js';
 export * from './membership.js';
 export * from './membershipPeers.js';
+export * from './peerRotation.js';
 export * from './rateLimiter.js';
 export * from './recovery.js';
 export * from './responseAssembler.js';
--- a/packages/sidecar/src/pieceGossip.ts
+++ b/packages/sidecar/src/pieceGossip.ts
@@ -1,4 +1,5 @@
 import type { Clock } from '@laburnumstream/common';
+import { PeerRotation } from '@laburnumstream/decisions';
 import type { FleetDatagrams } from '@laburnumstream/links';
 import type { PieceNews } from '@laburnumstream/protocol';
 import type { FleetView } from './fleetView.js';
@@ -8,23 +9,33 @@
 
 /** Time between two rounds of messages during a transfer, in milliseconds. */
 const gossipIntervalMs = 100;
-/** Maximum number of members of the own region that receive messages: the first ones in the list. */
+/** Maximum number of members of the own region that receive messages in one round. */
 const maxRegionalPeers = 24;
 
+/** The transfer whose pieces are announced. */
+export type AnnouncedFetch = Pick<
+  VersionFetch,
+  'held' | 'remoteReceivers' | 'remoteSources' | 'updateHeldPieces'
+>;
+
 /** Exchanges with other agents which pieces each of them holds. */
 export class PieceGossip {
-  private fetch: VersionFetch | undefined;
+  private fetch: AnnouncedFetch | undefined;
+
+  private readonly regionalPeers: PeerRotation;
 
   constructor(
-    private readonly view: FleetView,
-    private readonly versions: VersionCache,
-    private readonly uplink: Uplink,
-    private readonly datagrams: FleetDatagrams,
+    private readonly view: Pick<FleetView, 'members' | 'self' | 'model'>,
+    private readonly versions: Pick<VersionCache, 'get'>,
+    private readonly uplink: Pick<Uplink, 'activeTransfers'>,
+    private readonly datagrams: Pick<FleetDatagrams, 'send'>,
     private readonly clock: Clock,
-  ) {}
+  ) {
+    this.regionalPeers = new PeerRotation(view.self.name, maxRegionalPeers);
+  }
 
   /** Exchanges messages during a transfer, until the signal fires. */
-  async run(fetch: VersionFetch, signal: AbortSignal): Promise<void> {
+  async run(fetch: AnnouncedFetch, signal: AbortSignal): Promise<void> {
     this.fetch = fetch;
     while (!signal.aborted) {
       this.sendToPeers();
@@ -60,10 +71,10 @@
     const { fetch, view } = this;
     if (!fetch) return;
     const { version } = fetch.held;
-    const regional = view.members.filter(
-      ({ name, region }) => region === view.self.region && name !== view.self.name,
-    );
-    regional.slice(0, maxRegionalPeers).forEach(({ name }) => this.send(name, version, true));
+    const regional = view.members.filter(({ region }) => region === view.self.region);
+    this.regionalPeers
+      .next(regional.map(({ name }) => name))
+      .forEach((name) => this.send(name, version, true));
     fetch.remoteSources().forEach(({ name }) => this.send(name, version, true));
   }
 
