Close the connections to members that left the fleet

Cause: PeerClient.retainHosts was never called: the pool of each member ever asked stayed for the life of the process, and its idle connections until the HTTP client closed them.

Change: the agent calls it when the announced members change; a pool is closed once its running requests have ended, so that a member that is missing from one announcement costs no transfer.

--- a/features/sidecar.feature
+++ b/features/sidecar.feature
@@ -24,3 +24,12 @@
     When they exchange news for 500 ms
     Then each of them knows the holder of each piece
     And none of them receives over 1.5 times as many messages as the average
+
+  # Connections and pools of members that left must not stay for the life of the process.
+  Scenario: member that leaves
+    Given an agent beside an empty engine and an origin with version 1
+    And another member that serves version 1 and sends no pieces
+    When the agent has asked that member
+    And the member leaves the fleet
+    Then the agent closes its connections to it
+    And the engine is ordered to load version 1 with every piece right
--- a/features/steps/sidecar.steps.ts
+++ b/features/steps/sidecar.steps.ts
@@ -1,4 +1,6 @@
 import assert from 'node:assert/strict';
+import { createServer } from 'node:http';
+import type { Server } from 'node:http';
 import { After, Given, Then, When } from '@cucumber/cucumber';
 import { freePorts } from '@laburnumstream/bench';
 import { SeededRandom } from '@laburnumstream/common';
@@ -12,6 +14,11 @@
 import { StagingEngine, testVersion } from '../support/stagingEngine.js';
 
 const model = 'm1';
+const memberHost = '127.0.0.3';
+const announceIntervalMs = 200;
+const msPerSecond = 1_000;
+/** Shorter than the time after which an HTTP client closes idle connections, in milliseconds. */
+const closeTimeoutMs = 1_500;
 const silentLog = {
   debug: () => undefined,
   info: () => undefined,
@@ -27,6 +34,9 @@
   sidecarEntry: FleetDatagrams;
   sidecarTimer: NodeJS.Timeout;
   sidecarMetrics: HistogramMetrics;
+  sidecarMember: Server;
+  /** Connections that are open at the other member. */
+  memberConnections: Set<object>;
 }
 
 async function createSettings(): Promise<SidecarSettings> {
@@ -86,9 +96,14 @@
 After(function close(this: Partial<SidecarWorld>) {
   clearInterval(this.sidecarTimer);
   this.sidecarAbort?.abort();
+  this.sidecarMember?.close();
+  this.sidecarMember?.closeAllConnections();
 });
 
-When('an entry tells it that version 1 is wanted', async function tell(this: SidecarWorld) {
+/** Sends the wanted version and the members at regular intervals; each call replaces the last. */
+function announce(world: SidecarWorld, others: readonly string[]): void {
+  const ownMember = { host: '127.0.0.1', dataCentre: 'a', version: 0 };
+  const members = others.map((host) => ({ host, dataCentre: 'a', version: 1 }));
   const value = {
     reportEveryMs: 300,
     weights: {
@@ -102,12 +117,17 @@
       chunks: testVersion.pieces,
       chunkBytes: 400,
       loadMs: 10,
-      members: [{ host: '127.0.0.1', dataCentre: 'a', version: 0 }],
+      members: [...members, ownMember],
     },
   };
-  const send = (): void => this.sidecarEntry.send({ case: 'fleet', value }, '127.0.0.1');
+  const send = (): void => world.sidecarEntry.send({ case: 'fleet', value }, '127.0.0.1');
+  clearInterval(world.sidecarTimer);
   send();
-  this.sidecarTimer = setInterval(send, 200);
+  Object.assign(world, { sidecarTimer: setInterval(send, announceIntervalMs) });
+}
+
+When('an entry tells it that version 1 is wanted', async function tell(this: SidecarWorld) {
+  announce(this, []);
   await eventually(() => this.sidecarEngine.orders.length > 0, 'a load is ordered');
 });
 
@@ -129,3 +149,42 @@
     );
   },
 );
+
+Given(
+  /^another member that serves version 1 and (sends no pieces|never responds)$/,
+  async function member(this: SidecarWorld, behaviour: string) {
+    this.memberConnections = new Set();
+    this.sidecarMember = createServer((_request, response) => {
+      if (behaviour === 'sends no pieces') response.writeHead(404).end();
+    });
+    this.sidecarMember.on('connection', (socket) => {
+      this.memberConnections.add(socket);
+      socket.once('close', () => this.memberConnections.delete(socket));
+    });
+    await new Promise<void>((resolve) => {
+      this.sidecarMember.listen(this.sidecarPort + 1, memberHost, () => resolve());
+    });
+  },
+);
+
+When('the agent has asked that member', async function ask(this: SidecarWorld) {
+  announce(this, [memberHost]);
+  await eventually(() => this.memberConnections.size > 0, 'the member is asked');
+});
+
+When('the member leaves the fleet', function leave(this: SidecarWorld) {
+  announce(this, []);
+});
+
+Then('the agent closes its connections to it', async function close(this: SidecarWorld) {
+  const isClosed = (): boolean => this.memberConnections.size === 0;
+  await eventually(isClosed, 'the connections are closed', closeTimeoutMs);
+});
+
+Then(
+  'the agent asks the origin within {int} seconds',
+  async function origin(this: SidecarWorld, seconds: number) {
+    const isAsked = (): boolean => this.sidecarOrigin.manifestReads > 0;
+    await eventually(isAsked, 'the origin is asked', seconds * msPerSecond);
+  },
+);
--- a/features/support/faultyPieceOrigin.ts
+++ b/features/support/faultyPieceOrigin.ts
@@ -6,9 +6,13 @@
   /** Each read whose number is a multiple of this returns corrupt bytes. */
   corruptEvery = Infinity;
 
+  /** Number of manifests that were read. */
+  manifestReads = 0;
+
   private reads = 0;
 
   getManifest(_address: string, name: string, version: number): Promise<PieceManifest> {
+    this.manifestReads += 1;
     const digests = Array.from({ length: testVersion.pieces }, (_, piece) =>
       sha256Hex(getPieceContent(version, piece)),
     );
--- a/packages/sidecar/src/peerClient.ts
+++ b/packages/sidecar/src/peerClient.ts
@@ -37,12 +37,12 @@
     return this.read(host, `/weights/${version}/${piece}`, signal);
   }
 
-  /** Closes the connections to all other hosts. */
+  /** Closes the connections to all other hosts, each once its running requests have ended. */
   retainHosts(hosts: ReadonlySet<string>): void {
     this.pools.forEach((pool, host) => {
       if (hosts.has(host)) return;
       this.pools.delete(host);
-      void pool.destroy();
+      void pool.close();
     });
   }
 
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -43,6 +43,8 @@
 
   private readonly updater: WeightUpdater;
 
+  private readonly peers: PeerClient;
+
   private readonly changes = new Notifier();
 
   /** The engine's state at the last poll, as far as the updater acts on it. */
@@ -57,7 +59,7 @@
       {
         fleet: (announcement, from) => {
           this.reporter.subscribe(from.sender, from.host, announcement.reportEveryMs);
-          if (announcement.weights && this.view.update(announcement.weights)) this.changes.notify();
+          if (announcement.weights && this.view.update(announcement.weights)) this.onFleetChanged();
         },
         pieces: (message, from) => this.gossip.receive(message, from.host),
       },
@@ -72,8 +74,15 @@
     const uplink = new Uplink(settings.linkBitsPerSecond, () => this.updater.isServing, clock);
     this.pieceServer = new PieceServer(versions, uplink, metrics, log('pieces'));
     this.gossip = new PieceGossip(this.view, versions, uplink, this.datagrams, clock);
-    const peers = new PeerClient(firstPort + 1);
-    const fetchDependencies = { peers, origin, clock, random, metrics, log: log('weights') };
+    this.peers = new PeerClient(firstPort + 1);
+    const fetchDependencies = {
+      peers: this.peers,
+      origin,
+      clock,
+      random,
+      metrics,
+      log: log('weights'),
+    };
     this.updater = new WeightUpdater(
       this.view,
       this.monitor,
@@ -106,6 +115,12 @@
     this.updater.run(chart, signal);
   }
 
+  /** Wakes the updater and closes the connections to members that left. */
+  private onFleetChanged(): void {
+    this.peers.retainHosts(new Set(this.view.members.map(({ name }) => name)));
+    this.changes.notify();
+  }
+
   /** Wakes the updater when the engine has changed, and sends reports to entries. */
   private onEnginePolled(): void {
     const { state, isAnswering } = this.monitor;
