Give up a manifest that a member does not send within a second

Cause: the request for a manifest had no timeout but the HTTP client's 300 s. A frozen member that serves the wanted version accepts connections and never responds; until then neither another member nor the origin was asked, and the transfer did not start. Found while the connections of gone members were traced.

Ruled out: requests for pieces (HolderTransfer abandons them after 1.5 s) and the origin (2 s).

Test: 'frozen member that serves the version' fails on the code before (origin not asked within 3 s); passes now, 3 of 3 runs of node features/dist/run.js features/sidecar.feature (6 passed in each).

--- a/features/sidecar.feature
+++ b/features/sidecar.feature
@@ -33,3 +33,12 @@
     And the member leaves the fleet
     Then the agent closes its connections to it
     And the engine is ordered to load version 1 with every piece right
+
+  # A frozen member accepts connections and never responds: the request for the manifest had no timeout
+  # but that of the HTTP client, 300 seconds.
+  Scenario: frozen member that serves the version
+    Given an agent beside an empty engine and an origin with version 1
+    And another member that serves version 1 and never responds
+    When the agent has asked that member
+    Then the agent asks the origin within 3 seconds
+    And the engine is ordered to load version 1 with every piece right
--- a/packages/sidecar/src/peerClient.ts
+++ b/packages/sidecar/src/peerClient.ts
@@ -1,4 +1,4 @@
-import { InvalidInput, NotFound, Unavailable } from '@laburnumstream/common';
+import { InvalidInput, NotFound, Unavailable, createTimeoutSignal } from '@laburnumstream/common';
 import { createConnector } from '@laburnumstream/runtime';
 import { Pool } from 'undici';
 import type { PieceManifest } from './localEngine.js';
@@ -7,6 +7,8 @@
 /** Maximum number of connections to one agent. */
 const maxConnections = 2;
 const connectTimeoutMs = 700;
+/** Timeout of a request for a manifest, in milliseconds; requests for pieces are aborted by the caller. */
+const manifestTimeoutMs = 1_000;
 /** Delay before a busy agent is asked again, in milliseconds. */
 const busyRetryMs = 30;
 
@@ -26,7 +28,8 @@
 
   /** Throws `NotFound` when the agent does not hold the version. */
   async getManifest(host: string, version: number, signal: AbortSignal): Promise<PieceManifest> {
-    const body = await this.read(host, `/weights/${version}/manifest`, signal);
+    const limit = createTimeoutSignal(manifestTimeoutMs, signal);
+    const body = await this.read(host, `/weights/${version}/manifest`, limit);
     const value: unknown = JSON.parse(Buffer.from(body).toString('utf8'));
     if (isManifest(value)) return value;
     throw new InvalidInput(`${host} sent an invalid manifest.`);
