Forget senders of datagrams that left

Cause: FleetDatagrams remembered the last datagram of each sender for the life of the process.

Change: DatagramOrder decides which datagrams are late or duplicates, as before, and every 3 s forgets senders that have been silent for 3 s: from then on any datagram of theirs is accepted anyway.

Not run after this: platformPrograms, path.

--- a/features/growth.feature
+++ b/features/growth.feature
@@ -43,3 +43,10 @@
   Scenario: a store that always has changes
     When 7 and 38 entries follow a store with a change each 20 ms for 10 seconds
     Then each of the 7 calls it at most 45 times and each of the 38 at most 25 times
+
+  # Senders that left must not be remembered for the life of the process, and forgetting them must not
+  # let a late datagram or a duplicate through.
+  Scenario: datagrams of senders that left
+    When each of 2000 senders sends one datagram, one each 20 ms
+    Then at most 400 of them are remembered
+    And datagrams are accepted as if none were forgotten, for any history
--- a/packages/links/src/fleetDatagrams.ts
+++ b/packages/links/src/fleetDatagrams.ts
@@ -12,6 +12,7 @@
   FleetNews,
   PieceNews,
 } from '@laburnumstream/protocol';
+import { DatagramOrder } from './datagramOrder.js';
 
 /** Content of a datagram. */
 export type DatagramContent = NonNullable<MessageInitShape<typeof DatagramSchema>['content']>;
@@ -32,20 +33,6 @@
   load?(load: EntryLoad, from: DatagramSource): void;
 }
 
-/** The last accepted datagram of a sender. */
-interface LastDatagram {
-  readonly startedAt: bigint;
-  readonly sequence: number;
-  /** Monotonic time, in milliseconds. */
-  readonly receivedAt: number;
-}
-
-/**
- * Time without a datagram after which any datagram of a sender is accepted, even with an earlier start,
- * in milliseconds.
- */
-const senderTimeoutMs = 3_000;
-
 /**
  * Sends and receives datagrams between the system's own processes. Drops duplicates and datagrams that
  * arrive after a later one of the same sender.
@@ -53,7 +40,7 @@
 export class FleetDatagrams {
   private readonly socket: Socket = createSocket('udp4');
 
-  private readonly lastDatagrams = new Map<string, LastDatagram>();
+  private readonly order = new DatagramOrder();
 
   private readonly startedAt: bigint;
 
@@ -123,7 +110,7 @@
       this.log.debug('Malformed datagram dropped.', { host, reason: toFailure(error).message });
       return;
     }
-    if (!this.isNew(datagram)) {
+    if (!this.order.accept(datagram, this.clock.now())) {
       this.metrics.count('datagrams_late');
       return;
     }
@@ -134,15 +121,4 @@
     else if (content.case === 'pieces') this.handlers.pieces?.(content.value, from);
     else if (content.case === 'load') this.handlers.load?.(content.value, from);
   }
-
-  private isNew({ sender, sequence, startedAt }: Datagram): boolean {
-    const last = this.lastDatagrams.get(sender);
-    const receivedAt = this.clock.now();
-    const isLate =
-      last !== undefined &&
-      receivedAt - last.receivedAt < senderTimeoutMs &&
-      (startedAt < last.startedAt || (startedAt === last.startedAt && sequence <= last.sequence));
-    if (!isLate) this.lastDatagrams.set(sender, { startedAt, sequence, receivedAt });
-    return !isLate;
-  }
 }
