Reuse staged pieces although some are spoilt

Cause: reading staged pieces back stopped after two mismatches in all, though the limit is to recognise that the engine has staged another version. Two rotten pieces made the agent fetch all those after them again.

Change: only mismatches in a row count.

--- a/features/sidecar.feature
+++ b/features/sidecar.feature
@@ -42,3 +42,12 @@
     When the agent has asked that member
     Then the agent asks the origin within 3 seconds
     And the engine is ordered to load version 1 with every piece right
+
+  # Single spoilt pieces do not mean that the engine has staged another version: the others must be
+  # reused, not fetched again.
+  Scenario: some staged pieces are spoilt
+    Given an agent beside an empty engine and an origin with version 1
+    And the engine has staged all pieces of version 1, of which 2, 5 and 8 are spoilt
+    When an entry tells it that version 1 is wanted
+    Then the engine is ordered to load version 1 with every piece right
+    And the origin is asked for 3 pieces
--- a/features/steps/sidecar.steps.ts
+++ b/features/steps/sidecar.steps.ts
@@ -11,7 +11,7 @@
 import { eventually } from '../support/assertions.js';
 import { platformBounds } from '../support/platformBounds.js';
 import { FaultyPieceOrigin } from '../support/faultyPieceOrigin.js';
-import { StagingEngine, testVersion } from '../support/stagingEngine.js';
+import { StagingEngine, getPieceContent, testVersion } from '../support/stagingEngine.js';
 
 const model = 'm1';
 const memberHost = '127.0.0.3';
@@ -188,3 +188,18 @@
     await eventually(isAsked, 'the origin is asked', seconds * msPerSecond);
   },
 );
+
+Given(
+  'the engine has staged all pieces of version 1, of which {int}, {int} and {int} are spoilt',
+  function staged(this: SidecarWorld, one: number, two: number, three: number) {
+    const spoilt = [one, two, three];
+    for (let piece = 0; piece < testVersion.pieces; piece += 1) {
+      const bytes = spoilt.includes(piece) ? Buffer.from('spoilt') : getPieceContent(1, piece);
+      this.sidecarEngine.staged.set(piece, bytes);
+    }
+  },
+);
+
+Then('the origin is asked for {int} pieces', function asked(this: SidecarWorld, count: number) {
+  assert.equal(this.sidecarOrigin.reads, count);
+});
--- a/features/support/faultyPieceOrigin.ts
+++ b/features/support/faultyPieceOrigin.ts
@@ -9,7 +9,8 @@
   /** Number of manifests that were read. */
   manifestReads = 0;
 
-  private reads = 0;
+  /** Number of pieces that were read. */
+  reads = 0;
 
   getManifest(_address: string, name: string, version: number): Promise<PieceManifest> {
     this.manifestReads += 1;
--- a/packages/sidecar/src/weightUpdater.ts
+++ b/packages/sidecar/src/weightUpdater.ts
@@ -28,7 +28,7 @@
 const loadTimeoutMs = 12_000;
 /** Maximum number of members that are asked for a manifest before the origin. */
 const maxManifestPeers = 2;
-/** Mismatching staged pieces after which the engine is assumed to have staged another version. */
+/** Mismatching staged pieces in a row after which the engine is assumed to have staged another version. */
 const maxMismatches = 2;
 
 type UpdaterEvent = 'WANTED' | 'DUE' | 'LOADED' | 'FAILED' | 'CHANGED' | 'RETRY';
@@ -201,7 +201,7 @@
     try {
       for (const piece of await this.engine.listStagedPieces(model, signal)) {
         const bytes = await this.engine.getStagedPiece(model, piece, signal);
-        if (!fetch.addIfValid(piece, bytes)) mismatches += 1;
+        mismatches = fetch.addIfValid(piece, bytes) ? 0 : mismatches + 1;
         if (mismatches >= maxMismatches) return;
       }
     } catch (error) {
