Admit a request that would start next instead of refusing its wait

Cause: the gate counted a newcomer's own units, divided by its workspace's share, as its wait.

Ruled out: the timeout in the queue (no wait of a small request reached 1 s in the traces) and a lost end of a stream (each answer had status 429).

Change: the expected wait is the work that starts before the newcomer: what its workspace has queued, at its share, or what precedes it by start tags.

'next to start at a slow endpoint' fails on the code before and passes.

--- a/features/fairness.feature
+++ b/features/fairness.feature
@@ -18,5 +18,9 @@
   Scenario: refusal without a wait
     Then an agent's gate refuses a hopeless wait at once with a retry-after
 
+  # Failure: a request that would start next was refused, as its own work counted as its wait.
+  Scenario: next to start at a slow endpoint
+    Then a workspace's only request waits at a slow endpoint and one behind others is refused
+
   Scenario: full queue at the gate
     Then a lighter workspace takes the place of a heavier one's newest waiter
--- a/features/steps/fairness.steps.ts
+++ b/features/steps/fairness.steps.ts
@@ -120,6 +120,30 @@
   assert.ok(refused.retryAfterMs! >= 500, `${refused.retryAfterMs}`);
 });
 
+Then(
+  "a workspace's only request waits at a slow endpoint and one behind others is refused",
+  async () => {
+    const clock = new ManualClock();
+    const gate = createGate(clock, 1_000);
+    const { signal } = new AbortController();
+    for (let turn = 0; turn < 10; turn += 1) {
+      const permit = await gate.acquire('a', 1, signal);
+      clock.time += 400;
+      permit.release(true);
+    }
+    const running = await Promise.all([gate.acquire('a', 1, signal), gate.acquire('b', 1, signal)]);
+    const [next, second, hopeless] = ['next', 'second', 'hopeless'].map((workspace) =>
+      gate.acquire(workspace, 1, signal).then(
+        (permit) => permit.release(true),
+        (error: unknown) => error,
+      ),
+    );
+    running[0].release(true);
+    assert.deepEqual(await Promise.all([next, second]), [undefined, undefined]);
+    assert.ok((await hopeless) instanceof Overloaded);
+  },
+);
+
 Then("a lighter workspace takes the place of a heavier one's newest waiter", async () => {
   const gate = createGate(new ManualClock(), 2);
   const { signal } = new AbortController();
--- a/packages/agent/src/endpointGate.ts
+++ b/packages/agent/src/endpointGate.ts
@@ -133,7 +133,7 @@
    */
   private shedExcess(newcomer: QueuedRequest): void {
     const { maxQueue, maxQueueMs } = this.policy;
-    const isWaitTooLong = this.expectedWaitMs(newcomer.workspace) > maxQueueMs * earlyRefusalShare;
+    const isWaitTooLong = this.expectedWaitMs(newcomer) > maxQueueMs * earlyRefusalShare;
     if (isWaitTooLong && this.queue.remove(newcomer)) {
       throw this.makeOverloaded(newcomer, 'The wait in the queue would be too long.');
     }
@@ -192,11 +192,14 @@
     return { priority, release };
   }
 
-  /**
-   * Expected wait of a workspace's last queued request at its share of the current rate; 0 if
-   * unknown.
-   */
-  private expectedWaitMs(workspace: string): number {
+  /** Expected time until the newest request of its workspace starts; 0 if unknown. */
+  private expectedWaitMs(newcomer: QueuedRequest): number {
+    const { perMs } = this.workRate;
+    return perMs === 0 ? 0 : this.queue.unitsBefore(newcomer) / perMs;
+  }
+
+  /** Expected time until the queued requests of a workspace have run at its share; 0 if unknown. */
+  private expectedDrainMs(workspace: string): number {
     const { perMs } = this.workRate;
     if (perMs === 0) return 0;
     return this.queue.queuedUnits(workspace) / (perMs * this.queue.share(workspace));
@@ -204,7 +207,7 @@
 
   private makeOverloaded({ workspace }: QueueItem, message: string): Overloaded {
     this.metrics.count('admission_refused');
-    const waitMs = Math.round(this.expectedWaitMs(workspace));
+    const waitMs = Math.round(this.expectedDrainMs(workspace));
     return new Overloaded(message, Math.min(maxRetryAfterMs, Math.max(minRetryAfterMs, waitMs)));
   }
 }
--- a/packages/decisions/src/fairQueue.ts
+++ b/packages/decisions/src/fairQueue.ts
@@ -48,6 +48,16 @@
   return (queuedUnits + runningUnits) / weight;
 }
 
+/** Queued units of a workspace whose start tags are not later than `tag`. */
+function unitsStartingBy(tag: number, { items, startTag, weight }: Flow<QueueItem>): number {
+  let queued = 0;
+  for (const { units } of items) {
+    if (startTag + queued / weight > tag) break;
+    queued += units;
+  }
+  return queued;
+}
+
 /**
  * Start-time fair queueing with one queue per workspace: flows are served by weighted virtual time,
  * based on estimated work and corrected once the real work is known. A reserve is kept free of
@@ -85,6 +95,21 @@
     return own / (own + total);
   }
 
+  /**
+   * Units expected to start before the newest item of its workspace: those before it in its own
+   * queue, at the workspace's share, or those that precede it by start tags if that is more.
+   */
+  unitsBefore({ workspace, units }: Item): number {
+    const flow = this.getFlow(workspace);
+    const own = flow.queuedUnits - units;
+    const tag = flow.startTag + own / flow.weight;
+    let preceding = own;
+    this.flows.forEach((other) => {
+      if (other !== flow) preceding += unitsStartingBy(tag, other);
+    });
+    return Math.max(own / this.share(workspace), preceding);
+  }
+
   enqueue(item: Item): void {
     const flow = this.getFlow(item.workspace);
     flow.weight = this.getWeight(item.workspace);
