--- a/bench/src/ports.ts
+++ b/bench/src/ports.ts
@@ -1,6 +1,5 @@
 import { createServer } from 'node:net';
-import type { Server } from 'node:net';
-import { Unavailable } from '@laburnumstream/common';
+import { Failure } from '@laburnumstream/common';
 
 /** First port; all blocks lie below the ephemeral port range of the system. */
 const firstPort = 10_240;
@@ -8,57 +7,53 @@
 const blocks = 110;
 /** Distributes adjacent process ids over the blocks. */
 const stride = 37;
-/** Delay after which a block may be free again, in milliseconds. */
-const retryDelayMs = 1_000;
 
+let ownBlock: Promise<number> | undefined;
 let next = 0;
 
-function listen(port: number): Promise<Server | undefined> {
-  const server = createServer();
+/** Listens on a port for as long as this process runs; resolves with whether the port was free. */
+function holdPort(port: number): Promise<boolean> {
+  const server = createServer().unref();
   return new Promise((resolve) => {
-    server.once('error', () => resolve(undefined));
-    server.listen(port, '127.0.0.1', () => resolve(server));
+    server.once('error', () => resolve(false));
+    server.listen(port, '127.0.0.1', () => resolve(true));
   });
 }
 
 /**
- * Claims a block by its first port, which stays bound while this process runs: processes that shared a
- * block would take ports from each other.
+ * Claims a block of ports for this process, `preferred` or the next that no other process has, by
+ * holding its first port.
  */
-async function claimBlock(): Promise<number> {
-  const preferred = process.pid * stride;
-  for (let index = preferred; index < preferred + blocks; index += 1) {
-    const start = firstPort + (index % blocks) * blockPorts;
-    const guard = await listen(start);
-    if (guard) {
-      guard.unref();
-      return start;
-    }
+export async function claimPortBlock(preferred: number): Promise<number> {
+  for (let offset = 0; offset < blocks; offset += 1) {
+    const block = (preferred + offset) % blocks;
+    if (await holdPort(firstPort + block * blockPorts)) return block;
   }
-  throw new Unavailable(`All ${blocks} blocks of ports are taken.`, retryDelayMs);
+  throw new Failure('no_ports', 'Other processes hold all blocks of ports.');
 }
 
-let claimed: Promise<number> | undefined;
+function canListen(port: number): Promise<boolean> {
+  const server = createServer();
+  return new Promise((resolve) => {
+    server.once('error', () => resolve(false));
+    server.listen(port, '127.0.0.1', () => server.close(() => resolve(true)));
+  });
+}
 
 async function freePort(): Promise<number> {
-  claimed ??= claimBlock();
-  const start = await claimed;
+  ownBlock ??= claimPortBlock((process.pid * stride) % blocks);
+  const start = firstPort + (await ownBlock) * blockPorts;
   while (true) {
+    // The first port of a block marks it as claimed.
     const port = start + 1 + (next % (blockPorts - 1));
     next += 1;
-    const server = await listen(port);
-    if (server) {
-      await new Promise((resolve) => {
-        server.close(resolve);
-      });
-      return port;
-    }
+    if (await canListen(port)) return port;
   }
 }
 
 /**
- * Returns free ports of 127.0.0.1 from a block that belongs to this process, so that a program under
- * test that was killed finds its port still free when it restarts.
+ * Returns free ports of 127.0.0.1 from a block that belongs to this process alone, so that a program
+ * under test that was killed finds its port still free when it restarts.
  */
 export async function freePorts(count: number): Promise<number[]> {
   const ports: number[] = [];
