Give up answers without end for their size

Users: bytes that are no answer may come without end, in a head or a body, until the caller closes.

Cause: undici bounds only names and values of headers (16 KiB). Nothing bounded status lines, empty lines, spaces of a header, interim answers, sizes and extensions of chunks, bodies, events and lines. An entry held or parsed all that came until the deadline of the request and then answered 504; a process may hold 350 MB. An event without end was copied whole for each piece. A model engine's interim answers reset the client's timeout for the head, so it never ended. Ruled out: garbage, bytes after a complete answer, headers and trailers; they ended at once before, headers as broken and trailers as truncated (now both oversized).

Change: - Entry: what is not the body is bounded for each response to 64 KiB and 16 bytes for each byte of the body (a chunk of one byte has less), counted at the socket. Incomplete answers share 64 MiB for each kind of route; one may hold what is left free beside it, at most 32 MiB: an answer of a plain service is of the size of its requests, a few megabytes at most, the largest in our tests 16 MB. So several endless ones together stay within the memory and small ones find room. A stream has no bound, an event 4 MiB: it is a few tokens. Fault `oversized`, counter `attempts_oversized`, health failed; 502, repeated or resumed elsewhere where that is allowed. - Pieces of a body are copied into blocks: a slice keeps its whole read buffer. - Clients of engine, origin and other agents: 8 MiB for a body (pieces have 48 KiB), 64 interim answers. First stage: 32 MiB for a body, 4 Mi characters for a line, 64 interim answers.

Not measured: processor time of the check at the socket.

Open: other clients than the entry's end endless status lines, empty lines and chunk sizes by their timeouts only; the store's client has no bound on a body.

--- a/features/support/platformFleet.ts
+++ b/features/support/platformFleet.ts
@@ -143,7 +143,10 @@
   }
 
   /** Writes an engine's registration to the store. */
-  registerEngine(engine: PlatformEngine, state: 'ready' | 'draining'): void {
+  registerEngine(
+    engine: Pick<PlatformEngine, 'id' | 'address'>,
+    state: 'ready' | 'draining',
+  ): void {
     this.store.write(`servers/${engine.id}`, {
       Service: 'desk',
       Address: engine.address,
--- a/packages/clients/src/httpClient.ts
+++ b/packages/clients/src/httpClient.ts
@@ -2,12 +2,17 @@
 import type { Dispatcher } from 'undici';
 import {
   Aborted,
+  ByteCollector,
   ConnectionReset,
+  ResponseTooLarge,
   StoreUnavailable,
   createTimeoutSignal,
 } from '@laburnumstream/common';
 import type { Failure } from '@laburnumstream/common';
-import { createConnector } from '@laburnumstream/runtime';
+import { createConnector, createInterimLimit } from '@laburnumstream/runtime';
+
+/** Maximum size of a response's body that is read as a whole, in bytes. */
+const maxBodyBytes = 33_554_432;
 
 /** A response with its complete body. */
 export interface HttpResponse {
@@ -37,6 +42,17 @@
   return error instanceof ConnectionReset || (error as { code?: string }).code === socketClosedCode;
 }
 
+/** Reads a body as a whole; throws `ResponseTooLarge`, which closes the connection. */
+async function readBody(body: AsyncIterable<Buffer>): Promise<Buffer> {
+  const collector = new ByteCollector();
+  for await (const bytes of body) {
+    if (collector.length + bytes.length > maxBodyBytes)
+      throw new ResponseTooLarge(`its body has more than ${maxBodyBytes} bytes`);
+    collector.push(bytes);
+  }
+  return collector.concat();
+}
+
 /** A minimal HTTP client with one connection pool. */
 export class HttpClient {
   private readonly pool: Pool;
@@ -68,8 +84,9 @@
         path: this.prefix + request.path,
         body: request.body ?? null,
         signal,
+        onInfo: createInterimLimit(),
       });
-      return { status: statusCode, body: Buffer.from(await body.arrayBuffer()) };
+      return { status: statusCode, body: await readBody(body as AsyncIterable<Buffer>) };
     } catch (error) {
       if (request.signal?.aborted) throw new Aborted();
       throw this.createFailure(`${request.method} ${request.path} failed: ${String(error)}`, error);
@@ -84,6 +101,7 @@
         path: this.prefix + request.path,
         body: request.body ?? null,
         signal: request.signal ?? null,
+        onInfo: createInterimLimit(),
         bodyTimeout: request.timeoutMs ?? this.timeoutMs,
         headersTimeout: request.timeoutMs ?? this.timeoutMs,
       });
--- a/packages/common/src/failures.ts
+++ b/packages/common/src/failures.ts
@@ -116,6 +116,17 @@
   }
 }
 
+/** The peer sent more than any response of its kind may have, so that the response was given up. */
+export class ResponseTooLarge extends Failure {
+  constructor(reason: string, cause?: unknown) {
+    super('response_too_large', `The response is too large: ${reason}.`, {
+      status: 502,
+      execution: Execution.unknown,
+      cause,
+    });
+  }
+}
+
 /** The peer did not respond within the timeout. */
 export class Timeout extends Failure {
   constructor(message: string, execution: Execution = Execution.unknown) {
--- a/packages/decisions/src/forwarding/index.ts
+++ b/packages/decisions/src/forwarding/index.ts
@@ -14,6 +14,7 @@
 export * from './placement.js';
 export * from './reportInterval.js';
 export * from './responseClassification.js';
+export * from './responseMemory.js';
 export * from './routeTable.js';
 export * from './servedRatios.js';
 export * from './sharedRateLimiter.js';
--- a/packages/forwarding/src/bufferedForwarder.ts
+++ b/packages/forwarding/src/bufferedForwarder.ts
@@ -1,8 +1,14 @@
 import { Execution, OutcomeUnknown, Timeout } from '@laburnumstream/common';
-import { ResponseAction, AttemptOutcome, classifyResponse } from '@laburnumstream/decisions';
+import {
+  ResponseAction,
+  AttemptOutcome,
+  ResponseMemory,
+  classifyResponse,
+} from '@laburnumstream/decisions';
 import type { Attempt } from './attempt.js';
 import { RequestAttempts } from './requestAttempts.js';
 import type { AttemptServices } from './requestAttempts.js';
+import { responseMemoryBytes } from './responseBounds.js';
 import { ResponseCollector } from './responseCollector.js';
 import type { CallOutcome, BufferedResponse } from './responseCollector.js';
 import { CallFault } from './endpointCall.js';
@@ -16,6 +22,8 @@
 
 /** Forwards requests whose responses are buffered and delivered when they are complete. */
 export class BufferedForwarder {
+  private readonly memory = new ResponseMemory(responseMemoryBytes);
+
   constructor(
     private readonly services: AttemptServices,
     private readonly isIdempotent: boolean,
@@ -25,12 +33,14 @@
   async forward(exchange: Exchange): Promise<void> {
     const attempts = new RequestAttempts(exchange, this.services, this.isIdempotent);
     for (;;) {
-      const collector = new ResponseCollector();
       const placement = await attempts.place(exchange.signal);
+      const collector = new ResponseCollector(this.memory);
       const attempt = attempts.send(placement, collector, exchange.head.lastEventId);
       const timer = this.startAttemptTimer(attempts, attempt, collector, placement.expectedMs);
-      const outcome = await this.waitForOutcome(attempt, collector, exchange);
-      clearTimeout(timer);
+      const outcome = await this.waitForOutcome(attempt, collector, exchange).finally(() => {
+        clearTimeout(timer);
+        collector.release();
+      });
       attempt.markEnded();
       const isDone =
         outcome.kind === 'answer'
--- a/packages/forwarding/src/endpointCall.ts
+++ b/packages/forwarding/src/endpointCall.ts
@@ -1,11 +1,12 @@
 import type { IncomingHttpHeaders } from 'node:http';
-import { Aborted, Execution } from '@laburnumstream/common';
+import { Aborted, Execution, ResponseTooLarge } from '@laburnumstream/common';
 import { classifyResponse } from '@laburnumstream/decisions';
 import type { Dispatcher } from 'undici';
 import type { ConnectionPool } from './connectionPool.js';
-import type { EndpointConnection } from './endpointConnection.js';
+import type { EndpointConnection, FramedHandler } from './endpointConnection.js';
 import type { ResponseHead } from './heads.js';
 import type { HeaderCodec } from './headerCodec.js';
+import { maxHeaderBytes } from './responseBounds.js';
 
 /** Why a call to an endpoint failed. */
 export const CallFault = {
@@ -17,6 +18,8 @@
   truncated: 'truncated',
   /** The response is for another request. */
   crossed: 'crossed',
+  /** This process aborted the call because the response, or its framing, is too large. */
+  oversized: 'oversized',
   /** This process aborted the call because the endpoint sent nothing for too long. */
   silent: 'silent',
   /** This process aborted the call for another reason. */
@@ -50,6 +53,7 @@
 /** Callbacks of a call. `onEnd` or `onFailure` is the last one. */
 export interface CallObserver {
   onHead(status: number, head: ResponseHead, rawHeaders: readonly string[]): void;
+  /** Throws `ResponseTooLarge` to give the response up. */
   onData(bytes: Buffer): void;
   onEnd(): void;
   onFailure(fault: CallFault, reason: string): void;
@@ -65,6 +69,8 @@
   readonly body: Buffer;
 }
 
+/** Error code of undici for headers that exceed its bound. */
+const headersOverflowCode = 'UND_ERR_HEADERS_OVERFLOW';
 const firstFinalStatus = 200;
 const firstRedirectStatus = 300;
 
@@ -84,7 +90,7 @@
 }
 
 /** One request to an endpoint, on a connection of its own until it ends. */
-export class EndpointCall implements Dispatcher.DispatchHandler {
+export class EndpointCall implements FramedHandler {
   private controller: Dispatcher.DispatchController | undefined;
 
   private readonly connection: EndpointConnection;
@@ -117,6 +123,11 @@
     return this.hasBeenSent;
   }
 
+  /** Bytes of the body that were received. */
+  get bodyBytes(): number {
+    return this.bytes;
+  }
+
   /** Properties of the response so far. */
   get stats(): CallStats {
     const { framing, bytes, connection } = this;
@@ -198,7 +209,17 @@
     // The parser emits an empty chunk when a call is resumed.
     if (this.hasEnded || chunk.length === 0) return;
     this.bytes += chunk.length;
-    this.observer.onData(chunk);
+    try {
+      this.observer.onData(chunk);
+    } catch (error) {
+      if (!(error instanceof ResponseTooLarge)) throw error;
+      this.fail(CallFault.oversized, error.message);
+    }
+  }
+
+  onFramingExceeded(bytes: number): void {
+    if (this.hasEnded) this.connection.destroy();
+    else this.fail(CallFault.oversized, `${bytes} bytes are not of the body`);
   }
 
   onResponseEnd(): void {
@@ -213,6 +234,8 @@
   onResponseError(_controller: Dispatcher.DispatchController, error: Error): void {
     if (this.hasEnded) return;
     if (!this.hasBeenSent) this.fail(CallFault.connection, error.message);
+    else if ((error as { code?: string }).code === headersOverflowCode)
+      this.fail(CallFault.oversized, `The headers are larger than ${maxHeaderBytes} bytes.`);
     else this.fail(this.hasStarted ? CallFault.truncated : CallFault.broken, error.message);
   }
 
--- a/packages/forwarding/src/endpointConnection.ts
+++ b/packages/forwarding/src/endpointConnection.ts
@@ -2,6 +2,7 @@
 import { createConnector } from '@laburnumstream/runtime';
 import { Client } from 'undici';
 import type { Dispatcher } from 'undici';
+import { framingPerBodyByte, maxFramingBytes, maxHeaderBytes } from './responseBounds.js';
 
 /** Timeout for establishing a connection, in milliseconds. */
 const connectTimeoutMs = 400;
@@ -10,12 +11,26 @@
 /** Margin that is subtracted from the idle timeout that the endpoint states, in milliseconds. */
 const idleMarginMs = 1_000;
 
+/** Handler of a response whose framing is bounded. */
+export interface FramedHandler extends Dispatcher.DispatchHandler {
+  /** Bytes of the body that were received. */
+  readonly bodyBytes: number;
+  /** Called when `bytes`, all that is not of the body, are too many. */
+  onFramingExceeded(bytes: number): void;
+}
+
 /** One connection to an endpoint, which carries one request at a time. */
 export class EndpointConnection {
   private readonly client: Client;
 
   private socket: Socket | undefined;
 
+  /** Handler of the last request. */
+  private handler: FramedHandler | undefined;
+
+  /** Bytes that were received before the last request. */
+  private bytesBefore = 0;
+
   /** Number of requests that were sent on it. */
   private requestCount = 0;
 
@@ -35,9 +50,13 @@
       keepAliveTimeout: defaultIdleTimeoutMs,
       keepAliveTimeoutThreshold: idleMarginMs,
       strictContentLength: true,
+      maxHeaderSize: maxHeaderBytes,
       connect: createConnector(connectTimeoutMs, (socket) => {
         this.socket = socket;
-        socket.once('connect', onConnect);
+        socket.once('connect', () => {
+          onConnect();
+          socket.on('readable', () => this.checkFraming());
+        });
       }),
     });
     this.client.on('disconnect', () => this.handleClose());
@@ -49,8 +68,10 @@
     return this.requestCount > 1;
   }
 
-  dispatch(options: Dispatcher.DispatchOptions, handler: Dispatcher.DispatchHandler): void {
+  dispatch(options: Dispatcher.DispatchOptions, handler: FramedHandler): void {
     this.requestCount += 1;
+    this.handler = handler;
+    this.bytesBefore = this.parsedBytes;
     this.client.dispatch(options, handler);
   }
 
@@ -63,6 +84,20 @@
     this.client.destroy().catch(() => undefined);
   }
 
+  /** Bytes that the client has taken from the socket. */
+  private get parsedBytes(): number {
+    return this.socket ? this.socket.bytesRead - this.socket.readableLength : 0;
+  }
+
+  /** The client does not bound status lines, interim responses, empty lines and sizes of chunks. */
+  private checkFraming(): void {
+    const { handler } = this;
+    if (!handler) return;
+    const bytes = this.parsedBytes - this.bytesBefore - handler.bodyBytes;
+    if (bytes > maxFramingBytes + framingPerBodyByte * handler.bodyBytes)
+      handler.onFramingExceeded(bytes);
+  }
+
   private handleClose(): void {
     this.onClose(this);
     this.client.destroy().catch(() => undefined);
--- a/packages/forwarding/src/eventRelay.ts
+++ b/packages/forwarding/src/eventRelay.ts
@@ -1,5 +1,7 @@
+import { ByteCollector, ResponseTooLarge } from '@laburnumstream/common';
 import type { Clock } from '@laburnumstream/common';
 import { ResponseAction, EventSplitter, classifyResponse } from '@laburnumstream/decisions';
+import type { ResponseMemory, StreamEvent } from '@laburnumstream/decisions';
 import type { Attempt } from './attempt.js';
 import { CallFault, Framing, isSuccess } from './endpointCall.js';
 import type { CallObserver } from './endpointCall.js';
@@ -7,6 +9,8 @@
 import type { EventDelivery } from './eventDelivery.js';
 import type { Exchange } from './exchange.js';
 import type { ResponseHead } from './heads.js';
+import { maxEventBytes } from './responseBounds.js';
+import { ResponseHold } from './responseHold.js';
 
 /** Outcome of one attempt at a stream. */
 export type StreamOutcome =
@@ -45,7 +49,9 @@
 
   private readonly splitter = new EventSplitter();
 
-  private readonly chunks: Buffer[] = [];
+  private readonly body = new ByteCollector();
+
+  private readonly hold: ResponseHold;
 
   private status = 0;
 
@@ -63,7 +69,9 @@
     private readonly clock: Clock,
     /** Whether the stream could be resumed elsewhere; otherwise its timeouts are not enforced. */
     private readonly couldResume: () => boolean,
+    memory: ResponseMemory,
   ) {
+    this.hold = new ResponseHold(memory);
     this.outcome = new Promise((resolve) => {
       this.settle = resolve;
     });
@@ -96,11 +104,19 @@
 
   onData(bytes: Buffer): void {
     if (!this.isStream) {
-      this.chunks.push(bytes);
+      this.hold.resize(this.body.length + bytes.length);
+      this.body.push(bytes);
       return;
     }
     const events = this.splitter.push(bytes);
-    if (events.length === 0) return;
+    if (events.length > 0) this.deliver(events);
+    const { partialBytes } = this.splitter;
+    if (partialBytes > maxEventBytes)
+      throw new ResponseTooLarge(`${partialBytes} bytes of an incomplete event`);
+    this.hold.resize(partialBytes);
+  }
+
+  private deliver(events: readonly StreamEvent[]): void {
     this.hasEvents = true;
     this.startTimer(eventTimeoutMs);
     this.attempt?.markPrefilled();
@@ -123,7 +139,7 @@
       return;
     }
     const { status, rawHeaders } = this;
-    const body = Buffer.concat(this.chunks);
+    const body = this.body.concat();
     this.settle({ kind: 'response', status, head: this.head!, rawHeaders, body });
   }
 
@@ -150,6 +166,7 @@
 
   private detach(): void {
     clearTimeout(this.timer);
+    this.hold.release();
     this.attempt?.handle.removeStream(this);
   }
 
--- /dev/null
+++ b/packages/forwarding/src/responseBounds.ts
@@ -0,0 +1,17 @@
+/** Maximum size of the headers of a response, or of its trailers, in bytes. */
+export const maxHeaderBytes = 16_384;
+
+/** Maximum size of all that is not the body of a response, in bytes, without `framingPerBodyByte`. */
+export const maxFramingBytes = 65_536;
+
+/** Bytes of framing that each byte of a body may have in addition: its chunk may have no other byte. */
+export const framingPerBodyByte = 16;
+
+/**
+ * Memory of one kind of route for responses that are not complete yet, in bytes. One response may hold
+ * half of it, 32 MiB: a service's responses are of the size of its requests, a few megabytes at most.
+ */
+export const responseMemoryBytes = 67_108_864;
+
+/** Maximum size of one event of a stream, in bytes: usually it is a few tokens. */
+export const maxEventBytes = 4_194_304;
--- a/packages/forwarding/src/responseCollector.ts
+++ b/packages/forwarding/src/responseCollector.ts
@@ -1,5 +1,9 @@
+import { ByteCollector } from '@laburnumstream/common';
+import { ResponseMemory } from '@laburnumstream/decisions';
 import type { CallFault, CallObserver } from './endpointCall.js';
 import type { ResponseHead } from './heads.js';
+import { responseMemoryBytes } from './responseBounds.js';
+import { ResponseHold } from './responseHold.js';
 
 /** An endpoint's response with its complete body. */
 export interface BufferedResponse {
@@ -20,11 +24,14 @@
 
   private settle: (outcome: CallOutcome) => void = () => undefined;
 
-  private readonly chunks: Buffer[] = [];
+  private readonly body = new ByteCollector();
+
+  private readonly hold: ResponseHold;
 
   private start: Omit<BufferedResponse, 'body'> | undefined;
 
-  constructor() {
+  constructor(memory = new ResponseMemory(responseMemoryBytes)) {
+    this.hold = new ResponseHold(memory);
     this.outcome = new Promise((resolve) => {
       this.settle = resolve;
     });
@@ -35,15 +42,22 @@
   }
 
   onData(bytes: Buffer): void {
-    this.chunks.push(bytes);
+    this.hold.resize(this.body.length + bytes.length);
+    this.body.push(bytes);
   }
 
   onEnd(): void {
-    const response = { ...this.start!, body: Buffer.concat(this.chunks) };
+    const response = { ...this.start!, body: this.body.concat() };
     this.settle({ kind: 'answer', response });
   }
 
   onFailure(fault: CallFault, reason: string): void {
     this.settle({ kind: 'fault', fault, reason });
   }
+
+  /** Gives up the memory of the response. */
+  release(): void {
+    this.hold.release();
+    this.body.clear();
+  }
 }
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -5,6 +5,7 @@
 export * from './histogramMetrics.js';
 export * from './httpServer.js';
 export * from './lifecycle.js';
+export * from './interimLimit.js';
 export * from './logRateLimiter.js';
 export * from './lossyLineStream.js';
 export * from './logger.js';
--- a/packages/sidecar/src/peerClient.ts
+++ b/packages/sidecar/src/peerClient.ts
@@ -1,5 +1,5 @@
-import { InvalidInput, NotFound, Unavailable } from '@laburnumstream/common';
-import { createConnector } from '@laburnumstream/runtime';
+import { InvalidInput, NotFound, ResponseTooLarge, Unavailable } from '@laburnumstream/common';
+import { createConnector, createInterimLimit } from '@laburnumstream/runtime';
 import { Pool } from 'undici';
 import type { PieceManifest } from './localEngine.js';
 import { PieceStatus } from './pieceServer.js';
@@ -7,6 +7,10 @@
 /** Maximum number of connections to one agent. */
 const maxConnections = 2;
 const connectTimeoutMs = 700;
+/** Maximum size of a response's body, in bytes: the largest is a manifest, or a piece. */
+const maxBodyBytes = 8_388_608;
+/** Error code of undici for a body that exceeds its bound. */
+const bodyOverflowCode = 'UND_ERR_RES_EXCEEDED_MAX_SIZE';
 /** Delay before a busy agent is asked again, in milliseconds. */
 const busyRetryMs = 30;
 
@@ -15,6 +19,11 @@
   return typeof model === 'string' && typeof version === 'number' && Array.isArray(digests);
 }
 
+function toReadFailure(error: unknown): unknown {
+  if ((error as { code?: string }).code !== bodyOverflowCode) return error;
+  return new ResponseTooLarge(`its body has more than ${maxBodyBytes} bytes`, error);
+}
+
 /** HTTP client for the pieces and manifests of other agents. */
 export class PeerClient {
   private readonly pools = new Map<string, Pool>();
@@ -47,9 +56,12 @@
   }
 
   private async read(host: string, path: string, signal: AbortSignal): Promise<Uint8Array> {
-    const { statusCode, body } = await this.getPool(host).request({ method: 'GET', path, signal });
-    const bytes = new Uint8Array(await body.arrayBuffer());
-    if (statusCode === PieceStatus.ok) return bytes;
+    const options = { method: 'GET', path, signal, onInfo: createInterimLimit() } as const;
+    const { statusCode, body } = await this.getPool(host).request(options);
+    const bytes = await body.arrayBuffer().catch((error: unknown) => {
+      throw toReadFailure(error);
+    });
+    if (statusCode === PieceStatus.ok) return new Uint8Array(bytes);
     if (statusCode === PieceStatus.notHeld) throw new NotFound(`${host} does not hold ${path}.`);
     throw new Unavailable(`${host} responded with status ${statusCode}.`, busyRetryMs);
   }
@@ -57,8 +69,11 @@
   private getPool(host: string): Pool {
     let pool = this.pools.get(host);
     if (!pool) {
-      const options = { connections: maxConnections, connect: createConnector(connectTimeoutMs) };
-      pool = new Pool(`http://${host}:${this.port}`, options);
+      pool = new Pool(`http://${host}:${this.port}`, {
+        connections: maxConnections,
+        connect: createConnector(connectTimeoutMs),
+        maxResponseSize: maxBodyBytes,
+      });
       this.pools.set(host, pool);
     }
     return pool;
