--- a/features/feedFailures.feature
+++ b/features/feedFailures.feature
@@ -38,11 +38,11 @@
 
   Scenario: proof of a mirror
     Given a mirror that the store confirmed in a call at 1000 ms
-    Then a reader that calls at 900 ms learns a proof of 0 ms before its call
-    And a reader that calls at 3000 ms learns a proof of 2000 ms before its call
+    Then a follower that calls at 900 ms learns a proof of 0 ms before its call
+    And a follower that calls at 3000 ms learns a proof of 2000 ms before its call
 
   Scenario: removals that a mirror can not know
     Given a mirror that took a snapshot at revision 50
     When a key is removed at revision 60
-    Then a reader of revision 55 learns of the removal
-    And a reader of revision 40 has to take a snapshot, without the key
+    Then a follower of revision 55 learns of the removal
+    And a follower of revision 40 has to take a snapshot, without the key
--- a/features/feedReview.feature
+++ b/features/feedReview.feature
@@ -21,11 +21,11 @@
     And 8 seconds have passed
     Then the link has carried at most 2 copies of each
 
-  # Guards against a mirror that passes on an older snapshot under a newer revision: its readers miss changes.
+  # Guards against a mirror that passes on an older snapshot under a newer revision: its followers miss changes.
   Scenario: snapshot that is older than the mirror
     Given a mirror with the configuration of revision 20
     When it gets a snapshot of revision 10
-    Then a reader of the snapshot gets the change of revision 20 when the mirror does
+    Then a follower with the snapshot gets the change of revision 20 when the mirror does
 
   # Guards against versions that count as named when a slow response ended, not when it may have begun.
   Scenario: version in a response that arrives slowly
--- a/features/steps/feedFailures.steps.ts
+++ b/features/steps/feedFailures.steps.ts
@@ -1,12 +1,10 @@
 import assert from 'node:assert/strict';
-import { setTimeout as sleep } from 'node:timers/promises';
 import { Given, Then, When } from '@cucumber/cucumber';
 import { FeedReaders } from '@laburnumstream/decisions';
 import { StoreMirror } from '@laburnumstream/forwarding';
 import type { RemoteRegion, WrittenVersion } from '../support/remoteRegion.js';
 
 const msPerSecond = 1_000;
-const requestIntervalMs = 250;
 
 interface FeedWorld {
   region: RemoteRegion;
@@ -101,16 +99,7 @@
   /^the other entries answer requests with a key for (\d+) seconds$/,
   { timeout: 30_000 },
   async function answered(this: FeedWorld, seconds: string) {
-    const endAt = performance.now() + Number(seconds) * msPerSecond;
-    while (performance.now() < endAt) {
-      const responses = await this.region.sendTo(this.region.others, '/safe/x');
-      const statuses = responses.map(({ status }) => status);
-      assert.ok(
-        statuses.every((status) => status === 200),
-        `statuses ${statuses.join()}`,
-      );
-      await sleep(requestIntervalMs);
-    }
+    await this.region.expectAnswers(this.region.others, Number(seconds) * msPerSecond);
   },
 );
 
@@ -124,7 +113,7 @@
 );
 
 Then(
-  /^a reader that calls at (\d+) ms learns a proof of (\d+) ms before its call$/,
+  /^a follower that calls at (\d+) ms learns a proof of (\d+) ms before its call$/,
   function proof(this: FeedWorld, calledAt: string, ageMs: string) {
     const now = Number(calledAt) + 500;
     const { proofAgeMs } = this.mirror.describe(50, Number(calledAt), now);
@@ -148,7 +137,7 @@
 });
 
 Then(
-  /^a reader of revision (\d+) learns of the removal$/,
+  /^a follower of revision (\d+) learns of the removal$/,
   function learns(this: FeedWorld, revision: string) {
     const changes = this.mirror.changesAfter(Number(revision));
     assert.deepEqual(changes, [{ key: 'servers/e1', value: undefined, revision: 60 }]);
@@ -156,7 +145,7 @@
 );
 
 Then(
-  /^a reader of revision (\d+) has to take a snapshot, without the key$/,
+  /^a follower of revision (\d+) has to take a snapshot, without the key$/,
   function snapshot(this: FeedWorld, revision: string) {
     assert.equal(this.mirror.changesAfter(Number(revision)), undefined);
     assert.deepEqual(this.mirror.changesAfter(0), []);
--- a/features/steps/feedReview.steps.ts
+++ b/features/steps/feedReview.steps.ts
@@ -79,7 +79,7 @@
 });
 
 Then(
-  'a reader of the snapshot gets the change of revision 20 when the mirror does',
+  'a follower with the snapshot gets the change of revision 20 when the mirror does',
   function missed(this: FeedReviewWorld) {
     const { mirror } = this;
     const read = new Map<string, StoreChange>();
--- a/features/steps/largeConfiguration.steps.ts
+++ b/features/steps/largeConfiguration.steps.ts
@@ -5,7 +5,6 @@
 import type { WrittenVersion } from '../support/remoteRegion.js';
 
 const msPerSecond = 1_000;
-const requestIntervalMs = 250;
 /** Time for which a version that has not come into force in time is still waited for, in milliseconds. */
 const patienceMs = 12_000;
 
@@ -80,16 +79,7 @@
   /^requests with a key are answered for (\d+) seconds$/,
   { timeout: 60_000 },
   async function answered(this: LargeConfigurationWorld, seconds: string) {
-    const endAt = performance.now() + Number(seconds) * msPerSecond;
-    while (performance.now() < endAt) {
-      const responses = await this.region.sendToAll('/safe/x');
-      const statuses = responses.map(({ status }) => status);
-      assert.ok(
-        statuses.every((status) => status === 200),
-        `statuses ${statuses.join()}`,
-      );
-      await sleep(requestIntervalMs);
-    }
+    await this.region.expectAnswers(this.region.entries, Number(seconds) * msPerSecond);
   },
 );
 
--- a/features/support/remoteRegion.ts
+++ b/features/support/remoteRegion.ts
@@ -1,5 +1,7 @@
+import assert from 'node:assert/strict';
 import { createServer } from 'node:net';
 import type { Server } from 'node:net';
+import { setTimeout as sleep } from 'node:timers/promises';
 import { freePortPair, freePorts } from '@laburnumstream/bench';
 import { SeededRandom } from '@laburnumstream/common';
 import type { ForwarderSettings } from '@laburnumstream/common';
@@ -21,6 +23,7 @@
 import { platformBounds } from './platformBounds.js';
 import { createConfiguration, platformHost } from './platformFleet.js';
 
+const requestIntervalMs = 250;
 const homeRegion = 'home';
 const remoteRegion = 'remote';
 const regions = new Map([
@@ -169,6 +172,20 @@
     return Promise.all(entries.map(({ settings }) => sendRequest({ settings }, path)));
   }
 
+  /** Sends requests with a key to entries for some time; fails if one is not answered. */
+  async expectAnswers(entries: readonly RunningEntry[], durationMs: number): Promise<void> {
+    const endAt = performance.now() + durationMs;
+    while (performance.now() < endAt) {
+      const responses = await this.sendTo(entries, '/safe/x');
+      const statuses = responses.map(({ status }) => status);
+      assert.ok(
+        statuses.every((status) => status === 200),
+        `statuses ${statuses.join()}`,
+      );
+      await sleep(requestIntervalMs);
+    }
+  }
+
   /** The entries that read the store themselves while all are well. */
   get readers(): RunningEntry[] {
     return this.entries.filter((entry) => this.isReader(entry));
--- a/packages/forwarding/src/feedServer.ts
+++ b/packages/forwarding/src/feedServer.ts
@@ -14,7 +14,7 @@
 const compressionLevel = 1;
 /** Silence of the store from which this entry is no source for others, in milliseconds. */
 const maxSilenceMs = 1_100;
-/** Longest time that a reader may ask to wait, in milliseconds. */
+/** Longest time that a follower may ask to wait, in milliseconds. */
 const maxWaitMs = 2_000;
 
 interface EncodedBody {
@@ -28,7 +28,7 @@
   return { bytes: await compress(bytes, { level: compressionLevel }), isCompressed: true };
 }
 
-/** Serves the mirror of the store to other entries of the region. */
+/** Serves the mirror of the store to its followers: other entries of the region. */
 export class FeedServer {
   private readonly changed = new Notifier();
 
@@ -39,7 +39,7 @@
     });
   });
 
-  /** The last encoded response: after a change, most readers ask for the same. */
+  /** The last encoded response: after a change, most followers ask for the same. */
   private lastEncoded: { readonly key: string; readonly body: Promise<EncodedBody> } | undefined;
 
   constructor(
@@ -70,7 +70,7 @@
     });
   }
 
-  /** Wakes the readers that wait for a change. */
+  /** Wakes the followers that wait for a change. */
   notifyChange(): void {
     this.changed.notify();
   }
@@ -104,7 +104,7 @@
     const closed = new AbortController();
     response.once('close', () => closed.abort());
     const endAt = this.proofClock.now() + waitMs;
-    // The wait ends when the store falls silent, so that readers find another source soon.
+    // The wait ends when the store falls silent, so that followers find another source soon.
     for (let leftMs = waitMs; leftMs > 0; leftMs = endAt - this.proofClock.now()) {
       const untilSilentMs = maxSilenceMs - this.getSilenceMs();
       if (untilSilentMs < 0) return;
--- a/packages/forwarding/src/regionalFeed.ts
+++ b/packages/forwarding/src/regionalFeed.ts
@@ -65,7 +65,7 @@
   /** Whether the last call to the store has failed. */
   private isStoreFailing = false;
 
-  /** Time since when the store owes the next part of a response; undefined while no call is running. */
+  /** Time since when the store owes the next part of a response; undefined once it has responded in full. */
   private silentSince: number | undefined;
 
   constructor(
@@ -131,7 +131,7 @@
     return this.readers.hasFollowers ? Math.min(waitMs, readerWaitMs) : waitMs;
   }
 
-  /** Tries other entries for as long as they refuse at once; returns undefined if none can be read from. */
+  /** Tries other entries for up to `maxAttemptsMs`; returns undefined if none can be read from. */
   private async readFromEntries(
     after: number,
     waitMs: number,
--- a/packages/forwarding/src/storeMirror.ts
+++ b/packages/forwarding/src/storeMirror.ts
@@ -6,7 +6,7 @@
   StoreSnapshot,
 } from '@laburnumstream/common';
 
-/** Removed keys that are remembered; a reader from before the oldest one needs a snapshot. */
+/** Removed keys that are remembered; a follower from before the oldest one needs a snapshot. */
 const maxRemovals = 2_000;
 
 /** The newest change of a key. */
@@ -43,7 +43,7 @@
     return this.revisionKnown;
   }
 
-  /** Replaces the content. What was removed before is unknown, so readers need a snapshot too. */
+  /** Replaces the content. What was removed before is unknown, so followers need a snapshot too. */
   applySnapshot({ values, revision }: StoreSnapshot, learnedAt: number): void {
     this.changesByKey = new Map();
     this.forgottenRevision = revision;
@@ -82,7 +82,7 @@
       .sort((a, b) => a.revision - b.revision);
   }
 
-  /** Describes the changes after a revision to a reader that called at `calledAt`. */
+  /** Describes the changes after a revision to a follower that called at `calledAt`. */
   describe(after: number, calledAt: number, now: number): Provenance {
     const oldest = Math.min(now, ...this.selectAfter(after).map(({ learnedAt }) => learnedAt));
     return {
