--- a/packages/forwarding/src/forwardingEntry.ts
+++ b/packages/forwarding/src/forwardingEntry.ts
@@ -172,14 +172,14 @@
 
   /** Starts serving; resolves when all servers are listening. */
   async start(signal: AbortSignal): Promise<void> {
-    const { callerAddress: callers, readinessAddress: readiness } = this.dependencies.settings;
-    const ready = parseAddress(readiness);
+    const { callerAddress, readinessAddress } = this.dependencies.settings;
+    const ready = parseAddress(readinessAddress);
     await this.feed.listen(signal);
     void this.watcher.run(signal);
     void this.agents.run(signal);
     void this.registration.run(signal);
     await serveReadiness(ready.host, ready.port, () => this.isReady(), signal);
-    const { host, port } = parseAddress(callers);
+    const { host, port } = parseAddress(callerAddress);
     await this.callers.listen(host, port);
   }
 
