--- a/packages/forwarding/src/heads.ts
+++ b/packages/forwarding/src/heads.ts
@@ -12,6 +12,8 @@
   readonly maxOutputTokens: number | undefined;
   /** The caller's estimate, often far off. */
   readonly expectedOutputTokens: number | undefined;
+  /** Ids of the parts of the prompt that other requests may share, in order. */
+  readonly sharedParts: readonly string[];
 }
 
 /** Load that an endpoint reports with a response. */
--- a/packages/forwarding/src/requestAttempts.ts
+++ b/packages/forwarding/src/requestAttempts.ts
@@ -96,6 +96,8 @@
       endpoint: handle.id,
       fault: fault ?? null,
       reason,
+      // Compared between the failures of several endpoints, they tell what these have in common.
+      ...(fault ? { parts: exchange.head.sharedParts.join() } : {}),
       ...call.stats,
       execution,
       isRepeatable: this.isRetryable,
