--- a/features/steps/endlessAnswers.steps.ts
+++ b/features/steps/endlessAnswers.steps.ts
@@ -300,7 +300,7 @@
   'a caller leaves within such an answer, and two get 502',
   async function leave(this: EndlessWorld) {
     const left = new AbortController();
-    const sending = sendRequest(this.endlessFleet, '/unsafe/x', 'key-1', left.signal);
+    const sending = sendRequest(this.endlessFleet, '/unsafe/x', { signal: left.signal });
     const abandoned = sending.catch(() => undefined);
     await eventually(() => this.endless.sentBytes > 4 * megabyte, 'part of an answer was sent');
     left.abort();
--- a/features/steps/platformPath.steps.ts
+++ b/features/steps/platformPath.steps.ts
@@ -72,7 +72,7 @@
 Then(
   'a request with another key gets 401 and one to another path gets 404',
   async function unknown(this: PlatformWorld) {
-    assert.equal((await sendRequest(this.platform, '/safe/x', 'other')).status, 401);
+    assert.equal((await sendRequest(this.platform, '/safe/x', { key: 'other' })).status, 401);
     assert.equal((await sendRequest(this.platform, '/other/x')).status, 404);
   },
 );
@@ -86,7 +86,7 @@
   'a request with a key gets 503 and none was begun',
   async function refused(this: PlatformWorld) {
     assert.equal((await sendRequest(this.platform, '/safe/x')).status, 503);
-    assert.equal((await sendRequest(this.platform, '/safe/x', 'other')).status, 503);
+    assert.equal((await sendRequest(this.platform, '/safe/x', { key: 'other' })).status, 503);
     assert.deepEqual(this.platform.engines[0]!.startedRequestIds, []);
   },
 );
@@ -99,7 +99,7 @@
   const isRefused = async (): Promise<boolean> =>
     (await sendRequest(this.platform, '/safe/x')).status === 401;
   await eventually(isRefused, 'the key is refused', 1_000);
-  assert.equal((await sendRequest(this.platform, '/safe/x', 'key-2')).status, 200);
+  assert.equal((await sendRequest(this.platform, '/safe/x', { key: 'key-2' })).status, 200);
 });
 
 Then('it gets events 1 to 12 once each', function events(this: PlatformWorld) {
@@ -114,7 +114,9 @@
 When(
   'a caller sends a request to safe and leaves after 200 ms',
   async function leave(this: PlatformWorld) {
-    await assert.rejects(sendRequest(this.platform, '/safe/x', 'key-1', AbortSignal.timeout(200)));
+    await assert.rejects(
+      sendRequest(this.platform, '/safe/x', { signal: AbortSignal.timeout(200) }),
+    );
   },
 );
 
--- /dev/null
+++ b/features/support/crashFleet.ts
@@ -0,0 +1,272 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+import { PlatformProgram, freePorts, makeEntrySettings } from '@laburnumstream/bench';
+import type { SettingsLines } from '@laburnumstream/bench';
+import {
+  PlatformEngine,
+  PlatformStore,
+  Relay,
+  RelayMode,
+  streamEvents,
+} from '@laburnumstream/standins';
+import type { Behaviour } from '@laburnumstream/standins';
+import { eventually } from './assertions.js';
+import { sendRequest } from './platformCaller.js';
+import { createConfiguration } from './platformFleet.js';
+
+/** Time after which an endpoint that crashed is back, in milliseconds. */
+const restartMs = 1_500;
+/** Time from the head of the response to the crash, in milliseconds. */
+const crashDelayMs = 40;
+const eventsPerStream = 12;
+const partsHeader = 'laburnumstream-prompt-prefix';
+/** Repeats the body of a request for the endpoint. */
+const bodyHeader = 'x-body';
+const firstEntryHost = 10;
+/** Time after which the platform takes a registration away that is not renewed, in milliseconds. */
+const registrationMs = 3_600;
+
+/** An arrival of a request at an endpoint, or the crash of an endpoint; `at` is monotonic. */
+export interface FleetEvent {
+  readonly at: number;
+  /** Whatever the endpoint crashes on. */
+  readonly cause: string;
+}
+
+/** An endpoint's port, and the process that serves it now. */
+interface EndpointSlot {
+  readonly index: number;
+  readonly port: number;
+  engine: PlatformEngine | undefined;
+  generation: number;
+}
+
+/** An entry program with its path to the store. */
+interface EntryProcess {
+  readonly name: string;
+  readonly program: PlatformProgram;
+  readonly relay: Relay;
+  /** IP:PORT */
+  readonly callerAddress: string;
+}
+
+/** How the entries of a fleet can hear each other. */
+export const EntryPaths = { open: 'open', cut: 'cut' } as const;
+
+/** A value of {@link EntryPaths}. */
+export type EntryPaths = (typeof EntryPaths)[keyof typeof EntryPaths];
+
+/** Entry programs and endpoints that crash when they begin to respond to certain content. */
+export class CrashFleet {
+  readonly entries: EntryProcess[] = [];
+
+  /** Arrivals of requests that crash endpoints. */
+  readonly arrivals: FleetEvent[] = [];
+
+  readonly crashes: FleetEvent[] = [];
+
+  /** Parts of prompts, and bodies, that crash endpoints. */
+  readonly causes = new Set<string>();
+
+  private readonly slots: EndpointSlot[] = [];
+
+  private shared: SettingsLines | undefined;
+
+  private lastHost = firstEntryHost;
+
+  private isClosed = false;
+
+  private constructor(
+    readonly store: PlatformStore,
+    private readonly paths: EntryPaths,
+    private readonly log: number | undefined,
+  ) {}
+
+  static async start(
+    entries: number,
+    endpoints: number,
+    paths: EntryPaths = EntryPaths.open,
+    log?: number,
+  ): Promise<CrashFleet> {
+    const fleet = new CrashFleet(await PlatformStore.start(), paths, log);
+    fleet.store.write('op/config', createConfiguration(1, ['key-1']));
+    const ports = await freePorts(endpoints);
+    for (const [index, port] of ports.entries()) {
+      const slot = { index, port, engine: undefined, generation: 0 };
+      fleet.slots.push(slot);
+      await fleet.startEndpoint(slot);
+    }
+    for (let index = 0; index < entries; index += 1) await fleet.addEntry();
+    await fleet.waitUntilServing();
+    return fleet;
+  }
+
+  /** Starts one more entry, with a name and an address of its own. */
+  async addEntry(): Promise<void> {
+    const base = await makeEntrySettings(this.store.address);
+    this.shared ??= base;
+    const relay = await new Relay(Number(this.store.address.split(':')[1])).start();
+    const host = `127.0.0.${this.lastHost}`;
+    const name = `front-${this.lastHost}`;
+    this.lastHost += 1;
+    const settings = {
+      ...base,
+      NodeName: name,
+      Ip: host,
+      PortRange: (this.paths === EntryPaths.open ? this.shared : base).PortRange!,
+      'Platform.Address': relay.address,
+    };
+    const program = new PlatformProgram({
+      main: 'entryMain.js',
+      ...(this.log === undefined ? {} : { log: this.log }),
+    });
+    program.write(settings);
+    await program.start();
+    this.entries.push({ name, program, relay, callerAddress: base['Listen.Front']! });
+  }
+
+  /** Kills an entry and starts it again under its name. */
+  async restartEntry({ program }: EntryProcess): Promise<void> {
+    program.close();
+    await program.waitForExit();
+    await program.start();
+  }
+
+  /** Kills all entries at once and starts them again. */
+  async restartAllEntries(): Promise<void> {
+    await Promise.all(this.entries.map((entry) => this.restartEntry(entry)));
+  }
+
+  /** Kills an entry for good and starts another in its place. */
+  async replaceEntry(): Promise<void> {
+    const [gone] = this.entries.splice(0, 1);
+    gone?.program.close();
+    await gone?.relay.stop();
+    await this.addEntry();
+  }
+
+  /** Cuts an entry from the store, or connects it again. */
+  setStorePath({ relay }: EntryProcess, isOpen: boolean): void {
+    relay.setMode(isOpen ? RelayMode.open : RelayMode.silent);
+  }
+
+  /** Makes the store silent for all, or lets it respond again. */
+  setStoreSilent(isSilent: boolean): void {
+    this.store.isSilent = isSilent;
+  }
+
+  /** Loses each n-th response of the store, although the call takes effect. */
+  loseStoreResponses(every: number): void {
+    let calls = 0;
+    this.store.shouldDropResponse = (): boolean => {
+      calls += 1;
+      return calls % every === 0;
+    };
+  }
+
+  /** Sends a stream request to an entry; returns whether its caller got all events. */
+  async send(entry: EntryProcess, parts: readonly string[], body: string): Promise<boolean> {
+    const settings = { callerAddress: entry.callerAddress };
+    const prompt = parts.map((part) => `${part}:20`).join();
+    const headers = { [partsHeader]: prompt, [bodyHeader]: body };
+    try {
+      const response = await sendRequest({ settings }, '/stream/x', { headers, body });
+      return response.isWhole && response.body.includes(`id: ${eventsPerStream}\n`);
+    } catch {
+      // An entry that was killed refuses the connection or closes it.
+      return false;
+    }
+  }
+
+  /** Crashes endpoints for a reason that has nothing to do with requests. */
+  crashEndpoints(indices: readonly number[]): void {
+    indices.forEach((index) => this.crash(this.slots[index]!, 'other'));
+  }
+
+  get endpointIndices(): number[] {
+    return this.slots.map(({ index }) => index);
+  }
+
+  get endpointCount(): number {
+    return this.slots.length;
+  }
+
+  async close(): Promise<void> {
+    this.isClosed = true;
+    this.entries.forEach(({ program }) => program.close());
+    await Promise.all(this.entries.map(({ relay }) => relay.stop()));
+    this.slots.forEach(({ engine }) => engine?.close());
+    this.store.close();
+  }
+
+  /** Waits until each entry serves a request. */
+  private async waitUntilServing(): Promise<void> {
+    for (const entry of this.entries) {
+      let isServing = false;
+      await eventually(
+        () => {
+          void this.send(entry, [], 'first').then((isServed) => {
+            isServing ||= isServed;
+          });
+          return isServing;
+        },
+        `${entry.name} serves a request`,
+        20_000,
+      );
+    }
+  }
+
+  private async startEndpoint(slot: EndpointSlot): Promise<void> {
+    const { index, generation } = slot;
+    const id = `e${index}-${generation}`;
+    const engine = await PlatformEngine.start(
+      id,
+      this.createBehaviour(slot),
+      '127.0.0.1',
+      slot.port,
+    );
+    Object.assign(slot, { engine });
+    this.store.write(`servers/${id}`, {
+      Service: 'desk',
+      Address: engine.address,
+      Zone: 'a',
+      Slots: 6,
+      State: 'ready',
+      born: 1_700_000_000_000 + generation,
+    });
+  }
+
+  private createBehaviour(slot: EndpointSlot): Behaviour {
+    const stream = streamEvents(eventsPerStream);
+    return async (request, response, engine) => {
+      const parts = String(request.headers[partsHeader] ?? '').split(',');
+      const names = parts.slice(0, -1).map((part) => part.split(':')[0]!);
+      const body = String(request.headers[bodyHeader] ?? '');
+      const cause = [...names, body].find((name) => this.causes.has(name));
+      if (cause === undefined) {
+        await stream(request, response, engine);
+        return;
+      }
+      this.arrivals.push({ at: performance.now(), cause });
+      response.writeHead(200, {
+        'laburnumstream-request-id': String(request.headers['laburnumstream-request-id']),
+        'laburnumstream-server-seal': `seal.${engine.id}`,
+        'content-type': 'text/event-stream',
+      });
+      response.flushHeaders();
+      await sleep(crashDelayMs);
+      if (slot.engine === engine) this.crash(slot, cause);
+    };
+  }
+
+  private crash(slot: EndpointSlot, cause: string): void {
+    const { engine } = slot;
+    if (!engine) return;
+    Object.assign(slot, { engine: undefined, generation: slot.generation + 1 });
+    this.crashes.push({ at: performance.now(), cause });
+    engine.close();
+    setTimeout(() => this.store.remove(`servers/${engine.id}`), registrationMs);
+    setTimeout(() => {
+      if (!this.isClosed) void this.startEndpoint(slot);
+    }, restartMs);
+  }
+}
--- a/features/support/platformCaller.ts
+++ b/features/support/platformCaller.ts
@@ -18,12 +18,24 @@
 
 let lastRequestId = 0;
 
-/** Sends a request with an API key and reads the response; `signal` aborts it. */
+/** The entry that a request is sent to. */
+interface Destination {
+  readonly settings: Pick<PlatformFleet['settings'], 'callerAddress'>;
+}
+
+/** What a request may have besides its path; `signal` aborts it. */
+export interface RequestOptions {
+  readonly key?: string;
+  readonly headers?: Readonly<Record<string, string>>;
+  readonly body?: string;
+  readonly signal?: AbortSignal;
+}
+
+/** Sends a request with an API key and reads the response. */
 export function sendRequest(
-  { settings }: Pick<PlatformFleet, 'settings'>,
+  { settings }: Destination,
   path: string,
-  key = 'key-1',
-  signal?: AbortSignal,
+  { key = 'key-1', headers = {}, body: content = 'body', signal }: RequestOptions = {},
 ): Promise<CallerResponse> {
   lastRequestId += 1;
   const [host, port] = settings.callerAddress.split(':');
@@ -40,7 +52,8 @@
           authorization: `Bearer ${key}`,
           'laburnumstream-request-id': `r${lastRequestId}`,
           'laburnumstream-deadline-ms': String(deadlineMs),
-          'content-length': '4',
+          'content-length': String(Buffer.byteLength(content)),
+          ...headers,
         },
       },
       (response) => {
@@ -61,7 +74,7 @@
       },
     );
     sent.once('error', reject);
-    sent.end('body');
+    sent.end(content);
   });
 }
 
