Convict content under which endpoints end, at all entries

Callers lost their streams to endpoints that ended one after the other under one part of prompts (BUDGET). Cause: nothing on the path that runs remembered what was under way when endpoints ended. Now each entry reports broken connections with the shared parts of the prompts and a digest of the request, to the others directly and through the store; a crash counts after 1.2 s unless the endpoint gave a sign of life; the trait that explains most crashes and with which no request was completed since is convicted after three, and requests with it get 503, not run. Traits that can't be told apart are convicted only together. Convictions lie in the store without a lease, so that entries that start know them.

--- a/features/steps/crashingParts.steps.ts
+++ b/features/steps/crashingParts.steps.ts
@@ -1,10 +1,10 @@
 import assert from 'node:assert/strict';
 import { setTimeout as sleep } from 'node:timers/promises';
-import { After, Given, Then, When } from '@cucumber/cucumber';
+import { After, Given, Then, When, World } from '@cucumber/cucumber';
 import { CrashFleet, EntryPaths } from '../support/crashFleet.js';
 import { CauseKind, CrashTraffic } from '../support/crashTraffic.js';
 
-interface CrashWorld {
+interface CrashWorld extends World {
   crashFleet: CrashFleet;
   traffic: CrashTraffic;
   /** Monotonic time at which requests that crash endpoints began, in milliseconds. */
@@ -156,6 +156,7 @@
     await this.traffic.run(calmMs);
     await this.traffic.finish();
     const share = this.traffic.servedShare(from, Infinity);
+    this.log(`${share.toFixed(2)} served`);
     assert.ok(share >= Number(least), `${share.toFixed(2)} served`);
   },
 );
@@ -171,6 +172,7 @@
       const from = fifth.at + Number(seconds) * msPerSecond;
       const late = arrivals.filter((arrival) => arrival.cause === cause && arrival.at > from);
       const seen = `${late.length} late of ${arrivals.length} with ${cause}, ${ended.length} crashes`;
+      this.log(seen);
       assert.ok(late.length <= Number(most), seen);
     });
   },
@@ -183,5 +185,6 @@
   const from = (last?.at ?? beganAt) + 2 * contactMs;
   const after = traffic.servedShare(from, Infinity);
   const seen = `${after.toFixed(2)} served after, ${before.toFixed(2)} before`;
+  this.log(seen);
   assert.ok(after >= before / 2, seen);
 });
--- a/features/steps/growth.steps.ts
+++ b/features/steps/growth.steps.ts
@@ -14,7 +14,7 @@
 import type {
   EndpointSource,
   EndpointHandle,
-  FleetCodec,
+  FleetDecoder,
   PlacementRequest,
 } from '@laburnumstream/forwarding';
 import { FleetDatagrams } from '@laburnumstream/links';
@@ -247,7 +247,7 @@
 });
 
 /** Creates a store with `count` endpoints that never change, and the codec of its values. */
-function createStaticStore(count: number): { store: StoreFeed; codec: FleetCodec } {
+function createStaticStore(count: number): { store: StoreFeed; codec: FleetDecoder } {
   const values = Array.from({ length: count }, (_, index) => ({
     key: `${index}`,
     value: '',
@@ -260,10 +260,8 @@
         signal?.addEventListener('abort', () => reject(new Unavailable('The test is over.', 0)));
       }),
   };
-  const codec: FleetCodec = {
+  const codec: FleetDecoder = {
     prefix: '',
-    entryKey: (name) => name,
-    encodeEntry: () => '',
     decode: ({ key }) => ({ kind: 'endpoint', id: `e${key}`, endpoint: createEndpoint(+key) }),
   };
   return { store, codec };
@@ -271,7 +269,7 @@
 
 /** Creates a watcher that applies the store's content to a fleet state. */
 function createWatcher(
-  { store, codec }: { store: StoreFeed; codec: FleetCodec },
+  { store, codec }: { store: StoreFeed; codec: FleetDecoder },
   state: FleetState,
   clock: VirtualClock,
 ): FleetWatcher {
@@ -367,7 +365,7 @@
     },
   };
   const location = { host: '10.0.0.0', dataCentre: 'a' };
-  const registering: FleetCodec = {
+  const registering: FleetDecoder = {
     ...codec,
     decode: ({ key }) => ({ kind: 'entry', name: `front-${key}`, location }),
   };
--- a/features/support/watchHistory.ts
+++ b/features/support/watchHistory.ts
@@ -188,7 +188,7 @@
     platformBounds.configurationMs,
   );
   const proofClock = new SleepAwareClock(instance);
-  const codec = { prefix, entryKey: () => '', encodeEntry: () => '', decode };
+  const codec = { prefix, decode };
   const store = new SimulatedStore(history, clock, instance);
   const { versionMs } = platformBounds;
   const watcher = new FleetWatcher(
--- /dev/null
+++ b/packages/decisions/src/crashes/index.ts
@@ -0,0 +1,4 @@
+/** Conviction of content that crashes endpoints. */
+export * from './convictions.js';
+export * from './crashBlame.js';
+export * from './crashEvidence.js';
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -11,6 +11,7 @@
 export * from './configuration/permissions.js';
 export * from './configuration/policy.js';
 export * from './configuration/schema.js';
+export * from './crashes/index.js';
 export * from './fairQueue.js';
 export * from './forwarding/index.js';
 export * from './frameOrder.js';
--- a/packages/forwarding/src/agentLinks.ts
+++ b/packages/forwarding/src/agentLinks.ts
@@ -3,6 +3,8 @@
 import { FleetDatagrams } from '@laburnumstream/links';
 import type { DatagramContent, DatagramHandlers } from '@laburnumstream/links';
 import type { EndpointReport } from '@laburnumstream/protocol';
+import { CrashExchange } from './crashExchange.js';
+import type { CrashGuard } from './crashGuard.js';
 import type { EndpointDirectory } from './endpointDirectory.js';
 import type { EndpointHandle } from './endpointHandle.js';
 import type { FleetState } from './fleetState.js';
@@ -27,6 +29,8 @@
 
   private readonly loadBroadcast: LoadBroadcast;
 
+  private readonly crashExchange: CrashExchange;
+
   private readonly notifiers: NotifierSelection;
 
   /** Revision of the registered entries from which `notifiers` was built. */
@@ -38,6 +42,7 @@
     private readonly settings: FleetSettings,
     private readonly state: FleetState,
     private readonly directory: EndpointDirectory,
+    guard: CrashGuard,
     private readonly clock: Clock,
     private readonly random: Random,
     metrics: Metrics,
@@ -48,10 +53,12 @@
     const handlers: DatagramHandlers = {
       report: (report) => this.handleReport(report),
       load: (load, { sender }) => this.loadBroadcast.receive(load, sender),
+      crashes: (news, { host }) => this.crashExchange.receive(news, host),
     };
     this.datagrams = new FleetDatagrams(settings.instance, handlers, clock, metrics, log);
     this.notifiers = new NotifierSelection(settings.instance);
     this.loadBroadcast = new LoadBroadcast(settings, state, directory, this.datagrams, clock);
+    this.crashExchange = new CrashExchange(settings, state, guard, this.datagrams);
   }
 
   async run(signal: AbortSignal): Promise<void> {
@@ -59,6 +66,7 @@
     while (!signal.aborted) {
       this.sendUpdates(false);
       this.loadBroadcast.send();
+      this.crashExchange.repeatConvictions();
       await this.clock.sleep(updateIntervalMs, signal).catch(() => undefined);
     }
   }
@@ -169,6 +177,7 @@
     const { running, waiting, pacePermille, version, isSwitching, isAnswering } = report;
     const sharers = this.directory.getCapacitySharers(handle.region);
     const load = { running, waiting, slowdown: pacePermille / permille };
+    handle.recordSignOfLife(now - report.answeredMsAgo);
     handle.applyLoadReport(load, sharers, this.random, now);
     if (handle.reportedVersion !== version || handle.isSwitching !== isSwitching) {
       this.log.info('Engine changed.', { endpoint: handle.id, version, isSwitching, isAnswering });
--- a/packages/forwarding/src/bufferedForwarder.ts
+++ b/packages/forwarding/src/bufferedForwarder.ts
@@ -108,6 +108,8 @@
     const { action, execution, outcome } = classifyResponse({ status, ...head });
     this.recordHealth(attempt, outcome);
     if (action === ResponseAction.deliver) {
+      handle.recordSignOfLife(this.services.clock.now());
+      attempts.recordCompletion(attempt);
       this.deliver(exchange, attempt, response);
       return true;
     }
--- /dev/null
+++ b/packages/forwarding/src/crashExchange.ts
@@ -0,0 +1,87 @@
+import type { FleetSettings } from '@laburnumstream/common';
+import type { Conviction, CrashNews, CrashReport } from '@laburnumstream/decisions';
+import type { FleetDatagrams } from '@laburnumstream/links';
+import type { CrashNews as CrashNewsMessage } from '@laburnumstream/protocol';
+import type { CrashGuard, CrashListener } from './crashGuard.js';
+import type { FleetState } from './fleetState.js';
+
+/** Maximum number of traits in one datagram, so that it fits a packet. */
+const maxTraitsPerDatagram = 40;
+/** Maximum number of convictions that are repeated every second. */
+const maxRepeatedConvictions = 20;
+
+const noNews: CrashNews = { crashes: [], survivals: [], convictions: [] };
+
+/** Divides a crash into reports that each fit a datagram. */
+function splitReport({ endpoint, msAgo, traits }: CrashReport): CrashReport[] {
+  const count = Math.ceil(traits.length / maxTraitsPerDatagram);
+  return Array.from({ length: count }, (_, index) => {
+    const start = index * maxTraitsPerDatagram;
+    return { endpoint, msAgo, traits: traits.slice(start, start + maxTraitsPerDatagram) };
+  });
+}
+
+function encode({ crashes, survivals, convictions }: CrashNews) {
+  return {
+    case: 'crashes' as const,
+    value: {
+      crashes: crashes.map((crash) => ({ ...crash, traits: [...crash.traits] })),
+      survivals: [...survivals],
+      convictions: convictions.map((conviction) => ({
+        ...conviction,
+        traits: [...conviction.traits],
+      })),
+    },
+  };
+}
+
+/** Tells other entries directly of crashes and convictions; the store may be away. */
+export class CrashExchange implements CrashListener {
+  constructor(
+    private readonly settings: FleetSettings,
+    private readonly state: FleetState,
+    private readonly guard: CrashGuard,
+    private readonly datagrams: FleetDatagrams,
+  ) {
+    guard.addListener(this);
+  }
+
+  onNews(news: CrashNews): void {
+    const hosts = this.getHosts(() => true);
+    news.crashes.flatMap(splitReport).forEach((crash) => {
+      const traits = new Set(crash.traits);
+      const survivals = news.survivals.filter(({ trait }) => traits.has(trait));
+      this.datagrams.sendAll(encode({ ...noNews, crashes: [crash], survivals }), hosts);
+    });
+  }
+
+  onConviction(conviction: Conviction): void {
+    const hosts = this.getHosts(() => true);
+    this.datagrams.sendAll(encode({ ...noNews, convictions: [conviction] }), hosts);
+  }
+
+  /** Repeats the convictions to the entries of this region, for those that have started since. */
+  repeatConvictions(): void {
+    const convictions = this.guard.convictions.slice(0, maxRepeatedConvictions);
+    if (convictions.length === 0) return;
+    const { region, regions } = this.settings;
+    const hosts = this.getHosts((dataCentre) => regions.get(dataCentre) === region);
+    convictions.forEach((conviction) =>
+      this.datagrams.sendAll(encode({ ...noNews, convictions: [conviction] }), hosts),
+    );
+  }
+
+  /** Merges what another entry tells, and answers with completed requests that it does not know of. */
+  receive({ crashes, survivals, convictions }: CrashNewsMessage, host: string): void {
+    const added = this.guard.receive({ crashes, survivals, convictions });
+    if (added.length === 0) return;
+    this.datagrams.send(encode({ ...noNews, survivals: added }), host);
+  }
+
+  /** Hosts of the other entries in some data centres. */
+  private getHosts(isIncluded: (dataCentre: string) => boolean): string[] {
+    return [...this.state.entryLocations]
+      .filter(([name, { dataCentre }]) => name !== this.settings.instance && isIncluded(dataCentre))
+      .map(([, { host }]) => host);
+  }
+}
--- /dev/null
+++ b/packages/forwarding/src/crashGuard.ts
@@ -0,0 +1,160 @@
+import type { Clock, Log, Metrics } from '@laburnumstream/common';
+import { CrashEvidence } from '@laburnumstream/decisions';
+import type { Conviction, CrashNews, SurvivalReport } from '@laburnumstream/decisions';
+import { Framing } from './endpointCall.js';
+import type { EndpointHandle } from './endpointHandle.js';
+import type { Exchange } from './exchange.js';
+import { Refusal, RefusalReason } from './refusal.js';
+import { getPartTraits, getTraits } from './requestTraits.js';
+
+/** Passes on what this entry has seen. */
+export interface CrashListener {
+  onNews(news: CrashNews): void;
+  onConviction(conviction: Conviction): void;
+}
+
+/** Time in which connections to one endpoint break before other entries are told, in milliseconds. */
+const reportDelayMs = 200;
+/** Interval between checks whether a crash counts, in milliseconds. */
+const settleIntervalMs = 100;
+/** A conviction has no end, so callers are asked to stay away for long, in milliseconds. */
+const retryDelayMs = 600_000;
+
+/** Finds content that crashes endpoints, from connections that break, and refuses requests with it. */
+export class CrashGuard {
+  private readonly evidence = new CrashEvidence();
+
+  private readonly listeners: CrashListener[] = [];
+
+  /** Incarnations of endpoints whose crashes other entries are still to be told of. */
+  private readonly unreported = new Set<string>();
+
+  private reportTimer: NodeJS.Timeout | undefined;
+
+  private settleTimer: NodeJS.Timeout | undefined;
+
+  constructor(
+    /** Returns the endpoint with an id, if it is registered. */
+    private readonly findEndpoint: (id: string) => EndpointHandle | undefined,
+    private readonly clock: Clock,
+    private readonly metrics: Metrics,
+    private readonly log: Log,
+  ) {}
+
+  addListener(listener: CrashListener): void {
+    this.listeners.push(listener);
+  }
+
+  get convictions(): readonly Conviction[] {
+    return this.evidence.convictions.all;
+  }
+
+  /** Number of endpoints that ended under requests, as far as they are remembered. */
+  get crashCount(): number {
+    return this.evidence.crashCount;
+  }
+
+  /** Throws a `Refusal` if the request's content crashes endpoints. */
+  check(exchange: Exchange): void {
+    const { convictions } = this.evidence;
+    if (convictions.size === 0) return;
+    const conviction = convictions.find(getTraits(exchange));
+    if (!conviction) return;
+    const { traits, crashes } = conviction;
+    this.log.info('Request refused for its content.', { id: exchange.head.id, traits, crashes });
+    const message = `Endpoints crashed on requests with ${traits.join(' and ')}.`;
+    throw new Refusal(RefusalReason.crashingContent, message, retryDelayMs);
+  }
+
+  /** Records that the connection to an endpoint broke while it was running a request. */
+  recordBreak(handle: EndpointHandle, exchange: Exchange): void {
+    const { incarnation, endpoint } = handle;
+    // An endpoint that leaves may end before its last requests do.
+    if (endpoint.isDraining || this.findEndpoint(handle.id) !== handle) return;
+    this.evidence.recordCrash(incarnation, this.clock.now(), getTraits(exchange));
+    this.unreported.add(incarnation);
+    this.reportTimer ??= setTimeout(() => this.report(), reportDelayMs);
+    this.scheduleSettlement();
+  }
+
+  /** Records that an endpoint completed a request. */
+  recordCompletion(exchange: Exchange, framing: Framing | undefined): void {
+    // An endpoint that ends closes its connections, which ends a response without another framing.
+    if (framing === Framing.connection) return;
+    const traits = this.evidence.isActive ? getTraits(exchange) : getPartTraits(exchange);
+    this.evidence.recordSurvival(traits, this.clock.now());
+  }
+
+  /** Merges what another entry tells; returns what this entry can add on the same crashes. */
+  receive(news: CrashNews): SurvivalReport[] {
+    const now = this.clock.now();
+    const added = news.convictions.filter(
+      (conviction) => !this.evidence.convictions.has(conviction),
+    );
+    const survivals = this.evidence.reportSurvivals(news.crashes, now);
+    this.evidence.merge(news, now);
+    added
+      .filter((conviction) => this.evidence.convictions.has(conviction))
+      .forEach(({ traits, crashes }) =>
+        this.log.info('Content convicted by another entry.', { traits, crashes }),
+      );
+    if (this.evidence.hasUnsettled) this.scheduleSettlement();
+    const told = new Map(news.survivals.map(({ trait, count }) => [trait, count]));
+    return survivals.filter(({ trait, count }) => count > (told.get(trait) ?? 0));
+  }
+
+  /** Adopts a conviction; returns false if it is contradicted by requests that were completed here. */
+  adopt(conviction: Conviction): boolean {
+    const isKnown = this.evidence.convictions.has(conviction);
+    const isAdopted = this.evidence.adopt(conviction);
+    const { traits, crashes } = conviction;
+    if (isAdopted && !isKnown)
+      this.log.info('Content convicted by another entry.', { traits, crashes });
+    if (!isAdopted) this.log.warn('Conviction contradicted.', { traits, crashes });
+    return isAdopted;
+  }
+
+  /** Drops a conviction that another entry has contradicted. */
+  withdraw(conviction: Conviction): void {
+    if (!this.evidence.convictions.has(conviction)) return;
+    this.evidence.convictions.remove(conviction);
+    this.log.warn('Conviction withdrawn.', { traits: conviction.traits });
+  }
+
+  private report(): void {
+    this.reportTimer = undefined;
+    const endpoints = [...this.unreported];
+    this.unreported.clear();
+    const news = this.evidence.report(endpoints, this.clock.now());
+    news.crashes.forEach(({ endpoint, traits }) =>
+      this.log.info('Endpoint lost under requests.', { endpoint, traits: traits.length }),
+    );
+    if (news.crashes.length > 0) this.listeners.forEach((listener) => listener.onNews(news));
+  }
+
+  private scheduleSettlement(): void {
+    this.settleTimer ??= setTimeout(() => {
+      this.settleTimer = undefined;
+      this.settle();
+      if (this.evidence.hasUnsettled) this.scheduleSettlement();
+    }, settleIntervalMs);
+  }
+
+  private settle(): void {
+    const convicted = this.evidence.settle(this.clock.now(), (incarnation) =>
+      this.getSignOfLife(incarnation),
+    );
+    convicted.forEach((conviction) => {
+      const { traits, crashes } = conviction;
+      this.metrics.count('content_convicted');
+      this.log.warn('Content convicted.', { traits, crashes });
+      this.listeners.forEach((listener) => listener.onConviction(conviction));
+    });
+  }
+
+  private getSignOfLife(incarnation: string): number | undefined {
+    const id = incarnation.slice(0, incarnation.lastIndexOf('@'));
+    const handle = this.findEndpoint(id);
+    return handle?.incarnation === incarnation ? handle.lastSignOfLifeAt : undefined;
+  }
+}
--- a/packages/forwarding/src/endpointHandle.ts
+++ b/packages/forwarding/src/endpointHandle.ts
@@ -56,6 +56,9 @@
 
   model: EngineModel | undefined;
 
+  /** Monotonic time of the last sign that this incarnation of the endpoint runs, in milliseconds. */
+  private signOfLifeAt = -Infinity;
+
   constructor(
     public endpoint: Endpoint,
     public profile: ServiceProfile | undefined,
@@ -79,6 +82,20 @@
     return this.endpoint.id;
   }
 
+  /** Identifies the endpoint from its start to its end, among all entries. */
+  get incarnation(): string {
+    const { id, startedAt } = this.endpoint;
+    return `${id}@${startedAt}`;
+  }
+
+  get lastSignOfLifeAt(): number {
+    return this.signOfLifeAt;
+  }
+
+  recordSignOfLife(at: number): void {
+    this.signOfLifeAt = Math.max(this.signOfLifeAt, at);
+  }
+
   get slots(): number {
     return this.endpoint.slots || defaultSlots;
   }
@@ -104,6 +121,7 @@
   /** Records that a stream has delivered an event. */
   recordEvent(now: number): void {
     this.lastActivityAt = now;
+    this.recordSignOfLife(now);
   }
 
   /** Whether it has open streams but has sent no event for too long. */
--- a/packages/forwarding/src/entryGauges.ts
+++ b/packages/forwarding/src/entryGauges.ts
@@ -1,6 +1,7 @@
 import type { Clock, Gauge } from '@laburnumstream/common';
 import type { SharedRetryBudget } from '@laburnumstream/decisions';
 import type { CallerServer, FreshnessChecks } from './callerServer.js';
+import type { CrashGuard } from './crashGuard.js';
 import type { DispatchQueue } from './dispatchQueue.js';
 import type { EndpointDirectory } from './endpointDirectory.js';
 import type { EndpointHandle } from './endpointHandle.js';
@@ -14,6 +15,7 @@
   readonly budget: SharedRetryBudget;
   readonly callers: CallerServer;
   readonly freshness: FreshnessChecks;
+  readonly guard: CrashGuard;
   readonly clock: Clock;
 }
 
@@ -35,7 +37,7 @@
 
 /** Returns gauges of an entry's current requests, configuration, endpoints and retry budgets. */
 export function entryGauges(parts: EntryParts): Gauge[] {
-  const { state, directory, queue, budget, callers, freshness, clock } = parts;
+  const { state, directory, queue, budget, callers, freshness, guard, clock } = parts;
   const endpoints = [...directory.all].flatMap((handle) => endpointGauges(handle, directory));
   const versions = [...state.newestVersions].map(([model, value]) => ({
     name: 'version_named',
@@ -50,6 +52,8 @@
   return [
     { name: 'requests_running', value: callers.active },
     { name: 'configuration_proof_age_ms', value: Math.round(freshness.ageMs()) },
+    { name: 'endpoint_crashes_known', value: guard.crashCount },
+    { name: 'convictions', value: guard.convictions.length },
     ...waiting,
     ...endpoints,
     ...versions,
--- a/packages/forwarding/src/fleetChange.ts
+++ b/packages/forwarding/src/fleetChange.ts
@@ -5,6 +5,14 @@
   NamedVersion,
   StoreChange,
 } from '@laburnumstream/common';
+import type { Conviction, CrashNews } from '@laburnumstream/decisions';
+
+/** A conviction as it is stored. */
+export interface StoredConviction {
+  readonly conviction: Conviction;
+  /** Whether an entry has found that it was wrong. */
+  readonly isWithdrawn: boolean;
+}
 
 /** A decoded change in the store that entries act on. */
 export type FleetChange =
@@ -13,16 +21,34 @@
   | { readonly kind: 'evacuation'; readonly dataCentre: string; readonly isActive: boolean }
   | { readonly kind: 'version'; readonly named: NamedVersion }
   /** `location` is undefined when the entry is no longer registered. */
-  | { readonly kind: 'entry'; readonly name: string; readonly location: EntryLocation | undefined };
+  | { readonly kind: 'entry'; readonly name: string; readonly location: EntryLocation | undefined }
+  /** Crashes that an entry has seen; undefined when its record has expired. */
+  | { readonly kind: 'crashes'; readonly name: string; readonly news: CrashNews | undefined }
+  /** `stored` is undefined when the store no longer has it. */
+  | {
+      readonly kind: 'conviction';
+      readonly key: string;
+      readonly stored: StoredConviction | undefined;
+    };
 
-/** Encodes and decodes the keys and values of the store. */
-export interface FleetCodec {
+/** Decodes the keys and values of the store. */
+export interface FleetDecoder {
   /** Prefix of all keys that entries watch. */
   readonly prefix: string;
+  /** Returns undefined for keys that do not concern entries; throws `InvalidInput` for invalid values. */
+  decode(change: StoreChange): FleetChange | undefined;
+}
+
+/** Encodes and decodes the keys and values of the store. */
+export interface FleetCodec extends FleetDecoder {
   /** The key under which an entry registers itself. */
   entryKey(name: string): string;
   /** Encodes the value that an entry registers. */
   encodeEntry(location: EntryLocation): string;
-  /** Returns undefined for keys that do not concern entries; throws `InvalidInput` for invalid values. */
-  decode(change: StoreChange): FleetChange | undefined;
+  /** The key under which an entry records crashes. */
+  crashesKey(name: string): string;
+  encodeCrashes(news: CrashNews): string;
+  /** The key under which a conviction is stored. */
+  convictionKey(conviction: Conviction): string;
+  encodeConviction(stored: StoredConviction): string;
 }
--- a/packages/forwarding/src/fleetState.ts
+++ b/packages/forwarding/src/fleetState.ts
@@ -2,6 +2,9 @@
 import { NamedVersions, RouteTable } from '@laburnumstream/decisions';
 import type { FleetChange } from './fleetChange.js';
 
+/** A change that concerns crashes of endpoints. */
+export type CrashChange = Extract<FleetChange, { kind: 'crashes' | 'conviction' }>;
+
 /** How each kind of change is applied. */
 type Handlers = {
   readonly [Kind in FleetChange['kind']]: (
@@ -21,6 +24,8 @@
   evacuation: (state, { dataCentre, isActive }) => state.setEvacuation(dataCentre, isActive),
   version: (state, { named }, at) => state.addNamedVersion(named.model, named.version, at),
   entry: (state, { name, location }) => state.setEntry(name, location),
+  crashes: (state, change) => state.applyCrashChange(change),
+  conviction: (state, change) => state.setConviction(change),
 };
 
 /** This entry's view of the fleet. Configuration and weight versions never decrease. */
@@ -40,6 +45,9 @@
   /** Number of registered entries, by data centre. */
   private readonly entriesByDataCentre = new Map<string, number>();
 
+  /** Keys of the stored convictions. */
+  private readonly convictionKeys = new Set<string>();
+
   /** Number of changes to the registered entries. */
   private entryChanges = 0;
 
@@ -51,6 +59,8 @@
     private readonly log: Log,
     /** Called after each change or batch that affects where requests can be sent. */
     private readonly onChange: () => void,
+    /** Called with each change that concerns crashes of endpoints. */
+    private readonly onCrashChange: (change: CrashChange) => void = () => undefined,
   ) {}
 
   get routes(): RouteTable | undefined {
@@ -122,10 +132,12 @@
     const ids = new Set<string>();
     const dataCentres = new Set<string>();
     const names = new Set<string>();
+    const convictions = new Set<string>();
     changes.forEach((change) => {
       if (change.kind === 'endpoint') ids.add(change.id);
       if (change.kind === 'evacuation') dataCentres.add(change.dataCentre);
       if (change.kind === 'entry') names.add(change.name);
+      if (change.kind === 'conviction') convictions.add(change.key);
     });
     const endpoints = [...this.endpointsById.keys()]
       .filter((id) => !ids.has(id))
@@ -136,7 +148,10 @@
     const entries = [...this.locationsByEntry.keys()]
       .filter((name) => !names.has(name))
       .map((name) => ({ kind: 'entry', name, location: undefined }) as const);
-    return [...endpoints, ...evacuations, ...entries];
+    const lostConvictions = [...this.convictionKeys]
+      .filter((key) => !convictions.has(key))
+      .map((key) => ({ kind: 'conviction', key, stored: undefined }) as const);
+    return [...endpoints, ...evacuations, ...entries, ...lostConvictions];
   }
 
   setConfiguration(table: RouteTable): void {
@@ -200,6 +215,16 @@
     this.metrics.gauge('entries', this.locationsByEntry.size);
   }
 
+  applyCrashChange(change: CrashChange): void {
+    this.onCrashChange(change);
+  }
+
+  setConviction(change: Extract<FleetChange, { kind: 'conviction' }>): void {
+    if (change.stored) this.convictionKeys.add(change.key);
+    else this.convictionKeys.delete(change.key);
+    this.onCrashChange(change);
+  }
+
   private adjustEntryCount(dataCentre: string, change: number): void {
     this.entriesByDataCentre.set(
       dataCentre,
--- a/packages/forwarding/src/fleetWatcher.ts
+++ b/packages/forwarding/src/fleetWatcher.ts
@@ -8,7 +8,7 @@
   StoreFeed,
 } from '@laburnumstream/common';
 import { DeferredRemovals, changeBatchWindowMs } from '@laburnumstream/decisions';
-import type { FleetChange, FleetCodec } from './fleetChange.js';
+import type { FleetChange, FleetDecoder } from './fleetChange.js';
 import type { FleetState } from './fleetState.js';
 import { StoreCall, StoreCallCounter } from './storeCallCounter.js';
 
@@ -70,7 +70,7 @@
 
   constructor(
     private readonly store: StoreFeed,
-    private readonly codec: FleetCodec,
+    private readonly codec: FleetDecoder,
     private readonly state: FleetState,
     private readonly proof: FreshnessProof,
     private readonly proofClock: SleepAwareClock,
--- a/packages/forwarding/src/forwardingEntry.ts
+++ b/packages/forwarding/src/forwardingEntry.ts
@@ -10,6 +10,8 @@
 } from '@laburnumstream/common';
 import { ConfigurationFreshness, SharedRetryBudget } from '@laburnumstream/decisions';
 import { CallerServer } from './callerServer.js';
+import { CrashGuard } from './crashGuard.js';
+import { CrashRecords } from './crashRecords.js';
 import { DispatchQueue } from './dispatchQueue.js';
 import { entryGauges } from './entryGauges.js';
 import { EndpointDirectory } from './endpointDirectory.js';
@@ -73,6 +75,8 @@
 
   private readonly registration: EntryRegistration;
 
+  private readonly crashRecords: CrashRecords;
+
   private isStopping = false;
 
   constructor(private readonly dependencies: EntryDependencies) {
@@ -83,7 +87,12 @@
       bounds.revocationMs * proofAgeShare,
       bounds.configurationMs + missingSlackMs,
     );
-    this.state = new FleetState(metrics, log('fleet'), () => this.handleFleetChange());
+    this.state = new FleetState(
+      metrics,
+      log('fleet'),
+      () => this.handleFleetChange(),
+      (change) => this.crashRecords.apply(change),
+    );
     const entryCounts = new EntryCounts(this.state, settings, clock);
     const confirm = (calledAt: number): void => {
       proof.confirm(calledAt);
@@ -109,11 +118,23 @@
       random,
       entryCounts,
     );
+    const guard = new CrashGuard((id) => this.directory.get(id), clock, metrics, log('crashes'));
+    this.crashRecords = new CrashRecords(
+      store,
+      fleetCodec,
+      settings.instance,
+      guard,
+      clock,
+      random,
+      metrics,
+      log('crashes'),
+    );
     this.queue = new DispatchQueue(this.directory, clock, random, metrics, log('line'));
     this.agents = new AgentLinks(
       settings,
       this.state,
       this.directory,
+      guard,
       clock,
       random,
       metrics,
@@ -137,6 +158,7 @@
     const services = {
       queue: this.queue,
       directory: this.directory,
+      guard,
       budget: new SharedRetryBudget(bound, () => entryCounts.forRetries),
       onLoadChange: () => this.agents.handleLoadChange(),
       codec: headerCodec,
@@ -166,7 +188,7 @@
     );
     const { state, directory, queue, callers } = this;
     const { budget } = services;
-    const parts = { state, directory, queue, callers, budget, freshness, clock };
+    const parts = { state, directory, queue, callers, budget, freshness, guard, clock };
     metrics.registerGauges(() => entryGauges(parts));
   }
 
--- a/packages/forwarding/src/requestAttempts.ts
+++ b/packages/forwarding/src/requestAttempts.ts
@@ -3,8 +3,9 @@
 import { mayRetry } from '@laburnumstream/decisions';
 import type { Placement, SharedRetryBudget } from '@laburnumstream/decisions';
 import type { Attempt, FailedAttempt } from './attempt.js';
+import type { CrashGuard } from './crashGuard.js';
 import type { DispatchQueue, PlacementRequest } from './dispatchQueue.js';
-import { EndpointCall } from './endpointCall.js';
+import { CallFault, EndpointCall } from './endpointCall.js';
 import type { CallObserver } from './endpointCall.js';
 import type { Eligibility, EndpointDirectory } from './endpointDirectory.js';
 import type { EndpointHandle } from './endpointHandle.js';
@@ -26,10 +27,14 @@
 /** Expected response time of a plain service, in milliseconds. */
 const plainResponseMs = 25;
 
+/** Faults that an endpoint causes when it ends. */
+const breakingFaults: ReadonlySet<CallFault> = new Set([CallFault.broken, CallFault.truncated]);
+
 /** Services that all requests share. */
 export interface AttemptServices {
   readonly queue: DispatchQueue;
   readonly directory: EndpointDirectory;
+  readonly guard: CrashGuard;
   readonly budget: SharedRetryBudget;
   /** Called when this entry's load at an endpoint has changed. */
   readonly onLoadChange: () => void;
@@ -67,8 +72,13 @@
 
   /** Waits for an endpoint; rejects with a typed failure if there is none. */
   async place(signal: AbortSignal): Promise<Placement<EndpointHandle>> {
+    const { queue, guard } = this.services;
     try {
-      return await this.services.queue.place(this.createPlacementRequest(), signal);
+      guard.check(this.exchange);
+      const placement = await queue.place(this.createPlacementRequest(), signal);
+      // It may have been convicted while it waited.
+      guard.check(this.exchange);
+      return placement;
     } catch (error) {
       if (this.executions === 0) throw error;
       throw new OutcomeUnknown('No other endpoint could take the request.', error);
@@ -81,6 +91,7 @@
     const { budget, clock, metrics, log } = services;
     const { handle, call } = attempt;
     if (execution !== Execution.notRun) this.executions += 1;
+    if (fault && breakingFaults.has(fault)) services.guard.recordBreak(handle, exchange);
     this.isMoving = false;
     this.retryingSince = clock.now();
     this.tried.add(handle.id);
@@ -120,6 +131,11 @@
     );
   }
 
+  /** Records that an attempt was completed with a successful response. */
+  recordCompletion({ call }: Attempt): void {
+    this.services.guard.recordCompletion(this.exchange, call.stats.framing);
+  }
+
   /** Whether a running stream may move to another endpoint; a move is taken from the retry budget. */
   mayMove(handle: EndpointHandle): boolean {
     const { exchange, services } = this;
--- a/packages/forwarding/src/storeCallCounter.ts
+++ b/packages/forwarding/src/storeCallCounter.ts
@@ -7,6 +7,8 @@
   watch: 'watch',
   /** Registration of this entry and renewal of its lease. */
   lease: 'lease',
+  /** Records of crashed endpoints and of content that crashes them. */
+  crashes: 'crashes',
 } as const;
 
 /** One of the values of {@link StoreCall}. */
--- a/packages/forwarding/src/streamSession.ts
+++ b/packages/forwarding/src/streamSession.ts
@@ -118,6 +118,7 @@
     attempt.markEnded();
     if (outcome.kind === 'complete') {
       this.recordHealth(attempt.handle, AttemptOutcome.responded);
+      this.attempts.recordCompletion(attempt);
       this.recordCompletion(attempt);
       return true;
     }
--- a/packages/links/src/fleetDatagrams.ts
+++ b/packages/links/src/fleetDatagrams.ts
@@ -6,6 +6,7 @@
 import type { Clock, Log, Metrics } from '@laburnumstream/common';
 import { DatagramSchema } from '@laburnumstream/protocol';
 import type {
+  CrashNews,
   Datagram,
   EndpointReport,
   EntryLoad,
@@ -31,6 +32,7 @@
   report?(report: EndpointReport, from: DatagramSource): void;
   pieces?(message: PieceNews, from: DatagramSource): void;
   load?(load: EntryLoad, from: DatagramSource): void;
+  crashes?(news: CrashNews, from: DatagramSource): void;
 }
 
 /**
@@ -120,5 +122,6 @@
     else if (content.case === 'report') this.handlers.report?.(content.value, from);
     else if (content.case === 'pieces') this.handlers.pieces?.(content.value, from);
     else if (content.case === 'load') this.handlers.load?.(content.value, from);
+    else if (content.case === 'crashes') this.handlers.crashes?.(content.value, from);
   }
 }
--- a/packages/sidecar/src/engineMonitor.ts
+++ b/packages/sidecar/src/engineMonitor.ts
@@ -15,6 +15,9 @@
 
   private failedPolls = 0;
 
+  /** Monotonic time at which the last successful poll began, in milliseconds. */
+  private answeredAt = -Infinity;
+
   constructor(
     private readonly engine: LocalEngine,
     private readonly clock: Clock,
@@ -33,6 +36,11 @@
     return this.lastState !== undefined && this.failedPolls < maxFailedPolls;
   }
 
+  /** Time since the last successful poll began, in milliseconds. */
+  get answeredMsAgo(): number {
+    return this.clock.now() - this.answeredAt;
+  }
+
   /** Polls until the signal fires. */
   async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
@@ -44,6 +52,7 @@
 
   /** Polls once, independently of the regular interval. */
   async poll(signal: AbortSignal): Promise<void> {
+    const calledAt = this.clock.now();
     try {
       const pollSignal = createTimeoutSignal(pollTimeoutMs, signal);
       const state = await this.engine.getState(pollSignal);
@@ -52,6 +61,7 @@
       }
       if (this.failedPolls >= maxFailedPolls) this.log.info('The engine responds again.');
       this.failedPolls = 0;
+      this.answeredAt = calledAt;
       this.lastState = state;
     } catch (error) {
       this.failedPolls += 1;
--- a/packages/sidecar/src/engineReporter.ts
+++ b/packages/sidecar/src/engineReporter.ts
@@ -70,6 +70,7 @@
       version,
       isSwitching,
       isAnswering,
+      answeredMsAgo: Math.round(this.monitor.answeredMsAgo),
       ...(switchInMs === undefined ? {} : { switchInMs: Math.round(switchInMs) }),
     };
     const hosts: string[] = [];
