Blame content for crashes only against evidence from others

Review of the convictions by seeded histories (features/crashEvidence.feature): a part that was under way by chance at three crashes was convicted for good before the true one had as many, entries that restarted knew nothing of what others had served, and an entry forgot its own record. Now four crashes blame, the trait with most of them first; a part is blamed only once requests without it were completed; a conviction that a later culprit explains is withdrawn, one that many completed requests contradict is not adopted; a sign of life of the endpoint clears a lost connection; a response that only the end of its connection has ended counts as completed once its endpoint lives on.

--- /dev/null
+++ b/features/crashEvidence.feature
@@ -0,0 +1,76 @@
+Feature: Evidence of content that crashes endpoints
+
+  Background:
+    Given 20 requests with part calm were completed
+
+  # Guards against blame for a part that all requests share, as it is under way at each crash.
+  Scenario: part that sound requests share
+    Given 100 requests with part first were completed
+    When endpoints crash 4 times 200 ms apart under first, bad and a part of their own
+    Then requests with first and bad are refused
+    And requests with first are not refused
+
+  Scenario: parts that were never under way apart
+    When endpoints crash 4 times 200 ms apart under first, bad and a part of their own
+    Then requests with first and bad are refused
+    And requests with first are not refused
+    When endpoints crash 1 times 200 ms apart under other, bad and a part of their own
+    Then requests with bad are refused
+
+  # Guards against blame after the loss of power of several instances.
+  Scenario: endpoints that end at the same time
+    When endpoints crash 6 times 5 ms apart under first, shared and a part of their own
+    Then requests with first and shared are not refused
+
+  Scenario: connections that are lost
+    When endpoints crash 6 times 200 ms apart under bad and respond again
+    Then requests with bad are not refused
+
+  Scenario: part that was served before
+    Given 10 requests with part session were completed
+    When endpoints crash 5 times 200 ms apart under session, and a part of their own
+    Then requests with session are not refused
+    When endpoints crash 1 times 200 ms apart under session, and a part of their own
+    Then requests with session are refused
+
+  # Guards against blame for a part of all requests while no endpoint completes any.
+  Scenario: outage of all endpoints from the start
+    Given nothing was completed
+    When endpoints crash 4 times 3000 ms apart under first, and a part of their own
+    Then requests with first are not refused
+    When 8 requests with part other are completed
+    Then requests with first are refused
+
+  # Guards against a part that was under way by chance at crashes that another part has caused.
+  Scenario: blame that a later culprit explains
+    When endpoints crash 1 times 200 ms apart under chance, and a part of their own
+    And endpoints crash 3 times 200 ms apart under chance, bad and a part of their own
+    Then requests with chance are refused
+    When endpoints crash 3 times 200 ms apart under bad, and a part of their own
+    Then requests with bad are refused
+    And requests with chance are not refused
+
+  Scenario: conviction that is contradicted
+    Given 100 requests with part first were completed
+    When another entry convicts first after 4 crashes
+    Then requests with first are not refused
+
+  Scenario: conviction that is withdrawn
+    When endpoints crash 4 times 200 ms apart under session, and a part of their own
+    And the conviction of session after 4 crashes is withdrawn
+    And another entry convicts session after 4 crashes
+    Then requests with session are not refused
+    When another entry convicts session after 5 crashes
+    Then requests with session are refused
+
+  # Guards against growth with the number of different parts, completed or under way at crashes.
+  Scenario: parts that are all new
+    When 60000 requests with new parts are completed and 2000 endpoints crash under 200 new parts each
+    Then at most 256 crashes and 256 convictions are remembered, in at most 120 MB
+    And a part that crashes endpoints is still found
+
+  Scenario: random histories
+    Then in 150 histories at most 3 bad requests are sent late and at most 0.05 of the sound ones are refused
+
+  Scenario: random histories with outages of all endpoints
+    Then in 150 histories with outages at most 3 bad requests are sent late and at most 0.05 of the sound ones are refused
--- /dev/null
+++ b/features/steps/crashEvidence.steps.ts
@@ -0,0 +1,166 @@
+import assert from 'node:assert/strict';
+import { Before, Given, Then, When } from '@cucumber/cucumber';
+import { CrashEvidence, toPartTrait } from '@laburnumstream/decisions';
+import fc from 'fast-check';
+import { simulateCrashes } from '../support/crashSimulation.js';
+import type { CrashHistory } from '../support/crashSimulation.js';
+
+interface EvidenceWorld {
+  evidence: CrashEvidence;
+  now: number;
+  endpoints: number;
+}
+
+const propertySeed = 23;
+const settledMs = 3_000;
+const bytesPerMegabyte = 1_000_000;
+
+Before(function setUp(this: EvidenceWorld) {
+  this.evidence = new CrashEvidence();
+  this.now = 1_000;
+  this.endpoints = 0;
+});
+
+function split(list: string): string[] {
+  const names = list.split(/, and | and |, /).filter((name) => name !== 'a part of their own');
+  return names.map(toPartTrait);
+}
+
+/** Ends endpoints under requests with some traits and one of their own, then lets the crashes settle. */
+function crash(
+  world: EvidenceWorld,
+  count: number,
+  gapMs: number,
+  traits: readonly string[],
+  lastSignOfLife = -Infinity,
+): void {
+  const { evidence } = world;
+  for (let index = 0; index < count; index += 1) {
+    Object.assign(world, { now: world.now + gapMs, endpoints: world.endpoints + 1 });
+    const own = `own-${world.endpoints}`;
+    evidence.recordCrash(`e${world.endpoints}@1`, world.now, [...traits, own]);
+  }
+  Object.assign(world, { now: world.now + settledMs });
+  evidence.settle(world.now, () => lastSignOfLife);
+}
+
+Given(
+  /^(\d+) requests with part (\w+) (?:were|are) completed$/,
+  function completed(this: EvidenceWorld, count: string, part: string) {
+    for (let index = 0; index < Number(count); index += 1)
+      this.evidence.recordSurvival(new Set([toPartTrait(part)]), this.now);
+    this.evidence.settle(this.now, () => -Infinity);
+  },
+);
+
+Given('nothing was completed', function nothing(this: EvidenceWorld) {
+  this.evidence = new CrashEvidence();
+});
+
+When(
+  /^endpoints crash (\d+) times (\d+) ms apart under (.+ a part of their own)$/,
+  function crashes(this: EvidenceWorld, count: string, gapMs: string, traits: string) {
+    crash(this, Number(count), Number(gapMs), split(traits));
+  },
+);
+
+When(
+  /^endpoints crash (\d+) times (\d+) ms apart under (\w+) and respond again$/,
+  function respond(this: EvidenceWorld, count: string, gapMs: string, trait: string) {
+    crash(this, Number(count), Number(gapMs), split(trait), Infinity);
+  },
+);
+
+When(
+  /^another entry convicts (\w+) after (\d+) crashes$/,
+  function convicts(this: EvidenceWorld, trait: string, crashes: string) {
+    this.evidence.adopt({ traits: split(trait), crashes: Number(crashes) });
+  },
+);
+
+When(
+  /^the conviction of (\w+) after (\d+) crashes is withdrawn$/,
+  function withdraw(this: EvidenceWorld, trait: string, crashes: string) {
+    this.evidence.withdraw({ traits: split(trait), crashes: Number(crashes) });
+  },
+);
+
+Then(/^requests with (.+) are refused$/, function refused(this: EvidenceWorld, traits: string) {
+  assert.ok(this.evidence.convictions.find(new Set(split(traits))));
+});
+
+Then(
+  /^requests with (.+) are not refused$/,
+  function notRefused(this: EvidenceWorld, traits: string) {
+    assert.equal(this.evidence.convictions.find(new Set(split(traits))), undefined);
+  },
+);
+
+When(
+  /^(\d+) requests with new parts are completed and (\d+) endpoints crash under (\d+) new parts each$/,
+  { timeout: 60_000 },
+  function many(this: EvidenceWorld, requests: string, endpoints: string, parts: string) {
+    for (let index = 0; index < Number(requests); index += 1)
+      this.evidence.recordSurvival(new Set([`part:${index}`]), this.now);
+    for (let index = 0; index < Number(endpoints); index += 1) {
+      this.now += 100;
+      const traits = Array.from({ length: Number(parts) }, (_, part) => `part:${index}-${part}`);
+      this.evidence.recordCrash(`other${index}@1`, this.now, traits);
+    }
+  },
+);
+
+Then(
+  /^at most (\d+) crashes and (\d+) convictions are remembered, in at most (\d+) MB$/,
+  function remembered(this: EvidenceWorld, crashes: string, convictions: string, most: string) {
+    assert.ok(this.evidence.crashCount <= Number(crashes), `${this.evidence.crashCount} crashes`);
+    for (let index = 0; index < 2 * Number(convictions); index += 1)
+      this.evidence.adopt({ traits: [`part:bad-${index}`], crashes: 3 });
+    assert.ok(this.evidence.convictions.size <= Number(convictions));
+    const megabytes = process.memoryUsage().heapUsed / bytesPerMegabyte;
+    assert.ok(megabytes <= Number(most), `${megabytes.toFixed(0)} MB`);
+  },
+);
+
+Then('a part that crashes endpoints is still found', function found(this: EvidenceWorld) {
+  crash(this, 4, 200, split('bad'));
+  assert.ok(this.evidence.convictions.find(new Set(split('bad'))));
+});
+
+const timeMs = fc.integer({ min: 3_000, max: 25_000 });
+
+function createHistories(
+  minEntries: number,
+  minEndpoints: number,
+  maxEndsAtOnce: number,
+): fc.Arbitrary<CrashHistory> {
+  const ends = fc.record({ atMs: timeMs, count: fc.integer({ min: 1, max: maxEndsAtOnce }) });
+  return fc.record({
+    seed: fc.nat(),
+    entries: fc.integer({ min: minEntries, max: 9 }),
+    endpoints: fc.integer({ min: minEndpoints, max: 12 }),
+    newsDelayMs: fc.constantFrom(20, 400, 1_000),
+    badPerSecond: fc.constantFrom(1, 3, 8),
+    otherEnds: fc.array(ends, { maxLength: 5 }),
+    restarts: fc.array(fc.record({ atMs: timeMs, entry: fc.nat({ max: 8 }) }), { maxLength: 4 }),
+  });
+}
+
+const histories = createHistories(3, 6, 3);
+/** Histories in which all endpoints may end at once, of fleets of any size. */
+const outageHistories = createHistories(1, 3, 12);
+
+Then(
+  /^in (\d+) histories( with outages)? at most (\d+) bad requests are sent late and at most ([\d.]+) of the sound ones are refused$/,
+  { timeout: 120_000 },
+  (numRuns: string, hasOutages: string | null, mostLate: string, mostRefused: string) => {
+    const generated = hasOutages ? outageHistories : histories;
+    const property = fc.property(generated, (history) => {
+      const { lateBad, soundRefused, soundSent, crashes } = simulateCrashes(history);
+      const seen = `${lateBad} late, ${soundRefused} of ${soundSent} refused, ${crashes} crashes`;
+      assert.ok(lateBad <= Number(mostLate), seen);
+      assert.ok(soundRefused <= soundSent * Number(mostRefused), seen);
+    });
+    fc.assert(property, { seed: propertySeed, numRuns: Number(numRuns) });
+  },
+);
--- a/packages/decisions/src/crashes/convictions.ts
+++ b/packages/decisions/src/crashes/convictions.ts
@@ -17,19 +17,7 @@
 
 /** The convictions that an entry knows. */
 export class Convictions {
-  private readonly byKey: LRUCache<string, Conviction>;
-
-  constructor(
-    /** Called with each conviction that is dropped to make room. */
-    onDrop: (conviction: Conviction) => void = () => undefined,
-  ) {
-    this.byKey = new LRUCache({
-      max: maxConvictions,
-      dispose: (conviction, _key, reason) => {
-        if (reason === 'evict') onDrop(conviction);
-      },
-    });
-  }
+  private readonly byKey = new LRUCache<string, Conviction>({ max: maxConvictions });
 
   get size(): number {
     return this.byKey.size;
@@ -52,6 +40,11 @@
     this.byKey.delete(convictionKey(conviction));
   }
 
+  /** Whether a conviction has a trait for which `isMatch` returns true. */
+  someTrait(isMatch: (trait: string) => boolean): boolean {
+    return this.all.some(({ traits }) => traits.some(isMatch));
+  }
+
   /** Returns a conviction that covers a request with these traits, and marks it as used. */
   find(traits: ReadonlySet<string>): Conviction | undefined {
     for (const [key, conviction] of this.byKey.entries()) {
--- a/packages/decisions/src/crashes/crashBlame.ts
+++ b/packages/decisions/src/crashes/crashBlame.ts
@@ -22,11 +22,11 @@
 }
 
 /** Crashes that blame a trait with which no request was ever completed. */
-const minCrashes = 3;
+const minCrashes = 4;
 /** Completed requests with a trait that outweigh one crash. */
 const survivalsPerCrash = 5;
 /** Crashes within this time may have one common cause and count as one, in milliseconds. */
-const sameCauseMs = 50;
+const sameCauseMs = 20;
 
 /** A trait with the crashes since the last request that was completed with it. */
 interface Suspect {
@@ -40,8 +40,13 @@
   return minCrashes + Math.ceil(survivals / survivalsPerCrash);
 }
 
+/** Whether `culprit` explains crashes of `other` but for those of one moment. */
+export function explains(culprit: Culprit, other: Culprit): boolean {
+  return countMoments(other.crashes.filter((crash) => !culprit.crashes.includes(crash))) <= 1;
+}
+
 /** Number of crashes, of which those at about the same time count as one. */
-function countMoments(crashes: readonly EndpointCrash[]): number {
+export function countMoments(crashes: readonly EndpointCrash[]): number {
   let count = 0;
   let lastAt = -Infinity;
   [...crashes]
@@ -94,12 +99,17 @@
   const culprits: Culprit[] = [];
   for (;;) {
     const [first] = suspects
-      .map((suspect) => ({
-        suspect,
-        moments: countMoments(suspect.crashes.filter((crash) => !explained.has(crash))),
-      }))
+      .map((suspect) => {
+        const unexplained = suspect.crashes.filter((crash) => !explained.has(crash));
+        return { suspect, crashes: unexplained.length, moments: countMoments(unexplained) };
+      })
       .filter(({ suspect, moments }) => moments >= requiredCrashes(suspect.survivals))
-      .sort((a, b) => a.suspect.survivals - b.suspect.survivals || b.moments - a.moments);
+      .sort(
+        (a, b) =>
+          a.suspect.survivals - b.suspect.survivals ||
+          b.moments - a.moments ||
+          b.crashes - a.crashes,
+      );
     if (!first) return culprits;
     const { crashes: blamed } = first.suspect;
     const traits = suspects
--- a/packages/decisions/src/crashes/crashEvidence.ts
+++ b/packages/decisions/src/crashes/crashEvidence.ts
@@ -1,7 +1,7 @@
 import { LRUCache } from 'lru-cache';
-import { findCulprits, requiredCrashes } from './crashBlame.js';
-import type { EndpointCrash, Survival } from './crashBlame.js';
-import { Convictions } from './convictions.js';
+import { countMoments, explains, findCulprits, requiredCrashes } from './crashBlame.js';
+import type { Culprit, Survival } from './crashBlame.js';
+import { Convictions, convictionKey } from './convictions.js';
 import type { Conviction } from './convictions.js';
 
 /** What one entry tells others of crashes; times are given as ages, since clocks differ. */
@@ -9,6 +9,15 @@
   readonly crashes: readonly CrashReport[];
   readonly survivals: readonly SurvivalReport[];
   readonly convictions: readonly Conviction[];
+  /** Requests with shared parts that the entry has seen completed. */
+  readonly completions: number;
+}
+
+/** What follows from crashes that have settled. */
+export interface Verdicts {
+  readonly convicted: readonly Conviction[];
+  /** Earlier convictions of this entry whose crashes another trait explains. */
+  readonly withdrawn: readonly Conviction[];
 }
 
 /** A crash as reported to another entry. */
@@ -26,10 +35,21 @@
   readonly msAgo: number;
 }
 
+const partPrefix = 'part:';
+
+/** The trait of requests that share a part of their prompts. */
+export function toPartTrait(part: string): string {
+  return `${partPrefix}${part}`;
+}
+
+function isSharedPart(trait: string): boolean {
+  return trait.startsWith(partPrefix);
+}
+
 /** A crash that this entry knows. */
 interface KnownCrash {
   readonly endpoint: string;
-  readonly at: number;
+  at: number;
   readonly traits: Set<string>;
   /** Whether it counts: the endpoint gave no sign of life. */
   isSettled: boolean;
@@ -42,28 +62,44 @@
 const settleMs = 1_200;
 /** A sign of life this soon after the loss of a connection may have been under way, in milliseconds. */
 const signOfLifeMarginMs = 100;
-/** Time for which crashes without a culprit are remembered, in milliseconds. */
-const crashMemoryMs = 600_000;
+/** Time for which crashes are remembered, in milliseconds: the next one may come much later. */
+const crashMemoryMs = 21_600_000;
 const maxCrashes = 256;
-const maxTraitsPerCrash = 256;
+const maxWithdrawn = 256;
+const maxOwn = 256;
+const maxTraitsPerCrash = 1_024;
+/**
+ * Completed requests without a shared part that are needed to blame it: while none is completed, a part
+ * of all requests looks the same as one that crashes endpoints.
+ */
+const minContrast = 8;
 /** Maximum number of traits whose completed requests are counted; the least recent are dropped. */
 const maxSurvivals = 8_192;
 
+function toConviction({ traits, crashes }: Culprit): Conviction {
+  return { traits, crashes: crashes.length };
+}
+
 /** Collects crashes of endpoints and completed requests, and convicts the traits that crash endpoints. */
 export class CrashEvidence {
-  readonly convictions: Convictions;
+  readonly convictions = new Convictions();
 
   private readonly crashes = new Map<string, KnownCrash>();
 
   private readonly survivals = new LRUCache<string, Survival>({ max: maxSurvivals });
 
+  /** Number of crashes behind each withdrawn conviction, by key; only more crashes convict again. */
+  private readonly withdrawn = new LRUCache<string, number>({ max: maxWithdrawn });
+
+  /** Culprits that this entry has found by itself, by the key of their convictions. */
+  private readonly own = new LRUCache<string, Culprit>({ max: maxOwn });
+
+  /** Requests with shared parts that were completed at this entry, or at the one that told most. */
+  private completions = 0;
+
   /** Whether crashes have settled, or reports of settled ones have come, since culprits were sought. */
   private isChanged = false;
 
-  constructor(onDrop?: (conviction: Conviction) => void) {
-    this.convictions = new Convictions(onDrop);
-  }
-
   /** Whether anything is known that may concern a request. */
   get isActive(): boolean {
     return this.crashes.size > 0 || this.convictions.size > 0;
@@ -74,13 +110,21 @@
     return [...this.crashes.values()].some(({ isSettled }) => !isSettled);
   }
 
+  /** Whether culprits are to be sought, now or when crashes settle. */
+  get needsSettlement(): boolean {
+    return this.crashes.size > 0 && (this.isChanged || this.hasUnsettled);
+  }
+
   get crashCount(): number {
     return this.crashes.size;
   }
 
   /** Records that an endpoint may have ended at `at` under requests with these traits. */
   recordCrash(endpoint: string, at: number, traits: Iterable<string>): void {
-    const known = this.crashes.get(endpoint);
+    const former = this.crashes.get(endpoint);
+    // An endpoint that is lost once more was not lost before.
+    const known = former && at < former.at + settleMs ? former : undefined;
+    if (known) known.at = Math.min(known.at, at);
     const crash = known ?? { endpoint, at, traits: new Set<string>(), isSettled: false };
     if (!known) this.addCrash(crash);
     const { size } = crash.traits;
@@ -91,7 +135,8 @@
   }
 
   /** Records that a request with these traits was completed. */
-  recordSurvival(traits: Iterable<string>, now: number): void {
+  recordSurvival(traits: ReadonlySet<string>, now: number): void {
+    if ([...traits].some(isSharedPart)) this.countCompletions(this.completions + 1);
     for (const trait of traits) {
       const { count = 0 } = this.survivals.get(trait) ?? {};
       this.survivals.set(trait, { count: count + 1, lastAt: now });
@@ -99,7 +144,8 @@
   }
 
   /** Merges what another entry tells. */
-  merge({ crashes, survivals, convictions }: CrashNews, now: number): void {
+  merge({ crashes, survivals, convictions, completions }: CrashNews, now: number): void {
+    this.countCompletions(Math.max(this.completions, completions));
     survivals.forEach(({ trait, count, msAgo }) => {
       const known = this.survivals.get(trait);
       const lastAt = Math.max(known?.lastAt ?? -Infinity, now - msAgo);
@@ -118,31 +164,55 @@
   adopt(conviction: Conviction): boolean {
     const { traits, crashes } = conviction;
     if (traits.length === 0) return false;
+    if (crashes <= (this.withdrawn.get(convictionKey(conviction)) ?? 0)) return true;
     const isContradicted = traits.every(
       (trait) => crashes < requiredCrashes(this.survivals.get(trait)?.count ?? 0),
     );
-    if (!isContradicted && !this.convictions.has(conviction)) this.convictions.add(conviction);
+    if (!isContradicted && !this.convictions.has(conviction)) {
+      this.convictions.add(conviction);
+      this.isChanged = true;
+    }
     return !isContradicted;
   }
 
+  /** Drops a conviction that proved wrong; entries that have not heard of it yet may still repeat it. */
+  withdraw(conviction: Conviction): void {
+    const key = convictionKey(conviction);
+    this.convictions.remove(conviction);
+    this.own.delete(key);
+    this.withdrawn.set(key, conviction.crashes);
+  }
+
   /**
-   * Settles crashes whose time has come and returns the convictions that follow. A crash does not count
-   * if the endpoint has given a sign of life since; `lastSignOfLife` returns its monotonic time.
+   * Settles crashes whose time has come and returns the verdicts that follow. A crash does not count
+   * if the endpoint has given a sign of life since; `lastSignOfLife` returns its monotonic time, -Infinity if there was none.
    */
-  settle(now: number, lastSignOfLife: (endpoint: string) => number | undefined): Conviction[] {
+  settle(now: number, lastSignOfLife: (endpoint: string) => number): Verdicts {
     this.crashes.forEach((crash) => {
       if (now - crash.at > crashMemoryMs) this.crashes.delete(crash.endpoint);
       if (crash.isSettled || now - crash.at < settleMs) return;
-      if ((lastSignOfLife(crash.endpoint) ?? -Infinity) > crash.at + signOfLifeMarginMs) {
-        this.crashes.delete(crash.endpoint);
-        return;
-      }
+      if (this.dropFalseAlarm(crash.endpoint, lastSignOfLife(crash.endpoint))) return;
       Object.assign(crash, { isSettled: true });
       this.isChanged = true;
     });
-    if (!this.isChanged) return [];
+    if (!this.isChanged) return { convicted: [], withdrawn: [] };
     this.isChanged = false;
-    return this.convict();
+    return this.judge();
+  }
+
+  /** Whether the crash of an endpoint is recorded and has not been found to be a lost connection. */
+  hasCrash(endpoint: string): boolean {
+    return this.crashes.has(endpoint);
+  }
+
+  /**
+   * Forgets the crash of an endpoint that has given a sign of life at `at` since. Returns false if the
+   * crash still stands.
+   */
+  dropFalseAlarm(endpoint: string, at: number): boolean {
+    const crash = this.crashes.get(endpoint);
+    if (!crash || at <= crash.at + signOfLifeMarginMs) return false;
+    return this.crashes.delete(endpoint);
   }
 
   /** What to tell other entries of the crashes of these endpoints, with completed requests that matter. */
@@ -153,7 +223,8 @@
       msAgo: Math.round(now - at),
       traits: [...traits],
     }));
-    return { crashes, survivals: this.reportSurvivals(crashes, now), convictions: [] };
+    const survivals = this.reportSurvivals(crashes, now);
+    return { crashes, survivals, convictions: [], completions: this.completions };
   }
 
   /** The completed requests with traits of these crashes. */
@@ -166,20 +237,78 @@
     });
   }
 
-  private convict(): Conviction[] {
-    // Crashes of a convicted trait do not count against others. Those of traits that could not be told
-    // apart still do, so that further crashes single out one of them.
-    const known = this.convictions.all.filter(({ traits }) => traits.length === 1);
-    const unexplained = [...this.crashes.values()].filter(
-      (crash): crash is KnownCrash & EndpointCrash =>
-        crash.isSettled &&
-        !known.some(({ traits }) => traits.every((trait) => crash.traits.has(trait))),
+  private countCompletions(count: number): void {
+    if (this.completions < minContrast && count >= minContrast) this.isChanged = true;
+    this.completions = count;
+  }
+
+  private judge(): Verdicts {
+    const adopted = this.findAdopted();
+    const found = this.findCulprits(adopted);
+    const withdrawn = [...this.own].filter(([key, former]) =>
+      CrashEvidence.isRefuted(key, former, [...found, ...adopted]),
+    );
+    withdrawn.forEach(([, { traits, crashes }]) =>
+      this.withdraw({ traits, crashes: crashes.length }),
     );
-    const found = findCulprits(unexplained, (trait) => this.survivals.peek(trait))
-      .map(({ traits, crashes }) => ({ traits, crashes: crashes.length }))
-      .filter((conviction) => !this.convictions.has(conviction));
-    found.forEach((conviction) => this.convictions.add(conviction));
-    return found;
+    const convicted = found.filter((culprit) => this.isConvictable(culprit));
+    convicted.forEach((culprit) => {
+      this.own.set(convictionKey(culprit), culprit);
+      this.convictions.add(toConviction(culprit));
+    });
+    return {
+      convicted: convicted.map(toConviction),
+      withdrawn: withdrawn.map(([, culprit]) => toConviction(culprit)),
+    };
+  }
+
+  private get settledCrashes(): KnownCrash[] {
+    return [...this.crashes.values()].filter(({ isSettled }) => isSettled);
+  }
+
+  /** The single traits that only other entries have convicted, with the crashes known here. */
+  private findAdopted(): Culprit[] {
+    return this.convictions.all
+      .filter(
+        (conviction) => conviction.traits.length === 1 && !this.own.has(convictionKey(conviction)),
+      )
+      .map(({ traits }) => ({
+        traits,
+        crashes: this.settledCrashes.filter((crash) => crash.traits.has(traits[0]!)),
+      }));
+  }
+
+  /** The traits that explain the crashes that no adopted conviction explains. */
+  private findCulprits(adopted: readonly Culprit[]): Culprit[] {
+    const explained = new Set(adopted.flatMap(({ crashes }) => crashes));
+    const unexplained = this.settledCrashes.filter((crash) => !explained.has(crash));
+    const hasContrast = this.completions >= minContrast;
+    return findCulprits(unexplained, (trait) => this.survivals.peek(trait)).filter(
+      ({ traits }) => hasContrast || !traits.every(isSharedPart),
+    );
+  }
+
+  /**
+   * Whether another trait explains the crashes of an earlier culprit by now. One of several traits is
+   * too narrow to do harm, and may well contain the true one.
+   */
+  private static isRefuted(key: string, former: Culprit, found: readonly Culprit[]): boolean {
+    if (former.traits.length > 1) return false;
+    return (
+      found.every((culprit) => convictionKey(culprit) !== key) &&
+      found.some((culprit) => explains(culprit, former))
+    );
+  }
+
+  /** Whether a culprit is new, and earlier ones leave enough of its crashes unexplained. */
+  private isConvictable(culprit: Culprit): boolean {
+    if (this.convictions.has(culprit)) return false;
+    const key = convictionKey(culprit);
+    if (culprit.crashes.length <= (this.withdrawn.get(key) ?? 0)) return false;
+    const standing = [...this.own.values()].filter(({ traits }) => traits.length === 1);
+    const explained = new Set(standing.flatMap(({ crashes }) => crashes));
+    const left = culprit.crashes.filter((crash) => !explained.has(crash));
+    return countMoments(left) >= requiredCrashes(0);
   }
 
   private addCrash(crash: KnownCrash): void {
--- a/packages/forwarding/src/agentLinks.ts
+++ b/packages/forwarding/src/agentLinks.ts
@@ -42,7 +42,7 @@
     private readonly settings: FleetSettings,
     private readonly state: FleetState,
     private readonly directory: EndpointDirectory,
-    guard: CrashGuard,
+    private readonly guard: CrashGuard,
     private readonly clock: Clock,
     private readonly random: Random,
     metrics: Metrics,
@@ -182,6 +182,7 @@
     if (handle.reportedVersion !== version || handle.isSwitching !== isSwitching) {
       this.log.info('Engine changed.', { endpoint: handle.id, version, isSwitching, isAnswering });
     }
+    if (!isAnswering && handle.isAnswering) this.guard.recordLoss(handle);
     const switchAt = report.switchInMs === undefined ? undefined : now + report.switchInMs;
     // The engine aborts its running requests before it loads other weights.
     if (isSwitching && !handle.isSwitching) handle.moveStreams(moveGraceMs);
--- a/packages/forwarding/src/crashExchange.ts
+++ b/packages/forwarding/src/crashExchange.ts
@@ -10,7 +10,7 @@
 /** Maximum number of convictions that are repeated every second. */
 const maxRepeatedConvictions = 20;
 
-const noNews: CrashNews = { crashes: [], survivals: [], convictions: [] };
+const noNews: CrashNews = { crashes: [], survivals: [], convictions: [], completions: 0 };
 
 /** Divides a crash into reports that each fit a datagram. */
 function splitReport({ endpoint, msAgo, traits }: CrashReport): CrashReport[] {
@@ -21,12 +21,28 @@
   });
 }
 
-function encode({ crashes, survivals, convictions }: CrashNews) {
+/** Divides convictions into groups that each fit a datagram. */
+function divide(convictions: readonly Conviction[]): Conviction[][] {
+  const groups: Conviction[][] = [];
+  let traits = Infinity;
+  convictions.forEach((conviction) => {
+    traits += conviction.traits.length;
+    if (traits > maxTraitsPerDatagram) {
+      groups.push([]);
+      traits = conviction.traits.length;
+    }
+    groups.at(-1)!.push(conviction);
+  });
+  return groups;
+}
+
+function encode({ crashes, survivals, convictions, completions }: CrashNews) {
   return {
     case: 'crashes' as const,
     value: {
       crashes: crashes.map((crash) => ({ ...crash, traits: [...crash.traits] })),
       survivals: [...survivals],
+      completions,
       convictions: convictions.map((conviction) => ({
         ...conviction,
         traits: [...conviction.traits],
@@ -51,7 +67,7 @@
     news.crashes.flatMap(splitReport).forEach((crash) => {
       const traits = new Set(crash.traits);
       const survivals = news.survivals.filter(({ trait }) => traits.has(trait));
-      this.datagrams.sendAll(encode({ ...noNews, crashes: [crash], survivals }), hosts);
+      this.datagrams.sendAll(encode({ ...news, crashes: [crash], survivals }), hosts);
     });
   }
 
@@ -60,20 +76,23 @@
     this.datagrams.sendAll(encode({ ...noNews, convictions: [conviction] }), hosts);
   }
 
+  /** Others withdraw it by their own evidence, or read the withdrawal from the store. */
+  onWithdrawal(): void {}
+
   /** Repeats the convictions to the entries of this region, for those that have started since. */
   repeatConvictions(): void {
     const convictions = this.guard.convictions.slice(0, maxRepeatedConvictions);
     if (convictions.length === 0) return;
     const { region, regions } = this.settings;
     const hosts = this.getHosts((dataCentre) => regions.get(dataCentre) === region);
-    convictions.forEach((conviction) =>
-      this.datagrams.sendAll(encode({ ...noNews, convictions: [conviction] }), hosts),
+    divide(convictions).forEach((some) =>
+      this.datagrams.sendAll(encode({ ...noNews, convictions: some }), hosts),
     );
   }
 
   /** Merges what another entry tells, and answers with completed requests that it does not know of. */
-  receive({ crashes, survivals, convictions }: CrashNewsMessage, host: string): void {
-    const added = this.guard.receive({ crashes, survivals, convictions });
+  receive(message: CrashNewsMessage, host: string): void {
+    const added = this.guard.receive(message);
     if (added.length === 0) return;
     this.datagrams.send(encode({ ...noNews, survivals: added }), host);
   }
--- a/packages/forwarding/src/crashGuard.ts
+++ b/packages/forwarding/src/crashGuard.ts
@@ -4,17 +4,19 @@
 import { Framing } from './endpointCall.js';
 import type { EndpointHandle } from './endpointHandle.js';
 import type { Exchange } from './exchange.js';
+import { OpenEnds } from './openEnds.js';
 import { Refusal, RefusalReason } from './refusal.js';
-import { getPartTraits, getTraits } from './requestTraits.js';
+import { getPartTraits, getTraits, isDigest } from './requestTraits.js';
 
 /** Passes on what this entry has seen. */
 export interface CrashListener {
   onNews(news: CrashNews): void;
   onConviction(conviction: Conviction): void;
+  onWithdrawal(conviction: Conviction): void;
 }
 
 /** Time in which connections to one endpoint break before other entries are told, in milliseconds. */
-const reportDelayMs = 200;
+const reportDelayMs = 350;
 /** Interval between checks whether a crash counts, in milliseconds. */
 const settleIntervalMs = 100;
 /** A conviction has no end, so callers are asked to stay away for long, in milliseconds. */
@@ -24,6 +26,8 @@
 export class CrashGuard {
   private readonly evidence = new CrashEvidence();
 
+  private readonly openEnds = new OpenEnds();
+
   private readonly listeners: CrashListener[] = [];
 
   /** Incarnations of endpoints whose crashes other entries are still to be told of. */
@@ -58,11 +62,15 @@
   check(exchange: Exchange): void {
     const { convictions } = this.evidence;
     if (convictions.size === 0) return;
-    const conviction = convictions.find(getTraits(exchange));
+    const hasDigests = convictions.someTrait(isDigest);
+    const traits = hasDigests ? getTraits(exchange) : new Set(getPartTraits(exchange));
+    const conviction = convictions.find(traits);
     if (!conviction) return;
-    const { traits, crashes } = conviction;
-    this.log.info('Request refused for its content.', { id: exchange.head.id, traits, crashes });
-    const message = `Endpoints crashed on requests with ${traits.join(' and ')}.`;
+    const { crashes } = conviction;
+    const content = conviction.traits.join(' and ');
+    const { id } = exchange.head;
+    this.log.info('Request refused for its content.', { id, traits: content, crashes });
+    const message = `${crashes} endpoints crashed on requests with ${content}.`;
     throw new Refusal(RefusalReason.crashingContent, message, retryDelayMs);
   }
 
@@ -71,18 +79,24 @@
     const { incarnation, endpoint } = handle;
     // An endpoint that leaves may end before its last requests do.
     if (endpoint.isDraining || this.findEndpoint(handle.id) !== handle) return;
-    this.evidence.recordCrash(incarnation, this.clock.now(), getTraits(exchange));
-    this.unreported.add(incarnation);
-    this.reportTimer ??= setTimeout(() => this.report(), reportDelayMs);
-    this.scheduleSettlement();
+    this.recordCrash(incarnation, getTraits(exchange));
   }
 
   /** Records that an endpoint completed a request. */
-  recordCompletion(exchange: Exchange, framing: Framing | undefined): void {
-    // An endpoint that ends closes its connections, which ends a response without another framing.
-    if (framing === Framing.connection) return;
-    const traits = this.evidence.isActive ? getTraits(exchange) : getPartTraits(exchange);
-    this.evidence.recordSurvival(traits, this.clock.now());
+  recordCompletion(handle: EndpointHandle, exchange: Exchange, framing: Framing | undefined): void {
+    if (framing === Framing.connection) {
+      this.recordOpenEnd(handle.incarnation, getTraits(exchange));
+      return;
+    }
+    const traits = this.evidence.isActive ? getTraits(exchange) : new Set(getPartTraits(exchange));
+    this.evidence.recordSurvival(new Set(traits), this.clock.now());
+    if (this.evidence.needsSettlement) this.scheduleSettlement();
+  }
+
+  /** Records that an endpoint does not respond to its agent. */
+  recordLoss({ incarnation }: EndpointHandle): void {
+    const traits = this.openEnds.takeTraits(incarnation);
+    if (traits.length > 0) this.recordCrash(incarnation, traits);
   }
 
   /** Merges what another entry tells; returns what this entry can add on the same crashes. */
@@ -98,7 +112,7 @@
       .forEach(({ traits, crashes }) =>
         this.log.info('Content convicted by another entry.', { traits, crashes }),
       );
-    if (this.evidence.hasUnsettled) this.scheduleSettlement();
+    if (this.evidence.needsSettlement) this.scheduleSettlement();
     const told = new Map(news.survivals.map(({ trait, count }) => [trait, count]));
     return survivals.filter(({ trait, count }) => count > (told.get(trait) ?? 0));
   }
@@ -117,15 +131,42 @@
   /** Drops a conviction that another entry has contradicted. */
   withdraw(conviction: Conviction): void {
     if (!this.evidence.convictions.has(conviction)) return;
-    this.evidence.convictions.remove(conviction);
+    this.evidence.withdraw(conviction);
     this.log.warn('Conviction withdrawn.', { traits: conviction.traits });
   }
 
+  /** What this entry has seen of the crashes of some endpoints, without those that were false alarms. */
+  createReport(endpoints: Iterable<string>): CrashNews {
+    return this.evidence.report(endpoints, this.clock.now());
+  }
+
+  /** Records a response that the end of the endpoint may have ended. */
+  private recordOpenEnd(endpoint: string, traits: ReadonlySet<string>): void {
+    const at = this.clock.now();
+    if (this.evidence.hasUnsettled && this.evidence.hasCrash(endpoint)) {
+      this.recordCrash(endpoint, traits);
+      return;
+    }
+    this.openEnds.add({ endpoint, at, traits });
+    this.scheduleSettlement();
+  }
+
+  private recordCrash(incarnation: string, traits: Iterable<string>): void {
+    const all = [...traits, ...this.openEnds.takeTraits(incarnation)];
+    this.evidence.recordCrash(incarnation, this.clock.now(), all);
+    this.unreported.add(incarnation);
+    this.reportTimer ??= setTimeout(() => this.report(), reportDelayMs);
+    this.scheduleSettlement();
+  }
+
   private report(): void {
     this.reportTimer = undefined;
     const endpoints = [...this.unreported];
     this.unreported.clear();
-    const news = this.evidence.report(endpoints, this.clock.now());
+    endpoints.forEach((endpoint) =>
+      this.evidence.dropFalseAlarm(endpoint, this.getSignOfLife(endpoint)),
+    );
+    const news = this.createReport(endpoints);
     news.crashes.forEach(({ endpoint, traits }) =>
       this.log.info('Endpoint lost under requests.', { endpoint, traits: traits.length }),
     );
@@ -136,14 +177,23 @@
     this.settleTimer ??= setTimeout(() => {
       this.settleTimer = undefined;
       this.settle();
-      if (this.evidence.hasUnsettled) this.scheduleSettlement();
+      if (this.evidence.needsSettlement || this.openEnds.size > 0) this.scheduleSettlement();
     }, settleIntervalMs);
   }
 
   private settle(): void {
-    const convicted = this.evidence.settle(this.clock.now(), (incarnation) =>
+    const now = this.clock.now();
+    this.openEnds
+      .takeWhole(now)
+      .filter(({ endpoint, at }) => this.getSignOfLife(endpoint) > at)
+      .forEach(({ traits }) => this.evidence.recordSurvival(traits, now));
+    const { convicted, withdrawn } = this.evidence.settle(now, (incarnation) =>
       this.getSignOfLife(incarnation),
     );
+    withdrawn.forEach((conviction) => {
+      this.log.warn('Conviction withdrawn.', { traits: conviction.traits });
+      this.listeners.forEach((listener) => listener.onWithdrawal(conviction));
+    });
     convicted.forEach((conviction) => {
       const { traits, crashes } = conviction;
       this.metrics.count('content_convicted');
@@ -152,9 +202,9 @@
     });
   }
 
-  private getSignOfLife(incarnation: string): number | undefined {
+  private getSignOfLife(incarnation: string): number {
     const id = incarnation.slice(0, incarnation.lastIndexOf('@'));
     const handle = this.findEndpoint(id);
-    return handle?.incarnation === incarnation ? handle.lastSignOfLifeAt : undefined;
+    return handle?.incarnation === incarnation ? handle.lastSignOfLifeAt : -Infinity;
   }
 }
--- a/packages/forwarding/src/crashRecords.ts
+++ b/packages/forwarding/src/crashRecords.ts
@@ -9,25 +9,29 @@
 /** Time to live of an entry's record of crashes: others read it at once, or when they start. */
 const recordLeaseMs = 60_000;
 /** Maximum number of crashes in it. */
-const maxRecordedCrashes = 16;
+const maxRecordedCrashes = 8;
 /** Time in which crashes are batched into one write, in milliseconds. */
 const batchMs = 100;
 const retryDelayMs = 1_000;
-/** Entries that miss a conviction in the store write it at different times, in milliseconds. */
-const rewriteSpreadMs = 500;
+/** Time over which the entries spread their writes of the same conviction, in milliseconds for each. */
+const writeSpreadMsPerEntry = 15;
 
 /**
  * Keeps crashes and convictions in the store, for entries that do not hear this one and for those that
  * start later. Convictions have no lease: they must outlive all entries.
  */
 export class CrashRecords implements CrashListener {
-  private recent: CrashNews = { crashes: [], survivals: [], convictions: [] };
+  /** Incarnations of the endpoints whose crashes this entry saw last. */
+  private recentCrashes: readonly string[] = [];
 
   private isRecordChanged = false;
 
   /** Convictions to be written, by key. */
   private readonly unwritten = new Map<string, StoredConviction>();
 
+  /** Keys of convictions that the store has as withdrawn. */
+  private readonly withdrawnKeys = new Set<string>();
+
   private isScheduled = false;
 
   private readonly callCounter: StoreCallCounter;
@@ -37,6 +41,7 @@
     private readonly codec: FleetCodec,
     private readonly instance: string,
     private readonly guard: CrashGuard,
+    private readonly entryCount: () => number,
     private readonly clock: Clock,
     private readonly random: Random,
     metrics: Metrics,
@@ -47,31 +52,38 @@
   }
 
   onNews(news: CrashNews): void {
-    const endpoints = new Set(news.crashes.map(({ endpoint }) => endpoint));
-    const older = this.recent.crashes.filter(({ endpoint }) => !endpoints.has(endpoint));
-    const crashes = [...older, ...news.crashes].slice(-maxRecordedCrashes);
-    this.recent = { crashes, survivals: news.survivals, convictions: [] };
+    const endpoints = news.crashes.map(({ endpoint }) => endpoint);
+    const older = this.recentCrashes.filter((endpoint) => !endpoints.includes(endpoint));
+    this.recentCrashes = [...older, ...endpoints].slice(-maxRecordedCrashes);
     this.isRecordChanged = true;
     this.schedule(batchMs);
   }
 
   onConviction(conviction: Conviction): void {
     this.unwritten.set(convictionKey(conviction), { conviction, isWithdrawn: false });
+    // All entries convict at about the same time; the first one that writes spares the others the call.
+    this.schedule(this.random.next() * writeSpreadMsPerEntry * this.entryCount());
+  }
+
+  onWithdrawal(conviction: Conviction): void {
+    this.unwritten.set(convictionKey(conviction), { conviction, isWithdrawn: true });
     this.schedule(0);
   }
 
   /** Applies a change of the store. */
   apply(change: Extract<FleetChange, { kind: 'crashes' | 'conviction' }>): void {
     if (change.kind === 'crashes') {
-      if (change.news && change.name !== this.instance) this.guard.receive(change.news);
+      if (change.news) this.guard.receive(change.news);
     } else if (change.stored) this.applyStored(change.stored);
     else this.restoreMissing();
   }
 
   private applyStored({ conviction, isWithdrawn }: StoredConviction): void {
     const key = convictionKey(conviction);
-    if (isWithdrawn) this.guard.withdraw(conviction);
-    else if (!this.guard.adopt(conviction)) {
+    if (isWithdrawn) {
+      this.withdrawnKeys.add(key);
+      this.guard.withdraw(conviction);
+    } else if (!this.guard.adopt(conviction)) {
       this.unwritten.set(key, { conviction, isWithdrawn: true });
       this.schedule(0);
       return;
@@ -84,7 +96,7 @@
     this.guard.convictions.forEach((conviction) =>
       this.unwritten.set(convictionKey(conviction), { conviction, isWithdrawn: false }),
     );
-    this.schedule(this.random.next() * rewriteSpreadMs);
+    this.schedule(this.random.next() * writeSpreadMsPerEntry * this.entryCount());
   }
 
   private schedule(delayMs: number): void {
@@ -114,8 +126,9 @@
 
   private async writeConviction(key: string, stored: StoredConviction): Promise<void> {
     const { conviction, isWithdrawn } = stored;
-    // Only a withdrawal may replace what another entry has written.
-    const condition = isWithdrawn ? {} : { ifRevision: 0 };
+    // Only a withdrawal, or a conviction after one, may replace what another entry has written.
+    const mayReplace = isWithdrawn || this.withdrawnKeys.delete(key);
+    const condition = mayReplace ? {} : { ifRevision: 0 };
     try {
       const storeKey = this.codec.convictionKey(conviction);
       await this.store.put(storeKey, this.codec.encodeConviction(stored), condition);
@@ -131,7 +144,8 @@
     this.isRecordChanged = false;
     try {
       const lease = await this.store.grantLease(recordLeaseMs);
-      const value = this.codec.encodeCrashes(this.recent);
+      const news = this.guard.createReport(this.recentCrashes);
+      const value = this.codec.encodeCrashes(news);
       await this.store.put(this.codec.crashesKey(this.instance), value, { lease });
       this.callCounter.countSuccess(StoreCall.crashes);
     } catch (error) {
--- a/packages/forwarding/src/forwardingEntry.ts
+++ b/packages/forwarding/src/forwardingEntry.ts
@@ -124,6 +124,7 @@
       fleetCodec,
       settings.instance,
       guard,
+      () => this.state.entryCount,
       clock,
       random,
       metrics,
--- a/packages/forwarding/src/requestAttempts.ts
+++ b/packages/forwarding/src/requestAttempts.ts
@@ -132,8 +132,8 @@
   }
 
   /** Records that an attempt was completed with a successful response. */
-  recordCompletion({ call }: Attempt): void {
-    this.services.guard.recordCompletion(this.exchange, call.stats.framing);
+  recordCompletion({ handle, call }: Attempt): void {
+    this.services.guard.recordCompletion(handle, this.exchange, call.stats.framing);
   }
 
   /** Whether a running stream may move to another endpoint; a move is taken from the retry budget. */
