--- a/packages/forwarding/src/endpointCall.ts
+++ b/packages/forwarding/src/endpointCall.ts
@@ -114,6 +114,8 @@
     maxIdleMs: number,
     private readonly codec: HeaderCodec,
     private readonly observer: CallObserver,
+    /** Called with the head of each response that is for this request. */
+    private readonly onHead: (status: number, head: ResponseHead) => void = () => undefined,
   ) {
     this.connection = pool.acquire(maxIdleMs);
   }
@@ -187,6 +189,7 @@
       );
       return;
     }
+    this.onHead(status, head);
     this.hasStarted = true;
     this.hasRequestId = head.requestId !== undefined;
     this.framing = getFraming(headers);
--- a/packages/forwarding/src/endpointHandle.ts
+++ b/packages/forwarding/src/endpointHandle.ts
@@ -56,6 +56,9 @@
 
   model: EngineModel | undefined;
 
+  /** Requests per second that it takes from all entries together; undefined if it names no limit. */
+  maxRequestsPerSecond: number | undefined;
+
   /** Monotonic time of the last sign that this incarnation of the endpoint runs, in milliseconds. */
   private signOfLifeAt = -Infinity;
 
--- a/packages/forwarding/src/heads.ts
+++ b/packages/forwarding/src/heads.ts
@@ -37,6 +37,8 @@
   readonly weightsVersion: number | undefined;
   readonly coldLeftMs: number | undefined;
   readonly load: ResponseLoad | undefined;
+  /** Requests per second that the endpoint takes from all entries together; undefined if it names none. */
+  readonly maxRequestsPerSecond: number | undefined;
 }
 
 /** Values of the headers that are added to a caller's request when it is forwarded to an endpoint. */
--- a/packages/forwarding/src/requestAttempts.ts
+++ b/packages/forwarding/src/requestAttempts.ts
@@ -11,6 +11,7 @@
 import type { EndpointHandle } from './endpointHandle.js';
 import type { Exchange } from './exchange.js';
 import type { HeaderCodec } from './headerCodec.js';
+import type { ResponseHead } from './heads.js';
 import { Refusal, RefusalReason } from './refusal.js';
 
 /**
@@ -24,6 +25,7 @@
 const callerRetryShare = 0.82;
 /** Time that a running stream has to find another endpoint when it is to move, in milliseconds. */
 const moveWaitMs = 800;
+const misdirectedStatus = 421;
 /** Expected response time of a plain service, in milliseconds. */
 const plainResponseMs = 25;
 
@@ -212,6 +214,22 @@
     );
   }
 
+  /** Records what an endpoint says of itself with a response. */
+  private recordHead(
+    handle: EndpointHandle,
+    status: number,
+    { maxRequestsPerSecond }: ResponseHead,
+  ): void {
+    // Another endpoint at the address responds so.
+    if (status === misdirectedStatus) return;
+    if (handle.maxRequestsPerSecond === maxRequestsPerSecond) return;
+    Object.assign(handle, { maxRequestsPerSecond });
+    this.services.log.info('Endpoint named another limit.', {
+      endpoint: handle.id,
+      perSecond: maxRequestsPerSecond ?? null,
+    });
+  }
+
   /** Sends the request to an endpoint. */
   send(
     { target: handle }: Placement<EndpointHandle>,
@@ -233,7 +251,14 @@
     const { method = 'GET', url = '/' } = request;
     const callRequest = { method, path: url, id: head.id, headers, body };
     const maxIdleMs = this.isRetryable ? Infinity : maxNonRetryableIdleMs;
-    const call = new EndpointCall(handle.pool, callRequest, maxIdleMs, codec, observer);
+    const call = new EndpointCall(
+      handle.pool,
+      callRequest,
+      maxIdleMs,
+      codec,
+      observer,
+      (status, responseHead) => this.recordHead(handle, status, responseHead),
+    );
     const prefillMs = handle.model?.prefillMs(head.promptTokens ?? 0) ?? 0;
     let isPrefilled = false;
     let hasEnded = false;
