Keep the limits that endpoints name, all entries together

Endpoints in need got 25 requests in 4 s where 13 are allowed (LIMIT). Cause: the limit was read nowhere, and no bound of a rate that all entries share existed but for cold starts, whose shares fit rates of several requests for each entry. Now a few entries, chosen by rendezvous hashing over the registered ones, send to an endpoint with a limit and space their requests evenly; they tell the others the limit and its end, since those no longer hear it.

Ruled out: a limit that is kept by each entry by itself (the rate did not change at all).

--- a/bench/src/heavyDays/admissionPolicies.ts
+++ b/bench/src/heavyDays/admissionPolicies.ts
@@ -85,6 +85,7 @@
   const choice: EndpointSource = {
     forService: () => handles,
     available: () => handles.filter(hasRoom),
+    countLimited: () => 0,
     canServe: () => true,
   };
   const line = new DispatchQueue(choice, clock, random, noMetrics, silentLog);
--- a/features/namedLimits.feature
+++ b/features/namedLimits.feature
@@ -18,6 +18,10 @@
       | 7       | 1.4   | 14      | the entries restart in turn |
       | 7       | 1.4   | 14      | an entry is replaced        |
       | 7       | 1.4   | 14      | the store is away           |
+      | 7       | 1.4   | 14      | all entries are killed at once |
+      | 7       | 1.4   | 14      | an entry is cut from the store |
+      | 7       | 1.4   | 16      | the store is away, and then all entries are killed at once |
+      | 12      | 2.5   | 18      | the entries restart in turn |
 
   Scenario: rate of endpoints that name a limit to entries that do not hear each other
     Given 7 entry programs that are cut from each other and 6 endpoints that crash on content
@@ -25,6 +29,10 @@
     Then in any 4 seconds from the third on they get at most one and a half times that and 5 requests each
     And they get at least a quarter of what they named
 
+  # Guards against shares that are too many at once: each entry may send one request in any short time.
+  Scenario: sum over all entries
+    Then in 300 histories entries that are always pressed send at most what an endpoint named
+
   # Guards against an endpoint that is left alone once it no longer names a limit.
   Scenario: limit that ends
     Given 7 entry programs and 6 endpoints that crash on content
--- a/features/steps/growth.steps.ts
+++ b/features/steps/growth.steps.ts
@@ -177,6 +177,7 @@
       asked.push(among.length);
       return among.filter(hasRoom);
     },
+    countLimited: () => 0,
     canServe: () => true,
   };
 }
--- a/features/steps/namedLimits.steps.ts
+++ b/features/steps/namedLimits.steps.ts
@@ -1,5 +1,8 @@
 import assert from 'node:assert/strict';
 import { Then, When, World } from '@cucumber/cucumber';
+import { SeededRandom } from '@laburnumstream/common';
+import { NamedLimit, NotifierSelection, countSenders } from '@laburnumstream/decisions';
+import fc from 'fast-check';
 import type { CrashFleet } from '../support/crashFleet.js';
 import { CauseKind, CrashTraffic } from '../support/crashTraffic.js';
 import { troubles } from '../support/fleetTroubles.js';
@@ -102,3 +105,48 @@
 Then('all callers were served', function all(this: LimitWorld) {
   assert.equal(this.traffic.servedShare(0, Infinity), 1);
 });
+
+const propertySeed = 31;
+const historyMs = 120_000;
+const stepMs = 20;
+
+/** Times at which entries that are always pressed send to an endpoint that has named a limit to all. */
+function simulateSends(entries: number, perSecond: number, seed: number): number[] {
+  const random = new SeededRandom(seed);
+  const names = Array.from({ length: entries }, (_, index) => `front-${index}`);
+  const limits = names.map((name) => {
+    const selection = new NotifierSelection(name);
+    selection.setEntries(names);
+    const limit = new NamedLimit(random.next() * 60_000);
+    limit.recordSend(-random.next() * 200);
+    limit.update(perSecond, 0);
+    return { limit, isSender: selection.isSelected('e1', countSenders(perSecond)) };
+  });
+  const sends: number[] = [];
+  for (let now = 0; now < historyMs; now += stepMs) {
+    limits.forEach(({ limit, isSender }) => {
+      const isFree = limit.perSecond(now) === undefined || isSender;
+      if (!isFree || !limit.allows(entries, now)) return;
+      limit.recordSend(now);
+      // The endpoint names its limit again, and entries tell each other.
+      limits.forEach((other) => other.limit.update(perSecond, now));
+      sends.push(now);
+    });
+  }
+  return sends;
+}
+
+Then(
+  /^in (\d+) histories entries that are always pressed send at most what an endpoint named$/,
+  { timeout: 60_000 },
+  (numRuns: string) => {
+    const limits = fc.double({ min: 0.1, max: 20, noNaN: true });
+    const property = fc.property(fc.integer({ min: 1, max: 80 }), limits, fc.nat(), (...values) => {
+      const [entries, perSecond] = values;
+      const found = maxInWindow(simulateSends(...values));
+      const most = windowFactor * perSecond * (windowMs / msPerSecond) + windowSlack;
+      assert.ok(found <= most, `${entries} entries: ${found} in 4 s, ${most.toFixed(1)} allowed`);
+    });
+    fc.assert(property, { seed: propertySeed, numRuns: Number(numRuns) });
+  },
+);
--- a/packages/decisions/src/forwarding/index.ts
+++ b/packages/decisions/src/forwarding/index.ts
@@ -9,6 +9,7 @@
 export * from './entryCount.js';
 export * from './eventSplitter.js';
 export * from './feedReaders.js';
+export * from './namedLimit.js';
 export * from './namedVersions.js';
 export * from './notifierSelection.js';
 export * from './peerLoads.js';
--- a/packages/decisions/src/forwarding/responseClassification.ts
+++ b/packages/decisions/src/forwarding/responseClassification.ts
@@ -32,12 +32,13 @@
   readonly outcome: AttemptOutcome;
 }
 
-const misdirected = 421;
+/** Status by which an endpoint says that a request was meant for another one. */
+export const misdirectedStatus = 421;
 const firstRedirect = 300;
 const firstServerError = 500;
 
 /** Statuses by which a caller concludes that its request has not run. */
-const notRunStatuses = new Set([408, misdirected, 429, 503]);
+const notRunStatuses = new Set([408, misdirectedStatus, 429, 503]);
 
 /** Classifies the status and headers of an endpoint's response. */
 export function classifyResponse({
@@ -46,7 +47,7 @@
   wasNotRun,
   isEncoded,
 }: ResponseHead): ResponseClassification {
-  if (wasNotRun || status === misdirected) {
+  if (wasNotRun || status === misdirectedStatus) {
     return {
       action: ResponseAction.discard,
       execution: Execution.notRun,
--- a/packages/forwarding/src/agentLinks.ts
+++ b/packages/forwarding/src/agentLinks.ts
@@ -8,6 +8,7 @@
 import type { EndpointDirectory } from './endpointDirectory.js';
 import type { EndpointHandle } from './endpointHandle.js';
 import type { FleetState } from './fleetState.js';
+import { LimitExchange } from './limitExchange.js';
 import { LoadBroadcast } from './loadBroadcast.js';
 
 /** Interval between two updates to each agent, in milliseconds. */
@@ -31,6 +32,8 @@
 
   private readonly crashExchange: CrashExchange;
 
+  private readonly limitExchange: LimitExchange;
+
   private readonly notifiers: NotifierSelection;
 
   /** Revision of the registered entries from which `notifiers` was built. */
@@ -53,11 +56,13 @@
     const handlers: DatagramHandlers = {
       report: (report) => this.handleReport(report),
       load: (load, { sender }) => this.loadBroadcast.receive(load, sender),
+      limits: (limits) => this.limitExchange.receive(limits).forEach(this.onReport),
       crashes: (news, { host }) => this.crashExchange.receive(news, host),
     };
     this.datagrams = new FleetDatagrams(settings.instance, handlers, clock, metrics, log);
     this.notifiers = new NotifierSelection(settings.instance);
     this.loadBroadcast = new LoadBroadcast(settings, state, directory, this.datagrams, clock);
+    this.limitExchange = new LimitExchange(settings, state, directory, this.datagrams, clock);
     this.crashExchange = new CrashExchange(settings, state, guard, this.datagrams);
   }
 
@@ -67,6 +72,7 @@
       this.sendUpdates(false);
       this.loadBroadcast.send();
       this.crashExchange.repeatConvictions();
+      this.limitExchange.repeat();
       await this.clock.sleep(updateIntervalMs, signal).catch(() => undefined);
     }
   }
@@ -84,6 +90,11 @@
     this.loadBroadcast.schedule();
   }
 
+  /** Records that a response of an endpoint named a limit on its requests, or none. */
+  recordNamedLimit(handle: EndpointHandle, perSecond: number | undefined): void {
+    this.limitExchange.recordResponse(handle, perSecond);
+  }
+
   private sendUpdates(isChange: boolean): void {
     const updates = new Map<string, WeightUpdate | undefined>();
     this.refreshNotifiers();
--- a/packages/forwarding/src/dispatchQueue.ts
+++ b/packages/forwarding/src/dispatchQueue.ts
@@ -35,6 +35,8 @@
     eligibility: Eligibility,
     among?: readonly EndpointHandle[],
   ): EndpointHandle[];
+  /** Number of endpoints of a service whose named limits leave no room for this entry. */
+  countLimited(service: string): number;
   /** Whether any endpoint of a service could serve a request if it had free capacity. */
   canServe(service: string, eligibility: Eligibility): boolean;
 }
@@ -223,6 +225,7 @@
       endpoints: this.directory.forService(service).length,
       usable:
         request.availableCount ?? this.directory.available(service, request.eligibility).length,
+      limited: this.directory.countLimited(service),
       waiting: this.getQueue(service).length,
       retryAfterMs: Math.round(retryAfterMs),
     });
--- a/packages/forwarding/src/endpointDirectory.ts
+++ b/packages/forwarding/src/endpointDirectory.ts
@@ -6,7 +6,12 @@
   Random,
   ServiceProfile,
 } from '@laburnumstream/common';
-import { EndpointHealth, isVersionEligible } from '@laburnumstream/decisions';
+import {
+  EndpointHealth,
+  NotifierSelection,
+  countSenders,
+  isVersionEligible,
+} from '@laburnumstream/decisions';
 import type { CapacitySharers } from '@laburnumstream/decisions';
 import type { EndpointSource } from './dispatchQueue.js';
 import { EndpointHandle, engineQueueLimits } from './endpointHandle.js';
@@ -33,6 +38,12 @@
 
   private readonly byAddress = new Map<string, EndpointHandle>();
 
+  /** Selects the entries that may send to an endpoint that has named a limit. */
+  private readonly senders: NotifierSelection;
+
+  /** Revision of the registered entries from which `senders` was built. */
+  private sendersRevision = -1;
+
   /** Health of endpoints that have left, by id: some come back and fail again. */
   private readonly formerHealth = new Map<string, EndpointHealth>();
 
@@ -43,7 +54,9 @@
     private readonly metrics: Metrics,
     private readonly random: Random,
     private readonly entryCounts: EntryCounts,
-  ) {}
+  ) {
+    this.senders = new NotifierSelection(settings.instance);
+  }
 
   get all(): Iterable<EndpointHandle> {
     return this.handles.values();
@@ -53,6 +66,12 @@
     return this.handles.get(id);
   }
 
+  /** Returns the endpoint of an incarnation; undefined if it is not registered, or as another one. */
+  findIncarnation(incarnation: string): EndpointHandle | undefined {
+    const handle = this.handles.get(incarnation.slice(0, incarnation.lastIndexOf('@')));
+    return handle?.incarnation === incarnation ? handle : undefined;
+  }
+
   /** Returns the endpoint at an IP:PORT address. */
   findByAddress(address: string): EndpointHandle | undefined {
     return this.byAddress.get(address);
@@ -116,6 +135,11 @@
     return this.forService(service).some((handle) => this.isEligible(handle, eligibility, now));
   }
 
+  countLimited(service: string): number {
+    const now = this.clock.now();
+    return this.forService(service).filter((handle) => !this.isWithinLimit(handle, now)).length;
+  }
+
   /** Returns whether an endpoint can get a request now, or the reason why not. */
   getState(handle: EndpointHandle): EndpointState {
     const now = this.clock.now();
@@ -127,12 +151,14 @@
     if (handle.model && handle.version === undefined) return EndpointState.empty;
     if (!this.hasUsableWeights(handle, now)) return EndpointState.outdated;
     if (!EndpointDirectory.isHealthy(handle, now)) return EndpointState.resting;
+    if (!this.isWithinLimit(handle, now)) return EndpointState.limited;
     return this.hasCapacity(handle, now) ? EndpointState.free : EndpointState.full;
   }
 
-  /** Counts a request that is about to be sent against the rate limit of a cold start. */
+  /** Counts a request that is about to be sent against limits of the endpoint's rate. */
   recordSend(handle: EndpointHandle): void {
     const now = this.clock.now();
+    handle.namedLimit.recordSend(now);
     if (now < handle.coldUntil) handle.coldRate.record(this.getColdRateShare(handle), now);
   }
 
@@ -208,6 +234,7 @@
       !endpoint.isDraining &&
       !handle.isSwitching &&
       handle.isAnswering &&
+      this.isSender(handle, now) &&
       !tried.has(endpoint.id) &&
       !this.state.isEvacuated(endpoint.dataCentre) &&
       homeRegions.every((homes) => homes.length === 0 || homes.includes(region)) &&
@@ -215,6 +242,25 @@
     );
   }
 
+  /** Whether this entry may send to an endpoint, which may have named a limit. */
+  private isSender({ namedLimit, endpoint }: EndpointHandle, now: number): boolean {
+    const perSecond = namedLimit.perSecond(now);
+    if (perSecond === undefined) return true;
+    const { entriesRevision, entryLocations } = this.state;
+    if (entriesRevision !== this.sendersRevision) {
+      this.sendersRevision = entriesRevision;
+      this.senders.setEntries([...entryLocations.keys()]);
+    }
+    return this.senders.isSelected(endpoint.id, countSenders(perSecond));
+  }
+
+  /** Whether the limit that an endpoint may have named leaves room for a request of this entry. */
+  private isWithinLimit(handle: EndpointHandle, now: number): boolean {
+    return (
+      this.isSender(handle, now) && handle.namedLimit.allows(this.entryCounts.forConnections, now)
+    );
+  }
+
   /** Plain services need no weights; an engine must hold all layers of a version that is still in use. */
   private hasUsableWeights(handle: EndpointHandle, now: number): boolean {
     if (!handle.model) return true;
@@ -235,7 +281,7 @@
   }
 
   private hasCapacity(handle: EndpointHandle, now: number): boolean {
-    if (!EndpointDirectory.isHealthy(handle, now)) return false;
+    if (!EndpointDirectory.isHealthy(handle, now) || !this.isWithinLimit(handle, now)) return false;
     const entries = this.entryCounts.forConnections;
     const { profile, pool, coldRate, coldUntil } = handle;
     const maxConnections = Math.max(
--- a/packages/forwarding/src/endpointHandle.ts
+++ b/packages/forwarding/src/endpointHandle.ts
@@ -3,6 +3,7 @@
   EndpointHealth,
   EndpointLoad,
   EngineModel,
+  NamedLimit,
   SharedRateLimiter,
   capacityShare,
 } from '@laburnumstream/decisions';
@@ -19,6 +20,8 @@
 
 /** Time without an event on any stream after which an endpoint counts as silent, in milliseconds. */
 const silenceTimeoutMs = 500;
+/** Time over which entries forget a limit of which nothing is heard, in milliseconds. */
+const maxAddedMemoryMs = 60_000;
 /** Concurrent requests to a plain service that does not state how many it runs. */
 const defaultSlots = 8;
 
@@ -33,6 +36,8 @@
 
   readonly coldRate: SharedRateLimiter;
 
+  readonly namedLimit: NamedLimit;
+
   /** Streams that this entry has open at the endpoint. */
   private readonly streams = new Set<MovableStream>();
 
@@ -56,9 +61,6 @@
 
   model: EngineModel | undefined;
 
-  /** Requests per second that it takes from all entries together; undefined if it names no limit. */
-  maxRequestsPerSecond: number | undefined;
-
   /** Monotonic time of the last sign that this incarnation of the endpoint runs, in milliseconds. */
   private signOfLifeAt = -Infinity;
 
@@ -71,11 +73,12 @@
     metrics: Metrics,
     /** Number of other entries that send requests to it. */
     peers: () => number,
-    /** Phase of this entry's sends during a cold start, from 0 to 1. */
+    /** Phase of this entry among the others, from 0 to 1. */
     phase: number,
     readonly health = new EndpointHealth(),
   ) {
     this.coldRate = new SharedRateLimiter(phase);
+    this.namedLimit = new NamedLimit(phase * maxAddedMemoryMs);
     this.load = new EndpointLoad(peers, isLocal);
     this.pool = new ConnectionPool(endpoint.address, clock, metrics);
     this.updateProfile(profile);
--- a/packages/forwarding/src/endpointState.ts
+++ b/packages/forwarding/src/endpointState.ts
@@ -4,6 +4,8 @@
   free: 'free',
   /** It has reached its limit of requests or connections. */
   full: 'full',
+  /** It has named a limit, and this entry has used its share, or has none. */
+  limited: 'limited',
   /** It is ejected for a while after failures or silence. */
   resting: 'resting',
   /** It has no complete version of the weights. */
--- a/packages/forwarding/src/forwardingEntry.ts
+++ b/packages/forwarding/src/forwardingEntry.ts
@@ -15,6 +15,7 @@
 import { DispatchQueue } from './dispatchQueue.js';
 import { entryGauges } from './entryGauges.js';
 import { EndpointDirectory } from './endpointDirectory.js';
+import type { EndpointHandle } from './endpointHandle.js';
 import { StreamForwarder } from './streamForwarder.js';
 import { EntryRegistration } from './entryRegistration.js';
 import type { FleetCodec } from './fleetChange.js';
@@ -162,6 +163,8 @@
       guard,
       budget: new SharedRetryBudget(bound, () => entryCounts.forRetries),
       onLoadChange: () => this.agents.handleLoadChange(),
+      onNamedLimit: (handle: EndpointHandle, perSecond: number | undefined) =>
+        this.agents.recordNamedLimit(handle, perSecond),
       codec: headerCodec,
       clock,
       metrics,
--- a/packages/forwarding/src/requestAttempts.ts
+++ b/packages/forwarding/src/requestAttempts.ts
@@ -1,11 +1,11 @@
 import { Execution, OutcomeUnknown } from '@laburnumstream/common';
 import type { Clock, Failure, Log, Metrics } from '@laburnumstream/common';
-import { mayRetry } from '@laburnumstream/decisions';
+import { mayRetry, misdirectedStatus } from '@laburnumstream/decisions';
 import type { Placement, SharedRetryBudget } from '@laburnumstream/decisions';
 import type { Attempt, FailedAttempt } from './attempt.js';
 import type { CrashGuard } from './crashGuard.js';
 import type { DispatchQueue, PlacementRequest } from './dispatchQueue.js';
-import { CallFault, EndpointCall } from './endpointCall.js';
+import { CallFault, EndpointCall, isSuccess } from './endpointCall.js';
 import type { CallObserver } from './endpointCall.js';
 import type { Eligibility, EndpointDirectory } from './endpointDirectory.js';
 import type { EndpointHandle } from './endpointHandle.js';
@@ -25,7 +25,6 @@
 const callerRetryShare = 0.82;
 /** Time that a running stream has to find another endpoint when it is to move, in milliseconds. */
 const moveWaitMs = 800;
-const misdirectedStatus = 421;
 /** Expected response time of a plain service, in milliseconds. */
 const plainResponseMs = 25;
 
@@ -40,6 +39,8 @@
   readonly budget: SharedRetryBudget;
   /** Called when this entry's load at an endpoint has changed. */
   readonly onLoadChange: () => void;
+  /** Called with the requests per second that a response names as the endpoint's limit, if any. */
+  readonly onNamedLimit: (endpoint: EndpointHandle, perSecond: number | undefined) => void;
   readonly codec: HeaderCodec;
   readonly clock: Clock;
   readonly metrics: Metrics;
@@ -222,9 +223,13 @@
   ): void {
     // Another endpoint at the address responds so.
     if (status === misdirectedStatus) return;
-    if (handle.maxRequestsPerSecond === maxRequestsPerSecond) return;
-    Object.assign(handle, { maxRequestsPerSecond });
-    this.services.log.info('Endpoint named another limit.', {
+    // A refusal without a limit does not tell that the limit has ended.
+    if (maxRequestsPerSecond === undefined && !isSuccess(status)) return;
+    const { clock, log, onNamedLimit } = this.services;
+    const before = handle.namedLimit.perSecond(clock.now());
+    onNamedLimit(handle, maxRequestsPerSecond);
+    if (before === maxRequestsPerSecond) return;
+    log.info('Endpoint named another limit.', {
       endpoint: handle.id,
       perSecond: maxRequestsPerSecond ?? null,
     });
--- a/packages/links/src/fleetDatagrams.ts
+++ b/packages/links/src/fleetDatagrams.ts
@@ -8,6 +8,7 @@
 import type {
   CrashNews,
   Datagram,
+  EndpointLimits,
   EndpointReport,
   EntryLoad,
   FleetNews,
@@ -33,6 +34,7 @@
   pieces?(message: PieceNews, from: DatagramSource): void;
   load?(load: EntryLoad, from: DatagramSource): void;
   crashes?(news: CrashNews, from: DatagramSource): void;
+  limits?(limits: EndpointLimits, from: DatagramSource): void;
 }
 
 /**
@@ -123,5 +125,6 @@
     else if (content.case === 'pieces') this.handlers.pieces?.(content.value, from);
     else if (content.case === 'load') this.handlers.load?.(content.value, from);
     else if (content.case === 'crashes') this.handlers.crashes?.(content.value, from);
+    else if (content.case === 'limits') this.handlers.limits?.(content.value, from);
   }
 }
