Failing test: requests that wait are all sent to an endpoint with a limit

Three entries, two endpoints that name 2 requests a second and more requests than that: 31 to 34 requests in 9 s where 23 are the bound.

--- a/features/namedLimits.feature
+++ b/features/namedLimits.feature
@@ -29,6 +29,14 @@
     Then in any 4 seconds from the third on they get at most one and a half times that and 5 requests each
     And they get at least a quarter of what they named
 
+  # Guards against requests that wait and are all sent to an endpoint once it has room for one of them.
+  Scenario: requests that wait for endpoints that name a limit
+    Given 3 entry programs and 2 endpoints that crash on content
+    When 2 endpoints name a limit of 2 requests a second for 12 seconds, and nothing else happens
+    Then in any 4 seconds from the third on they get at most one and a half times that and 5 requests each
+    And they get at most what they named and 5 requests in all
+    And they get at least a quarter of what they named
+
   # Guards against shares that are too many at once: each entry may send one request in any short time.
   Scenario: sum over all entries
     Then in 300 histories entries that are always pressed send at most what an endpoint named
--- a/features/steps/namedLimits.steps.ts
+++ b/features/steps/namedLimits.steps.ts
@@ -84,6 +84,15 @@
   });
 });
 
+Then('they get at most what they named and 5 requests in all', function most(this: LimitWorld) {
+  limited.forEach((index) => {
+    const seconds = (this.namedUntil - this.namedFrom - graceMs) / msPerSecond;
+    const found = getArrivals(this, index, this.namedFrom + graceMs, this.namedUntil).length;
+    const bound = this.limit * seconds + windowSlack;
+    assert.ok(found <= bound, `${found} requests in ${seconds.toFixed(0)} s, at most ${bound}`);
+  });
+});
+
 Then(
   /^they get at least half of what the others get, (\d+) seconds later$/,
   { timeout: 60_000 },
