--- a/features/wholeAnswers.feature
+++ b/features/wholeAnswers.feature
@@ -87,6 +87,21 @@
       | endsWithinEvent, streams  | stream | whole   |
       | endsUnframed              | single | whole   |
 
+  # An answer with neither a length nor chunks ends with its connection, also with one that was kept.
+  Scenario Outline: answer without a length on a kept connection
+    Given an entry on the platform with an engine that keeps a connection and then <ending>
+    When a caller sends two requests to <route>
+    Then the second has <status>, <outcome>, on the connection of the first
+
+    Examples:
+      | ending          | route  | status | outcome |
+      | closesAnswer    | safe   | 200    | whole   |
+      | closesAnswer    | unsafe | 200    | whole   |
+      | resetsAnswer    | unsafe | 502    | whole   |
+      | endsUnframed    | single | 200    | whole   |
+      | resetsStream    | single | 200    | cut     |
+      | endsWithinEvent | single | 200    | cut     |
+
   # A caller without chunked encoding (HTTP/1.0) couldn't tell a truncated stream from a complete one.
   Scenario: caller that knows no chunks
     Given an entry on the platform with engines that streams
--- a/packages/standins/src/platformEngine.ts
+++ b/packages/standins/src/platformEngine.ts
@@ -109,6 +109,11 @@
     request.socket.write('whole an');
     request.socket.resetAndDestroy();
   },
+  /** Sends a complete unframed response. */
+  closesAnswer: (request, _response, engine) => {
+    writeUnframedHead(request, engine, 'text/plain');
+    request.socket.end('whole answer');
+  },
   /** Resets the connection within an event of an unframed stream. */
   resetsStream: truncateStream((socket) => socket.resetAndDestroy()),
   /** Closes the connection within an event of an unframed stream. */
