--- a/features/crashingParts.feature
+++ b/features/crashingParts.feature
@@ -56,3 +56,9 @@
       | all at once            |
       | one after the other    |
       | several every second   |
+
+  Scenario: explanation of a refusal for content
+    Given an entry on the platform with engines that breaks, breaks, breaks, breaks, breaks
+    When a caller sends a request to safe until it is refused for crashing_content
+    Then the explanation of its id names Content convicted.*Request refused for its content.*request:
+    And the metrics count content_convicted 1
--- a/features/steps/cutPath.steps.ts
+++ b/features/steps/cutPath.steps.ts
@@ -3,7 +3,8 @@
 import type { Socket } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { Then, When } from '@cucumber/cucumber';
-import { sendRaw } from '../support/platformCaller.js';
+import { eventually } from '../support/assertions.js';
+import { sendRaw, sendRequest } from '../support/platformCaller.js';
 import type { CallerResponse } from '../support/platformCaller.js';
 import type { PlatformFleet } from '../support/platformFleet.js';
 
@@ -76,6 +77,18 @@
   );
 });
 
+When(
+  /^a caller sends a request to (\w+) until it is refused for (\w+)$/,
+  { timeout: 20_000 },
+  async function refused(this: CutWorld, route: string, reason: string) {
+    const counted = new RegExp(`reason="${reason}"`);
+    await eventually(async () => {
+      this.response = await sendRequest(this.platform, `/${route}/x`);
+      return this.response.status === 503 && counted.test(this.platform.metrics.render());
+    }, `a request is refused for ${reason}`);
+  },
+);
+
 Then(/^the metrics count (\w+) (\d+)$/, function count(this: CutWorld, name: string, by: string) {
   const text = this.platform.metrics.render();
   assert.match(text, new RegExp(`^${name}(_total)? ${by}$`, 'm'), text);
--- a/packages/cli/src/requestTimeline.ts
+++ b/packages/cli/src/requestTimeline.ts
@@ -19,6 +19,11 @@
   return typeof endpoint === 'string' ? endpoint : undefined;
 }
 
+/** A conviction concerns the requests with its traits, and replaces what was said of them before. */
+function getTraits({ traits }: LogLine): string {
+  return `traits ${Array.isArray(traits) ? traits.join('+') : ''}`;
+}
+
 /** Subjects of the log lines about process state, by message. */
 const subjects: Readonly<Record<string, SubjectSelector>> = {
   'fleet: Configuration in force.': () => 'configuration',
@@ -29,6 +34,9 @@
   'fleet: Endpoint gone.': getEndpoint,
   'store: Not registered; it may come back.': ({ key }) => String(key),
   'sidecars: Engine changed.': getEndpoint,
+  'crashes: Content convicted.': getTraits,
+  'crashes: Content convicted by another entry.': getTraits,
+  'crashes: Conviction withdrawn.': getTraits,
   'process: Shutdown started.': () => 'process',
   'process: Started.': () => 'process',
 };
@@ -84,12 +92,14 @@
     const last = ownLines.at(-1)!;
     const instances = new Set(ownLines.map(({ instance }) => instance));
     const endpoints = new Set(ownLines.flatMap((line) => getEndpoint(line) ?? []));
+    const refusedTraits = new Set(ownLines.map(getTraits));
     const latest = new Map<string, LogLine>();
     const during: TimelineEntry[] = [];
     [...this.stateLines]
       .sort((a, b) => a.timestamp.localeCompare(b.timestamp))
       .filter((line) => instances.has(line.instance) && line.timestamp <= last.timestamp)
       .filter((line) => getEndpoint(line) === undefined || endpoints.has(getEndpoint(line)!))
+      .filter((line) => !Array.isArray(line.traits) || refusedTraits.has(getTraits(line)))
       .forEach((line) => {
         const subject = subjects[line.message]!(line);
         if (line.timestamp > first.timestamp) during.push({ line, isProcessState: true });
--- a/packages/forwarding/src/crashGuard.ts
+++ b/packages/forwarding/src/crashGuard.ts
@@ -69,7 +69,7 @@
     const { crashes } = conviction;
     const content = conviction.traits.join(' and ');
     const { id } = exchange.head;
-    this.log.info('Request refused for its content.', { id, traits: content, crashes });
+    this.log.info('Request refused for its content.', { id, traits: conviction.traits, crashes });
     const message = `${crashes} endpoints crashed on requests with ${content}.`;
     throw new Refusal(RefusalReason.crashingContent, message, retryDelayMs);
   }
