--- a/features/namedLimits.feature
+++ b/features/namedLimits.feature
@@ -52,3 +52,8 @@
     Given 7 entry programs and 6 endpoints that crash on content
     When 2 endpoints name a limit of 1.4 requests a second for 8 seconds, and nothing else happens
     Then all callers were served
+
+  Scenario: explanation of a refusal for limits
+    Given an entry on the platform with engines that names, names
+    When a caller sends a request to safe until it is refused for overloaded
+    Then the explanation of its id names Endpoint named another limit.*perSecond=0.1.*Request refused.*limited=2
--- a/packages/cli/src/requestTimeline.ts
+++ b/packages/cli/src/requestTimeline.ts
@@ -19,6 +19,8 @@
   return typeof endpoint === 'string' ? endpoint : undefined;
 }
 
+const limitMessage = 'sidecars: Endpoint named another limit.';
+
 /** A conviction concerns the requests with its traits, and replaces what was said of them before. */
 function getTraits({ traits }: LogLine): string {
   return `traits ${Array.isArray(traits) ? traits.join('+') : ''}`;
@@ -34,6 +36,7 @@
   'fleet: Endpoint gone.': getEndpoint,
   'store: Not registered; it may come back.': ({ key }) => String(key),
   'sidecars: Engine changed.': getEndpoint,
+  [limitMessage]: getEndpoint,
   'crashes: Content convicted.': getTraits,
   'crashes: Content convicted by another entry.': getTraits,
   'crashes: Conviction withdrawn.': getTraits,
@@ -93,12 +96,18 @@
     const instances = new Set(ownLines.map(({ instance }) => instance));
     const endpoints = new Set(ownLines.flatMap((line) => getEndpoint(line) ?? []));
     const refusedTraits = new Set(ownLines.map(getTraits));
+    // A request that was refused for the limits of endpoints names none of them.
+    const wasLimited = ownLines.some(({ limited }) => typeof limited === 'number' && limited > 0);
+    const isLimited = ({ message }: LogLine): boolean => wasLimited && message === limitMessage;
     const latest = new Map<string, LogLine>();
     const during: TimelineEntry[] = [];
     [...this.stateLines]
       .sort((a, b) => a.timestamp.localeCompare(b.timestamp))
       .filter((line) => instances.has(line.instance) && line.timestamp <= last.timestamp)
-      .filter((line) => getEndpoint(line) === undefined || endpoints.has(getEndpoint(line)!))
+      .filter(
+        (line) =>
+          getEndpoint(line) === undefined || endpoints.has(getEndpoint(line)!) || isLimited(line),
+      )
       .filter((line) => !Array.isArray(line.traits) || refusedTraits.has(getTraits(line)))
       .forEach((line) => {
         const subject = subjects[line.message]!(line);
--- a/packages/forwarding/src/agentLinks.ts
+++ b/packages/forwarding/src/agentLinks.ts
@@ -56,13 +56,14 @@
     const handlers: DatagramHandlers = {
       report: (report) => this.handleReport(report),
       load: (load, { sender }) => this.loadBroadcast.receive(load, sender),
-      limits: (limits) => this.limitExchange.receive(limits).forEach(this.onReport),
+      limits: (limits, { sender }) =>
+        this.limitExchange.receive(limits, sender).forEach((handle) => this.onReport(handle)),
       crashes: (news, { host }) => this.crashExchange.receive(news, host),
     };
     this.datagrams = new FleetDatagrams(settings.instance, handlers, clock, metrics, log);
     this.notifiers = new NotifierSelection(settings.instance);
     this.loadBroadcast = new LoadBroadcast(settings, state, directory, this.datagrams, clock);
-    this.limitExchange = new LimitExchange(settings, state, directory, this.datagrams, clock);
+    this.limitExchange = new LimitExchange(settings, state, directory, this.datagrams, clock, log);
     this.crashExchange = new CrashExchange(settings, state, guard, this.datagrams);
   }
 
--- a/packages/forwarding/src/limitExchange.ts
+++ b/packages/forwarding/src/limitExchange.ts
@@ -1,4 +1,4 @@
-import type { Clock, FleetSettings } from '@laburnumstream/common';
+import type { Clock, FleetSettings, Log } from '@laburnumstream/common';
 import type { FleetDatagrams } from '@laburnumstream/links';
 import type { EndpointLimits } from '@laburnumstream/protocol';
 import type { EndpointDirectory } from './endpointDirectory.js';
@@ -22,6 +22,7 @@
     private readonly directory: EndpointDirectory,
     private readonly datagrams: FleetDatagrams,
     private readonly clock: Clock,
+    private readonly log: Log,
   ) {}
 
   /** Records that a response of an endpoint named a limit, or none. */
@@ -31,7 +32,9 @@
     const isChange = namedLimit.update(perSecond, now);
     if (perSecond !== undefined || isChange) this.heardAt.set(incarnation, now);
     else if (this.heardAt.has(incarnation)) this.heardAt.set(incarnation, now);
-    if (isChange) this.send([handle]);
+    if (!isChange) return;
+    this.logChange(handle, null);
+    this.send([handle]);
   }
 
   /** Repeats what this entry has heard lately. */
@@ -44,15 +47,23 @@
   }
 
   /** Applies what another entry has heard; returns the endpoints whose limits have changed. */
-  receive({ limits }: EndpointLimits): EndpointHandle[] {
+  receive({ limits }: EndpointLimits, sender: string): EndpointHandle[] {
     const now = this.clock.now();
     return limits.flatMap(({ endpoint, milliPerSecond, msAgo }) => {
       const handle = this.directory.findIncarnation(endpoint);
       const perSecond = milliPerSecond === undefined ? undefined : milliPerSecond / milli;
-      return handle?.namedLimit.update(perSecond, now - msAgo) ? [handle] : [];
+      if (!handle?.namedLimit.update(perSecond, now - msAgo)) return [];
+      this.logChange(handle, sender);
+      return [handle];
     });
   }
 
+  /** Logs a change that this entry has heard from the endpoint itself, or from another entry. */
+  private logChange({ id, namedLimit }: EndpointHandle, from: string | null): void {
+    const perSecond = namedLimit.perSecond(this.clock.now()) ?? null;
+    this.log.info('Endpoint named another limit.', { endpoint: id, perSecond, from });
+  }
+
   private send(handles: readonly EndpointHandle[]): void {
     const now = this.clock.now();
     const hosts = [...this.state.entryLocations]
--- a/packages/forwarding/src/requestAttempts.ts
+++ b/packages/forwarding/src/requestAttempts.ts
@@ -225,14 +225,7 @@
     if (status === misdirectedStatus) return;
     // A refusal without a limit does not tell that the limit has ended.
     if (maxRequestsPerSecond === undefined && !isSuccess(status)) return;
-    const { clock, log, onNamedLimit } = this.services;
-    const before = handle.namedLimit.perSecond(clock.now());
-    onNamedLimit(handle, maxRequestsPerSecond);
-    if (before === maxRequestsPerSecond) return;
-    log.info('Endpoint named another limit.', {
-      endpoint: handle.id,
-      perSecond: maxRequestsPerSecond ?? null,
-    });
+    this.services.onNamedLimit(handle, maxRequestsPerSecond);
   }
 
   /** Sends the request to an endpoint. */
--- a/packages/standins/src/platformEngine.ts
+++ b/packages/standins/src/platformEngine.ts
@@ -109,6 +109,11 @@
     request.socket.write('whole an');
     request.socket.resetAndDestroy();
   },
+  /** Names a limit of one request in ten seconds. */
+  names: (request, response, engine) => {
+    response.setHeader('server-limit', '0.1');
+    respondWith('whole answer')(request, response, engine);
+  },
   /** Sends a complete unframed response. */
   closesAnswer: (request, _response, engine) => {
     writeUnframedHead(request, engine, 'text/plain');
