--- a/features/crashingParts.feature
+++ b/features/crashingParts.feature
@@ -62,3 +62,9 @@
     When a caller sends a request to safe until it is refused for crashing_content
     Then the explanation of its id names Content convicted.*Request refused for its content.*request:
     And the metrics count content_convicted 1
+
+  Scenario: conviction that operators lift
+    Given an entry on the platform with engines that breaks, breaks, breaks, breaks, breaks
+    When a caller sends a request to safe until it is refused for crashing_content
+    And operators withdraw all convictions
+    Then a request to safe is sent to an engine again
--- a/features/steps/cutPath.steps.ts
+++ b/features/steps/cutPath.steps.ts
@@ -89,6 +89,30 @@
   },
 );
 
+When('operators withdraw all convictions', async function withdraw(this: CutWorld) {
+  const { store } = this.platform;
+  const getKeys = (): string[] => store.keys('laburnumstream/convictions/');
+  await eventually(() => getKeys().length > 0, 'convictions are stored');
+  getKeys().forEach((key) => {
+    const value = JSON.parse(Buffer.from(store.read(key)!, 'base64').toString('utf8')) as object;
+    store.write(key, { ...value, isWithdrawn: true });
+  });
+});
+
+Then(
+  /^a request to (\w+) is sent to an engine again$/,
+  async function again(this: CutWorld, route: string) {
+    const { engines } = this.platform;
+    const countRuns = (): number =>
+      engines.reduce((sum, { startedRequestIds }) => sum + startedRequestIds.length, 0);
+    const before = countRuns();
+    await eventually(async () => {
+      await sendRequest(this.platform, `/${route}/x`);
+      return countRuns() > before;
+    }, 'an engine gets a request');
+  },
+);
+
 Then(/^the metrics count (\w+) (\d+)$/, function count(this: CutWorld, name: string, by: string) {
   const text = this.platform.metrics.render();
   assert.match(text, new RegExp(`^${name}(_total)? ${by}$`, 'm'), text);
--- a/packages/decisions/src/crashes/crashEvidence.ts
+++ b/packages/decisions/src/crashes/crashEvidence.ts
@@ -185,7 +185,8 @@
 
   /**
    * Settles crashes whose time has come and returns the verdicts that follow. A crash does not count
-   * if the endpoint has given a sign of life since; `lastSignOfLife` returns its monotonic time, -Infinity if there was none.
+   * if the endpoint has given a sign of life since; `lastSignOfLife` returns its monotonic time,
+   * -Infinity if there was none.
    */
   settle(now: number, lastSignOfLife: (endpoint: string) => number): Verdicts {
     this.crashes.forEach((crash) => {
--- a/packages/forwarding/src/crashGuard.ts
+++ b/packages/forwarding/src/crashGuard.ts
@@ -89,7 +89,7 @@
       return;
     }
     const traits = this.evidence.isActive ? getTraits(exchange) : new Set(getPartTraits(exchange));
-    this.evidence.recordSurvival(new Set(traits), this.clock.now());
+    this.evidence.recordSurvival(traits, this.clock.now());
     if (this.evidence.needsSettlement) this.scheduleSettlement();
   }
 
@@ -128,11 +128,11 @@
     return isAdopted;
   }
 
-  /** Drops a conviction that another entry has contradicted. */
+  /** Drops a conviction that another entry, or an operator, has withdrawn. */
   withdraw(conviction: Conviction): void {
-    if (!this.evidence.convictions.has(conviction)) return;
+    const isKnown = this.evidence.convictions.has(conviction);
     this.evidence.withdraw(conviction);
-    this.log.warn('Conviction withdrawn.', { traits: conviction.traits });
+    if (isKnown) this.log.warn('Conviction withdrawn.', { traits: conviction.traits });
   }
 
   /** What this entry has seen of the crashes of some endpoints, without those that were false alarms. */
--- a/packages/forwarding/src/crashRecords.ts
+++ b/packages/forwarding/src/crashRecords.ts
@@ -127,11 +127,12 @@
   private async writeConviction(key: string, stored: StoredConviction): Promise<void> {
     const { conviction, isWithdrawn } = stored;
     // Only a withdrawal, or a conviction after one, may replace what another entry has written.
-    const mayReplace = isWithdrawn || this.withdrawnKeys.delete(key);
+    const mayReplace = isWithdrawn || this.withdrawnKeys.has(key);
     const condition = mayReplace ? {} : { ifRevision: 0 };
     try {
       const storeKey = this.codec.convictionKey(conviction);
       await this.store.put(storeKey, this.codec.encodeConviction(stored), condition);
+      this.withdrawnKeys.delete(key);
       this.callCounter.countSuccess(StoreCall.crashes);
     } catch (error) {
       if (!(error instanceof Conflict)) throw error;
