--- a/features/feedFailures.feature
+++ b/features/feedFailures.feature
@@ -28,6 +28,19 @@
       | fall silent             |
       | are cut from the store  |
 
+  # Guards against entries that follow a reader whose calls the store refuses: a refusal counted as progress.
+  Scenario Outline: readers that the store turns away
+    Given 6 entries behind a link that is narrow for them
+    When the readers <fault>
+    And 1 configurations with 1680 more routes are written 0 seconds apart
+    Then each is in force at the other entries within 3 seconds
+    And the other entries answer requests with a key for 6 seconds
+
+    Examples:
+      | fault                         |
+      | are turned away by the store  |
+      | are turned away, one of them  |
+
   # Guards against a proof that is passed on as newer than the call to the store that gave it.
   Scenario: key that was taken away while readers are cut from the store
     Given 6 entries behind a link that is narrow for them
--- a/features/steps/feedFailures.steps.ts
+++ b/features/steps/feedFailures.steps.ts
@@ -16,6 +16,8 @@
   'are killed': (region) => region.killReaders(),
   'fall silent': (region) => region.silenceReaders(),
   'are cut from the store': (region) => region.cutFromStore(region.readers),
+  'are turned away by the store': (region) => region.turnAway(region.readers),
+  'are turned away, one of them': (region) => region.turnAway(region.readers.slice(0, 1)),
 };
 
 function createNames(count: number): string[] {
--- a/features/support/remoteRegion.ts
+++ b/features/support/remoteRegion.ts
@@ -212,6 +212,11 @@
     }
   }
 
+  /** Makes the store answer all calls of some entries with 429. */
+  turnAway(entries: readonly RunningEntry[]): void {
+    entries.forEach(({ storeRelay }) => storeRelay.setMode(RelayMode.turnedAway));
+  }
+
   cutFromStore(entries: readonly RunningEntry[]): void {
     entries.forEach(({ storeRelay }) => storeRelay.setMode(RelayMode.silent));
   }
--- a/packages/standins/src/relay.ts
+++ b/packages/standins/src/relay.ts
@@ -19,11 +19,16 @@
   requestsLost: 'requestsLost',
   /** Forwards the first half of the next response data, then resets the connection. */
   truncated: 'truncated',
+  /** Answers each request itself: too many requests. */
+  turnedAway: 'turnedAway',
 } as const;
 
 /** One of the values of {@link RelayMode}. */
 export type RelayMode = (typeof RelayMode)[keyof typeof RelayMode];
 
+const tooManyRequests =
+  'HTTP/1.1 429 Too Many Requests\r\ncontent-type: application/json\r\ncontent-length: 2\r\n\r\n{}';
+
 interface Connection {
   readonly downstream: Socket;
   readonly upstream: Socket;
@@ -116,7 +121,9 @@
       if (connection.muted) return;
       // Once bytes were dropped, nothing more is forwarded in that direction.
       if (this.mode === droppingMode) from.removeAllListeners('data').resume();
-      else if (this.mode === RelayMode.truncated && from === connection.upstream) {
+      else if (this.mode === RelayMode.turnedAway) {
+        if (from === connection.downstream) from.write(tooManyRequests);
+      } else if (this.mode === RelayMode.truncated && from === connection.upstream) {
         this.truncate(connection, bytes);
       } else if (this.delayMs > 0) setTimeout(() => to.write(bytes), this.delayMs);
       else to.write(bytes);
