Count only successful responses as progress of the store

An entry that the store serves went without new configurations and keys for as long as the store refused the calls of the reader that it followed (CONFIG): the body of each refusal counted as progress, so that the reader kept its followers. features/feedFailures.feature, readers that the store turns away: no configuration within 10 s before, all within 3 s after.

--- a/packages/forwarding/src/transfer.ts
+++ b/packages/forwarding/src/transfer.ts
@@ -8,6 +8,8 @@
   readonly maxBytes: number;
 }
 
+const successStatus = 200;
+
 /** A response that has arrived whole. */
 export interface TransferredResponse {
   readonly status: number;
@@ -17,7 +19,8 @@
 
 /**
  * Sends a request and reads its response for as long as it makes progress. Throws `TransferFailed`, with
- * the number of bytes that had arrived, when the connection fails or a limit is exceeded.
+ * the number of bytes that had arrived, when the connection fails or a limit is exceeded. `onProgress` is
+ * called with each part of a successful response: a refusal brings the content no further.
  */
 export async function transfer(
   client: Dispatcher,
@@ -35,7 +38,7 @@
     timeout.recordProgress();
     for await (const part of response.body as AsyncIterable<Buffer>) {
       timeout.recordProgress();
-      onProgress();
+      if (response.statusCode === successStatus) onProgress();
       parts.push(part);
       size += part.length;
       if (size > limits.maxBytes)
