Select the other entries in one place

Five classes filtered the registered entries by name and region, each in its own copy; EntryPeers does it now.

--- a/packages/forwarding/src/agentLinks.ts
+++ b/packages/forwarding/src/agentLinks.ts
@@ -7,6 +7,7 @@
 import type { CrashGuard } from './crashGuard.js';
 import type { EndpointDirectory } from './endpointDirectory.js';
 import type { EndpointHandle } from './endpointHandle.js';
+import { EntryPeers } from './entryPeers.js';
 import type { FleetState } from './fleetState.js';
 import { LimitExchange } from './limitExchange.js';
 import { LoadBroadcast } from './loadBroadcast.js';
@@ -28,6 +29,8 @@
 export class AgentLinks {
   private readonly datagrams: FleetDatagrams;
 
+  private readonly peers: EntryPeers;
+
   private readonly loadBroadcast: LoadBroadcast;
 
   private readonly crashExchange: CrashExchange;
@@ -62,9 +65,10 @@
     };
     this.datagrams = new FleetDatagrams(settings.instance, handlers, clock, metrics, log);
     this.notifiers = new NotifierSelection(settings.instance);
-    this.loadBroadcast = new LoadBroadcast(settings, state, directory, this.datagrams, clock);
-    this.limitExchange = new LimitExchange(settings, state, directory, this.datagrams, clock, log);
-    this.crashExchange = new CrashExchange(settings, state, guard, this.datagrams);
+    this.peers = new EntryPeers(settings, state);
+    this.loadBroadcast = new LoadBroadcast(this.peers, directory, this.datagrams, clock);
+    this.limitExchange = new LimitExchange(this.peers, directory, this.datagrams, clock, log);
+    this.crashExchange = new CrashExchange(this.peers, guard, this.datagrams);
   }
 
   async run(signal: AbortSignal): Promise<void> {
@@ -135,14 +139,10 @@
 
   /** Updates the entries from which notifiers are chosen, if the registered entries have changed. */
   private refreshNotifiers(): void {
-    const { entriesRevision, entryLocations } = this.state;
+    const { entriesRevision } = this.state;
     if (entriesRevision === this.notifiersRevision) return;
     this.notifiersRevision = entriesRevision;
-    const { region, regions } = this.settings;
-    const localEntries = [...entryLocations].filter(
-      ([, { dataCentre }]) => regions.get(dataCentre) === region,
-    );
-    this.notifiers.setEntries(localEntries.map(([name]) => name));
+    this.notifiers.setEntries(this.peers.regionNames);
   }
 
   private getReportIntervalMs({ isLocal, region }: EndpointHandle): number {
--- a/packages/forwarding/src/crashExchange.ts
+++ b/packages/forwarding/src/crashExchange.ts
@@ -1,9 +1,8 @@
-import type { FleetSettings } from '@laburnumstream/common';
 import type { Conviction, CrashNews, CrashReport } from '@laburnumstream/decisions';
 import type { FleetDatagrams } from '@laburnumstream/links';
 import type { CrashNews as CrashNewsMessage } from '@laburnumstream/protocol';
 import type { CrashGuard, CrashListener } from './crashGuard.js';
-import type { FleetState } from './fleetState.js';
+import type { EntryPeers } from './entryPeers.js';
 
 /** Maximum number of traits in one datagram, so that it fits a packet. */
 const maxTraitsPerDatagram = 40;
@@ -54,8 +53,7 @@
 /** Tells other entries directly of crashes and convictions; the store may be away. */
 export class CrashExchange implements CrashListener {
   constructor(
-    private readonly settings: FleetSettings,
-    private readonly state: FleetState,
+    private readonly peers: EntryPeers,
     private readonly guard: CrashGuard,
     private readonly datagrams: FleetDatagrams,
   ) {
@@ -63,7 +61,7 @@
   }
 
   onNews(news: CrashNews): void {
-    const hosts = this.getHosts(() => true);
+    const { hosts } = this.peers;
     news.crashes.flatMap(splitReport).forEach((crash) => {
       const traits = new Set(crash.traits);
       const survivals = news.survivals.filter(({ trait }) => traits.has(trait));
@@ -72,7 +70,7 @@
   }
 
   onConviction(conviction: Conviction): void {
-    const hosts = this.getHosts(() => true);
+    const { hosts } = this.peers;
     this.datagrams.sendAll(encode({ ...noNews, convictions: [conviction] }), hosts);
   }
 
@@ -83,10 +81,9 @@
   repeatConvictions(): void {
     const convictions = this.guard.convictions.slice(0, maxRepeatedConvictions);
     if (convictions.length === 0) return;
-    const { region, regions } = this.settings;
-    const hosts = this.getHosts((dataCentre) => regions.get(dataCentre) === region);
+    const { regionHosts } = this.peers;
     divide(convictions).forEach((some) =>
-      this.datagrams.sendAll(encode({ ...noNews, convictions: some }), hosts),
+      this.datagrams.sendAll(encode({ ...noNews, convictions: some }), regionHosts),
     );
   }
 
@@ -96,11 +93,4 @@
     if (added.length === 0) return;
     this.datagrams.send(encode({ ...noNews, survivals: added }), host);
   }
-
-  /** Hosts of the other entries in some data centres. */
-  private getHosts(isIncluded: (dataCentre: string) => boolean): string[] {
-    return [...this.state.entryLocations]
-      .filter(([name, { dataCentre }]) => name !== this.settings.instance && isIncluded(dataCentre))
-      .map(([, { host }]) => host);
-  }
 }
--- a/packages/forwarding/src/limitExchange.ts
+++ b/packages/forwarding/src/limitExchange.ts
@@ -1,9 +1,9 @@
-import type { Clock, FleetSettings, Log } from '@laburnumstream/common';
+import type { Clock, Log } from '@laburnumstream/common';
 import type { FleetDatagrams } from '@laburnumstream/links';
 import type { EndpointLimits } from '@laburnumstream/protocol';
 import type { EndpointDirectory } from './endpointDirectory.js';
 import type { EndpointHandle } from './endpointHandle.js';
-import type { FleetState } from './fleetState.js';
+import type { EntryPeers } from './entryPeers.js';
 
 /** Time for which this entry repeats what an endpoint has said of its limit, in milliseconds. */
 const repeatMs = 4_000;
@@ -17,8 +17,7 @@
   private readonly heardAt = new Map<string, number>();
 
   constructor(
-    private readonly settings: FleetSettings,
-    private readonly state: FleetState,
+    private readonly peers: EntryPeers,
     private readonly directory: EndpointDirectory,
     private readonly datagrams: FleetDatagrams,
     private readonly clock: Clock,
@@ -66,9 +65,7 @@
 
   private send(handles: readonly EndpointHandle[]): void {
     const now = this.clock.now();
-    const hosts = [...this.state.entryLocations]
-      .filter(([name]) => name !== this.settings.instance)
-      .map(([, { host }]) => host);
+    const { hosts } = this.peers;
     const limits = handles.map(({ incarnation, namedLimit }) => {
       const perSecond = namedLimit.perSecond(now);
       const msAgo = Math.round(namedLimit.ageMs(now));
--- a/packages/forwarding/src/loadBroadcast.ts
+++ b/packages/forwarding/src/loadBroadcast.ts
@@ -1,9 +1,9 @@
-import type { Clock, FleetSettings } from '@laburnumstream/common';
+import type { Clock } from '@laburnumstream/common';
 import type { FleetDatagrams } from '@laburnumstream/links';
 import type { EntryLoad } from '@laburnumstream/protocol';
 import type { EndpointDirectory } from './endpointDirectory.js';
 import type { EndpointHandle } from './endpointHandle.js';
-import type { FleetState } from './fleetState.js';
+import type { EntryPeers } from './entryPeers.js';
 
 /** Time in which changes are batched, for each group of peers, in milliseconds. */
 const batchMsPerGroup = 5;
@@ -17,8 +17,7 @@
   private timer: NodeJS.Timeout | undefined;
 
   constructor(
-    private readonly settings: FleetSettings,
-    private readonly state: FleetState,
+    private readonly peers: EntryPeers,
     private readonly directory: EndpointDirectory,
     private readonly datagrams: FleetDatagrams,
     private readonly clock: Clock,
@@ -30,7 +29,7 @@
    */
   schedule(): void {
     if (this.timer) return;
-    const groups = Math.max(1, Math.ceil(this.peers.length / peersPerGroup));
+    const groups = Math.max(1, Math.ceil(this.peers.regionHosts.length / peersPerGroup));
     this.timer = setTimeout(() => {
       this.timer = undefined;
       this.send();
@@ -39,15 +38,15 @@
 
   /** Sends this entry's load to all peers. */
   send(): void {
-    const { peers } = this;
-    if (peers.length === 0) return;
+    const { regionHosts } = this.peers;
+    if (regionHosts.length === 0) return;
     const shares = this.engines
       .filter(({ load }) => load.ownRequests > 0)
       .map(({ endpoint, load }) => {
         const { requests, unreadMs } = load.ownLoad;
         return { address: endpoint.address, requests, unreadMs: Math.round(unreadMs) };
       });
-    this.datagrams.sendAll({ case: 'load', value: { shares } }, peers);
+    this.datagrams.sendAll({ case: 'load', value: { shares } }, regionHosts);
   }
 
   /** Applies the load that another entry has sent. */
@@ -60,14 +59,6 @@
     });
   }
 
-  /** Hosts of the other entries of this region. */
-  private get peers(): string[] {
-    const { instance, region, regions } = this.settings;
-    return [...this.state.entryLocations]
-      .filter(([name, { dataCentre }]) => name !== instance && regions.get(dataCentre) === region)
-      .map(([, { host }]) => host);
-  }
-
   private get engines(): EndpointHandle[] {
     return [...this.directory.all].filter(({ model, isLocal }) => model && isLocal);
   }
--- a/packages/forwarding/src/regionalFeed.ts
+++ b/packages/forwarding/src/regionalFeed.ts
@@ -15,6 +15,7 @@
 import { FeedClient } from './feedClient.js';
 import type { RelayedChanges } from './feedClient.js';
 import { FeedServer } from './feedServer.js';
+import { EntryPeers } from './entryPeers.js';
 import type { FleetState } from './fleetState.js';
 import { StoreMirror } from './storeMirror.js';
 
@@ -59,6 +60,8 @@
   /** Time of the last response of any source on the proof clock; undefined before the first one. */
   private respondedAt: number | undefined;
 
+  private readonly peers: EntryPeers;
+
   /** What this entry reads from; an entry that reads from others may be in a circle of them. */
   private source: FeedSource = FeedSource.entry;
 
@@ -84,6 +87,7 @@
       log,
     );
     this.readers = new FeedReaders(settings.instance);
+    this.peers = new EntryPeers(settings, state);
   }
 
   /** Serves the content to other entries until the signal fires. */
@@ -149,13 +153,9 @@
 
   /** Returns the name of the entry to read from; undefined if this entry reads the store itself. */
   private pickSource(): string | undefined {
-    const { region, regions } = this.settings;
-    const { entriesRevision, entryLocations } = this.state;
+    const { entriesRevision } = this.state;
     if (entriesRevision !== this.readersRevision) {
-      const local = [...entryLocations].filter(
-        ([, { dataCentre }]) => regions.get(dataCentre) === region,
-      );
-      this.readers.setEntries(local.map(([name]) => name));
+      this.readers.setEntries(this.peers.regionNames);
       this.readersRevision = entriesRevision;
     }
     return this.readers.pickSource(this.proofClock.now());
