Logs and metrics tell why the wait of a request ended and why a stream was cut

Callers saw streams cut with seconds left. The logs could not tell the three ways in which the queue refuses a request apart ('Request refused.' is the same line for all), nor whether a stream that was cut had been moved before ('Stream moved.' was written at a level that is not kept).

'Request refused.' now has the cause, the expected wait, the time to the goal and to the deadline and the number of tried endpoints; 'Attempt failed.' why there is no retry; 'Stream cut.' the cause, the time left, sends, moves and the configuration. Counters: waits_ended_total and streams_cut_total, by cause. No decision is changed: the conditions are the same, in the same order.

Ruled out: a second log line for each wait, as refusals come by the hundred in a second.

--- a/packages/forwarding/src/dispatchQueue.ts
+++ b/packages/forwarding/src/dispatchQueue.ts
@@ -4,6 +4,7 @@
 import type { Eligibility } from './endpointDirectory.js';
 import type { EndpointHandle } from './endpointHandle.js';
 import { Refusal, RefusalReason } from './refusal.js';
+import { WaitEnd } from './waitEnd.js';
 
 /** A request for an endpoint. */
 export interface PlacementRequest extends QueuedRequest {
@@ -101,7 +102,8 @@
     const placement = queue.length === 0 ? this.findPlacement(candidate, now) : undefined;
     if (placement) return Promise.resolve(this.recordPlacement(request, placement, now));
     const startAt = now + queue.expectedWaitMs(now);
-    if (!this.mayWait(request, startAt)) return Promise.reject(this.createRefusal(candidate, now));
+    const end = this.findWaitEnd(request, now, startAt);
+    if (end) return Promise.reject(this.createRefusal(candidate, end, now, startAt));
     return new Promise((resolve, reject) => {
       const queued: PendingRequest = { ...candidate, resolve, reject };
       const abort = (): void => {
@@ -128,10 +130,12 @@
       if (placement) {
         queue.remove(queued);
         queued.resolve(this.recordPlacement(queued, placement, now));
-      } else if (!this.mayWait(queued, now)) {
-        queue.remove(queued);
-        queued.reject(this.createRefusal(queued, now));
+        return;
       }
+      const end = this.findWaitEnd(queued, now, now);
+      if (!end) return;
+      queue.remove(queued);
+      queued.reject(this.createRefusal(queued, end, now, now));
     });
   }
 
@@ -179,11 +183,17 @@
     return Math.min(max, Math.max(min, share));
   }
 
-  /** Whether a request that is sent at `startAt` can still be useful. */
-  private mayWait(request: PlacementRequest, startAt: number): boolean {
-    if (!this.directory.canServe(request.service, request.eligibility)) return false;
-    if (request.isCallerRetry) return startAt - request.arrivedAt < maxCallerRetryWaitMs;
-    return startAt <= request.startBy;
+  /** Returns why a request that is sent at `startAt` can't be useful; undefined if it can. */
+  private findWaitEnd(
+    { service, eligibility, isCallerRetry, arrivedAt, startBy }: PlacementRequest,
+    now: number,
+    startAt: number,
+  ): WaitEnd | undefined {
+    if (!this.directory.canServe(service, eligibility)) return WaitEnd.noEndpoint;
+    if (isCallerRetry)
+      return startAt - arrivedAt < maxCallerRetryWaitMs ? undefined : WaitEnd.callerRetryWait;
+    if (startAt <= startBy) return undefined;
+    return now > startBy ? WaitEnd.goalPassed : WaitEnd.expectedWait;
   }
 
   private recordPlacement(
@@ -214,8 +224,9 @@
     return placement;
   }
 
-  private createRefusal(request: Candidate, now: number): Refusal {
+  private createRefusal(request: Candidate, end: WaitEnd, now: number, startAt: number): Refusal {
     const { id, service, isRetryable } = request;
+    this.metrics.count('waits_ended', { cause: end });
     const remainingMs = Math.max(0, request.deadlineAt - now);
     const delayMs = retryDelayMs.min + this.random.next() * retryDelayMs.spread;
     const retryAfterMs = Math.min(delayMs, remainingMs * maxRetryDelayShare);
@@ -225,6 +236,11 @@
       waitedMs: Math.round(now - request.arrivedAt),
       isReturned: request.isCallerRetry,
       isRepeatable: isRetryable,
+      cause: end,
+      expectedWaitMs: Math.round(startAt - now),
+      toGoalMs: Math.round(request.startBy - now),
+      leftMs: Math.round(remainingMs),
+      tried: request.eligibility.tried.size,
       endpoints: this.directory.forService(service).length,
       usable:
         request.availableCount ?? this.directory.available(service, request.eligibility).length,
@@ -233,7 +249,7 @@
       retryAfterMs: Math.round(retryAfterMs),
     });
     const message = 'No endpoint can answer in time.';
-    return new Refusal(RefusalReason.overloaded, message, retryAfterMs);
+    return new Refusal(RefusalReason.overloaded, message, retryAfterMs, end);
   }
 
   private static createAbortRefusal(): Refusal {
--- a/packages/forwarding/src/refusal.ts
+++ b/packages/forwarding/src/refusal.ts
@@ -1,5 +1,6 @@
 import { Execution, Timeout, Unavailable, toFailure } from '@laburnumstream/common';
 import type { Failure } from '@laburnumstream/common';
+import type { WaitEnd } from './waitEnd.js';
 
 /** Why a request was refused without having been executed. */
 export const RefusalReason = {
@@ -27,6 +28,8 @@
     readonly reason: RefusalReason,
     message: string,
     retryAfterMs: number,
+    /** Why it could not wait for an endpoint, if that is the reason. */
+    readonly waitEnd?: WaitEnd,
   ) {
     super(message, retryAfterMs);
   }
--- a/packages/forwarding/src/requestAttempts.ts
+++ b/packages/forwarding/src/requestAttempts.ts
@@ -4,6 +4,7 @@
 import type { Placement, SharedRetryBudget } from '@laburnumstream/decisions';
 import type { Attempt, FailedAttempt } from './attempt.js';
 import type { CrashGuard } from './crashGuard.js';
+import { RetryDenial } from './cutCause.js';
 import type { DispatchQueue, PlacementRequest } from './dispatchQueue.js';
 import { CallFault, EndpointCall, isSuccess } from './endpointCall.js';
 import type { CallObserver } from './endpointCall.js';
@@ -60,6 +61,9 @@
   /** Number of times that the request was sent to an endpoint. */
   sendCount = 0;
 
+  /** Why the request was not sent again after its last failed attempt; undefined if it was. */
+  retryDenial: RetryDenial | undefined;
+
   /** Monotonic time since when another endpoint is needed, in milliseconds. */
   private retryingSince: number | undefined;
 
@@ -98,11 +102,11 @@
     this.isMoving = false;
     this.retryingSince = clock.now();
     this.tried.add(handle.id);
-    const allowed =
-      !exchange.signal.aborted &&
-      mayRetry(this.isRetryable, execution) &&
-      this.executions < Math.max(1, exchange.route.maxAttempts);
-    const isRepeated = allowed && budget.tryAcquire(exchange.service, clock.now());
+    const denial =
+      this.findDenial(execution) ??
+      (budget.tryAcquire(exchange.service, clock.now()) ? undefined : RetryDenial.budgetUsed);
+    this.retryDenial = denial;
+    const isRepeated = denial === undefined;
     metrics.count(isRepeated ? 'requests_repeated' : 'attempts_failed');
     if (fault) metrics.count(`attempts_${fault}`);
     log.info('Attempt failed.', {
@@ -116,12 +120,22 @@
       execution,
       isRepeatable: this.isRetryable,
       isRepeated,
-      isWithinBudget: !allowed || isRepeated,
+      denial: denial ?? null,
+      isWithinBudget: denial !== RetryDenial.budgetUsed,
       leftMs: Math.round(exchange.deadlineAt - clock.now()),
     });
     return isRepeated;
   }
 
+  /** Returns why the request may not be retried after an attempt, apart from the retry budget. */
+  private findDenial(execution: Execution): RetryDenial | undefined {
+    const { exchange } = this;
+    if (exchange.signal.aborted) return RetryDenial.aborted;
+    if (!mayRetry(this.isRetryable, execution)) return RetryDenial.notRetryable;
+    const isUsedUp = this.executions >= Math.max(1, exchange.route.maxAttempts);
+    return isUsedUp ? RetryDenial.attemptsUsed : undefined;
+  }
+
   /** Whether the request could be retried elsewhere if its attempt at `handle` were aborted. */
   couldRetry(handle: EndpointHandle): boolean {
     const { exchange, services } = this;
--- a/packages/forwarding/src/streamForwarder.ts
+++ b/packages/forwarding/src/streamForwarder.ts
@@ -26,12 +26,7 @@
     } catch (error) {
       if (!session.hasStarted || exchange.signal.reason === callerDisconnected) throw error;
       // A truncated stream must not look complete.
-      this.services.metrics.count('streams_cut');
-      this.services.log.warn('Stream cut.', {
-        id: exchange.head.id,
-        lastEventId: session.lastEventId ?? null,
-        reason: String(error),
-      });
+      session.recordCut(error);
       exchange.response.destroy();
     }
   }
--- a/packages/forwarding/src/streamSession.ts
+++ b/packages/forwarding/src/streamSession.ts
@@ -4,6 +4,7 @@
 import type { Attempt } from './attempt.js';
 import { RequestAttempts } from './requestAttempts.js';
 import type { AttemptServices } from './requestAttempts.js';
+import { findCutCause } from './cutCause.js';
 import { CallFault } from './endpointCall.js';
 import type { EndpointHandle } from './endpointHandle.js';
 import { EventDelivery } from './eventDelivery.js';
@@ -31,6 +32,8 @@
 
   private readonly delivery: EventDelivery;
 
+  private moveCount = 0;
+
   constructor(
     private readonly exchange: Exchange,
     private readonly services: AttemptServices,
@@ -45,9 +48,23 @@
     return this.delivery.hasStarted;
   }
 
-  /** Id of the last event that the caller has received. */
-  get lastEventId(): number | undefined {
-    return this.delivery.lastEventId;
+  /** Records that the stream ended with an error although its caller had received events. */
+  recordCut(error: unknown): void {
+    const { head, service, configurationVersion, deadlineAt } = this.exchange;
+    const { metrics, log, clock } = this.services;
+    const cause = findCutCause(error, this.attempts.retryDenial);
+    metrics.count('streams_cut', { cause });
+    log.warn('Stream cut.', {
+      id: head.id,
+      service,
+      lastEventId: this.delivery.lastEventId ?? null,
+      cause,
+      reason: String(error),
+      leftMs: Math.round(deadlineAt - clock.now()),
+      sends: this.attempts.sendCount,
+      moves: this.moveCount,
+      configuration: configurationVersion,
+    });
   }
 
   /** Resolves when the stream has ended; rejects with a typed failure if it can't be completed. */
@@ -104,8 +121,9 @@
     const { metrics, log } = this.services;
     relay.abort();
     this.attempts.recordMove();
+    this.moveCount += 1;
     metrics.count('streams_moved');
-    log.debug('Stream moved.', {
+    log.info('Stream moved.', {
       id,
       from: attempt.handle.id,
       to: placement.target.id,
