Tell apart why a request that crashes endpoints is still sent

Change: 'Content convicted.' names the completions; 'Crash not counted.' names the reason; each send of a request that was under way at three crashes or more is counted (requests_sent_after_crashes_total) and logged; a gauge counts such requests (crash_suspects). No decision changes.

--- a/packages/decisions/src/crashes/crashEvidence.ts
+++ b/packages/decisions/src/crashes/crashEvidence.ts
@@ -3,6 +3,8 @@
 import type { Culprit, Survival } from './crashBlame.js';
 import { Convictions, convictionKey } from './convictions.js';
 import type { Conviction } from './convictions.js';
+import { findRequestSuspects } from './requestSuspects.js';
+import { isSharedPart } from './traits.js';
 
 /** What one entry tells others of crashes; times are given as ages, since clocks differ. */
 export interface CrashNews {
@@ -18,6 +20,8 @@
   readonly convicted: readonly Conviction[];
   /** Earlier convictions of this entry whose crashes another trait explains. */
   readonly withdrawn: readonly Conviction[];
+  /** Endpoints that gave a sign of life, so that their crashes do not count. */
+  readonly falseAlarms: readonly string[];
 }
 
 /** A crash as reported to another entry. */
@@ -35,17 +39,6 @@
   readonly msAgo: number;
 }
 
-const partPrefix = 'part:';
-
-/** The trait of requests that share a part of their prompts. */
-export function toPartTrait(part: string): string {
-  return `${partPrefix}${part}`;
-}
-
-function isSharedPart(trait: string): boolean {
-  return trait.startsWith(partPrefix);
-}
-
 /** A crash that this entry knows. */
 interface KnownCrash {
   readonly endpoint: string;
@@ -100,6 +93,9 @@
   /** Whether crashes have settled, or reports of settled ones have come, since culprits were sought. */
   private isChanged = false;
 
+  /** Requests under which endpoints ended repeatedly; undefined when they are to be found again. */
+  private knownSuspects: ReadonlyMap<string, number> | undefined;
+
   /** Whether anything is known that may concern a request. */
   get isActive(): boolean {
     return this.crashes.size > 0 || this.convictions.size > 0;
@@ -119,8 +115,22 @@
     return this.crashes.size;
   }
 
+  /** Whole requests that were under way at several crashes, not completed since, by number of crashes. */
+  get suspects(): ReadonlyMap<string, number> {
+    this.knownSuspects ??= findRequestSuspects(this.crashes.values(), (trait) =>
+      this.survivals.peek(trait),
+    );
+    return this.knownSuspects;
+  }
+
+  /** Number of requests with a trait that were completed, as far as this entry knows. */
+  countSurvivals(trait: string): number {
+    return this.survivals.peek(trait)?.count ?? 0;
+  }
+
   /** Records that an endpoint may have ended at `at` under requests with these traits. */
   recordCrash(endpoint: string, at: number, traits: Iterable<string>): void {
+    this.knownSuspects = undefined;
     const former = this.crashes.get(endpoint);
     // An endpoint that is lost once more was not lost before.
     const known = former && at < former.at + settleMs ? former : undefined;
@@ -138,6 +148,7 @@
   recordSurvival(traits: ReadonlySet<string>, now: number): void {
     if ([...traits].some(isSharedPart)) this.countCompletions(this.completions + 1);
     for (const trait of traits) {
+      if (this.knownSuspects?.has(trait)) this.knownSuspects = undefined;
       const { count = 0 } = this.survivals.get(trait) ?? {};
       this.survivals.set(trait, { count: count + 1, lastAt: now });
     }
@@ -146,6 +157,7 @@
   /** Merges what another entry tells. */
   merge({ crashes, survivals, convictions, completions }: CrashNews, now: number): void {
     this.countCompletions(Math.max(this.completions, completions));
+    if (survivals.length > 0) this.knownSuspects = undefined;
     survivals.forEach(({ trait, count, msAgo }) => {
       const known = this.survivals.get(trait);
       const lastAt = Math.max(known?.lastAt ?? -Infinity, now - msAgo);
@@ -189,16 +201,20 @@
    * -Infinity if there was none.
    */
   settle(now: number, lastSignOfLife: (endpoint: string) => number): Verdicts {
+    const falseAlarms: string[] = [];
     this.crashes.forEach((crash) => {
-      if (now - crash.at > crashMemoryMs) this.crashes.delete(crash.endpoint);
+      if (now - crash.at > crashMemoryMs) this.forget(crash.endpoint);
       if (crash.isSettled || now - crash.at < settleMs) return;
-      if (this.dropFalseAlarm(crash.endpoint, lastSignOfLife(crash.endpoint))) return;
+      if (this.dropFalseAlarm(crash.endpoint, lastSignOfLife(crash.endpoint))) {
+        falseAlarms.push(crash.endpoint);
+        return;
+      }
       Object.assign(crash, { isSettled: true });
       this.isChanged = true;
     });
-    if (!this.isChanged) return { convicted: [], withdrawn: [] };
+    if (!this.isChanged) return { convicted: [], withdrawn: [], falseAlarms };
     this.isChanged = false;
-    return this.judge();
+    return { ...this.judge(), falseAlarms };
   }
 
   /** Whether the crash of an endpoint is recorded and has not been found to be a lost connection. */
@@ -213,7 +229,7 @@
   dropFalseAlarm(endpoint: string, at: number): boolean {
     const crash = this.crashes.get(endpoint);
     if (!crash || at <= crash.at + signOfLifeMarginMs) return false;
-    return this.crashes.delete(endpoint);
+    return this.forget(endpoint);
   }
 
   /** What to tell other entries of the crashes of these endpoints, with completed requests that matter. */
@@ -243,7 +259,7 @@
     this.completions = count;
   }
 
-  private judge(): Verdicts {
+  private judge(): Omit<Verdicts, 'falseAlarms'> {
     const adopted = this.findAdopted();
     const found = this.findCulprits(adopted);
     const withdrawn = [...this.own].filter(([key, former]) =>
@@ -312,6 +328,11 @@
     return countMoments(left) >= requiredCrashes(0);
   }
 
+  private forget(endpoint: string): boolean {
+    this.knownSuspects = undefined;
+    return this.crashes.delete(endpoint);
+  }
+
   private addCrash(crash: KnownCrash): void {
     this.crashes.set(crash.endpoint, crash);
     if (this.crashes.size <= maxCrashes) return;
--- a/packages/forwarding/src/crashGuard.ts
+++ b/packages/forwarding/src/crashGuard.ts
@@ -6,7 +6,7 @@
 import type { Exchange } from './exchange.js';
 import { OpenEnds } from './openEnds.js';
 import { Refusal, RefusalReason } from './refusal.js';
-import { getPartTraits, getTraits, isDigest } from './requestTraits.js';
+import { getDigest, getPartTraits, getTraits, isDigest } from './requestTraits.js';
 
 /** Passes on what this entry has seen. */
 export interface CrashListener {
@@ -58,6 +58,12 @@
     return this.evidence.crashCount;
   }
 
+  /** Number of requests that were under way at several crashes and are not convicted. */
+  get suspectCount(): number {
+    const { convictions, suspects } = this.evidence;
+    return [...suspects.keys()].filter((trait) => !convictions.has({ traits: [trait] })).length;
+  }
+
   /** Throws a `Refusal` if the request's content crashes endpoints. */
   check(exchange: Exchange): void {
     const { convictions } = this.evidence;
@@ -78,10 +84,27 @@
   recordBreak(handle: EndpointHandle, exchange: Exchange): void {
     const { incarnation, endpoint } = handle;
     // An endpoint that leaves may end before its last requests do.
-    if (endpoint.isDraining || this.findEndpoint(handle.id) !== handle) return;
+    if (endpoint.isDraining || this.findEndpoint(handle.id) !== handle) {
+      const reason = endpoint.isDraining ? 'leaving' : 'no longer registered';
+      this.log.info('Crash not counted.', { endpoint: incarnation, reason });
+      return;
+    }
     this.recordCrash(incarnation, getTraits(exchange));
   }
 
+  /** Records that a request is sent to an endpoint; counts those that were under way at several crashes. */
+  recordSend(exchange: Exchange): void {
+    const { suspects } = this.evidence;
+    if (suspects.size === 0) return;
+    const digest = getDigest(exchange);
+    const crashes = suspects.get(digest);
+    if (crashes === undefined) return;
+    this.metrics.count('requests_sent_after_crashes');
+    const completions = this.evidence.countSurvivals(digest);
+    const { id } = exchange.head;
+    this.log.info('Request sent after crashes.', { id, traits: [digest], crashes, completions });
+  }
+
   /** Records that an endpoint completed a request. */
   recordCompletion(handle: EndpointHandle, exchange: Exchange, framing: Framing | undefined): void {
     if (framing === Framing.connection) {
@@ -187,9 +210,12 @@
       .takeWhole(now)
       .filter(({ endpoint, at }) => this.getSignOfLife(endpoint) > at)
       .forEach(({ traits }) => this.evidence.recordSurvival(traits, now));
-    const { convicted, withdrawn } = this.evidence.settle(now, (incarnation) =>
+    const { convicted, withdrawn, falseAlarms } = this.evidence.settle(now, (incarnation) =>
       this.getSignOfLife(incarnation),
     );
+    falseAlarms.forEach((endpoint) =>
+      this.log.info('Crash not counted.', { endpoint, reason: 'sign of life' }),
+    );
     withdrawn.forEach((conviction) => {
       this.log.warn('Conviction withdrawn.', { traits: conviction.traits });
       this.listeners.forEach((listener) => listener.onWithdrawal(conviction));
@@ -197,7 +223,8 @@
     convicted.forEach((conviction) => {
       const { traits, crashes } = conviction;
       this.metrics.count('content_convicted');
-      this.log.warn('Content convicted.', { traits, crashes });
+      const completions = Math.max(...traits.map((trait) => this.evidence.countSurvivals(trait)));
+      this.log.warn('Content convicted.', { traits, crashes, completions });
       this.listeners.forEach((listener) => listener.onConviction(conviction));
     });
   }
--- a/packages/forwarding/src/entryGauges.ts
+++ b/packages/forwarding/src/entryGauges.ts
@@ -53,6 +53,7 @@
     { name: 'requests_running', value: callers.active },
     { name: 'configuration_proof_age_ms', value: Math.round(freshness.ageMs()) },
     { name: 'endpoint_crashes_known', value: guard.crashCount },
+    { name: 'crash_suspects', value: guard.suspectCount },
     { name: 'convictions', value: guard.convictions.length },
     ...waiting,
     ...endpoints,
--- a/packages/forwarding/src/requestAttempts.ts
+++ b/packages/forwarding/src/requestAttempts.ts
@@ -236,7 +236,7 @@
   ): Attempt {
     const { exchange, services } = this;
     const { request, head, route, workspace, body, deadlineAt } = exchange;
-    const { codec, clock, queue, onLoadChange } = services;
+    const { codec, clock, queue, guard, onLoadChange } = services;
     const headers = codec.encodeRequestHeaders(request.rawHeaders, {
       timeLeftMs: deadlineAt - clock.now(),
       endpointId: handle.id,
@@ -275,6 +275,7 @@
       queue.dispatch(exchange.service, handle);
     };
     this.sendCount += 1;
+    guard.recordSend(exchange);
     handle.load.recordStart(prefillMs);
     onLoadChange();
     call.start();
--- a/packages/forwarding/src/requestTraits.ts
+++ b/packages/forwarding/src/requestTraits.ts
@@ -8,10 +8,13 @@
 
 /** Traits of a request: the parts of its prompt that others may share, and itself if it comes again. */
 export function getTraits(exchange: Exchange): ReadonlySet<string> {
-  const { request, workspace, body } = exchange;
+  return new Set([...getPartTraits(exchange), getDigest(exchange)]);
+}
+
+/** The trait that a request shares only with its repetitions. */
+export function getDigest({ request, workspace, body }: Exchange): string {
   const content = [request.method, request.url, workspace?.name ?? '', body.toString('latin1')];
-  const digest = sha256(content.join('\n')).slice(0, digestDigits);
-  return new Set([...getPartTraits(exchange), `${digestPrefix}${digest}`]);
+  return `${digestPrefix}${sha256(content.join('\n')).slice(0, digestDigits)}`;
 }
 
 /** Whether a trait is the digest of a whole request. */
