Proposal: judge whole requests by a bound of their own

For the lead to decide; not for merging as it is. Change: a whole request is blamed after three crashes of different moments, after four if it was ever completed; shared parts keep four and one for each five completions. Weighed: crashes of one moment counted one by one; more is caught, but two ends of all endpoints convict a sound request. Not run: repeatedRequests.feature and crashingParts.feature with this change.

--- a/packages/decisions/src/crashes/crashBlame.ts
+++ b/packages/decisions/src/crashes/crashBlame.ts
@@ -1,3 +1,5 @@
+import { isSharedPart } from './traits.js';
+
 /** The end of an endpoint, and the traits of the requests that it was running. */
 export interface EndpointCrash {
   /** The endpoint's incarnation: its id and the time of its start. */
@@ -21,8 +23,10 @@
   readonly crashes: readonly EndpointCrash[];
 }
 
-/** Crashes that blame a trait with which no request was ever completed. */
-const minCrashes = 4;
+/** Crashes that blame a shared part with which no request was ever completed. */
+const minPartCrashes = 4;
+/** Crashes that blame a whole request; one more if it was ever completed. */
+const minRequestCrashes = 3;
 /** Completed requests with a trait that outweigh one crash. */
 const survivalsPerCrash = 5;
 /** Crashes within this time may have one common cause and count as one, in milliseconds. */
@@ -36,8 +40,9 @@
 }
 
 /** Number of crashes that are needed to blame a trait, after so many completed requests with it. */
-export function requiredCrashes(survivals: number): number {
-  return minCrashes + Math.ceil(survivals / survivalsPerCrash);
+export function requiredCrashes(trait: string, survivals: number): number {
+  if (!isSharedPart(trait)) return minRequestCrashes + Math.min(survivals, 1);
+  return minPartCrashes + Math.ceil(survivals / survivalsPerCrash);
 }
 
 /** Whether `culprit` explains crashes of `other` but for those of one moment. */
@@ -101,9 +106,12 @@
     const [first] = suspects
       .map((suspect) => {
         const unexplained = suspect.crashes.filter((crash) => !explained.has(crash));
-        return { suspect, crashes: unexplained.length, moments: countMoments(unexplained) };
+        const moments = countMoments(unexplained);
+        return { suspect, crashes: unexplained.length, moments };
       })
-      .filter(({ suspect, moments }) => moments >= requiredCrashes(suspect.survivals))
+      .filter(
+        ({ suspect, moments }) => moments >= requiredCrashes(suspect.trait, suspect.survivals),
+      )
       .sort(
         (a, b) =>
           a.suspect.survivals - b.suspect.survivals ||
@@ -113,8 +121,8 @@
     if (!first) return culprits;
     const { crashes: blamed } = first.suspect;
     const traits = suspects
-      .filter(({ survivals, crashes: other }) => {
-        const isBlamable = countMoments(other) >= requiredCrashes(survivals);
+      .filter(({ trait, survivals, crashes: other }) => {
+        const isBlamable = countMoments(other) >= requiredCrashes(trait, survivals);
         return isBlamable && isSameSet(other, blamed);
       })
       .map(({ trait }) => trait)
--- a/packages/decisions/src/crashes/crashEvidence.ts
+++ b/packages/decisions/src/crashes/crashEvidence.ts
@@ -178,7 +178,7 @@
     if (traits.length === 0) return false;
     if (crashes <= (this.withdrawn.get(convictionKey(conviction)) ?? 0)) return true;
     const isContradicted = traits.every(
-      (trait) => crashes < requiredCrashes(this.survivals.get(trait)?.count ?? 0),
+      (trait) => crashes < requiredCrashes(trait, this.survivals.get(trait)?.count ?? 0),
     );
     if (!isContradicted && !this.convictions.has(conviction)) {
       this.convictions.add(conviction);
@@ -325,7 +325,7 @@
     const standing = [...this.own.values()].filter(({ traits }) => traits.length === 1);
     const explained = new Set(standing.flatMap(({ crashes }) => crashes));
     const left = culprit.crashes.filter((crash) => !explained.has(crash));
-    return countMoments(left) >= requiredCrashes(0);
+    return culprit.traits.some((trait) => countMoments(left) >= requiredCrashes(trait, 0));
   }
 
   private forget(endpoint: string): boolean {
