Hold back a request while crashes under it are not settled

Change: a whole request that was under way at three crashes since it was last completed gets 503, not run, until the last of them has settled; a completion frees it. Ruled out: counting crashes of one moment one by one (convicts a sound request whose endpoints end together).

--- a/features/support/repeatedRequestSimulation.ts
+++ b/features/support/repeatedRequestSimulation.ts
@@ -169,7 +169,8 @@
 
   private place(request: RunningRequest, now: number): void {
     const { entry, trait, isRepeated } = request;
-    const isRefused = this.evidence[entry]!.convictions.find(new Set([trait])) !== undefined;
+    const own = this.evidence[entry]!;
+    const isRefused = own.isHeld(trait) || own.convictions.find(new Set([trait])) !== undefined;
     if (!isRepeated) this.outcome.othersSent += 1;
     if (isRefused && !isRepeated) this.outcome.othersRefused += 1;
     const free = this.endpoints.filter(
--- a/packages/decisions/src/crashes/crashEvidence.ts
+++ b/packages/decisions/src/crashes/crashEvidence.ts
@@ -123,6 +123,17 @@
     return this.knownSuspects;
   }
 
+  /**
+   * Whether a whole request is a suspect and the last crash under it has not settled: the next attempt
+   * would end another endpoint before the evidence is complete.
+   */
+  isHeld(trait: string): boolean {
+    if (!this.suspects.has(trait)) return false;
+    return [...this.crashes.values()].some(
+      ({ isSettled, traits }) => !isSettled && traits.has(trait),
+    );
+  }
+
   /** Number of requests with a trait that were completed, as far as this entry knows. */
   countSurvivals(trait: string): number {
     return this.survivals.peek(trait)?.count ?? 0;
--- a/packages/forwarding/src/crashGuard.ts
+++ b/packages/forwarding/src/crashGuard.ts
@@ -19,6 +19,8 @@
 const reportDelayMs = 350;
 /** Interval between checks whether a crash counts, in milliseconds. */
 const settleIntervalMs = 100;
+/** Delay after which callers may send a request again that was held back, in milliseconds. */
+const holdRetryDelayMs = 1_300;
 /** A conviction has no end, so callers are asked to stay away for long, in milliseconds. */
 const retryDelayMs = 600_000;
 
@@ -66,6 +68,7 @@
 
   /** Throws a `Refusal` if the request's content crashes endpoints. */
   check(exchange: Exchange): void {
+    this.checkHold(exchange);
     const { convictions } = this.evidence;
     if (convictions.size === 0) return;
     const hasDigests = convictions.someTrait(isDigest);
@@ -80,6 +83,17 @@
     throw new Refusal(RefusalReason.crashingContent, message, retryDelayMs);
   }
 
+  /** Throws a `Refusal` while crashes under this very request are not settled. */
+  private checkHold(exchange: Exchange): void {
+    if (this.evidence.suspects.size === 0) return;
+    const digest = getDigest(exchange);
+    if (!this.evidence.isHeld(digest)) return;
+    const { id } = exchange.head;
+    this.log.info('Request held back after crashes.', { id, traits: [digest] });
+    const message = 'Endpoints crashed on this request a moment ago.';
+    throw new Refusal(RefusalReason.crashingContent, message, holdRetryDelayMs);
+  }
+
   /** Records that the connection to an endpoint broke while it was running a request. */
   recordBreak(handle: EndpointHandle, exchange: Exchange): void {
     const { incarnation, endpoint } = handle;
