Tests that fail first: what endpoints say in their responses

Cause: nothing reads Server-Leaving, and nothing reads Retry-After of a refusal, so an endpoint that says that it leaves gets requests as long as the store lists it, and one that asks for a pause after its rest.

Change: stand-ins that say both, with the entry and the time of sending of each request, and scenarios for both clauses. They count from half a second after a statement that an endpoint leaves (the platform allows DrainMs, 2 s).

--- /dev/null
+++ b/features/endpointStatements.feature
@@ -0,0 +1,77 @@
+Feature: What endpoints say in their responses
+
+  # Guards against requests to an endpoint that has said that it leaves, where the store says otherwise.
+  Scenario Outline: leaving that the store does not tell
+    Given an entry and 3 endpoints that make statements
+    When the first says that it leaves, and <trouble>
+    Then it gets no request that was sent later than half a second after that
+    And all callers of the entry were served
+
+    Examples:
+      | trouble                                   |
+      | the store says that it is ready           |
+      | the store is silent                       |
+      | the store is slow                         |
+      | the list drops it and lists it again      |
+      | the history of the store is lost as well  |
+      | its later responses say that it stays     |
+
+  # Guards against a record of the endpoint that ends with its registration.
+  Scenario: leaving said in a response to a request before a new registration
+    Given an entry and 3 endpoints that make statements
+    When the first is registered anew while it has requests, and then responds that it leaves
+    Then it gets no request that was sent later than half a second after that
+
+  # Guards against an endpoint that is left alone for what another one has said.
+  Scenario Outline: leaving and another endpoint
+    Given an entry and 3 endpoints that make statements
+    When the first says that it leaves, and then another one starts at its <place>
+    Then the other one gets at least an eighth of the requests
+
+    Examples:
+      | place   |
+      | address |
+      | id      |
+
+  Scenario: leaving said to one entry
+    Given 2 entries and 3 endpoints that make statements
+    When the first says to one entry that it leaves
+    Then it gets no request that was sent later than half a second after that
+    And it gets requests of the other entry
+
+  # Guards against requests to an endpoint that has refused one and asked for a pause.
+  Scenario Outline: pauses
+    Given 3 entries and 6 endpoints that make statements
+    When <count> endpoints ask for a pause of 2.5 seconds, <later>
+    Then no entry sends any of them more than 2 requests within a pause
+    And 2 seconds after the pause at least nine tenths of the requests are served
+
+    Examples:
+      | count | later                            |
+      | 2     | and later for what is left of it |
+      | 6     | and later for what is left of it |
+      | 6     | and later for a shorter one      |
+      | 6     | and later for a longer one       |
+
+  Scenario: pause that ends with a restart
+    Given an entry and 3 endpoints that make statements
+    When the first asks for a pause of 6 seconds, and then another one starts at its id
+    Then the other one gets at least an eighth of the requests
+
+  # Guards against requests that wait for what can't come in time, or are told to come back too early.
+  Scenario: requests that can't be served before the end of all pauses
+    Given an entry and 3 endpoints that make statements
+    When all ask for a pause of 600 milliseconds, and more requests come
+    Then all requests are refused within 150 milliseconds
+    And their callers are asked to come back after the pause
+
+  Scenario: requests that can be served after a pause
+    Given an entry and 3 endpoints that make statements
+    When all ask for a pause of 200 milliseconds, and more requests come
+    Then the requests that came later were served
+
+  # Guards against all requests that wait for the end of a pause being sent in one moment.
+  Scenario: first requests after a pause
+    Given an entry and 3 endpoints that make statements
+    When all ask for a pause of 200 milliseconds, and more requests come
+    Then each endpoint gets at most 3 requests in the first 40 milliseconds after the pause
--- a/features/support/crashFleet.ts
+++ b/features/support/crashFleet.ts
@@ -74,6 +74,9 @@
   /** Parts of prompts, and bodies, that crash endpoints. */
   readonly causes = new Set<string>();
 
+  /** Behaviours that replace that of endpoints, by index of the endpoint. */
+  readonly scripts = new Map<number, Behaviour>();
+
   private readonly slots: EndpointSlot[] = [];
 
   private shared: SettingsLines | undefined;
@@ -253,6 +256,11 @@
   private createBehaviour(slot: EndpointSlot): Behaviour {
     const stream = streamEvents(eventsPerStream);
     return async (request, response, engine) => {
+      const script = this.scripts.get(slot.index);
+      if (script) {
+        await script(request, response, engine);
+        return;
+      }
       this.recordArrival(slot.index, engine);
       const parts = String(request.headers[partsHeader] ?? '').split(',');
       const names = parts.slice(0, -1).map((part) => part.split(':')[0]!);
--- a/features/support/platformFleet.ts
+++ b/features/support/platformFleet.ts
@@ -16,6 +16,8 @@
 
 const host = 'desk.example';
 const timeoutMs = 2_500;
+/** Unix time at which engines were started, in milliseconds. */
+export const firstStart = 1_700_000_000_000;
 
 function createRoute(name: string, kind: string, attempts: number): object {
   return {
@@ -146,6 +148,7 @@
   registerEngine(
     engine: Pick<PlatformEngine, 'id' | 'address'>,
     state: 'ready' | 'draining',
+    startedAt = firstStart,
   ): void {
     this.store.write(`servers/${engine.id}`, {
       Service: 'desk',
@@ -153,7 +156,7 @@
       Zone: 'a',
       Slots: 6,
       State: state,
-      born: 1_700_000_000_000,
+      born: startedAt,
     });
   }
 
