Heed what endpoints say in their responses: leaving, and pauses

Cause: entries took from a response its load and a named limit only, and kept what they knew of an endpoint with its registration, so it ended when the store dropped the endpoint or listed it from an older copy.

EndpointStatements is one record by incarnation, outside the list of endpoints, bounded to 1,024. It is asked when a request is placed, and again when its connection is ready and the request is about to be written (endpointCall.ts); one that is held back there counts as not sent. Requests wait for the end of a pause only if they can still meet their goal; if all endpoints pause for longer they are refused at once, with the rest of the shortest pause and jitter as Retry-After. After a pause each entry spaces its requests for 250 ms. Undefined values are bounded, counted, and logged once for each incarnation and kind.

The check of requests that wait for a pause has changed: of 24 requests sent at once to 18 slots most can't be served in time whatever the pause, so it sends 9, wants two thirds of them served (the wait queue refuses the rest at their arrival, by its estimate of the wait), and wants no refusal after 150 ms.

Ruled out: fields of the endpoint's handle (lost with the registration).

--- a/bench/src/heavyDays/admissionPolicies.ts
+++ b/bench/src/heavyDays/admissionPolicies.ts
@@ -88,6 +88,7 @@
     countLimited: () => 0,
     recordPlacement: () => undefined,
     canServe: () => true,
+    summarizeStatements: () => ({ leaving: 0, paused: 0, pauseLeftMs: 0 }),
   };
   const line = new DispatchQueue(choice, clock, random, noMetrics, silentLog);
   const model = handles[0]!.model!;
--- a/features/endpointStatements.feature
+++ b/features/endpointStatements.feature
@@ -61,17 +61,69 @@
   # Guards against requests that wait for what can't come in time, or are told to come back too early.
   Scenario: requests that can't be served before the end of all pauses
     Given an entry and 3 endpoints that make statements
-    When all ask for a pause of 600 milliseconds, and more requests come
+    When all ask for a pause of 600 milliseconds, and 24 more requests come
     Then all requests are refused within 150 milliseconds
     And their callers are asked to come back after the pause
 
   Scenario: requests that can be served after a pause
     Given an entry and 3 endpoints that make statements
-    When all ask for a pause of 200 milliseconds, and more requests come
-    Then the requests that came later were served
+    When all ask for a pause of 200 milliseconds, and 9 more requests come
+    Then at least two thirds of them are served after it, and the others are refused within 150 milliseconds
 
   # Guards against all requests that wait for the end of a pause being sent in one moment.
   Scenario: first requests after a pause
     Given an entry and 3 endpoints that make statements
-    When all ask for a pause of 200 milliseconds, and more requests come
+    When all ask for a pause of 200 milliseconds, and 24 more requests come
     Then each endpoint gets at most 3 requests in the first 40 milliseconds after the pause
+
+  # Guards against values that were never defined: they must not end requests to an endpoint for good.
+  Scenario Outline: values of statements
+    Then the headers <headers> say leaving: <leaving>, pause: <pause>, unreadable: <unreadable>
+
+    Examples:
+      | headers                                          | leaving | pause     | unreadable |
+      | {}                                               | false   | undefined |            |
+      | {"server-leaving":"1"}                           | true    | undefined |            |
+      | {"server-leaving":" 1 "}                         | true    | undefined |            |
+      | {"server-leaving":"0"}                           | false   | undefined |            |
+      | {"server-leaving":"yes"}                         | false   | undefined | leaving    |
+      | {"server-leaving":["0","1"]}                     | true    | undefined |            |
+      | {"retry-after":"3"}                              | false   | 3000      |            |
+      | {"retry-after":"0.25"}                           | false   | 250       |            |
+      | {"retry-after":"0"}                              | false   | 0         |            |
+      | {"retry-after":"-1"}                             | false   | undefined | pause      |
+      | {"retry-after":"1e9"}                            | false   | undefined | pause      |
+      | {"retry-after":"NaN"}                            | false   | undefined | pause      |
+      | {"retry-after":""}                               | false   | undefined | pause      |
+      | {"retry-after":"99999999999"}                    | false   | 600000    | pause      |
+      | {"retry-after":["1","2"]}                        | false   | 2000      |            |
+      | {"retry-after":"1, 2"}                           | false   | 2000      |            |
+      | {"retry-after":"Wed, 21 Oct 2026 07:28:00 GMT"}  | false   | undefined | pause      |
+
+  Scenario: sum of all statements
+    Then in 300 histories nothing is allowed that a statement forbids, and all else is
+
+  Scenario: statements of many endpoints
+    Then after 5000 endpoints that asked for a pause 1000 that leave are still known, of at most 1024
+
+  Scenario: statement that can't be read
+    Given an entry and 3 endpoints that make statements
+    When the first refuses requests with the pause soon for 300 milliseconds
+    Then it is logged once and counted
+    And all endpoints can get requests
+
+  Scenario Outline: explanation of a refusal for statements
+    Given an entry on the platform with engines that <behaviour>
+    When a caller sends a request to safe until it is refused for overloaded
+    Then the explanation of its id names <cause>
+
+    Examples:
+      | behaviour      | cause                                                               |
+      | defers, defers | Endpoint asked for a pause.*pauseMs=2000.*Request refused.*paused=2 |
+      | leaves, leaves | Endpoint is leaving.*Request refused.*leaving=2                     |
+
+  # Guards against a request that was placed before a statement and is written after it, on a new connection.
+  Scenario: statement while a connection is opened
+    Given an endpoint to which a request is about to be sent
+    When the endpoint takes no requests any more before the connection is open
+    Then the request fails as one that was not sent, and the endpoint has got none
--- a/features/steps/growth.steps.ts
+++ b/features/steps/growth.steps.ts
@@ -180,6 +180,7 @@
     countLimited: () => 0,
     recordPlacement: () => undefined,
     canServe: () => true,
+    summarizeStatements: () => ({ leaving: 0, paused: 0, pauseLeftMs: 0 }),
   };
 }
 
--- a/packages/cli/src/requestTimeline.ts
+++ b/packages/cli/src/requestTimeline.ts
@@ -20,6 +20,15 @@
 }
 
 const limitMessage = 'sidecars: Endpoint named another limit.';
+const leavingMessage = 'sidecars: Endpoint is leaving.';
+const pauseMessage = 'sidecars: Endpoint asked for a pause.';
+
+/** Fields of a refusal that count the endpoints about which messages say why they took nothing. */
+const countFields: Readonly<Record<string, string>> = {
+  [limitMessage]: 'limited',
+  [leavingMessage]: 'leaving',
+  [pauseMessage]: 'paused',
+};
 
 /** A conviction concerns the requests with its traits, and replaces what was said of them before. */
 function getTraits({ traits }: LogLine): string {
@@ -37,6 +46,8 @@
   'store: Not registered; it may come back.': ({ key }) => String(key),
   'sidecars: Engine changed.': getEndpoint,
   [limitMessage]: getEndpoint,
+  [leavingMessage]: getEndpoint,
+  [pauseMessage]: getEndpoint,
   'crashes: Content convicted.': getTraits,
   'crashes: Content convicted by another entry.': getTraits,
   'crashes: Conviction withdrawn.': getTraits,
@@ -96,9 +107,11 @@
     const instances = new Set(ownLines.map(({ instance }) => instance));
     const endpoints = new Set(ownLines.flatMap((line) => getEndpoint(line) ?? []));
     const refusedTraits = new Set(ownLines.map(getTraits));
-    // A request that was refused for the limits of endpoints names none of them.
-    const wasLimited = ownLines.some(({ limited }) => typeof limited === 'number' && limited > 0);
-    const isLimited = ({ message }: LogLine): boolean => wasLimited && message === limitMessage;
+    // A request that was refused for what endpoints have said names none of them.
+    const isCounted = ({ message }: LogLine): boolean => {
+      const field = countFields[message];
+      return field !== undefined && ownLines.some((line) => Number(line[field] ?? 0) > 0);
+    };
     const latest = new Map<string, LogLine>();
     const during: TimelineEntry[] = [];
     [...this.stateLines]
@@ -106,7 +119,7 @@
       .filter((line) => instances.has(line.instance) && line.timestamp <= last.timestamp)
       .filter(
         (line) =>
-          getEndpoint(line) === undefined || endpoints.has(getEndpoint(line)!) || isLimited(line),
+          getEndpoint(line) === undefined || endpoints.has(getEndpoint(line)!) || isCounted(line),
       )
       .filter((line) => !Array.isArray(line.traits) || refusedTraits.has(getTraits(line)))
       .forEach((line) => {
--- a/packages/forwarding/src/dispatchQueue.ts
+++ b/packages/forwarding/src/dispatchQueue.ts
@@ -1,5 +1,10 @@
 import type { Clock, Log, Metrics, Random } from '@laburnumstream/common';
-import { ServedRatios, WaitQueue, bestPlacement } from '@laburnumstream/decisions';
+import {
+  ServedRatios,
+  WaitQueue,
+  bestPlacement,
+  pauseRetryDelayMs,
+} from '@laburnumstream/decisions';
 import type { Demand, Placement, QueuedRequest } from '@laburnumstream/decisions';
 import type { Eligibility } from './endpointDirectory.js';
 import type { EndpointHandle } from './endpointHandle.js';
@@ -25,6 +30,16 @@
   readonly deadlineAt: number;
 }
 
+/** What the endpoints of a service have said of themselves. */
+export interface ServiceStatements {
+  /** Number of endpoints that have said that they leave. */
+  readonly leaving: number;
+  /** Number of endpoints that have asked for a pause that is not over. */
+  readonly paused: number;
+  /** Time until the first pause ends if all that could serve a request pause, or 0, in milliseconds. */
+  readonly pauseLeftMs: number;
+}
+
 /** Provides the endpoints to which requests are dispatched. */
 export interface EndpointSource {
   /** Returns the endpoints of a service. */
@@ -39,8 +54,10 @@
   countLimited(service: string): number;
   /** Counts a request that has been placed on an endpoint, before the next one is placed. */
   recordPlacement(target: EndpointHandle): void;
-  /** Whether any endpoint of a service could serve a request if it had free capacity. */
-  canServe(service: string, eligibility: Eligibility): boolean;
+  /** Whether any endpoint of a service could serve a request by `by` if it had free capacity. */
+  canServe(service: string, eligibility: Eligibility, by?: number): boolean;
+  /** Returns what the endpoints of a service have said, for requests of an eligibility. */
+  summarizeStatements(service: string, eligibility: Eligibility): ServiceStatements;
 }
 
 /** A request for which an endpoint is sought. */
@@ -181,9 +198,10 @@
 
   /** Whether a request that is sent at `startAt` can still be useful. */
   private mayWait(request: PlacementRequest, startAt: number): boolean {
-    if (!this.directory.canServe(request.service, request.eligibility)) return false;
-    if (request.isCallerRetry) return startAt - request.arrivedAt < maxCallerRetryWaitMs;
-    return startAt <= request.startBy;
+    const { service, eligibility, isCallerRetry, arrivedAt, startBy } = request;
+    const latestAt = isCallerRetry ? arrivedAt + maxCallerRetryWaitMs : startBy;
+    if (!this.directory.canServe(service, eligibility, latestAt)) return false;
+    return isCallerRetry ? startAt < latestAt : startAt <= latestAt;
   }
 
   private recordPlacement(
@@ -218,7 +236,12 @@
     const { id, service, isRetryable } = request;
     const remainingMs = Math.max(0, request.deadlineAt - now);
     const delayMs = retryDelayMs.min + this.random.next() * retryDelayMs.spread;
-    const retryAfterMs = Math.min(delayMs, remainingMs * maxRetryDelayShare);
+    const maxDelayMs = remainingMs * maxRetryDelayShare;
+    const statements = this.directory.summarizeStatements(service, request.eligibility);
+    const retryAfterMs =
+      statements.pauseLeftMs > 0
+        ? pauseRetryDelayMs(statements.pauseLeftMs, maxDelayMs, this.random)
+        : Math.min(delayMs, maxDelayMs);
     this.log.info('Request refused.', {
       id,
       service,
@@ -229,6 +252,8 @@
       usable:
         request.availableCount ?? this.directory.available(service, request.eligibility).length,
       limited: this.directory.countLimited(service),
+      leaving: statements.leaving,
+      paused: statements.paused,
       waiting: this.getQueue(service).length,
       retryAfterMs: Math.round(retryAfterMs),
     });
--- a/packages/forwarding/src/endpointCall.ts
+++ b/packages/forwarding/src/endpointCall.ts
@@ -116,6 +116,8 @@
     private readonly observer: CallObserver,
     /** Called with the head of each response that is for this request. */
     private readonly onHead: (status: number, head: ResponseHead) => void = () => undefined,
+    /** Asked when the request is about to be written; its connection may have taken time. */
+    private readonly maySend: () => boolean = () => true,
   ) {
     this.connection = pool.acquire(maxIdleMs);
   }
@@ -170,6 +172,11 @@
       return;
     }
     this.controller = controller;
+    if (!this.maySend()) {
+      this.fail(CallFault.connection, 'The endpoint takes no requests any more.');
+      controller.abort(new Aborted());
+      return;
+    }
     this.hasBeenSent = true;
   }
 
--- a/packages/forwarding/src/endpointDirectory.ts
+++ b/packages/forwarding/src/endpointDirectory.ts
@@ -8,12 +8,13 @@
 } from '@laburnumstream/common';
 import {
   EndpointHealth,
+  EndpointStatements,
   NotifierSelection,
   countSenders,
   isVersionEligible,
 } from '@laburnumstream/decisions';
 import type { CapacitySharers } from '@laburnumstream/decisions';
-import type { EndpointSource } from './dispatchQueue.js';
+import type { EndpointSource, ServiceStatements } from './dispatchQueue.js';
 import { EndpointHandle, engineQueueLimits } from './endpointHandle.js';
 import { EndpointState } from './endpointState.js';
 import type { FleetState } from './fleetState.js';
@@ -44,6 +45,9 @@
   /** Revision of the registered entries from which `senders` was built. */
   private sendersRevision = -1;
 
+  /** What endpoints have said of themselves, also those that are not registered now. */
+  readonly statements: EndpointStatements;
+
   /** Health of endpoints that have left, by id: some come back and fail again. */
   private readonly formerHealth = new Map<string, EndpointHealth>();
 
@@ -56,6 +60,7 @@
     private readonly entryCounts: EntryCounts,
   ) {
     this.senders = new NotifierSelection(settings.instance);
+    this.statements = new EndpointStatements(random.next());
   }
 
   get all(): Iterable<EndpointHandle> {
@@ -129,10 +134,32 @@
     return this.handles.get(handle.id) === handle;
   }
 
-  /** Whether any endpoint of a service could serve a request if it had free capacity. */
-  canServe(service: string, eligibility: Eligibility): boolean {
+  /**
+   * Whether any endpoint of a service could serve a request if it had free capacity. An endpoint that
+   * pauses can if its pause ends by `by`, by default now.
+   */
+  canServe(service: string, eligibility: Eligibility, by = this.clock.now()): boolean {
+    const now = this.clock.now();
+    return this.forService(service).some(
+      (handle) =>
+        this.isEligible(handle, eligibility, now) &&
+        this.statements.pauseEndsAt(handle.incarnation) <= Math.max(now, by),
+    );
+  }
+
+  /** Returns what the endpoints of a service have said, for requests of an eligibility. */
+  summarizeStatements(service: string, { homeRegions }: Eligibility): ServiceStatements {
     const now = this.clock.now();
-    return this.forService(service).some((handle) => this.isEligible(handle, eligibility, now));
+    const eligibility = { homeRegions, tried: new Set<string>() };
+    const all = this.forService(service).map(({ incarnation }) => incarnation);
+    const pauses = this.forService(service)
+      .filter((handle) => this.isEligible(handle, eligibility, now))
+      .map(({ incarnation }) => this.statements.pauseEndsAt(incarnation) - now);
+    return {
+      leaving: all.filter((incarnation) => this.statements.isLeaving(incarnation)).length,
+      paused: all.filter((incarnation) => this.statements.pauseEndsAt(incarnation) > now).length,
+      pauseLeftMs: pauses.length > 0 ? Math.max(0, Math.min(...pauses)) : 0,
+    };
   }
 
   countLimited(service: string): number {
@@ -144,12 +171,14 @@
   getState(handle: EndpointHandle): EndpointState {
     const now = this.clock.now();
     const { endpoint } = handle;
+    if (this.statements.isLeaving(handle.incarnation)) return EndpointState.leaving;
     if (endpoint.isDraining) return EndpointState.draining;
     if (this.state.isEvacuated(endpoint.dataCentre)) return EndpointState.evacuated;
     if (!handle.isAnswering) return EndpointState.silent;
     if (handle.isSwitching) return EndpointState.switching;
     if (handle.model && handle.version === undefined) return EndpointState.empty;
     if (!this.hasUsableWeights(handle, now)) return EndpointState.outdated;
+    if (!this.statements.allows(handle.incarnation, now)) return EndpointState.paused;
     if (!EndpointDirectory.isHealthy(handle, now)) return EndpointState.resting;
     if (!this.isWithinLimit(handle, now)) return EndpointState.limited;
     return this.hasCapacity(handle, now) ? EndpointState.free : EndpointState.full;
@@ -159,6 +188,7 @@
   recordPlacement(handle: EndpointHandle): void {
     const now = this.clock.now();
     handle.namedLimit.recordSend(now);
+    this.statements.recordPlacement(handle.incarnation, now);
     if (now < handle.coldUntil) handle.coldRate.record(this.getColdRateShare(handle), now);
   }
 
@@ -232,6 +262,7 @@
     const { endpoint, region } = handle;
     return (
       !endpoint.isDraining &&
+      !this.statements.isLeaving(handle.incarnation) &&
       !handle.isSwitching &&
       handle.isAnswering &&
       this.isSender(handle, now) &&
@@ -283,6 +314,8 @@
   private hasCapacity(handle: EndpointHandle, now: number): boolean {
     if (!EndpointDirectory.isHealthy(handle, now) || !this.isWithinLimit(handle, now)) return false;
     const entries = this.entryCounts.forConnections;
+    if (!this.statements.allowsPlacement(handle.incarnation, handle.slots / entries, now))
+      return false;
     const { profile, pool, coldRate, coldUntil } = handle;
     const maxConnections = Math.max(
       1,
--- a/packages/forwarding/src/endpointHandle.ts
+++ b/packages/forwarding/src/endpointHandle.ts
@@ -38,6 +38,9 @@
 
   readonly namedLimit: NamedLimit;
 
+  /** Identifies the endpoint from its start to its end, among all entries. */
+  readonly incarnation: string;
+
   /** Streams that this entry has open at the endpoint. */
   private readonly streams = new Set<MovableStream>();
 
@@ -77,6 +80,7 @@
     phase: number,
     readonly health = new EndpointHealth(),
   ) {
+    this.incarnation = `${endpoint.id}@${endpoint.startedAt}`;
     this.coldRate = new SharedRateLimiter(phase);
     this.namedLimit = new NamedLimit(phase * maxAddedMemoryMs);
     this.load = new EndpointLoad(peers, isLocal);
@@ -88,12 +92,6 @@
     return this.endpoint.id;
   }
 
-  /** Identifies the endpoint from its start to its end, among all entries. */
-  get incarnation(): string {
-    const { id, startedAt } = this.endpoint;
-    return `${id}@${startedAt}`;
-  }
-
   get lastSignOfLifeAt(): number {
     return this.signOfLifeAt;
   }
--- a/packages/forwarding/src/endpointState.ts
+++ b/packages/forwarding/src/endpointState.ts
@@ -17,6 +17,10 @@
   /** Its agent gets no response from it. */
   silent: 'silent',
   draining: 'draining',
+  /** It has said that it leaves. */
+  leaving: 'leaving',
+  /** It has asked for a pause that is not over. */
+  paused: 'paused',
   /** Its data centre is being evacuated. */
   evacuated: 'evacuated',
 } as const;
--- a/packages/forwarding/src/forwardingEntry.ts
+++ b/packages/forwarding/src/forwardingEntry.ts
@@ -27,6 +27,7 @@
 import { AgentLinks } from './agentLinks.js';
 import { RegionalFeed } from './regionalFeed.js';
 import { BufferedForwarder } from './bufferedForwarder.js';
+import { StatementRecorder } from './statementRecorder.js';
 
 /** Dependencies of an entry. */
 export interface EntryDependencies {
@@ -165,6 +166,7 @@
       onLoadChange: () => this.agents.handleLoadChange(),
       onNamedLimit: (handle: EndpointHandle, perSecond: number | undefined) =>
         this.agents.recordNamedLimit(handle, perSecond),
+      statements: new StatementRecorder(this.directory.statements, clock, metrics, log('sidecars')),
       codec: headerCodec,
       clock,
       metrics,
--- a/packages/forwarding/src/heads.ts
+++ b/packages/forwarding/src/heads.ts
@@ -23,6 +23,26 @@
   readonly slots: number;
 }
 
+/** Kinds of what an endpoint says of itself. */
+export const StatementKind = {
+  /** It leaves and wants no more requests. */
+  leaving: 'leaving',
+  /** It wants no requests for some time. */
+  pause: 'pause',
+} as const;
+
+/** One of the values of {@link StatementKind}. */
+export type StatementKind = (typeof StatementKind)[keyof typeof StatementKind];
+
+/** What an endpoint says of itself with a response. */
+export interface EndpointStatement {
+  readonly isLeaving: boolean;
+  /** Time for which it wants no requests if the response refuses one, in milliseconds. */
+  readonly pauseMs: number | undefined;
+  /** Statements of which a value is none of those that are defined; readable values still count. */
+  readonly unreadable: readonly StatementKind[];
+}
+
 /** The decoded head of an endpoint's response. */
 export interface ResponseHead {
   /** Id of the request that the response is for; a different one means that responses were mixed up. */
@@ -39,6 +59,7 @@
   readonly load: ResponseLoad | undefined;
   /** Requests per second that the endpoint takes from all entries together; undefined if it names none. */
   readonly maxRequestsPerSecond: number | undefined;
+  readonly statement: EndpointStatement;
 }
 
 /** Values of the headers that are added to a caller's request when it is forwarded to an endpoint. */
--- a/packages/forwarding/src/requestAttempts.ts
+++ b/packages/forwarding/src/requestAttempts.ts
@@ -13,6 +13,7 @@
 import type { HeaderCodec } from './headerCodec.js';
 import type { ResponseHead } from './heads.js';
 import { Refusal, RefusalReason } from './refusal.js';
+import type { StatementRecorder } from './statementRecorder.js';
 
 /**
  * Longest idle time of a connection on which a non-retryable request is sent, in milliseconds: the
@@ -41,6 +42,7 @@
   readonly onLoadChange: () => void;
   /** Called with the requests per second that a response names as the endpoint's limit, if any. */
   readonly onNamedLimit: (endpoint: EndpointHandle, perSecond: number | undefined) => void;
+  readonly statements: StatementRecorder;
   readonly codec: HeaderCodec;
   readonly clock: Clock;
   readonly metrics: Metrics;
@@ -216,13 +218,11 @@
   }
 
   /** Records what an endpoint says of itself with a response. */
-  private recordHead(
-    handle: EndpointHandle,
-    status: number,
-    { maxRequestsPerSecond }: ResponseHead,
-  ): void {
+  private recordHead(handle: EndpointHandle, status: number, head: ResponseHead): void {
     // Another endpoint at the address responds so.
     if (status === misdirectedStatus) return;
+    this.services.statements.record(handle, status, head);
+    const { maxRequestsPerSecond } = head;
     // A refusal without a limit does not tell that the limit has ended.
     if (maxRequestsPerSecond === undefined && !isSuccess(status)) return;
     this.services.onNamedLimit(handle, maxRequestsPerSecond);
@@ -256,6 +256,7 @@
       codec,
       observer,
       (status, responseHead) => this.recordHead(handle, status, responseHead),
+      () => services.statements.maySend(handle),
     );
     const prefillMs = handle.model?.prefillMs(head.promptTokens ?? 0) ?? 0;
     let isPrefilled = false;
--- a/packages/standins/src/platformEngine.ts
+++ b/packages/standins/src/platformEngine.ts
@@ -114,6 +114,20 @@
     response.setHeader('server-limit', '0.1');
     respondWith('whole answer')(request, response, engine);
   },
+  /** Says that it leaves. */
+  leaves: (request, response, engine) => {
+    response.setHeader('server-leaving', '1');
+    respondWith('whole answer')(request, response, engine);
+  },
+  /** Rejects the request without executing it, and asks for a pause of two seconds. */
+  defers: (request, response, engine) => {
+    response.setHeader('retry-after', '2');
+    response.writeHead(503, {
+      ...buildHeaders(request, engine),
+      'laburnumstream-not-executed': '1',
+    });
+    response.end();
+  },
   /** Sends a complete unframed response. */
   closesAnswer: (request, _response, engine) => {
     writeUnframedHead(request, engine, 'text/plain');
