--- a/features/support/crashFleet.ts
+++ b/features/support/crashFleet.ts
@@ -95,6 +95,9 @@
   /** Parts of prompts, and bodies, that crash endpoints. */
   readonly causes = new Set<string>();
 
+  /** Behaviours that replace that of endpoints, by index of the endpoint. */
+  readonly scripts = new Map<number, Behaviour>();
+
   private readonly slots: EndpointSlot[] = [];
 
   private shared: SettingsLines | undefined;
@@ -317,6 +320,11 @@
   private createBehaviour(slot: EndpointSlot): Behaviour {
     const stream = streamEvents(eventsPerStream);
     return async (request, response, engine) => {
+      const script = this.scripts.get(slot.index);
+      if (script) {
+        await script(request, response, engine);
+        return;
+      }
       this.recordArrival(slot.index, engine);
       const { url = '' } = request;
       if (url.startsWith(plainPrefix)) {
--- a/packages/forwarding/src/stagePolicy.ts
+++ b/packages/forwarding/src/stagePolicy.ts
@@ -18,7 +18,7 @@
     request: PlacementRequest,
     now: number,
     startAt: number,
-    canServe: () => boolean,
+    canServe: (latestAt: number) => boolean,
   ): WaitEnd | undefined;
 }
 
@@ -39,9 +39,9 @@
   { startBy }: PlacementRequest,
   now: number,
   startAt: number,
-  canServe: () => boolean,
+  canServe: (latestAt: number) => boolean,
 ): WaitEnd | undefined {
-  if (!canServe()) return WaitEnd.noEndpoint;
+  if (!canServe(startBy)) return WaitEnd.noEndpoint;
   if (startAt <= startBy) return undefined;
   return now > startBy ? WaitEnd.goalPassed : WaitEnd.expectedWait;
 }
@@ -56,8 +56,9 @@
   [RequestStage.callerRetry]: {
     accepts: (_request, { target }, _isInTime, now) => hasUnreservedSlot(target, now),
     findWaitEnd({ arrivedAt }, _now, startAt, canServe) {
-      if (!canServe()) return WaitEnd.noEndpoint;
-      return startAt - arrivedAt < maxCallerRetryWaitMs ? undefined : WaitEnd.callerRetryWait;
+      const latestAt = arrivedAt + maxCallerRetryWaitMs;
+      if (!canServe(latestAt)) return WaitEnd.noEndpoint;
+      return startAt < latestAt ? undefined : WaitEnd.callerRetryWait;
     },
   },
   [RequestStage.begun]: {
