Test limits and pauses of endpoints together

Cause: both bounds were tested alone only.

Ruled out: its first form waited without traffic until all had asked for a pause. One of its two runs failed there, as a limit let no request through to one of them before its pause was over; now requests keep coming while it waits. Nothing was relaxed.

--- a/features/endpointStatements.feature
+++ b/features/endpointStatements.feature
@@ -53,6 +53,14 @@
       | 6     | and later for a shorter one      |
       | 6     | and later for a longer one       |
 
+  # Guards against a limit that allows requests within a pause, or a pause that ends a limit.
+  Scenario: pauses of endpoints that name limits
+    Given 3 entries and 6 endpoints that make statements
+    When all endpoints name a limit of 4 requests a second
+    And 6 endpoints ask for a pause of 2.5 seconds, and later for what is left of it
+    Then no entry sends any of them more than 2 requests within a pause
+    And each gets at most 11 requests in any second after the pause
+
   Scenario: pause that ends with a restart
     Given an entry and 3 endpoints that make statements
     When the first asks for a pause of 6 seconds, and then another one starts at its id
--- a/features/steps/endpointStatements.steps.ts
+++ b/features/steps/endpointStatements.steps.ts
@@ -1,27 +1,17 @@
 import assert from 'node:assert/strict';
 import { setTimeout as sleep } from 'node:timers/promises';
-import { After, Given, Then, When, World } from '@cucumber/cucumber';
+import { After, Given, Then, When } from '@cucumber/cucumber';
 import type { PlatformEngine } from '@laburnumstream/standins';
 import { eventually } from '../support/assertions.js';
 import { sumMetric } from '../support/metricsText.js';
 import { CrashFleet } from '../support/crashFleet.js';
 import { PlatformFleet, firstStart } from '../support/platformFleet.js';
 import { StatementTraffic } from '../support/statementTraffic.js';
-import type { SentRequest, TrafficTarget } from '../support/statementTraffic.js';
+import type { SentRequest } from '../support/statementTraffic.js';
+import { first } from '../support/statementWorld.js';
+import type { StatementWorld } from '../support/statementWorld.js';
 import { StatingEndpoint } from '../support/statingEndpoint.js';
 
-interface StatementWorld extends World {
-  fleet: PlatformFleet;
-  crashFleet: CrashFleet;
-  endpoints: readonly StatingEndpoint[];
-  traffic: StatementTraffic;
-  /** Monotonic time from which arrivals count, in milliseconds. */
-  countedFrom: number;
-  /** Monotonic time at which all pauses are over, in milliseconds. */
-  pausedUntil: number;
-  targets: readonly TrafficTarget[];
-}
-
 const requestsPerSecond = 40;
 const calmMs = 500;
 const msPerSecond = 1_000;
@@ -39,10 +29,6 @@
 /** Share of the time left that callers accept as a delay. */
 const maxRetryDelayMs = Math.ceil(2_000 / 3);
 
-function first({ endpoints }: StatementWorld): StatingEndpoint {
-  return endpoints[0]!;
-}
-
 async function startTraffic(world: StatementWorld, perSecond = requestsPerSecond): Promise<void> {
   const traffic = new StatementTraffic(world.targets, perSecond);
   Object.assign(world, { traffic });
@@ -187,6 +173,13 @@
   },
 );
 
+When(
+  /^all endpoints name a limit of (\d+) requests a second$/,
+  function limit(this: StatementWorld, perSecond: string) {
+    this.endpoints.forEach((endpoint) => Object.assign(endpoint, { limit: perSecond }));
+  },
+);
+
 /** Values of `Retry-After` in later refusals, by their description; undefined names the time left. */
 const laterPauses: Readonly<Record<string, string | undefined>> = {
   'and later for what is left of it': undefined,
@@ -202,14 +195,15 @@
     const pausing = this.endpoints.slice(0, Number(count));
     pausing.forEach((endpoint) => endpoint.pause(Number(seconds) * msPerSecond));
     for (let sent = 0; sent < burst; sent += 1) this.traffic.send();
-    await eventually(
+    const asked = eventually(
       () => pausing.every(({ pauses }) => pauses.length > 0),
       'all have asked for a pause',
+    ).then(() =>
+      pausing.forEach((endpoint) => {
+        Object.assign(endpoint, { retryAfter: laterPauses[later] });
+      }),
     );
-    pausing.forEach((endpoint) => {
-      Object.assign(endpoint, { retryAfter: laterPauses[later] });
-    });
-    await this.traffic.run(Number(seconds) * msPerSecond);
+    await Promise.all([asked, this.traffic.run(Number(seconds) * msPerSecond)]);
     const lastEnd = Math.max(
       ...pausing.flatMap(({ pauses }) => pauses.map(({ at, pauseMs }) => at + pauseMs)),
     );
@@ -294,6 +288,21 @@
   },
 );
 
+Then(
+  /^each gets at most (\d+) requests in any second after the pause$/,
+  function bounded(this: StatementWorld, most: string) {
+    const counts = this.endpoints.map(({ arrivals }) => {
+      const times = arrivals.map(({ at }) => at).filter((at) => at >= this.pausedUntil);
+      const inSecond = (from: number): number =>
+        times.filter((at) => at >= from && at < from + msPerSecond).length;
+      return Math.max(...times.map(inSecond));
+    });
+    this.log(`${counts.join()} in a second`);
+    assert.ok(Math.max(...counts) <= Number(most), `${counts.join()} in a second`);
+    assert.ok(Math.min(...counts) > 0, `${counts.join()} in a second`);
+  },
+);
+
 function laterRequests({ traffic, countedFrom }: StatementWorld): SentRequest[] {
   return traffic.requests.filter(({ sentAt }) => sentAt >= countedFrom);
 }
--- a/features/support/statingEndpoint.ts
+++ b/features/support/statingEndpoint.ts
@@ -9,6 +9,7 @@
 export const sentHeader = 'x-sent';
 
 const leavingHeader = 'server-leaving';
+const limitHeader = 'server-limit';
 const msPerSecond = 1_000;
 const eventsPerStream = 12;
 /** Time after a refusal until which requests that are under way may still arrive, in milliseconds. */
@@ -54,6 +55,9 @@
   /** Value of `Retry-After` in its next refusals instead of the time that is left. */
   retryAfter: string | undefined;
 
+  /** Requests per second that it names as its limit in all responses; undefined names none. */
+  limit: string | undefined;
+
   /** Delay before each response to a new request, in milliseconds. */
   delayMs = 0;
 
@@ -75,6 +79,7 @@
     const { leaving, delayMs } = this;
     this.arrivals.push(arrival);
     if (delayMs > 0) await sleep(delayMs);
+    if (this.limit !== undefined) response.setHeader(limitHeader, this.limit);
     const isTold = this.toldEntries?.has(entry) ?? true;
     if (leaving !== undefined && isTold) response.setHeader(leavingHeader, leaving);
     if (leaving === '1' && isTold) this.notices.push({ entry, at: performance.now() });
