--- a/features/steps/attemptHistory.steps.ts
+++ b/features/steps/attemptHistory.steps.ts
@@ -157,6 +157,7 @@
     countLimited: () => 0,
     recordPlacement: () => undefined,
     canServe: () => true,
+    summarizeStatements: () => ({ leaving: 0, paused: 0, pauseLeftMs: 0 }),
   };
   const { clock } = fleet;
   const queue = new DispatchQueue(source, clock, new SeededRandom(3), noopMetrics, noopLog);
--- a/packages/forwarding/src/crashGuard.ts
+++ b/packages/forwarding/src/crashGuard.ts
@@ -68,7 +68,6 @@
 
   /** Throws a `Refusal` if the request's content crashes endpoints. */
   check(exchange: Exchange): void {
-    this.checkHold(exchange);
     const { convictions } = this.evidence;
     if (convictions.size === 0) return;
     const hasDigests = convictions.someTrait(isDigest);
@@ -83,13 +82,16 @@
     throw new Refusal(RefusalReason.crashingContent, message, retryDelayMs);
   }
 
+  /** Whether crashes under this very request are not settled, so that it must not be sent. */
+  isHeld(exchange: Exchange): boolean {
+    return this.evidence.suspects.size > 0 && this.evidence.isHeld(getDigest(exchange));
+  }
+
   /** Throws a `Refusal` while crashes under this very request are not settled. */
-  private checkHold(exchange: Exchange): void {
-    if (this.evidence.suspects.size === 0) return;
-    const digest = getDigest(exchange);
-    if (!this.evidence.isHeld(digest)) return;
+  checkHold(exchange: Exchange): void {
+    if (!this.isHeld(exchange)) return;
     const { id } = exchange.head;
-    this.log.info('Request held back after crashes.', { id, traits: [digest] });
+    this.log.info('Request held back after crashes.', { id, traits: [getDigest(exchange)] });
     const message = 'Endpoints crashed on this request a moment ago.';
     throw new Refusal(RefusalReason.crashingContent, message, holdRetryDelayMs);
   }
--- a/packages/forwarding/src/requestAttempts.ts
+++ b/packages/forwarding/src/requestAttempts.ts
@@ -96,6 +96,7 @@
     try {
       guard.check(this.exchange);
       if (this.isBegun) await this.waitForExecution(signal);
+      else guard.checkHold(this.exchange);
       const placement = await queue.place(this.createPlacementRequest(), signal);
       // It may have been convicted while it waited.
       guard.check(this.exchange);
@@ -108,7 +109,7 @@
 
   /**
    * Waits until a begun request may be executed once more: an execution at an endpoint that was lost does
-   * not count, but the loss is known a moment later only.
+   * not count, but the loss is known a moment later only. So is whether a broken connection was a crash.
    */
   private async waitForExecution(signal: AbortSignal): Promise<void> {
     const { clock } = this.services;
@@ -120,6 +121,7 @@
       }
       await clock.sleep(lossPollMs, signal);
     }
+    while (this.services.guard.isHeld(this.exchange)) await clock.sleep(lossPollMs, signal);
   }
 
   /** Records a failed attempt and returns whether to retry; only a begun request waits for the budget. */
