Name the reason of requests that are held back after crashes

It was that of a conviction, so that 'refused for crashing_content' no longer meant that content had been convicted (crashingParts: explanation of a refusal for content, conviction that operators lift failed; both pass now).

--- a/packages/forwarding/src/crashGuard.ts
+++ b/packages/forwarding/src/crashGuard.ts
@@ -93,7 +93,7 @@
     const { id } = exchange.head;
     this.log.info('Request held back after crashes.', { id, traits: [getDigest(exchange)] });
     const message = 'Endpoints crashed on this request a moment ago.';
-    throw new Refusal(RefusalReason.crashingContent, message, holdRetryDelayMs);
+    throw new Refusal(RefusalReason.unsettledCrashes, message, holdRetryDelayMs);
   }
 
   /** Records that the connection to an endpoint broke while it was running a request. */
--- a/packages/forwarding/src/refusal.ts
+++ b/packages/forwarding/src/refusal.ts
@@ -13,6 +13,8 @@
   overloaded: 'overloaded',
   /** All endpoints that were tried refused the request. */
   endpointsRefused: 'endpoints_refused',
+  /** Endpoints crashed on this very request, and the last crash is not settled. */
+  unsettledCrashes: 'unsettled_crashes',
   /** Endpoints crashed each time that they ran requests with such content. */
   crashingContent: 'crashing_content',
   /** The deadline passed while the request was queued. */
