--- a/packages/forwarding/src/crashGuard.ts
+++ b/packages/forwarding/src/crashGuard.ts
@@ -6,7 +6,7 @@
 import type { Exchange } from './exchange.js';
 import { OpenEnds } from './openEnds.js';
 import { Refusal, RefusalReason } from './refusal.js';
-import { getPartTraits, getTraits, isDigest } from './requestTraits.js';
+import { getDigest, getPartTraits, getTraits, isDigest } from './requestTraits.js';
 
 /** Passes on what this entry has seen. */
 export interface CrashListener {
@@ -19,6 +19,8 @@
 const reportDelayMs = 350;
 /** Interval between checks whether a crash counts, in milliseconds. */
 const settleIntervalMs = 100;
+/** Delay after which callers may send a request again that was held back, in milliseconds. */
+const holdRetryDelayMs = 1_300;
 /** A conviction has no end, so callers are asked to stay away for long, in milliseconds. */
 const retryDelayMs = 600_000;
 
@@ -58,6 +60,12 @@
     return this.evidence.crashCount;
   }
 
+  /** Number of requests that were under way at several crashes and are not convicted. */
+  get suspectCount(): number {
+    const { convictions, suspects } = this.evidence;
+    return [...suspects.keys()].filter((trait) => !convictions.has({ traits: [trait] })).length;
+  }
+
   /** Throws a `Refusal` if the request's content crashes endpoints. */
   check(exchange: Exchange): void {
     const { convictions } = this.evidence;
@@ -74,14 +82,45 @@
     throw new Refusal(RefusalReason.crashingContent, message, retryDelayMs);
   }
 
+  /** Whether crashes under this very request are not settled, so that it must not be sent. */
+  isHeld(exchange: Exchange): boolean {
+    return this.evidence.suspects.size > 0 && this.evidence.isHeld(getDigest(exchange));
+  }
+
+  /** Throws a `Refusal` while crashes under this very request are not settled. */
+  checkHold(exchange: Exchange): void {
+    if (!this.isHeld(exchange)) return;
+    const { id } = exchange.head;
+    this.log.info('Request held back after crashes.', { id, traits: [getDigest(exchange)] });
+    const message = 'Endpoints crashed on this request a moment ago.';
+    throw new Refusal(RefusalReason.unsettledCrashes, message, holdRetryDelayMs);
+  }
+
   /** Records that the connection to an endpoint broke while it was running a request. */
   recordBreak(handle: EndpointHandle, exchange: Exchange): void {
     const { incarnation, endpoint } = handle;
     // An endpoint that leaves may end before its last requests do.
-    if (endpoint.isDraining || this.findEndpoint(handle.id) !== handle) return;
+    if (endpoint.isDraining || this.findEndpoint(handle.id) !== handle) {
+      const reason = endpoint.isDraining ? 'leaving' : 'no longer registered';
+      this.log.info('Crash not counted.', { endpoint: incarnation, reason });
+      return;
+    }
     this.recordCrash(incarnation, getTraits(exchange));
   }
 
+  /** Records that a request is sent to an endpoint; counts those that were under way at several crashes. */
+  recordSend(exchange: Exchange): void {
+    const { suspects } = this.evidence;
+    if (suspects.size === 0) return;
+    const digest = getDigest(exchange);
+    const crashes = suspects.get(digest);
+    if (crashes === undefined) return;
+    this.metrics.count('requests_sent_after_crashes');
+    const completions = this.evidence.countSurvivals(digest);
+    const { id } = exchange.head;
+    this.log.info('Request sent after crashes.', { id, traits: [digest], crashes, completions });
+  }
+
   /** Records that an endpoint completed a request. */
   recordCompletion(handle: EndpointHandle, exchange: Exchange, framing: Framing | undefined): void {
     if (framing === Framing.connection) {
@@ -187,9 +226,12 @@
       .takeWhole(now)
       .filter(({ endpoint, at }) => this.getSignOfLife(endpoint) > at)
       .forEach(({ traits }) => this.evidence.recordSurvival(traits, now));
-    const { convicted, withdrawn } = this.evidence.settle(now, (incarnation) =>
+    const { convicted, withdrawn, falseAlarms } = this.evidence.settle(now, (incarnation) =>
       this.getSignOfLife(incarnation),
     );
+    falseAlarms.forEach((endpoint) =>
+      this.log.info('Crash not counted.', { endpoint, reason: 'sign of life' }),
+    );
     withdrawn.forEach((conviction) => {
       this.log.warn('Conviction withdrawn.', { traits: conviction.traits });
       this.listeners.forEach((listener) => listener.onWithdrawal(conviction));
@@ -197,7 +239,8 @@
     convicted.forEach((conviction) => {
       const { traits, crashes } = conviction;
       this.metrics.count('content_convicted');
-      this.log.warn('Content convicted.', { traits, crashes });
+      const completions = Math.max(...traits.map((trait) => this.evidence.countSurvivals(trait)));
+      this.log.warn('Content convicted.', { traits, crashes, completions });
       this.listeners.forEach((listener) => listener.onConviction(conviction));
     });
   }
--- a/packages/forwarding/src/requestAttempts.ts
+++ b/packages/forwarding/src/requestAttempts.ts
@@ -20,6 +20,7 @@
 import type { HeaderCodec } from './headerCodec.js';
 import type { ResponseHead } from './heads.js';
 import { Refusal, RefusalReason } from './refusal.js';
+import type { StatementRecorder } from './statementRecorder.js';
 
 /**
  * Longest idle time of a connection on which a non-retryable request is sent, in milliseconds: the
@@ -53,6 +54,7 @@
   readonly onLoadChange: () => void;
   /** Called with the requests per second that a response names as the endpoint's limit, if any. */
   readonly onNamedLimit: (endpoint: EndpointHandle, perSecond: number | undefined) => void;
+  readonly statements: StatementRecorder;
   readonly codec: HeaderCodec;
   readonly clock: Clock;
   readonly metrics: Metrics;
@@ -94,6 +96,7 @@
     try {
       guard.check(this.exchange);
       if (this.isBegun) await this.waitForExecution(signal);
+      else guard.checkHold(this.exchange);
       const placement = await queue.place(this.createPlacementRequest(), signal);
       // It may have been convicted while it waited.
       guard.check(this.exchange);
@@ -106,7 +109,7 @@
 
   /**
    * Waits until a begun request may be executed once more: an execution at an endpoint that was lost does
-   * not count, but the loss is known a moment later only.
+   * not count, but the loss is known a moment later only. So is whether a broken connection was a crash.
    */
   private async waitForExecution(signal: AbortSignal): Promise<void> {
     const { clock } = this.services;
@@ -118,6 +121,7 @@
       }
       await clock.sleep(lossPollMs, signal);
     }
+    while (this.services.guard.isHeld(this.exchange)) await clock.sleep(lossPollMs, signal);
   }
 
   /** Records a failed attempt and returns whether to retry; only a begun request waits for the budget. */
@@ -294,13 +298,11 @@
   }
 
   /** Records what an endpoint says of itself with a response. */
-  private recordHead(
-    handle: EndpointHandle,
-    status: number,
-    { maxRequestsPerSecond }: ResponseHead,
-  ): void {
+  private recordHead(handle: EndpointHandle, status: number, head: ResponseHead): void {
     // Another endpoint at the address responds so.
     if (status === misdirectedStatus) return;
+    this.services.statements.record(handle, status, head);
+    const { maxRequestsPerSecond } = head;
     // A refusal without a limit does not tell that the limit has ended.
     if (maxRequestsPerSecond === undefined && !isSuccess(status)) return;
     this.services.onNamedLimit(handle, maxRequestsPerSecond);
@@ -314,7 +316,7 @@
   ): Attempt {
     const { exchange, services } = this;
     const { request, head, route, workspace, body, deadlineAt } = exchange;
-    const { codec, clock, queue, onLoadChange } = services;
+    const { codec, clock, queue, guard, onLoadChange } = services;
     const headers = codec.encodeRequestHeaders(request.rawHeaders, {
       timeLeftMs: deadlineAt - clock.now(),
       endpointId: handle.id,
@@ -334,6 +336,7 @@
       codec,
       observer,
       (status, responseHead) => this.recordHead(handle, status, responseHead),
+      () => services.statements.maySend(handle),
     );
     const prefillMs = handle.model?.prefillMs(head.promptTokens ?? 0) ?? 0;
     let isPrefilled = false;
@@ -353,6 +356,7 @@
       queue.dispatch(exchange.service, handle);
     };
     this.sendCount += 1;
+    guard.recordSend(exchange);
     handle.load.recordStart(prefillMs);
     onLoadChange();
     call.start();
