--- a/packages/decisions/src/forwarding/waitQueue.ts
+++ b/packages/decisions/src/forwarding/waitQueue.ts
@@ -51,6 +51,11 @@
     return this.items.length;
   }
 
+  /** Number of requests that wait for capacity; one that has begun may wait for something else. */
+  get contenders(): number {
+    return this.items.filter(({ stage }) => stage !== RequestStage.begun).length;
+  }
+
   enqueue(item: Item): void {
     this.items.push(item);
   }
@@ -78,7 +83,7 @@
   /** Time until one more request would be dispatched at the rate of the last second, in milliseconds. */
   expectedWaitMs(now: number): number {
     const rate = Math.max(minRate, this.servedInWindow.total(now) / rateWindowMs);
-    return this.items.length / rate;
+    return this.contenders / rate;
   }
 
   recordServed(workspace: string, now: number): void {
--- a/packages/forwarding/src/dispatchQueue.ts
+++ b/packages/forwarding/src/dispatchQueue.ts
@@ -113,7 +113,7 @@
     if (request.stage !== RequestStage.callerRetry)
       this.getShares(request.service).recordArrival(request.fairnessGroups, now);
     const candidate: Candidate = { ...request, availableCount: undefined };
-    const placement = queue.length === 0 ? this.tryPlacement(candidate, now) : undefined;
+    const placement = queue.contenders === 0 ? this.tryPlacement(candidate, now) : undefined;
     if (placement) return Promise.resolve(this.recordPlacement(request, placement, now));
     const startAt = now + queue.expectedWaitMs(now);
     const end = this.findWaitEnd(request, now, startAt);
