One rule for how often a request may be executed

The entry gave up a silent attempt under one limit (couldRetry: two more than the route allows) and then refused the next under another (waitForExecution), so it ended a run that it may not replace. The limit counted attempts, the rule counts endpoints; the loss of an endpoint was waited for for 1.5 s, less than three heartbeats; the endpoint that a stream had moved from stayed excluded for ever.

Open, listed: an endpoint that lost its registration counts as lost although it may live.

--- a/features/steps/attemptHistory.steps.ts
+++ b/features/steps/attemptHistory.steps.ts
@@ -85,7 +85,7 @@
       history.recordRefusal(endpoint, now);
       return;
     }
-    history.recordExecutionFailure(endpoint, now);
+    history.recordExecution(endpoint, now);
     this.executedAt.add(endpoint.id);
   }
 }
--- a/packages/decisions/src/forwarding/attemptHistory.ts
+++ b/packages/decisions/src/forwarding/attemptHistory.ts
@@ -32,29 +32,34 @@
   /** The endpoint of each attempt that may have executed the request. */
   private readonly executedAt: Endpoint[] = [];
 
-  constructor(
-    /** Maximum number of executions of the request. */
-    private readonly maxExecutions: number,
-    /** Whether an endpoint still runs; those that were lost don't count for a begun request. */
-    private readonly isRunning: (endpoint: Endpoint) => boolean,
-  ) {}
-
   /** Refusals since the last attempt that was executed. */
   private refusals = 0;
 
   /** Monotonic time until which a begun request is sent nowhere, in milliseconds. */
   private backoffUntil = -Infinity;
 
+  constructor(
+    /** Maximum number of endpoints that may execute the request. */
+    private readonly maxEndpoints: number,
+    /** Whether an endpoint still runs; those that were lost don't count for a begun request. */
+    private readonly isRunning: (endpoint: Endpoint) => boolean,
+  ) {}
+
   /** Number of attempts that may have executed the request. */
   get executions(): number {
     return this.executedAt.length;
   }
 
-  /** Number of endpoints at which an attempt has failed. */
-  get failedEndpoints(): number {
+  /** Number of endpoints that are or were excluded. */
+  get excludedEndpoints(): number {
     return this.exclusions.size;
   }
 
+  /** Whether as many endpoints as allowed have executed the request and still run. */
+  get isLimitReached(): boolean {
+    return this.countRunning(this.executedAt) >= this.maxEndpoints;
+  }
+
   /** Records that an endpoint has refused the request without executing it. */
   recordRefusal(endpoint: Endpoint, now: number): void {
     this.exclude(endpoint, now);
@@ -62,39 +67,29 @@
     this.refusals += 1;
   }
 
-  /** Records that an endpoint may have executed the request, or a part of it, and has failed. */
-  recordExecutionFailure(endpoint: Endpoint, now: number): void {
+  /** Records that an endpoint may have executed the request, or a part of it, and gets it no more for now. */
+  recordExecution(endpoint: Endpoint, now: number): void {
     this.exclude(endpoint, now);
-    this.recordExecution(endpoint);
-    this.refusals = 0;
-  }
-
-  private exclude({ id }: Endpoint, now: number): void {
-    const failures = (this.exclusions.get(id)?.failures ?? 0) + 1;
-    this.exclusions.set(id, { failures, until: now + exponentialMs(exclusionMs, failures - 1) });
-  }
-
-  /** Records that an endpoint may have executed the request, or a part of it. */
-  recordExecution(endpoint: Endpoint): void {
     this.executedAt.push(endpoint);
+    this.refusals = 0;
   }
 
-  /** Excludes the endpoint that a running request is to leave. */
+  /** Excludes the endpoint that a running request is to leave, until it has left. */
   excludeCurrent({ id }: Endpoint): void {
     const { failures = 0 } = this.exclusions.get(id) ?? {};
     this.exclusions.set(id, { failures, until: Infinity });
   }
 
-  /** Whether the limit on executions allows one more attempt, after `running` ones that still run. */
-  allowsAttempt(isBegun: boolean, running = 0): boolean {
-    const limit = this.maxExecutions + (isBegun ? maxExtraExecutions : 0);
-    return this.executions + running < limit;
+  /** Whether the number of executions allows one more attempt. */
+  allowsAttempt(isBegun: boolean): boolean {
+    return this.executions < this.getLimit(isBegun);
   }
 
-  /** Whether endpoints that still run have executed the request as often as is allowed. */
-  get isLimitReached(): boolean {
-    const running = this.executedAt.filter((endpoint) => this.isRunning(endpoint));
-    return running.length >= this.maxExecutions;
+  /** Whether the request, which runs at `current`, may be executed elsewhere at once. */
+  allowsReplacement(isBegun: boolean, current: Endpoint): boolean {
+    const executedAt = [...this.executedAt, current];
+    if (executedAt.length >= this.getLimit(isBegun)) return false;
+    return !isBegun || this.countRunning(executedAt) < this.maxEndpoints;
   }
 
   /**
@@ -106,4 +101,17 @@
     if (!isBegun) return exclusion !== undefined;
     return now < this.backoffUntil || (exclusion !== undefined && now < exclusion.until);
   }
+
+  private exclude({ id }: Endpoint, now: number): void {
+    const failures = (this.exclusions.get(id)?.failures ?? 0) + 1;
+    this.exclusions.set(id, { failures, until: now + exponentialMs(exclusionMs, failures - 1) });
+  }
+
+  private getLimit(isBegun: boolean): number {
+    return this.maxEndpoints + (isBegun ? maxExtraExecutions : 0);
+  }
+
+  private countRunning(endpoints: readonly Endpoint[]): number {
+    return new Set(endpoints.filter((endpoint) => this.isRunning(endpoint))).size;
+  }
 }
--- a/packages/forwarding/src/requestAttempts.ts
+++ b/packages/forwarding/src/requestAttempts.ts
@@ -36,8 +36,8 @@
 /** Expected response time of a plain service, in milliseconds. */
 const plainResponseMs = 25;
 
-/** Time within which the loss of an endpoint is known, in milliseconds. */
-const lossNoticeMs = 1_500;
+/** Time within which the loss of an endpoint is known, in milliseconds: three missed heartbeats and more. */
+const lossNoticeMs = 4_000;
 /** Interval of checks whether it is known, in milliseconds. */
 const lossPollMs = 20;
 
@@ -112,16 +112,16 @@
    * not count, but the loss is known a moment later only. So is whether a broken connection was a crash.
    */
   private async waitForExecution(signal: AbortSignal): Promise<void> {
-    const { clock } = this.services;
+    const { clock, guard } = this.services;
     const until = clock.now() + lossNoticeMs;
+    if (this.history.isLimitReached) this.retryDenial = RetryDenial.attemptsUsed;
     while (this.history.isLimitReached) {
-      if (clock.now() >= until) {
-        this.retryDenial = RetryDenial.attemptsUsed;
-        throw new OutcomeUnknown('The request has been executed as often as its route allows.');
-      }
+      if (clock.now() >= until)
+        throw new OutcomeUnknown('As many endpoints as allowed have executed the request.');
       await clock.sleep(lossPollMs, signal);
     }
-    while (this.services.guard.isHeld(this.exchange)) await clock.sleep(lossPollMs, signal);
+    this.retryDenial = undefined;
+    while (guard.isHeld(this.exchange)) await clock.sleep(lossPollMs, signal);
   }
 
   /** Records a failed attempt and returns whether to retry; only a begun request waits for the budget. */
@@ -134,7 +134,7 @@
     this.isMoving = false;
     this.retryingSince = now;
     if (execution === Execution.notRun) this.history.recordRefusal(handle, now);
-    else this.history.recordExecutionFailure(handle, now);
+    else this.history.recordExecution(handle, now);
     const denial = this.findDenial(execution);
     this.retryDenial = denial;
     const isRepeated = denial === undefined;
@@ -176,7 +176,7 @@
   couldRetry(handle: EndpointHandle): boolean {
     const { exchange, services } = this;
     const { directory, budget, clock } = services;
-    if (!this.isRetryable || !this.history.allowsAttempt(this.isBegun, 1)) return false;
+    if (!this.isRetryable || !this.history.allowsReplacement(this.isBegun, handle)) return false;
     const isTried = (id: string): boolean => id === handle.id || this.isExcluded(id);
     const eligibility = this.eligibility(isTried);
     const { service } = exchange;
@@ -205,9 +205,14 @@
     return true;
   }
 
+  /** Records that no endpoint was found for a move; the stream goes on where it runs. */
+  cancelMove(): void {
+    this.isMoving = false;
+  }
+
   /** Records that the stream has moved; its previous endpoint counts as an execution. */
   recordMove(from: EndpointHandle): void {
-    this.history.recordExecution(from);
+    this.history.recordExecution(from, this.services.clock.now());
     this.isMoving = false;
   }
 
@@ -275,7 +280,7 @@
   private eligibility(isTried: (id: string) => boolean): Eligibility {
     const { route, workspace } = this.exchange;
     const homeRegions = [route.homeRegions, workspace?.homeRegions ?? []];
-    return { homeRegions, tried: { has: isTried, size: this.history.failedEndpoints } };
+    return { homeRegions, tried: { has: isTried, size: this.history.excludedEndpoints } };
   }
 
   /** Whether the caller retries after a refusal: it has clearly less time left than its route allows. */
--- a/packages/forwarding/src/streamSession.ts
+++ b/packages/forwarding/src/streamSession.ts
@@ -109,6 +109,7 @@
     );
     const second = await Promise.race([ended, placed]);
     placementAbort.end();
+    if ('placement' in second && !second.placement) this.attempts.cancelMove();
     return second;
   }
 
