--- a/features/steps/endpointStatements.steps.ts
+++ b/features/steps/endpointStatements.steps.ts
@@ -36,7 +36,7 @@
 }
 
 /** Registers the first endpoint anew after its registration was missing for some time. */
-async function relist({ fleet }: StatementWorld): Promise<void> {
+async function relist({ statedFleet: fleet }: StatementWorld): Promise<void> {
   const [engine] = fleet.engines;
   fleet.store.remove(`servers/${engine!.id}`);
   await sleep(relistMs);
@@ -45,20 +45,20 @@
 
 /** What happens while the first endpoint says that it leaves. */
 const leavingTroubles: Readonly<Record<string, (world: StatementWorld) => Promise<void>>> = {
-  'the store says that it is ready': async ({ fleet }) => {
+  'the store says that it is ready': async ({ statedFleet: fleet }) => {
     await sleep(relistMs);
     fleet.registerEngine(fleet.engines[0]!, 'ready');
   },
-  'the store is silent': async ({ fleet: { store } }) => {
+  'the store is silent': async ({ statedFleet: { store } }) => {
     Object.assign(store, { isSilent: true });
   },
-  'the store is slow': async ({ fleet: { store } }) => {
+  'the store is slow': async ({ statedFleet: { store } }) => {
     Object.assign(store, { delayMs: 700 });
   },
   'the list drops it and lists it again': relist,
   'the history of the store is lost as well': async (world) => {
     await relist(world);
-    world.fleet.store.compact();
+    world.statedFleet.store.compact();
   },
   'its later responses say that it stays': async (world) => {
     await eventually(() => first(world).notices.length > 0, 'it has said that it leaves');
@@ -78,14 +78,14 @@
 
 Given('an entry and 3 endpoints that make statements', async function start(this: StatementWorld) {
   this.endpoints = [0, 1, 2].map(() => new StatingEndpoint());
-  this.fleet = await PlatformFleet.start(this.endpoints.map(({ behaviour }) => behaviour));
-  await this.fleet.startEntry();
-  const { instance, callerAddress } = this.fleet.settings;
+  this.statedFleet = await PlatformFleet.start(this.endpoints.map(({ behaviour }) => behaviour));
+  await this.statedFleet.startEntry();
+  const { instance, callerAddress } = this.statedFleet.settings;
   this.targets = [{ name: instance, callerAddress }];
   await eventually(() => {
     const isRegistration = ({ message }: { message: string }): boolean =>
       message === 'fleet: Endpoint registered.';
-    return this.fleet.logEntries.filter(isRegistration).length === this.endpoints.length;
+    return this.statedFleet.logEntries.filter(isRegistration).length === this.endpoints.length;
   }, 'all endpoints are registered');
 });
 
@@ -101,7 +101,7 @@
 );
 
 After(async function close(this: Partial<StatementWorld>) {
-  await this.fleet?.close();
+  await this.statedFleet?.close();
 });
 
 When(
@@ -137,7 +137,7 @@
     first(this).leaving = '1';
     await this.traffic.run(calmMs);
     first(this).leaving = undefined;
-    successors[place]!(this.fleet);
+    successors[place]!(this.statedFleet);
     await this.traffic.run(calmMs);
     this.countedFrom = performance.now();
     await this.traffic.run(observedMs);
@@ -153,7 +153,7 @@
     first(this).pause(Number(seconds) * msPerSecond);
     await this.traffic.run(calmMs);
     first(this).endPause();
-    successors.id!(this.fleet);
+    successors.id!(this.statedFleet);
     await this.traffic.run(calmMs);
     this.countedFrom = performance.now();
     await this.traffic.run(observedMs);
@@ -373,7 +373,7 @@
 );
 
 Then('it is logged once and counted', function logged(this: StatementWorld) {
-  const { logEntries, metrics } = this.fleet;
+  const { logEntries, metrics } = this.statedFleet;
   const lines = logEntries.filter(({ message }) => message.endsWith('unreadable statement.'));
   assert.deepEqual(
     lines.map(({ fields }) => fields),
@@ -384,5 +384,5 @@
 });
 
 Then('all endpoints can get requests', function again(this: StatementWorld) {
-  assert.equal(sumMetric(this.fleet.metrics, 'endpoints', { state: 'free' }), 3);
+  assert.equal(sumMetric(this.statedFleet.metrics, 'endpoints', { state: 'free' }), 3);
 });
--- a/features/support/statementWorld.ts
+++ b/features/support/statementWorld.ts
@@ -6,7 +6,7 @@
 
 /** State of a scenario about statements of endpoints. */
 export interface StatementWorld extends World {
-  fleet: PlatformFleet;
+  statedFleet: PlatformFleet;
   crashFleet: CrashFleet;
   endpoints: readonly StatingEndpoint[];
   traffic: StatementTraffic;
