Send agents the weights from few entries after a change, encoded once

Each change of the fleet (a heartbeat that says more, a drain, a cold time) made every entry encode the list of all members anew for every agent of its region, and send it. Ruled out: decoding of reports (0.02 of a core), the store watch.

Agents hear of changes that they act on only, from the four entries that also repeat them each second; agents that are new are told at once.

--- /dev/null
+++ b/features/agentUpdates.feature
@@ -0,0 +1,35 @@
+Feature: Updates to agents
+
+  # Guards against updates whose cost grows with entries times agents: each change of the fleet was sent
+  # by every entry to every agent of its region, encoded anew for each.
+  Scenario: regular update
+    Given an entry among 99 with 150 engines
+    When it sends its regular update
+    Then each agent gets one update
+    And 4 entries send the weights to each agent of their region
+    And at most 4 datagrams were encoded
+
+  Scenario: change that agents do not act on
+    Given an entry among 99 with 150 engines
+    When it sends its regular update
+    And an engine is cold for longer
+    Then no agent gets an update
+
+  Scenario: engine that leaves
+    Given an entry among 99 with 150 engines
+    When it sends its regular update
+    And an engine leaves
+    Then only agents that get the weights from this entry get an update
+    And at most 2 datagrams were encoded
+
+  Scenario: engine that starts
+    Given an entry among 99 with 150 engines
+    When it sends its regular update
+    And an engine starts
+    Then its agent gets an update at once
+
+  Scenario: version that is named
+    Given an entry among 99 with 150 engines
+    When it sends its regular update
+    And a version is named
+    Then agents of its own and of other regions get the version
--- /dev/null
+++ b/features/steps/agentUpdates.steps.ts
@@ -0,0 +1,160 @@
+import assert from 'node:assert/strict';
+import { Given, Then, When, World } from '@cucumber/cucumber';
+import { NotifierSelection } from '@laburnumstream/decisions';
+import { AgentUpdates, EntryPeers } from '@laburnumstream/forwarding';
+import type { DatagramContent } from '@laburnumstream/links';
+import { storeCodec } from '@laburnumstream/platform';
+import { LargeFleet, createEndpoint } from '../support/largeFleet.js';
+import { createModelConfiguration } from '../support/platformFleet.js';
+
+type Update = Extract<DatagramContent, { case: 'fleet' }>['value'];
+
+/** A datagram that was encoded once, and its receivers. */
+interface SentUpdate {
+  readonly value: Update;
+  readonly hosts: readonly string[];
+}
+
+interface UpdateWorld extends World {
+  largeFleet: LargeFleet;
+  engines: number;
+  updates: AgentUpdates;
+  sent: SentUpdate[];
+}
+
+const notifiers = 4;
+
+function addEngine(
+  { largeFleet: { state, directory } }: UpdateWorld,
+  index: number,
+  cold = 0,
+): void {
+  const layers = { from: 0, to: 16, version: 1 };
+  const endpoint = { ...createEndpoint(index), service: 'model', coldRemainingMs: cold, layers };
+  state.setEndpoint(endpoint);
+  directory.refresh();
+}
+
+function apply({ largeFleet: { state, clock } }: UpdateWorld, key: string, value: object): void {
+  const change = storeCodec.decode({ key, value: JSON.stringify(value), revision: 1 });
+  state.apply(change!, clock.now());
+}
+
+function getHost(address: string): string {
+  return address.split(':')[0]!;
+}
+
+/** Hosts of the agents of the entry's region for which it is one of the few senders of weights. */
+function findNotified({ largeFleet: { directory, state, regions } }: UpdateWorld): string[] {
+  const region = regions.get('a');
+  const names = [...state.entryLocations]
+    .filter(([, { dataCentre }]) => regions.get(dataCentre) === region)
+    .map(([name]) => name);
+  const selection = new NotifierSelection('front-0');
+  selection.setEntries(names);
+  return [...directory.all]
+    .filter(({ isLocal, endpoint }) => isLocal && selection.isSelected(endpoint.address, notifiers))
+    .map(({ endpoint }) => getHost(endpoint.address));
+}
+
+function hostsWithWeights({ sent }: UpdateWorld): string[] {
+  return sent.filter(({ value }) => value.weights).flatMap(({ hosts }) => hosts);
+}
+
+Given(
+  'an entry among {int} with {int} engines',
+  async function create(this: UpdateWorld, entries: number, engines: number) {
+    this.largeFleet = new LargeFleet(entries, 0);
+    this.engines = engines;
+    const { settings, state, directory, clock } = this.largeFleet;
+    apply(this, 'op/config', createModelConfiguration(1));
+    apply(this, 'op/version/m', { Model: 'm', Version: 1 });
+    for (let index = 0; index < engines; index += 1) addEngine(this, index);
+    const datagrams = {
+      sendAll: (content: DatagramContent, hosts: readonly string[]): void => {
+        if (content.case === 'fleet') this.sent.push({ value: content.value, hosts });
+      },
+    };
+    const peers = new EntryPeers(settings, state);
+    this.sent = [];
+    this.updates = new AgentUpdates(settings, state, directory, peers, datagrams, clock);
+    await clock.runUntil(settings.bounds.versionMs * 2);
+  },
+);
+
+When('it sends its regular update', function send(this: UpdateWorld) {
+  this.updates.sendRegular();
+});
+
+When('an engine is cold for longer', function warm(this: UpdateWorld) {
+  this.sent = [];
+  addEngine(this, 7, 1_000);
+  this.updates.sendChanges();
+});
+
+When('an engine leaves', function leave(this: UpdateWorld) {
+  this.sent = [];
+  this.largeFleet.state.removeEndpoint('e7');
+  this.largeFleet.directory.refresh();
+  this.updates.sendChanges();
+});
+
+When('an engine starts', function start(this: UpdateWorld) {
+  this.sent = [];
+  addEngine(this, this.engines);
+  this.updates.sendChanges();
+});
+
+When('a version is named', function name(this: UpdateWorld) {
+  this.sent = [];
+  apply(this, 'op/version/m', { Model: 'm', Version: 2 });
+  this.updates.sendChanges();
+});
+
+Then('each agent gets one update', function each(this: UpdateWorld) {
+  const hosts = this.sent.flatMap((update) => update.hosts);
+  assert.equal(hosts.length, this.engines);
+  assert.equal(new Set(hosts).size, this.engines);
+});
+
+Then(
+  '{int} entries send the weights to each agent of their region',
+  function few(this: UpdateWorld, count: number) {
+    assert.equal(count, notifiers);
+    assert.deepEqual(hostsWithWeights(this).sort(), findNotified(this).sort());
+    assert.ok(findNotified(this).length > 0);
+  },
+);
+
+Then('at most {int} datagrams were encoded', function encoded(this: UpdateWorld, most: number) {
+  assert.ok(this.sent.length <= most, `${this.sent.length} datagrams`);
+});
+
+Then('no agent gets an update', function none(this: UpdateWorld) {
+  assert.deepEqual(this.sent, []);
+});
+
+Then(
+  'only agents that get the weights from this entry get an update',
+  function only(this: UpdateWorld) {
+    assert.ok(this.sent.length > 0);
+    assert.ok(this.sent.every(({ value }) => value.weights));
+    assert.deepEqual(hostsWithWeights(this).sort(), findNotified(this).sort());
+  },
+);
+
+Then('its agent gets an update at once', function starts(this: UpdateWorld) {
+  const host = getHost(createEndpoint(this.engines).address);
+  assert.equal(this.sent.filter(({ hosts }) => hosts.includes(host)).length, 1);
+});
+
+Then('agents of its own and of other regions get the version', function named(this: UpdateWorld) {
+  const { directory } = this.largeFleet;
+  const withWeights = new Set(hostsWithWeights(this));
+  const told = [...directory.all].filter(({ endpoint }) =>
+    withWeights.has(getHost(endpoint.address)),
+  );
+  assert.ok(this.sent.every(({ value }) => value.weights?.version === 2));
+  assert.ok(told.some(({ isLocal }) => isLocal));
+  assert.ok(told.some(({ isLocal }) => !isLocal));
+});
--- a/features/support/largeFleet.ts
+++ b/features/support/largeFleet.ts
@@ -62,8 +62,10 @@
 
   readonly directory: EndpointDirectory;
 
+  readonly settings: ForwarderSettings;
+
   constructor(entries: number, endpoints: number) {
-    const settings: ForwarderSettings = {
+    this.settings = {
       instance: 'front-0',
       host: '10.0.0.0',
       dataCentre: 'a',
@@ -78,6 +80,7 @@
       isFirstStart: true,
       bounds: platformBounds,
     };
+    const { settings } = this;
     this.state = new FleetState(noopMetrics, noopLog, () => undefined);
     for (let index = 0; index < entries; index += 1) {
       const host = `10.0.${Math.floor(index / 250)}.${index % 250}`;
--- a/packages/forwarding/src/agentLinks.ts
+++ b/packages/forwarding/src/agentLinks.ts
@@ -1,8 +1,8 @@
 import type { Clock, FleetSettings, Log, Metrics, Random } from '@laburnumstream/common';
-import { NotifierSelection, reportIntervalMs } from '@laburnumstream/decisions';
 import { FleetDatagrams } from '@laburnumstream/links';
-import type { DatagramContent, DatagramHandlers } from '@laburnumstream/links';
+import type { DatagramHandlers } from '@laburnumstream/links';
 import type { EndpointReport } from '@laburnumstream/protocol';
+import { AgentUpdates } from './agentUpdates.js';
 import { CrashExchange } from './crashExchange.js';
 import type { CrashGuard } from './crashGuard.js';
 import type { EndpointDirectory } from './endpointDirectory.js';
@@ -14,16 +14,11 @@
 
 /** Interval between two updates to each agent, in milliseconds. */
 const updateIntervalMs = 1_000;
-/** Entries of a region that send weight updates to an agent, in the agent's region and in each other one. */
-const notifiersPerAgent = { local: 4, remote: 1 } as const;
 /** Time in which changes are batched into one update, in milliseconds. */
 const changeBatchMs = 15;
 /** Time that streams get to end at an engine that is about to load other weights, in milliseconds. */
 const moveGraceMs = 250;
 const permille = 1_000;
-const kilobit = 1_000;
-
-type WeightUpdate = NonNullable<Extract<DatagramContent, { case: 'fleet' }>['value']['weights']>;
 
 /** Sends updates to the agents of engines and receives their reports. */
 export class AgentLinks {
@@ -37,16 +32,13 @@
 
   private readonly limitExchange: LimitExchange;
 
-  private readonly notifiers: NotifierSelection;
-
-  /** Revision of the registered entries from which `notifiers` was built. */
-  private notifiersRevision = -1;
+  private readonly updates: AgentUpdates;
 
   private timer: NodeJS.Timeout | undefined;
 
   constructor(
     private readonly settings: FleetSettings,
-    private readonly state: FleetState,
+    state: FleetState,
     private readonly directory: EndpointDirectory,
     private readonly guard: CrashGuard,
     private readonly clock: Clock,
@@ -64,8 +56,8 @@
       crashes: (news, { host }) => this.crashExchange.receive(news, host),
     };
     this.datagrams = new FleetDatagrams(settings.instance, handlers, clock, metrics, log);
-    this.notifiers = new NotifierSelection(settings.instance);
     this.peers = new EntryPeers(settings, state);
+    this.updates = new AgentUpdates(settings, state, directory, this.peers, this.datagrams, clock);
     this.loadBroadcast = new LoadBroadcast(this.peers, directory, this.datagrams, clock);
     this.limitExchange = new LimitExchange(this.peers, directory, this.datagrams, clock, log);
     this.crashExchange = new CrashExchange(this.peers, guard, this.datagrams);
@@ -74,7 +66,7 @@
   async run(signal: AbortSignal): Promise<void> {
     await this.datagrams.bind(this.settings.host, this.settings.firstPort, signal);
     while (!signal.aborted) {
-      this.sendUpdates(false);
+      this.updates.sendRegular();
       this.loadBroadcast.send();
       this.crashExchange.repeatConvictions();
       this.limitExchange.repeat();
@@ -82,11 +74,11 @@
     }
   }
 
-  /** Schedules an update to all agents after a change of the fleet. */
+  /** Schedules updates to agents after a change of the fleet. */
   scheduleUpdate(): void {
     this.timer ??= setTimeout(() => {
       this.timer = undefined;
-      this.sendUpdates(true);
+      this.updates.sendChanges();
     }, changeBatchMs);
   }
 
@@ -100,84 +92,6 @@
     this.limitExchange.recordResponse(handle, perSecond);
   }
 
-  private sendUpdates(isChange: boolean): void {
-    const updates = new Map<string, WeightUpdate | undefined>();
-    this.refreshNotifiers();
-    [...this.directory.all].forEach((handle) => {
-      if (!handle.model) return;
-      const { service, address } = handle.endpoint;
-      if (!updates.has(service)) updates.set(service, this.createWeightUpdate(handle));
-      const update = updates.get(service);
-      const isNotifier = update && this.shouldSendWeights(handle, update.namedMsAgo ?? 0, isChange);
-      const weights = isNotifier ? update : undefined;
-      const reportEveryMs = this.getReportIntervalMs(handle);
-      const value = weights ? { reportEveryMs, weights } : { reportEveryMs };
-      this.datagrams.send({ case: 'fleet', value }, address.split(':')[0]!);
-    });
-  }
-
-  /**
-   * Whether this entry sends weight updates to an agent. After a change all entries of the agent's region
-   * do, at other times a few. Agents of other regions get a new version from one entry of each region,
-   * because the entries of their own region may be cut off from the store.
-   */
-  private shouldSendWeights(
-    { isLocal, endpoint }: EndpointHandle,
-    namedMsAgo: number,
-    isChange: boolean,
-  ): boolean {
-    const { instance, bounds } = this.settings;
-    if (!isLocal) {
-      return (
-        namedMsAgo <= bounds.versionMs &&
-        this.notifiers.isSelected(endpoint.address, notifiersPerAgent.remote)
-      );
-    }
-    if (isChange || !this.state.entryLocations.has(instance)) return true;
-    return this.notifiers.isSelected(endpoint.address, notifiersPerAgent.local);
-  }
-
-  /** Updates the entries from which notifiers are chosen, if the registered entries have changed. */
-  private refreshNotifiers(): void {
-    const { entriesRevision } = this.state;
-    if (entriesRevision === this.notifiersRevision) return;
-    this.notifiersRevision = entriesRevision;
-    this.notifiers.setEntries(this.peers.regionNames);
-  }
-
-  private getReportIntervalMs({ isLocal, region }: EndpointHandle): number {
-    const { local, remote } = this.directory.getCapacitySharers(region);
-    return reportIntervalMs({ entries: isLocal ? local : remote, isLocal });
-  }
-
-  private createWeightUpdate({ endpoint, profile }: EndpointHandle): WeightUpdate | undefined {
-    const engine = profile?.engine;
-    const [model] = engine?.models ?? [];
-    if (!engine || !model) return undefined;
-    const services = this.state.routes?.configuration.services;
-    const origin = [...(services?.values() ?? [])].find((service) => service.origin)?.origin;
-    const named = this.state.namedVersions(model.name);
-    const version = named?.newest ?? 1;
-    const now = this.clock.now();
-    return {
-      model: model.name,
-      version,
-      namedMsAgo: Math.round(now - (named?.namedAt(version) ?? 0)),
-      origin: origin?.address ?? '',
-      originDataCentre: origin?.dataCentre ?? '',
-      originKbitPerS: Math.round((origin?.linkBitsPerSecond ?? 0) / kilobit),
-      layers: engine.layers,
-      chunks: engine.chunks,
-      chunkBytes: engine.chunkBytes,
-      loadMs: Math.round(model.loadMs),
-      members: this.directory.forService(endpoint.service).map((handle) => ({
-        host: handle.endpoint.address.split(':')[0]!,
-        dataCentre: handle.endpoint.dataCentre,
-        version: handle.version ?? 0,
-      })),
-    };
-  }
-
   private handleReport(report: EndpointReport): void {
     const handle = this.directory.findByAddress(report.address);
     if (
--- /dev/null
+++ b/packages/forwarding/src/agentUpdates.ts
@@ -0,0 +1,182 @@
+import type { Clock, FleetSettings } from '@laburnumstream/common';
+import { NotifierSelection, reportIntervalMs } from '@laburnumstream/decisions';
+import type { DatagramContent, FleetDatagrams } from '@laburnumstream/links';
+import type { EndpointDirectory } from './endpointDirectory.js';
+import type { EndpointHandle } from './endpointHandle.js';
+import type { EntryPeers } from './entryPeers.js';
+import type { FleetState } from './fleetState.js';
+
+/** Entries of a region that send weight updates to an agent, in the agent's region and in each other one. */
+const notifiersPerAgent = { local: 4, remote: 1 } as const;
+const kilobit = 1_000;
+
+type Update = Extract<DatagramContent, { case: 'fleet' }>['value'];
+type WeightUpdate = NonNullable<Update['weights']>;
+
+/** An update and the agents that receive it. */
+interface AddressedUpdate {
+  readonly value: Update;
+  readonly hosts: readonly string[];
+}
+
+function getHost({ endpoint }: EndpointHandle): string {
+  return endpoint.address.split(':')[0]!;
+}
+
+/** Describes what agents act on in a weight update; the age of the version changes all the time. */
+function describe({ version, origin, members = [] }: WeightUpdate): string {
+  const holders = members.map((member) => `${member.host} ${member.version}`);
+  return [version, origin, ...holders].join();
+}
+
+/**
+ * Sends updates to the agents of engines: how often to report, and to some of them the wanted weights.
+ * Agents that get the same update share one encoded datagram, as the list of members is long.
+ */
+export class AgentUpdates {
+  private readonly notifiers: NotifierSelection;
+
+  /** Revision of the registered entries from which `notifiers` was built. */
+  private notifiersRevision = -1;
+
+  /** Description of the last weight update, by service. */
+  private readonly descriptions = new Map<string, string>();
+
+  /** Agents that have received an update and are still registered. */
+  private knownHosts = new Set<string>();
+
+  constructor(
+    private readonly settings: FleetSettings,
+    private readonly state: FleetState,
+    private readonly directory: EndpointDirectory,
+    private readonly peers: EntryPeers,
+    private readonly datagrams: Pick<FleetDatagrams, 'sendAll'>,
+    private readonly clock: Clock,
+  ) {
+    this.notifiers = new NotifierSelection(settings.instance);
+  }
+
+  /** Sends the regular update to all agents. */
+  sendRegular(): void {
+    this.send(() => true);
+  }
+
+  /** Sends updates after a change of the fleet: to new agents, and to others if their weights changed. */
+  sendChanges(): void {
+    const { knownHosts } = this;
+    this.send(
+      (handle, weights, isChanged) =>
+        !knownHosts.has(getHost(handle)) || (isChanged && weights !== undefined),
+    );
+  }
+
+  private send(
+    isReceiver: (
+      handle: EndpointHandle,
+      weights: WeightUpdate | undefined,
+      isChanged: boolean,
+    ) => boolean,
+  ): void {
+    this.refreshNotifiers();
+    const engines = [...this.directory.all].filter(({ model }) => model);
+    const weightsByService = this.createWeightUpdates(engines);
+    const changedServices = this.recordChanges(weightsByService);
+    const updates = new Map<string, AddressedUpdate>();
+    engines.forEach((handle) => {
+      const { service } = handle.endpoint;
+      const weights = this.selectWeights(handle, weightsByService.get(service));
+      if (!isReceiver(handle, weights, changedServices.has(service))) return;
+      const reportEveryMs = this.getReportIntervalMs(handle);
+      const key = `${reportEveryMs} ${weights ? service : ''}`;
+      const value = weights ? { reportEveryMs, weights } : { reportEveryMs };
+      const { hosts } = updates.get(key) ?? { hosts: [] };
+      updates.set(key, { value, hosts: [...hosts, getHost(handle)] });
+    });
+    updates.forEach(({ value, hosts }) => this.datagrams.sendAll({ case: 'fleet', value }, hosts));
+    this.knownHosts = new Set(engines.map(getHost));
+  }
+
+  private createWeightUpdates(
+    engines: readonly EndpointHandle[],
+  ): Map<string, WeightUpdate | undefined> {
+    const updates = new Map<string, WeightUpdate | undefined>();
+    engines.forEach((handle) => {
+      const { service } = handle.endpoint;
+      if (!updates.has(service)) updates.set(service, this.createWeightUpdate(handle));
+    });
+    return updates;
+  }
+
+  /** Returns the services whose agents have to act on an update that differs from the last one. */
+  private recordChanges(updates: ReadonlyMap<string, WeightUpdate | undefined>): Set<string> {
+    const changed = new Set<string>();
+    updates.forEach((update, service) => {
+      const description = update ? describe(update) : '';
+      if (this.descriptions.get(service) !== description) changed.add(service);
+      this.descriptions.set(service, description);
+    });
+    return changed;
+  }
+
+  /**
+   * Returns the weight update if this entry sends it to an agent; a few entries do. Agents of other
+   * regions get a new version from one entry of each region, because the entries of their own region may
+   * be cut off from the store.
+   */
+  private selectWeights(
+    { isLocal, endpoint }: EndpointHandle,
+    update: WeightUpdate | undefined,
+  ): WeightUpdate | undefined {
+    const { instance, bounds } = this.settings;
+    if (!isLocal && (update?.namedMsAgo ?? 0) > bounds.versionMs) return undefined;
+    // An entry that is not registered has no rank among the others.
+    const isNotifier =
+      (isLocal && !this.state.entryLocations.has(instance)) ||
+      this.notifiers.isSelected(
+        endpoint.address,
+        isLocal ? notifiersPerAgent.local : notifiersPerAgent.remote,
+      );
+    return isNotifier ? update : undefined;
+  }
+
+  /** Updates the entries from which notifiers are chosen, if the registered entries have changed. */
+  private refreshNotifiers(): void {
+    const { entriesRevision } = this.state;
+    if (entriesRevision === this.notifiersRevision) return;
+    this.notifiersRevision = entriesRevision;
+    this.notifiers.setEntries(this.peers.regionNames);
+  }
+
+  private getReportIntervalMs({ isLocal, region }: EndpointHandle): number {
+    const { local, remote } = this.directory.getCapacitySharers(region);
+    return reportIntervalMs({ entries: isLocal ? local : remote, isLocal });
+  }
+
+  private createWeightUpdate({ endpoint, profile }: EndpointHandle): WeightUpdate | undefined {
+    const engine = profile?.engine;
+    const [model] = engine?.models ?? [];
+    if (!engine || !model) return undefined;
+    const services = this.state.routes?.configuration.services;
+    const origin = [...(services?.values() ?? [])].find((service) => service.origin)?.origin;
+    const named = this.state.namedVersions(model.name);
+    const version = named?.newest ?? 1;
+    const now = this.clock.now();
+    return {
+      model: model.name,
+      version,
+      namedMsAgo: Math.round(now - (named?.namedAt(version) ?? 0)),
+      origin: origin?.address ?? '',
+      originDataCentre: origin?.dataCentre ?? '',
+      originKbitPerS: Math.round((origin?.linkBitsPerSecond ?? 0) / kilobit),
+      layers: engine.layers,
+      chunks: engine.chunks,
+      chunkBytes: engine.chunkBytes,
+      loadMs: Math.round(model.loadMs),
+      members: this.directory.forService(endpoint.service).map((handle) => ({
+        host: getHost(handle),
+        dataCentre: handle.endpoint.dataCentre,
+        version: handle.version ?? 0,
+      })),
+    };
+  }
+}
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -1,4 +1,5 @@
 /** The entry for a platform with its own store: forwards callers' requests to endpoints. */
+export * from './agentUpdates.js';
 export * from './responseCollector.js';
 export * from './connectionPool.js';
 export * from './dispatchQueue.js';
@@ -15,5 +16,6 @@
 export * from './regionalFeed.js';
 export * from './requestCounter.js';
 export * from './entryCounts.js';
+export * from './entryPeers.js';
 export * from './transfer.js';
 export * from './storeMirror.js';
