Read the store from one entry a region in fleets of many regions, with longer batches

The number of readers is bounded for the fleet now (two a region up to three regions, else one), and a batch lasts as long as the most urgent deadline allows: a third of what a failover leaves of it, 333 ms for 2 s, 1 s for 4 s.

A watcher with deadlines of 4 s calls a store that always has changes 10 times in 10 s (before: 20, test in growth.feature). The only reader of a region killed, silent, cut or turned away: in force within 3 s, keys served (feedFailures.feature, 4 of 4; passed with two readers before, too). Ruled out: longer waits of idle watches, as a proof of keys must stay young; renewals, which cost a tenth.

The steps of growth.feature that follow a store moved to support/changingStore.ts.

--- a/features/feedFailures.feature
+++ b/features/feedFailures.feature
@@ -1,15 +1,18 @@
 Feature: Entries that read the store's content from each other
 
   Scenario Outline: number of readers
-    Then of <entries> entries of a region <readers> read the store themselves
+    Then of <entries> entries of one of <regions> regions <readers> read the store themselves
 
     Examples:
-      | entries | readers |
-      | 1       | 1       |
-      | 2       | 2       |
-      | 3       | 2       |
-      | 12      | 2       |
-      | 150     | 2       |
+      | entries | regions | readers |
+      | 1       | 3       | 1       |
+      | 2       | 3       | 2       |
+      | 3       | 3       | 2       |
+      | 12      | 3       | 2       |
+      | 150     | 2       | 2       |
+      | 20      | 4       | 1       |
+      | 20      | 5       | 1       |
+      | 20      | 12      | 1       |
 
   Scenario: reader that failed
     Then the next entry takes the place of a reader that failed, for 5 seconds
@@ -28,6 +31,21 @@
       | fall silent             |
       | are cut from the store  |
 
+  # With many regions one entry of each reads the store, so no other reader is ready when it fails.
+  Scenario Outline: only reader of a region
+    Given 6 entries behind a link that is narrow for them, in a fleet of 5 regions
+    When the readers <fault>
+    And 1 configurations with 1680 more routes are written 0 seconds apart
+    Then each is in force at the other entries within 3 seconds
+    And the other entries answer requests with a key for 6 seconds
+
+    Examples:
+      | fault                        |
+      | are killed                   |
+      | fall silent                  |
+      | are cut from the store       |
+      | are turned away by the store |
+
   # Guards against entries that follow a reader whose calls the store refuses: a refusal counted as progress.
   Scenario Outline: readers that the store turns away
     Given 6 entries behind a link that is narrow for them
--- a/features/growth.feature
+++ b/features/growth.feature
@@ -50,3 +50,21 @@
     When each of 2000 senders sends one datagram, one each 20 ms
     Then at most 400 of them are remembered
     And datagrams are accepted as if none were forgotten, for any history
+
+  Scenario Outline: time in which changes of the store are batched
+    Then <entries> entries batch changes for <window> ms where one must take effect within <deadline> ms
+
+    Examples:
+      | entries | deadline | window |
+      | 7       | 1000     | 250    |
+      | 7       | 2000     | 333    |
+      | 38      | 2000     | 500    |
+      | 38      | 3000     | 667    |
+      | 15      | 4000     | 1000   |
+      | 700     | 4000     | 1000   |
+
+  # Guards against calls whose number grows with each change of an engine: the deadlines of the users' largest
+  # fleet leave time for a longer batch.
+  Scenario: a store that always has changes, and late deadlines
+    When an entry among 99 with deadlines of 4 seconds follows a store with a change each 20 ms for 10 seconds
+    Then it calls it at most 11 times
--- a/features/steps/feedFailures.steps.ts
+++ b/features/steps/feedFailures.steps.ts
@@ -24,17 +24,17 @@
   return Array.from({ length: count }, (_, index) => `front-${index}`);
 }
 
-function createReaders(self: string, names: readonly string[]): FeedReaders {
-  const readers = new FeedReaders(self);
+function createReaders(self: string, names: readonly string[], regions = 2): FeedReaders {
+  const readers = new FeedReaders(self, regions);
   readers.setEntries(names);
   return readers;
 }
 
 Then(
-  /^of (\d+) entries of a region (\d+) read the store themselves$/,
-  (entries: string, expected: string) => {
+  /^of (\d+) entries of one of (\d+) regions (\d+) read the store themselves$/,
+  (entries: string, regions: string, expected: string) => {
     const names = createNames(Number(entries));
-    const sources = names.map((name) => createReaders(name, names).pickSource(0));
+    const sources = names.map((name) => createReaders(name, names, Number(regions)).pickSource(0));
     assert.equal(sources.filter((source) => source === undefined).length, Number(expected));
     const readers = names.filter((_name, index) => sources[index] === undefined);
     sources.forEach((source) => assert.ok(source === undefined || readers.includes(source)));
--- a/features/steps/feedReview.steps.ts
+++ b/features/steps/feedReview.steps.ts
@@ -7,11 +7,11 @@
 import { storeCodec } from '@laburnumstream/platform';
 import { HistogramMetrics } from '@laburnumstream/runtime';
 import { VirtualClock } from '@laburnumstream/standins';
+import { platformBounds } from '../support/platformBounds.js';
 import type { RemoteRegion } from '../support/remoteRegion.js';
 
 const msPerSecond = 1_000;
 const model = 'daka510000';
-const versionMs = 8_000;
 const firstRevision = 10;
 const lastRevision = 20;
 const readersPerRegion = 2;
@@ -132,7 +132,7 @@
     clock,
     metrics,
     log,
-    versionMs,
+    platformBounds,
   );
   const abort = new AbortController();
   void watcher.run(abort.signal);
--- a/features/steps/growth.steps.ts
+++ b/features/steps/growth.steps.ts
@@ -2,22 +2,10 @@
 import { Then, When } from '@cucumber/cucumber';
 import fc from 'fast-check';
 import { freePorts } from '@laburnumstream/bench';
-import { SeededRandom, SleepAwareClock, Unavailable } from '@laburnumstream/common';
-import type { StoreFeed } from '@laburnumstream/common';
-import {
-  ConfigurationFreshness,
-  EndpointLoad,
-  PeerLoads,
-  RequestStage,
-  bestPlacement,
-} from '@laburnumstream/decisions';
-import { DispatchQueue, FleetWatcher, FleetState } from '@laburnumstream/forwarding';
-import type {
-  EndpointSource,
-  EndpointHandle,
-  FleetDecoder,
-  PlacementRequest,
-} from '@laburnumstream/forwarding';
+import { SeededRandom, Unavailable } from '@laburnumstream/common';
+import { EndpointLoad, PeerLoads, RequestStage, bestPlacement } from '@laburnumstream/decisions';
+import { DispatchQueue, FleetState } from '@laburnumstream/forwarding';
+import type { EndpointSource, EndpointHandle, PlacementRequest } from '@laburnumstream/forwarding';
 import { FleetDatagrams } from '@laburnumstream/links';
 import { SystemClock } from '@laburnumstream/runtime';
 import { VirtualClock } from '@laburnumstream/standins';
@@ -25,11 +13,11 @@
 import {
   LargeFleet,
   anyEndpoint,
-  createEndpoint,
   testService,
   noopMetrics,
   noopLog,
 } from '../support/largeFleet.js';
+import { countStoreCalls, createStaticStore, createWatcher } from '../support/changingStore.js';
 import { countVisits } from '../support/visits.js';
 
 /**
@@ -250,48 +238,6 @@
   assert.deepEqual(this.placedOn, []);
 });
 
-/** Creates a store with `count` endpoints that never change, and the codec of its values. */
-function createStaticStore(count: number): { store: StoreFeed; codec: FleetDecoder } {
-  const values = Array.from({ length: count }, (_, index) => ({
-    key: `${index}`,
-    value: '',
-    revision: 1,
-  }));
-  const store: StoreFeed = {
-    snapshot: () => Promise.resolve({ values, revision: 1 }),
-    changes: (_prefix, _after, _waitMs, signal) =>
-      new Promise((_resolve, reject) => {
-        signal?.addEventListener('abort', () => reject(new Unavailable('The test is over.', 0)));
-      }),
-  };
-  const codec: FleetDecoder = {
-    prefix: '',
-    decode: ({ key }) => ({ kind: 'endpoint', id: `e${key}`, endpoint: createEndpoint(+key) }),
-  };
-  return { store, codec };
-}
-
-/** Creates a watcher that applies the store's content to a fleet state. */
-function createWatcher(
-  { store, codec }: { store: StoreFeed; codec: FleetDecoder },
-  state: FleetState,
-  clock: VirtualClock,
-): FleetWatcher {
-  const proof = new ConfigurationFreshness(4_600, 2_500);
-  const proofClock = new SleepAwareClock(clock);
-  return new FleetWatcher(
-    store,
-    codec,
-    state,
-    proof,
-    proofClock,
-    clock,
-    noopMetrics,
-    noopLog,
-    8_000,
-  );
-}
-
 When('an entry reads a list with 700 endpoints', async function read(this: GrowthWorld) {
   this.routingTableBuilds = 0;
   const abort = new AbortController();
@@ -354,31 +300,6 @@
   assert.equal(this.contentReads.get(11), this.contentReads.get(1));
 });
 
-/** Counts one entry's calls in 10 s to a store that responds to each watch after 20 ms with a change. */
-async function countStoreCalls(entries: number): Promise<number> {
-  const abort = new AbortController();
-  const { clock, state } = new LargeFleet(entries, 1);
-  const { store, codec } = createStaticStore(entries);
-  let calls = 0;
-  const changing: StoreFeed = {
-    snapshot: (prefix, signal) => store.snapshot(prefix, signal),
-    async changes(_prefix, after) {
-      calls += 1;
-      await clock.sleep(20);
-      return { changes: [{ key: '0', value: '', revision: after + 1 }], revision: after + 1 };
-    },
-  };
-  const location = { host: '10.0.0.0', dataCentre: 'a' };
-  const registering: FleetDecoder = {
-    ...codec,
-    decode: ({ key }) => ({ kind: 'entry', name: `front-${key}`, location }),
-  };
-  void createWatcher({ store: changing, codec: registering }, state, clock).run(abort.signal);
-  await clock.runUntil(10_000);
-  abort.abort();
-  return calls;
-}
-
 When(
   '7 and 38 entries follow a store with a change each 20 ms for 10 seconds',
   async function follow(this: GrowthWorld) {
--- a/features/steps/growthPlans.steps.ts
+++ b/features/steps/growthPlans.steps.ts
@@ -1,6 +1,16 @@
 import assert from 'node:assert/strict';
-import { Then } from '@cucumber/cucumber';
-import { NotifierSelection, reportIntervalMs } from '@laburnumstream/decisions';
+import { Then, When, World } from '@cucumber/cucumber';
+import {
+  NotifierSelection,
+  changeBatchWindowMs,
+  reportIntervalMs,
+} from '@laburnumstream/decisions';
+import { countStoreCalls } from '../support/changingStore.js';
+import { platformBounds } from '../support/platformBounds.js';
+
+interface GrowthPlansWorld extends World {
+  callsOfOne: number;
+}
 
 const entryCounts = [10, 100, 700] as const;
 const maxSenders = 4;
@@ -50,3 +60,29 @@
   assert.equal(reportIntervalMs({ entries: 12, isLocal: true }), 150);
   assert.equal(reportIntervalMs({ entries: 22, isLocal: false }), 450);
 });
+
+Then(
+  '{int} entries batch changes for {int} ms where one must take effect within {int} ms',
+  (entries: number, windowMs: number, deadlineMs: number) => {
+    assert.equal(Math.round(changeBatchWindowMs(entries, deadlineMs)), windowMs);
+  },
+);
+
+When(
+  'an entry among {int} with deadlines of {int} seconds follows a store with a change each 20 ms for 10 seconds',
+  async function follow(this: GrowthPlansWorld, entries: number, seconds: number) {
+    const deadlineMs = seconds * secondMs;
+    const bounds = {
+      ...platformBounds,
+      drainMs: deadlineMs,
+      configurationMs: deadlineMs,
+      evacuationMs: deadlineMs,
+      revocationMs: deadlineMs,
+    };
+    this.callsOfOne = await countStoreCalls(entries, bounds);
+  },
+);
+
+Then('it calls it at most {int} times', function few(this: GrowthPlansWorld, most: number) {
+  assert.ok(this.callsOfOne > 5 && this.callsOfOne <= most, `${this.callsOfOne} calls`);
+});
--- a/features/steps/largeConfiguration.steps.ts
+++ b/features/steps/largeConfiguration.steps.ts
@@ -16,10 +16,10 @@
 }
 
 Given(
-  /^(\d+) entries behind a link that is narrow for them$/,
+  /^(\d+) entries behind a link that is narrow for them(?:, in a fleet of (\d+) regions)?$/,
   { timeout: 20_000 },
-  async function start(this: LargeConfigurationWorld, count: string) {
-    this.region = await RemoteRegion.start(Number(count));
+  async function start(this: LargeConfigurationWorld, count: string, regions: string | null) {
+    this.region = await RemoteRegion.start(Number(count), Number(regions ?? 2));
   },
 );
 
--- a/features/steps/platformPrograms.steps.ts
+++ b/features/steps/platformPrograms.steps.ts
@@ -11,6 +11,7 @@
 import { HistogramMetrics, SystemClock } from '@laburnumstream/runtime';
 import { PlatformStore } from '@laburnumstream/standins';
 import { eventually } from '../support/assertions.js';
+import { platformBounds } from '../support/platformBounds.js';
 import {
   PlatformFleet,
   createConfiguration,
@@ -121,7 +122,7 @@
     clock,
     metrics,
     silentLog,
-    8_000,
+    platformBounds,
   );
   void watcher.run(world.watcherAbort.signal);
 }
--- a/features/support/remoteRegion.ts
+++ b/features/support/remoteRegion.ts
@@ -26,10 +26,16 @@
 const requestIntervalMs = 250;
 const homeRegion = 'home';
 const remoteRegion = 'remote';
-const regions = new Map([
-  ['home-a', homeRegion],
-  ['remote-a', remoteRegion],
-]);
+
+/** Regions by data centre: the home region, the remote one and others without entries. */
+function createRegions(count: number): Map<string, string> {
+  const others = Array.from({ length: count - 2 }, (_, index): [string, string] => [
+    `other-${index}-a`,
+    `other-${index}`,
+  ]);
+  return new Map([['home-a', homeRegion], ['remote-a', remoteRegion], ...others]);
+}
+
 /** Bounds as on the users' deployments. */
 const bounds = { ...platformBounds, configurationMs: 3_000, revocationMs: 5_000 };
 /** Bandwidth for each entry of the remote region, as on the users' grown deployments. */
@@ -100,10 +106,11 @@
     readonly link: NarrowLink,
     readonly homeEngine: PlatformEngine,
     readonly remoteEngine: PlatformEngine,
+    private readonly regions: ReadonlyMap<string, string>,
   ) {}
 
-  /** Starts the store, the link, an engine in each region and `count` entries in the remote one. */
-  static async start(count: number): Promise<RemoteRegion> {
+  /** Starts the store, the link, an engine in two of the regions and `count` entries in the remote one. */
+  static async start(count: number, regionCount = 2): Promise<RemoteRegion> {
     const store = await PlatformStore.start();
     const port = Number(store.address.split(':')[1]);
     const link = await NarrowLink.start(port, linkBytesPerSecondPerEntry * count);
@@ -111,7 +118,13 @@
       PlatformEngine.start('e-home', Behaviours.answers),
       PlatformEngine.start('e-remote', Behaviours.answers),
     ]);
-    const region = new RemoteRegion(store, link, homeEngine, remoteEngine);
+    const region = new RemoteRegion(
+      store,
+      link,
+      homeEngine,
+      remoteEngine,
+      createRegions(regionCount),
+    );
     region.writeConfiguration(0);
     region.registerEngine(homeEngine, 'home-a');
     region.registerEngine(remoteEngine, 'remote-a');
@@ -239,7 +252,7 @@
   }
 
   private isReader({ settings }: RunningEntry): boolean {
-    const readers = new FeedReaders(settings.instance);
+    const readers = new FeedReaders(settings.instance, new Set(settings.regions.values()).size);
     readers.setEntries(this.entries.map((entry) => entry.settings.instance));
     return readers.pickSource(0) === undefined;
   }
@@ -269,7 +282,7 @@
       host,
       dataCentre: 'remote-a',
       region: remoteRegion,
-      regions,
+      regions: this.regions,
       firstPort,
       linkBitsPerSecond: 1e9,
       store: { address: storeRelay.address, minLeaseMs: 1_000 },
--- a/features/support/watchHistory.ts
+++ b/features/support/watchHistory.ts
@@ -190,7 +190,6 @@
   const proofClock = new SleepAwareClock(instance);
   const codec = { prefix, decode };
   const store = new SimulatedStore(history, clock, instance);
-  const { versionMs } = platformBounds;
   const watcher = new FleetWatcher(
     store,
     codec,
@@ -200,7 +199,7 @@
     instance,
     metrics,
     silentLog,
-    versionMs,
+    platformBounds,
   );
   const abort = new AbortController();
   void watcher.run(abort.signal);
--- a/packages/decisions/src/forwarding/feedReaders.ts
+++ b/packages/decisions/src/forwarding/feedReaders.ts
@@ -1,7 +1,9 @@
 import { rendezvousOrder } from '@laburnumstream/common';
 
-/** Entries of a region that read the store themselves; two, so that one may fail. */
-const readersPerRegion = 2;
+/** Entries of a region that read the store themselves: while there are two, one may fail. */
+const maxReadersPerRegion = 2;
+/** Entries of all regions that read the store: each of them costs a call for each batch of changes. */
+const maxReaders = 6;
 /** Time for which an entry that failed as a source is avoided, in milliseconds. */
 const avoidanceMs = 5_000;
 const orderKey = 'store feed';
@@ -14,13 +16,20 @@
   /** Entries of the region in the order in which they become readers. */
   private order: readonly string[] = [];
 
+  private readonly readersPerRegion: number;
+
   /** Time until which an entry is avoided, by name. */
   private readonly avoidedUntil = new Map<string, number>();
 
   constructor(
     /** Name of this entry. */
     private readonly self: string,
-  ) {}
+    /** Number of regions in the fleet. */
+    regions: number,
+  ) {
+    const share = Math.floor(maxReaders / regions);
+    this.readersPerRegion = Math.min(maxReadersPerRegion, Math.max(1, share));
+  }
 
   /** Replaces the names of the region's entries. */
   setEntries(names: readonly string[]): void {
@@ -37,13 +46,13 @@
 
   /** Whether there are entries that read from others. */
   get hasFollowers(): boolean {
-    return this.order.length > readersPerRegion;
+    return this.order.length > this.readersPerRegion;
   }
 
   /** Returns the entry to read from, or undefined if this entry is to read the store itself. */
   pickSource(now: number): string | undefined {
     const usable = this.order.filter((name) => (this.avoidedUntil.get(name) ?? -Infinity) <= now);
-    const readers = usable.slice(0, readersPerRegion);
+    const readers = usable.slice(0, this.readersPerRegion);
     if (readers.includes(this.self)) return undefined;
     return rendezvousOrder(this.self, readers, (name) => name)[0];
   }
--- a/packages/forwarding/src/fleetWatcher.ts
+++ b/packages/forwarding/src/fleetWatcher.ts
@@ -1,6 +1,7 @@
 import { HistoryLost, InvalidInput, SleepAwareClock, toFailure } from '@laburnumstream/common';
 import type {
   Clock,
+  FleetBounds,
   Log,
   Metrics,
   Provenance,
@@ -77,13 +78,12 @@
     private readonly clock: Clock,
     private readonly metrics: Metrics,
     private readonly log: Log,
-    /** Time after a version is named at which older ones must no longer be used, in milliseconds. */
-    versionMs: number,
+    private readonly bounds: FleetBounds,
   ) {
     this.lastResponseAt = clock.now();
     this.callCounter = new StoreCallCounter(metrics);
     // It is unknown when the versions in the first snapshot were named, so they count as nearly due.
-    this.changeLookbackMs = Math.max(0, versionMs - restartGraceMs);
+    this.changeLookbackMs = Math.max(0, bounds.versionMs - restartGraceMs);
   }
 
   /** Watches the store until the signal is aborted. */
@@ -114,6 +114,12 @@
     return this.deferredRemovals.hasPending ? deferredWatchTimeoutMs : watchTimeoutMs;
   }
 
+  private get batchWindowMs(): number {
+    const { drainMs, configurationMs, evacuationMs, revocationMs } = this.bounds;
+    const deadlineMs = Math.min(drainMs, configurationMs, evacuationMs, revocationMs);
+    return changeBatchWindowMs(this.state.entryCount, deadlineMs);
+  }
+
   /** Returns the time before the call at which the store confirmed the content, in milliseconds. */
   private async loadSnapshot(signal: AbortSignal): Promise<number> {
     const { values, revision, provenance } = await this.store.snapshot(this.codec.prefix, signal);
@@ -139,8 +145,7 @@
       changedAt,
     );
     this.revision = Math.max(after, revision);
-    if (changes.length > 0)
-      await this.clock.sleep(changeBatchWindowMs(this.state.entryCount), signal);
+    if (changes.length > 0) await this.clock.sleep(this.batchWindowMs, signal);
     return provenance?.proofAgeMs ?? 0;
   }
 
--- a/packages/forwarding/src/forwardingEntry.ts
+++ b/packages/forwarding/src/forwardingEntry.ts
@@ -110,7 +110,7 @@
       clock,
       metrics,
       log('store'),
-      bounds.versionMs,
+      bounds,
     );
     this.directory = new EndpointDirectory(
       settings,
--- a/packages/forwarding/src/regionalFeed.ts
+++ b/packages/forwarding/src/regionalFeed.ts
@@ -86,7 +86,7 @@
       () => this.source,
       log,
     );
-    this.readers = new FeedReaders(settings.instance);
+    this.readers = new FeedReaders(settings.instance, new Set(settings.regions.values()).size);
     this.peers = new EntryPeers(settings, state);
   }
 
