Broadcast loads only where entries share them

Changes at plain services and at engines of other regions scheduled a datagram to each entry of the region that told nothing new. Test in agentUpdates.feature; on the code before, all three examples would send one (the callback knew no endpoint). Costs not measured alone.

--- a/features/agentUpdates.feature
+++ b/features/agentUpdates.feature
@@ -33,3 +33,15 @@
     When it sends its regular update
     And a version is named
     Then agents of its own and of other regions get the version
+
+  # Guards against broadcasts to all entries of the region that tell nothing new.
+  Scenario Outline: load at <endpoint>
+    Given an entry among 99 with 10 engines
+    When its load at <endpoint> changes
+    Then <broadcasts> broadcasts of its load are sent
+
+    Examples:
+      | endpoint                    | broadcasts |
+      | an engine of its region     | 1          |
+      | an engine of another region | 0          |
+      | a plain endpoint            | 0          |
--- a/features/steps/agentUpdates.steps.ts
+++ b/features/steps/agentUpdates.steps.ts
@@ -1,7 +1,8 @@
 import assert from 'node:assert/strict';
+import { setTimeout as sleep } from 'node:timers/promises';
 import { Given, Then, When, World } from '@cucumber/cucumber';
 import { NotifierSelection } from '@laburnumstream/decisions';
-import { AgentUpdates, EntryPeers } from '@laburnumstream/forwarding';
+import { AgentUpdates, EntryPeers, LoadBroadcast } from '@laburnumstream/forwarding';
 import type { DatagramContent } from '@laburnumstream/links';
 import { storeCodec } from '@laburnumstream/platform';
 import { LargeFleet, createEndpoint } from '../support/largeFleet.js';
@@ -20,9 +21,15 @@
   engines: number;
   updates: AgentUpdates;
   sent: SentUpdate[];
+  /** Number of broadcasts of the entry's load. */
+  loads: number;
 }
 
 const notifiers = 4;
+/** Index of an endpoint of a plain service in the entry's region. */
+const plainIndex = 600;
+/** Time in which a scheduled broadcast is sent, in milliseconds. */
+const broadcastWaitMs = 300;
 
 function addEngine(
   { largeFleet: { state, directory } }: UpdateWorld,
@@ -158,3 +165,32 @@
   assert.ok(told.some(({ isLocal }) => isLocal));
   assert.ok(told.some(({ isLocal }) => !isLocal));
 });
+
+const endpointIndices: Readonly<Record<string, number>> = {
+  'an engine of its region': 0,
+  'an engine of another region': 3,
+  'a plain endpoint': plainIndex,
+};
+
+When(/^its load at (.+) changes$/, function change(this: UpdateWorld, endpoint: string) {
+  const { settings, state, directory, clock } = this.largeFleet;
+  state.setEndpoint(createEndpoint(plainIndex));
+  directory.refresh();
+  this.loads = 0;
+  const datagrams = {
+    sendAll: ({ case: kind }: DatagramContent): void => {
+      if (kind === 'load') this.loads += 1;
+    },
+  };
+  const peers = new EntryPeers(settings, state);
+  const broadcast = new LoadBroadcast(peers, directory, datagrams, clock);
+  broadcast.recordChange(directory.get(`e${endpointIndices[endpoint]!}`)!);
+});
+
+Then(
+  '{int} broadcasts of its load are sent',
+  async function broadcasts(this: UpdateWorld, count: number) {
+    await sleep(broadcastWaitMs);
+    assert.equal(this.loads, count);
+  },
+);
--- a/packages/forwarding/src/agentLinks.ts
+++ b/packages/forwarding/src/agentLinks.ts
@@ -83,8 +83,8 @@
   }
 
   /** Schedules a broadcast after this entry's load at an endpoint has changed. */
-  handleLoadChange(): void {
-    this.loadBroadcast.schedule();
+  handleLoadChange(handle: EndpointHandle): void {
+    this.loadBroadcast.recordChange(handle);
   }
 
   /** Records that a response of an endpoint named a limit on its requests, or none. */
--- a/packages/forwarding/src/forwardingEntry.ts
+++ b/packages/forwarding/src/forwardingEntry.ts
@@ -163,7 +163,7 @@
       directory: this.directory,
       guard,
       budget: new SharedRetryBudget(bound, () => entryCounts.forRetries),
-      onLoadChange: () => this.agents.handleLoadChange(),
+      onLoadChange: (handle: EndpointHandle) => this.agents.handleLoadChange(handle),
       onNamedLimit: (handle: EndpointHandle, perSecond: number | undefined) =>
         this.agents.recordNamedLimit(handle, perSecond),
       statements: new StatementRecorder(this.directory.statements, clock, metrics, log('sidecars')),
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -10,6 +10,7 @@
 export * from './forwardingEntry.js';
 export * from './headerCodec.js';
 export * from './heads.js';
+export * from './loadBroadcast.js';
 export * from './fleetWatcher.js';
 export * from './fleetState.js';
 export * from './refusal.js';
--- a/packages/forwarding/src/loadBroadcast.ts
+++ b/packages/forwarding/src/loadBroadcast.ts
@@ -19,15 +19,20 @@
   constructor(
     private readonly peers: EntryPeers,
     private readonly directory: EndpointDirectory,
-    private readonly datagrams: FleetDatagrams,
+    private readonly datagrams: Pick<FleetDatagrams, 'sendAll'>,
     private readonly clock: Clock,
   ) {}
 
+  /** Broadcasts a change of this entry's load at an endpoint soon, if entries share the loads there. */
+  recordChange(handle: EndpointHandle): void {
+    if (LoadBroadcast.isShared(handle)) this.schedule();
+  }
+
   /**
    * Schedules a broadcast that batches further changes. The delay grows with the number of peers, so that
    * the rate of datagrams does not.
    */
-  schedule(): void {
+  private schedule(): void {
     if (this.timer) return;
     const groups = Math.max(1, Math.ceil(this.peers.regionHosts.length / peersPerGroup));
     this.timer = setTimeout(() => {
@@ -59,7 +64,12 @@
     });
   }
 
+  /** Entries tell each other their loads at the engines of their own region. */
+  private static isShared({ model, isLocal }: EndpointHandle): boolean {
+    return model !== undefined && isLocal;
+  }
+
   private get engines(): EndpointHandle[] {
-    return [...this.directory.all].filter(({ model, isLocal }) => model && isLocal);
+    return [...this.directory.all].filter((handle) => LoadBroadcast.isShared(handle));
   }
 }
--- a/packages/forwarding/src/requestAttempts.ts
+++ b/packages/forwarding/src/requestAttempts.ts
@@ -51,7 +51,7 @@
   readonly guard: CrashGuard;
   readonly budget: SharedRetryBudget;
   /** Called when this entry's load at an endpoint has changed. */
-  readonly onLoadChange: () => void;
+  readonly onLoadChange: (endpoint: EndpointHandle) => void;
   /** Called with the requests per second that a response names as the endpoint's limit, if any. */
   readonly onNamedLimit: (endpoint: EndpointHandle, perSecond: number | undefined) => void;
   readonly statements: StatementRecorder;
@@ -350,20 +350,20 @@
       if (isPrefilled) return;
       isPrefilled = true;
       handle.load.recordPrefill(prefillMs);
-      onLoadChange();
+      onLoadChange(handle);
     };
     const markEnded = (): void => {
       if (hasEnded) return;
       hasEnded = true;
       markPrefilled();
       handle.load.recordEnd();
-      onLoadChange();
+      onLoadChange(handle);
       queue.dispatch(exchange.service, handle);
     };
     this.sendCount += 1;
     guard.recordSend(exchange);
     handle.load.recordStart(prefillMs);
-    onLoadChange();
+    onLoadChange(handle);
     call.start();
     return { handle, call, markPrefilled, markEnded };
   }
