--- a/packages/links/src/fleetDatagrams.ts
+++ b/packages/links/src/fleetDatagrams.ts
@@ -1,5 +1,5 @@
 import { createSocket } from 'node:dgram';
-import type { Socket } from 'node:dgram';
+import type { Socket, SocketOptions } from 'node:dgram';
 import { create, fromBinary, toBinary } from '@bufbuild/protobuf';
 import type { MessageInitShape } from '@bufbuild/protobuf';
 import { toFailure } from '@laburnumstream/common';
@@ -16,6 +16,8 @@
 } from '@laburnumstream/protocol';
 import { DatagramOrder } from './datagramOrder.js';
 
+const ipVersion = 4;
+
 /** Content of a datagram. */
 export type DatagramContent = NonNullable<MessageInitShape<typeof DatagramSchema>['content']>;
 
@@ -37,12 +39,16 @@
   limits?(limits: EndpointLimits, from: DatagramSource): void;
 }
 
+/** Resolves IP addresses to themselves at once: Node.js would defer each datagram for a look-up. */
+const resolveAddress: NonNullable<SocketOptions['lookup']> = (address, _options, callback) =>
+  callback(null, address, ipVersion);
+
 /**
  * Sends and receives datagrams between the system's own processes. Drops duplicates and datagrams that
  * arrive after a later one of the same sender.
  */
 export class FleetDatagrams {
-  private readonly socket: Socket = createSocket('udp4');
+  private readonly socket: Socket = createSocket({ type: 'udp4', lookup: resolveAddress });
 
   private readonly order = new DatagramOrder();
 
