Renew an agent's subscription and its weights every third second

Each entry sent a datagram to each agent each second, and each agent decoded the list of all members four times a second, although changes are sent at once and a new version is repeated each second while it is to be taken up. An agent keeps a silent entry's subscription for three updates (10 s, 4 s before), so it sends more datagrams to entries that have ended.

--- a/features/agentUpdates.feature
+++ b/features/agentUpdates.feature
@@ -9,6 +9,20 @@
     And 4 entries send the weights to each agent of their region
     And at most 4 datagrams were encoded
 
+  Scenario: regular updates are spread over rounds
+    Given an entry among 99 with 150 engines
+    When it sends its regular update
+    And 6 rounds have passed
+    Then each agent got 2 updates
+    And at most 75 agents got one in a round
+
+  # Guards against agents that miss the only datagram with a new version.
+  Scenario: version that was named lately
+    Given an entry among 99 with 150 engines
+    When a version is named
+    And 6 rounds have passed
+    Then each agent that gets the weights from this entry got them 6 times
+
   Scenario: change that agents do not act on
     Given an entry among 99 with 150 engines
     When it sends its regular update
--- a/features/steps/agentUpdates.steps.ts
+++ b/features/steps/agentUpdates.steps.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { Given, Then, When, World } from '@cucumber/cucumber';
+import { SeededRandom } from '@laburnumstream/common';
 import { NotifierSelection } from '@laburnumstream/decisions';
 import { AgentUpdates, EntryPeers, LoadBroadcast } from '@laburnumstream/forwarding';
 import type { DatagramContent } from '@laburnumstream/links';
@@ -21,6 +22,8 @@
   engines: number;
   updates: AgentUpdates;
   sent: SentUpdate[];
+  /** Number of agents that got an update, by round. */
+  perRound: number[];
   /** Number of broadcasts of the entry's load. */
   loads: number;
 }
@@ -84,7 +87,8 @@
     };
     const peers = new EntryPeers(settings, state);
     this.sent = [];
-    this.updates = new AgentUpdates(settings, state, directory, peers, datagrams, clock);
+    const random = new SeededRandom(1);
+    this.updates = new AgentUpdates(settings, state, directory, peers, datagrams, clock, random);
     await clock.runUntil(settings.bounds.versionMs * 2);
   },
 );
@@ -93,6 +97,15 @@
   this.updates.sendRegular();
 });
 
+When('{int} rounds have passed', function pass(this: UpdateWorld, rounds: number) {
+  this.sent = [];
+  this.perRound = Array.from({ length: rounds }, () => {
+    const before = this.sent.length;
+    this.updates.sendRegular();
+    return this.sent.slice(before).flatMap(({ hosts }) => hosts).length;
+  });
+});
+
 When('an engine is cold for longer', function warm(this: UpdateWorld) {
   this.sent = [];
   addEngine(this, 7, 1_000);
@@ -118,6 +131,18 @@
   this.updates.sendChanges();
 });
 
+Then('each agent got {int} updates', function times(this: UpdateWorld, count: number) {
+  const hosts = this.sent.flatMap((update) => update.hosts);
+  const counts = new Map<string, number>();
+  hosts.forEach((host) => counts.set(host, (counts.get(host) ?? 0) + 1));
+  assert.equal(counts.size, this.engines);
+  assert.ok([...counts.values()].every((each) => each === count));
+});
+
+Then('at most {int} agents got one in a round', function spread(this: UpdateWorld, most: number) {
+  assert.ok(Math.max(...this.perRound) <= most, this.perRound.join());
+});
+
 Then('each agent gets one update', function each(this: UpdateWorld) {
   const hosts = this.sent.flatMap((update) => update.hosts);
   assert.equal(hosts.length, this.engines);
@@ -194,3 +219,13 @@
     assert.equal(this.loads, count);
   },
 );
+
+Then(
+  'each agent that gets the weights from this entry got them {int} times',
+  function repeated(this: UpdateWorld, count: number) {
+    const hosts = hostsWithWeights(this);
+    findNotified(this).forEach((host) =>
+      assert.equal(hosts.filter((each) => each === host).length, count),
+    );
+  },
+);
--- a/packages/forwarding/src/agentLinks.ts
+++ b/packages/forwarding/src/agentLinks.ts
@@ -12,7 +12,7 @@
 import { LimitExchange } from './limitExchange.js';
 import { LoadBroadcast } from './loadBroadcast.js';
 
-/** Interval between two updates to each agent, in milliseconds. */
+/** Interval between two rounds of updates to agents and other entries, in milliseconds. */
 const updateIntervalMs = 1_000;
 /** Time in which changes are batched into one update, in milliseconds. */
 const changeBatchMs = 15;
@@ -57,7 +57,15 @@
     };
     this.datagrams = new FleetDatagrams(settings.instance, handlers, clock, metrics, log);
     this.peers = new EntryPeers(settings, state);
-    this.updates = new AgentUpdates(settings, state, directory, this.peers, this.datagrams, clock);
+    this.updates = new AgentUpdates(
+      settings,
+      state,
+      directory,
+      this.peers,
+      this.datagrams,
+      clock,
+      random,
+    );
     this.loadBroadcast = new LoadBroadcast(this.peers, directory, this.datagrams, clock);
     this.limitExchange = new LimitExchange(this.peers, directory, this.datagrams, clock, log);
     this.crashExchange = new CrashExchange(this.peers, guard, this.datagrams);
--- a/packages/forwarding/src/agentUpdates.ts
+++ b/packages/forwarding/src/agentUpdates.ts
@@ -1,4 +1,4 @@
-import type { Clock, FleetSettings } from '@laburnumstream/common';
+import type { Clock, FleetSettings, Random } from '@laburnumstream/common';
 import { NotifierSelection, reportIntervalMs } from '@laburnumstream/decisions';
 import type { DatagramContent, FleetDatagrams } from '@laburnumstream/links';
 import type { EndpointDirectory } from './endpointDirectory.js';
@@ -8,6 +8,8 @@
 
 /** Entries of a region that send weight updates to an agent, in the agent's region and in each other one. */
 const notifiersPerAgent = { local: 4, remote: 1 } as const;
+/** Rounds from one regular update of an agent to the next. */
+const roundsPerUpdate = 3;
 const kilobit = 1_000;
 
 type Update = Extract<DatagramContent, { case: 'fleet' }>['value'];
@@ -42,8 +44,11 @@
   /** Description of the last weight update, by service. */
   private readonly descriptions = new Map<string, string>();
 
-  /** Agents that have received an update and are still registered. */
-  private knownHosts = new Set<string>();
+  /** Round in which each agent is due for its next regular update, by host. */
+  private dueRounds = new Map<string, number>();
+
+  /** Number of rounds of regular updates. */
+  private round = 0;
 
   constructor(
     private readonly settings: FleetSettings,
@@ -52,24 +57,35 @@
     private readonly peers: EntryPeers,
     private readonly datagrams: Pick<FleetDatagrams, 'sendAll'>,
     private readonly clock: Clock,
+    private readonly random: Random,
   ) {
     this.notifiers = new NotifierSelection(settings.instance);
   }
 
-  /** Sends the regular update to all agents. */
+  /**
+   * Sends the regular update to a part of the agents, so that each gets one every few rounds. A version
+   * that was named lately is repeated in each round, as agents must learn of it in time.
+   */
   sendRegular(): void {
-    this.send(() => true);
+    this.round += 1;
+    const { versionMs } = this.settings.bounds;
+    this.send(
+      (handle, weights) => this.isDue(handle) || (weights?.namedMsAgo ?? Infinity) <= versionMs,
+    );
   }
 
   /** Sends updates after a change of the fleet: to new agents, and to others if their weights changed. */
   sendChanges(): void {
-    const { knownHosts } = this;
     this.send(
       (handle, weights, isChanged) =>
-        !knownHosts.has(getHost(handle)) || (isChanged && weights !== undefined),
+        !this.dueRounds.has(getHost(handle)) || (isChanged && weights !== undefined),
     );
   }
 
+  private isDue(handle: EndpointHandle): boolean {
+    return (this.dueRounds.get(getHost(handle)) ?? 0) <= this.round;
+  }
+
   private send(
     isReceiver: (
       handle: EndpointHandle,
@@ -93,7 +109,18 @@
       updates.set(key, { value, hosts: [...hosts, getHost(handle)] });
     });
     updates.forEach(({ value, hosts }) => this.datagrams.sendAll({ case: 'fleet', value }, hosts));
-    this.knownHosts = new Set(engines.map(getHost));
+    this.scheduleNext(engines.map(getHost));
+  }
+
+  /** Schedules the next regular updates; those of new agents are spread over the rounds. */
+  private scheduleNext(hosts: readonly string[]): void {
+    const { round } = this;
+    const next = (host: string): number => {
+      const due = this.dueRounds.get(host);
+      if (due === undefined) return round + 1 + Math.floor(this.random.next() * roundsPerUpdate);
+      return due <= round ? round + roundsPerUpdate : due;
+    };
+    this.dueRounds = new Map(hosts.map((host) => [host, next(host)]));
   }
 
   private createWeightUpdates(
--- a/packages/sidecar/src/engineReporter.ts
+++ b/packages/sidecar/src/engineReporter.ts
@@ -23,8 +23,8 @@
   readonly switchInMs: number | undefined;
 }
 
-/** Time without a datagram after which an entry receives no more reports, in milliseconds. */
-const subscriptionTimeoutMs = 4_000;
+/** Time without a datagram after which an entry receives no more reports: three updates, in milliseconds. */
+const subscriptionTimeoutMs = 10_000;
 const permille = 1_000;
 
 /** Reports the state of the local engine to subscribed entries. */
