Poll engines each 240 ms

Polls are the largest part of what an idle agent costs. Two failed polls show a silent engine 180 ms later; entries see it by their own requests.

--- a/packages/sidecar/src/engineMonitor.ts
+++ b/packages/sidecar/src/engineMonitor.ts
@@ -3,7 +3,7 @@
 import type { EngineState, LocalEngine } from './localEngine.js';
 
 /** Time between two polls, in milliseconds. */
-const pollIntervalMs = 150;
+const pollIntervalMs = 240;
 /** Timeout of one poll, in milliseconds. */
 const pollTimeoutMs = 400;
 /** Consecutive failed polls after which the engine counts as not answering. */
