Count unregistered endpoints as running unless they accept no connection

A begun stream whose endpoints lost only their registration (they leave, or their heartbeats fail) ran on four endpoints although its route allows two, since each counted as lost. An entry now connects once to such an endpoint before it discounts the execution. Ruled out: reports of agents, which say nothing of plain endpoints.

--- a/packages/decisions/src/forwarding/attemptHistory.ts
+++ b/packages/decisions/src/forwarding/attemptHistory.ts
@@ -29,7 +29,6 @@
 export class AttemptHistory<Endpoint extends TriedEndpoint> {
   private readonly exclusions = new Map<string, Exclusion>();
 
-  /** The endpoint of each attempt that may have executed the request. */
   private readonly executedAt: Endpoint[] = [];
 
   /** Refusals since the last attempt that was executed. */
@@ -50,6 +49,11 @@
     return this.executedAt.length;
   }
 
+  /** The endpoint of each attempt that may have executed the request. */
+  get executedEndpoints(): readonly Endpoint[] {
+    return this.executedAt;
+  }
+
   /** Number of endpoints that are or were excluded. */
   get excludedEndpoints(): number {
     return this.exclusions.size;
--- a/packages/forwarding/src/endpointDirectory.ts
+++ b/packages/forwarding/src/endpointDirectory.ts
@@ -129,9 +129,15 @@
     );
   }
 
-  /** Whether an endpoint is registered and answers, as far as is known. */
+  /** Whether an endpoint runs, as far as is known. */
   isRunning(handle: EndpointHandle): boolean {
-    return this.isRegistered(handle) && handle.isAnswering;
+    return handle.isAnswering && (this.isRegistered(handle) || !handle.isLost);
+  }
+
+  /** Finds out whether endpoints that are no longer registered are lost. */
+  async checkLosses(handles: readonly EndpointHandle[]): Promise<void> {
+    const unregistered = handles.filter((handle) => !this.isRegistered(handle));
+    await Promise.all(unregistered.map((handle) => handle.checkLoss()));
   }
 
   /** Whether an endpoint is still registered; requests may outlive its registration. */
--- a/packages/forwarding/src/endpointHandle.ts
+++ b/packages/forwarding/src/endpointHandle.ts
@@ -9,6 +9,7 @@
 } from '@laburnumstream/decisions';
 import type { PlacementTarget, ReportedLoad, CapacitySharers } from '@laburnumstream/decisions';
 import { ConnectionPool } from './connectionPool.js';
+import { acceptsConnection } from './endpointProbe.js';
 
 /** A stream that can be resumed at another endpoint. */
 export interface MovableStream {
@@ -62,6 +63,12 @@
   /** Whether the endpoint responds to its agent, according to the last report. */
   isAnswering = true;
 
+  /** Whether it is known to have ended or to be out of reach. */
+  isLost = false;
+
+  /** The check of whether it is lost; undefined before the first one. */
+  private lossCheck: Promise<void> | undefined;
+
   model: EngineModel | undefined;
 
   /** Monotonic time of the last sign that this incarnation of the endpoint runs, in milliseconds. */
@@ -100,6 +107,17 @@
     this.signOfLifeAt = Math.max(this.signOfLifeAt, at);
   }
 
+  /**
+   * Checks once whether the endpoint is lost. Its registration also ends while it runs: it may be leaving, or
+   * its heartbeats may not reach the store.
+   */
+  checkLoss(): Promise<void> {
+    this.lossCheck ??= acceptsConnection(this.endpoint.address).then((isAccepted) => {
+      this.isLost = !isAccepted;
+    });
+    return this.lossCheck;
+  }
+
   get slots(): number {
     return this.endpoint.slots || defaultSlots;
   }
--- a/packages/forwarding/src/requestAttempts.ts
+++ b/packages/forwarding/src/requestAttempts.ts
@@ -112,12 +112,13 @@
    * not count, but the loss is known a moment later only. So is whether a broken connection was a crash.
    */
   private async waitForExecution(signal: AbortSignal): Promise<void> {
-    const { clock, guard } = this.services;
+    const { clock, guard, directory } = this.services;
     const until = clock.now() + lossNoticeMs;
     if (this.history.isLimitReached) this.retryDenial = RetryDenial.attemptsUsed;
     while (this.history.isLimitReached) {
       if (clock.now() >= until)
         throw new OutcomeUnknown('As many endpoints as allowed have executed the request.');
+      await directory.checkLosses(this.history.executedEndpoints);
       await clock.sleep(lossPollMs, signal);
     }
     this.retryDenial = undefined;
