Count the copies of chunks instead of scanning all members for each

A transfer asked for each chunk which of all members hold it, in each decision, and decides on each message of a member. Same decisions (holderTransfer.feature, weightTransfer.feature, weightsScale.feature as before).

--- a/packages/decisions/src/weights/holderTransfer.ts
+++ b/packages/decisions/src/weights/holderTransfer.ts
@@ -89,6 +89,12 @@
 
   private readonly holders = new Map<string, HolderState>();
 
+  /** Number of other members that hold each chunk: each decision asks it for many chunks. */
+  private readonly copies: Uint16Array;
+
+  /** The same for members of this member's region. */
+  private readonly regionCopies: Uint16Array;
+
   private assignment: ChunkAssignment;
 
   /** For each chunk, the time before which it is not fetched from the origin again. */
@@ -110,6 +116,8 @@
     this.regionProgressAt = startedAt;
     this.held = new Uint8Array(chunks);
     this.originRetryAt = new Float64Array(chunks);
+    this.copies = new Uint16Array(chunks);
+    this.regionCopies = new Uint16Array(chunks);
     this.assignment = new ChunkAssignment(chunks, self, []);
   }
 
@@ -131,7 +139,11 @@
     const others = members.filter(({ name }) => name !== this.self.name);
     this.assignment = new ChunkAssignment(this.chunks, this.self, others);
     const known = new Set(others.map(({ name }) => name));
-    [...this.holders.keys()].forEach((name) => known.has(name) || this.holders.delete(name));
+    this.holders.forEach((holder, name) => {
+      if (known.has(name)) return;
+      this.countCopies(holder, -1);
+      this.holders.delete(name);
+    });
     others.forEach((member) => {
       if (this.holders.has(member.name)) return;
       const held = new Uint8Array(this.chunks);
@@ -152,7 +164,9 @@
     if (!holder) return;
     const hasNewChunk = held.some((flag, chunk) => flag === 1 && !this.isHeldInRegion(chunk));
     if (hasNewChunk && this.isLocal(holder.member)) this.regionProgressAt = now;
-    Object.assign(holder, { held, activeUploads });
+    this.countCopies(holder, -1);
+    Object.assign(holder, { held: Uint8Array.from(held), activeUploads });
+    this.countCopies(holder, 1);
   }
 
   /** Marks a chunk as held here. */
@@ -281,13 +295,14 @@
     const { fallbackDelayMs, remoteOriginDelayMs } = this.limits;
     const stalledMs = now - this.regionProgressAt;
     for (let chunk = 0; chunk < this.chunks; chunk += 1) {
+      if (!this.isMissing(chunk)) continue;
       const isFirstRegion = this.assignment.isFirstRegion(chunk);
       const waitMs =
         this.assignment.getRank(chunk) * fallbackDelayMs +
         (isFirstRegion ? 0 : remoteOriginDelayMs);
       const isTurn =
         stalledMs >= waitMs && this.isOriginTurn(chunk, now) && now >= this.originRetryAt[chunk]!;
-      if (isTurn && this.isMissing(chunk) && !this.hasReachableHolder(chunk, now)) {
+      if (isTurn && !this.hasReachableHolder(chunk, now)) {
         return { chunk, source: origin, startedAt: now };
       }
     }
@@ -309,15 +324,24 @@
 
   /** Whether any member not considered unreachable is known to hold a chunk. */
   private hasReachableHolder(chunk: number, now: number): boolean {
-    return [...this.holders.values()].some(
-      (holder) => now >= holder.unreachableUntil && this.usableCopies(holder, chunk) === 1,
-    );
+    if (this.copies[chunk] === 0) return false;
+    for (const holder of this.holders.values()) {
+      if (now >= holder.unreachableUntil && this.usableCopies(holder, chunk) === 1) return true;
+    }
+    return false;
   }
 
   private isHeldByRegionPeer(chunk: number): boolean {
-    return [...this.holders.values()].some(
-      ({ member, held }) => this.isLocal(member) && held[chunk] === 1,
-    );
+    return this.regionCopies[chunk]! > 0;
+  }
+
+  private countCopies({ member, held }: HolderState, by: 1 | -1): void {
+    const isLocal = this.isLocal(member);
+    held.forEach((flag, chunk) => {
+      if (flag !== 1) return;
+      this.copies[chunk]! += by;
+      if (isLocal) this.regionCopies[chunk]! += by;
+    });
   }
 
   private isLocal({ region }: WeightMember): boolean {
@@ -326,7 +350,9 @@
 
   /** Copies of a chunk that can be fetched from a holder: 0 or 1. */
   private usableCopies({ member, held }: HolderState, chunk: number): number {
-    return held[chunk] === 1 && !this.corruptSources.has(`${chunk}\n${member.name}`) ? 1 : 0;
+    if (held[chunk] !== 1) return 0;
+    if (this.corruptSources.size === 0) return 1;
+    return this.corruptSources.has(`${chunk}\n${member.name}`) ? 0 : 1;
   }
 
   private usableHolders(now: number): HolderState[] {
