Date changes before the pause in which they may have been made; keep outdated busy engines free

Any change after a pause is dated before it now. Second: the margin of 0.8 s does not cover the queue of a busy engine; one with less than a quarter of its slots free gets nothing in the last 1.8 s (forwarding.feature, pure rule).

--- a/features/feedReview.feature
+++ b/features/feedReview.feature
@@ -32,3 +32,16 @@
     Given a store whose watch takes 6 seconds to send a named version
     When an entry watches it
     Then the version counts as named no later than 1 second after the call began
+
+  # Guards against a version that is named within a pause between two calls and counts as named after it.
+  Scenario Outline: version that is named within a pause
+    Given a store that responds within <ms> ms and gets a version right after its first change
+    When an entry watches it
+    Then the version counts as named no later than it was
+
+    Examples:
+      | ms  |
+      | 5   |
+      | 40  |
+      | 200 |
+
--- a/features/forwarding.feature
+++ b/features/forwarding.feature
@@ -45,6 +45,10 @@
     Then an engine with the newest version is used whatever its reports
     And one with an older version only while its reports are fresh and its time is not over
 
+  # Guards against a request that waits in an engine's queue and starts on a version whose time is over.
+  Scenario: old version on a busy engine
+    Then a busy one with an older version only until 1.8 seconds before its time is over
+
   Scenario Outline: cold engine among many entries
     Then <entries> entries send a cold engine that bears 17 a second at most 30 in any second
 
--- a/features/steps/feedReview.steps.ts
+++ b/features/steps/feedReview.steps.ts
@@ -117,6 +117,30 @@
   },
 );
 
+Given(
+  /^a store that responds within (\d+) ms and gets a version right after its first change$/,
+  function pausing(this: FeedReviewWorld, ms: string) {
+    this.clock = new VirtualClock();
+    const { clock } = this;
+    const value = JSON.stringify({ Model: model, Version: 2 });
+    const changes = [
+      { key: 'op/evacuate/a', value: '{}', revision: firstRevision + 1 },
+      { key: `op/version/${model}`, value, revision: firstRevision + 2 },
+    ];
+    this.store = {
+      snapshot: () => Promise.resolve({ values: [], revision: firstRevision }),
+      changes: async (_prefix, after, waitMs, signal): Promise<StoreChanges> => {
+        const change = changes.find(({ revision }) => revision > after);
+        await clock.sleep(change ? Number(ms) : waitMs, signal);
+        if (!change) return { changes: [], revision: after };
+        // The version is named as soon as the first change has been sent.
+        if (change === changes[0]) this.calledAt = clock.now();
+        return { changes: [change], revision: change.revision };
+      },
+    };
+  },
+);
+
 When('an entry watches it', async function watchSlowly(this: FeedReviewWorld) {
   const { clock } = this;
   const ignore = (): void => undefined;
@@ -149,3 +173,9 @@
     assert.ok(lateMs <= msPerSecond, `named ${lateMs} ms after the call began`);
   },
 );
+
+Then('the version counts as named no later than it was', function inPause(this: FeedReviewWorld) {
+  const at = this.state.namedVersions(model)?.namedAt(2);
+  assert.ok(at !== undefined, 'the version is unknown');
+  assert.ok(at <= this.calledAt, `named ${at - this.calledAt} ms too late`);
+});
--- a/features/steps/forwarding.steps.ts
+++ b/features/steps/forwarding.steps.ts
@@ -188,18 +188,32 @@
 
 const versionGraceMs = 8_000;
 
+/** Age of a version that is outdated for a second less than the grace time, on an engine with free slots. */
+const lastSecond = {
+  outdatedMs: 7_000,
+  graceMs: versionGraceMs,
+  reportAgeMs: 400,
+  startsAtOnce: true,
+};
+
 Then('an engine with the newest version is used whatever its reports', () => {
-  assert.ok(
-    isVersionEligible({ outdatedMs: -Infinity, graceMs: versionGraceMs, reportAgeMs: Infinity }),
-  );
+  const newest = { outdatedMs: -Infinity, reportAgeMs: Infinity, startsAtOnce: false };
+  assert.ok(isVersionEligible({ ...lastSecond, ...newest }));
 });
 
 Then('one with an older version only while its reports are fresh and its time is not over', () => {
-  assert.ok(isVersionEligible({ outdatedMs: 7_000, graceMs: versionGraceMs, reportAgeMs: 400 }));
+  assert.ok(isVersionEligible(lastSecond));
   // The last report is 2 s old, so the instance may be suspended: a request sent now could start
   // after the end of the grace period.
-  assert.ok(!isVersionEligible({ outdatedMs: 7_000, graceMs: versionGraceMs, reportAgeMs: 2_000 }));
-  assert.ok(!isVersionEligible({ outdatedMs: 7_500, graceMs: versionGraceMs, reportAgeMs: 100 }));
+  assert.ok(!isVersionEligible({ ...lastSecond, reportAgeMs: 2_000 }));
+  assert.ok(!isVersionEligible({ ...lastSecond, outdatedMs: 7_500, reportAgeMs: 100 }));
+});
+
+Then('a busy one with an older version only until 1.8 seconds before its time is over', () => {
+  const busy = { ...lastSecond, startsAtOnce: false };
+  assert.ok(isVersionEligible({ ...busy, outdatedMs: 6_100 }));
+  assert.ok(!isVersionEligible({ ...busy, outdatedMs: 6_200 }));
+  assert.ok(!isVersionEligible(busy));
 });
 
 /** The platform's bound on requests in any second: 17 times the factor 1.5, plus a slack of 5. */
--- a/packages/forwarding/src/endpointDirectory.ts
+++ b/packages/forwarding/src/endpointDirectory.ts
@@ -30,6 +30,8 @@
 
 /** Share of an endpoint's connection limit that all entries together use. */
 const connectionShare = 0.9;
+/** Share of an engine's slots up to which a request starts at once, whatever other entries send meanwhile. */
+const freeSlotShare = 0.75;
 
 /** The registered endpoints by id, address and service. */
 export class EndpointDirectory implements EndpointSource {
@@ -314,6 +316,7 @@
       outdatedMs: now - outdatedAt,
       graceMs: this.settings.bounds.versionMs,
       reportAgeMs: handle.load.reportAgeMs(now),
+      startsAtOnce: handle.load.outstanding(now) < handle.slots * freeSlotShare,
     });
   }
 
--- a/packages/forwarding/src/fleetWatcher.ts
+++ b/packages/forwarding/src/fleetWatcher.ts
@@ -207,8 +207,11 @@
     // The response has begun by the end of the wait, however long it took to arrive.
     const respondedAt = Math.min(now, calledAt + waitMs);
     if (provenance) return respondedAt - provenance.changeAgeMs;
-    // A change that was returned immediately may have been made at any time since the last response.
-    return now - calledAt > immediateResponseMs ? respondedAt : this.earliestChangeAt(now);
+    // A change that was returned immediately may have been made at any time since the last response. So may
+    // any change after a pause: a slow response can't be told apart from one that waited for a change.
+    const isAfterPause = calledAt - this.lastResponseAt > immediateResponseMs;
+    const isImmediate = now - calledAt <= immediateResponseMs;
+    return isAfterPause || isImmediate ? this.earliestChangeAt(now) : respondedAt;
   }
 
   /**
--- a/packages/forwarding/src/regionalFeed.ts
+++ b/packages/forwarding/src/regionalFeed.ts
@@ -235,10 +235,13 @@
       this.silentSince ??= calledAt;
       const content = await read(recordProgress);
       const now = this.proofClock.now();
-      // A change that was returned immediately may have been made at any time since the last response.
-      const isImmediate = now - calledAt <= immediateResponseMs;
       const respondedAt = Math.min(now, calledAt + waitMs);
-      apply(content, isImmediate ? (this.respondedAt ?? now) : respondedAt);
+      const lastResponseAt = this.respondedAt ?? now;
+      // A change that was returned immediately may have been made at any time since the last response. So may
+      // any change after a pause: a slow response can't be told apart from one that waited for a change.
+      const isAfterPause = calledAt - lastResponseAt > immediateResponseMs;
+      const isImmediate = now - calledAt <= immediateResponseMs;
+      apply(content, isAfterPause || isImmediate ? lastResponseAt : respondedAt);
       this.mirror.confirm(calledAt);
       if (this.isStoreFailing) this.mirror.recordOutage(now - (this.respondedAt ?? now), now);
       this.handleResponse(FeedSource.store, now);
