Stop sending to outdated engines when the last of them switches

A third of the engines went dark and the others, all outdated, got their requests: one that had been sent 7.19 s after the version was acknowledged waited 0.83 s. The margin of an engine with free slots is that of the switches, 0.95 s, now (0.8 s before).

--- a/packages/decisions/src/forwarding/versionEligibility.ts
+++ b/packages/decisions/src/forwarding/versionEligibility.ts
@@ -11,7 +11,7 @@
 }
 
 /** Safety margins before the end of the grace time, in milliseconds: requests wait in a busy engine's queue. */
-const graceMarginMs = { free: 800, busy: 1_800 } as const;
+const graceMarginMs = { free: 950, busy: 1_800 } as const;
 /** Report age above which the instance may be paused and start a request much later, in milliseconds. */
 const staleReportMs = 1_000;
 
