--- a/features/support/crashFleet.ts
+++ b/features/support/crashFleet.ts
@@ -135,8 +135,14 @@
       fleet.slots.push(slot);
       await fleet.startEndpoint(slot);
     }
-    for (let index = 0; index < entries; index += 1) await fleet.addEntry();
-    await fleet.waitUntilServing();
+    try {
+      for (let index = 0; index < entries; index += 1) await fleet.addEntry();
+      await fleet.waitUntilServing();
+    } catch (error) {
+      // The caller has no fleet to close, and programs that are left would disturb other scenarios.
+      await fleet.close();
+      throw error;
+    }
     return fleet;
   }
 
