--- a/packages/forwarding/src/endpointDirectory.ts
+++ b/packages/forwarding/src/endpointDirectory.ts
@@ -305,16 +305,27 @@
     );
   }
 
+  /** Time after which no request may start on an outdated version, in milliseconds. */
+  get versionGraceMs(): number {
+    return this.settings.bounds.versionMs;
+  }
+
+  /** Monotonic time at which a version of an endpoint's weights ceased to be the newest; infinite while it is. */
+  outdatedAt({ profile }: EndpointHandle, version: number): number {
+    const model = profile?.engine?.models[0]?.name;
+    if (model === undefined) return Infinity;
+    return this.state.namedVersions(model)?.outdatedAt(version) ?? Infinity;
+  }
+
   /** Plain services need no weights; an engine must hold all layers of a version that is still in use. */
   private hasUsableWeights(handle: EndpointHandle, now: number): boolean {
     if (!handle.model) return true;
     const { version, profile } = handle;
     const model = profile?.engine?.models[0]?.name;
     if (version === undefined || model === undefined) return false;
-    const outdatedAt = this.state.namedVersions(model)?.outdatedAt(version) ?? Infinity;
     return isVersionEligible({
-      outdatedMs: now - outdatedAt,
-      graceMs: this.settings.bounds.versionMs,
+      outdatedMs: now - this.outdatedAt(handle, version),
+      graceMs: this.versionGraceMs,
       reportAgeMs: handle.load.reportAgeMs(now),
       startsAtOnce: handle.load.outstanding(now) < handle.slots * freeSlotShare,
     });
--- a/packages/forwarding/src/fleetWatcher.ts
+++ b/packages/forwarding/src/fleetWatcher.ts
@@ -47,6 +47,14 @@
   return {};
 }
 
+/** The call whose response brought changes. */
+interface ResponseOrigin {
+  readonly call: StoreCall;
+  /** Monotonic time, in milliseconds. */
+  readonly calledAt: number;
+  readonly provenance: Provenance | undefined;
+}
+
 /** Records how recently the store has confirmed the fleet state. */
 export interface FreshnessProof {
   /** Called after the response to a call that began at `calledAt` has been applied. */
@@ -83,6 +91,9 @@
 
   private readonly callCounter: StoreCallCounter;
 
+  /** Difference of the two clocks at the start, in milliseconds. */
+  private readonly clockOffsetMs: number;
+
   constructor(
     private readonly store: StoreFeed,
     private readonly codec: FleetDecoder,
@@ -96,6 +107,7 @@
   ) {
     this.lastResponseAt = clock.now();
     this.callCounter = new StoreCallCounter(metrics);
+    this.clockOffsetMs = proofClock.now() - clock.now();
     // It is unknown when the versions in the first snapshot were named, so they count as nearly due.
     this.changeLookbackMs = Math.max(0, bounds.versionMs - restartGraceMs);
   }
@@ -165,9 +177,11 @@
 
   /** Returns the time before the call at which the store confirmed the content, in milliseconds. */
   private async loadSnapshot(signal: AbortSignal): Promise<number> {
+    const calledAt = this.clock.now();
     const { values, revision, provenance } = await this.store.snapshot(this.codec.prefix, signal);
     const changes = values.flatMap((value) => this.decode(value));
     const changedAt = this.earliestChangeAt(this.clock.now());
+    this.logVersions(changes, changedAt, { call: StoreCall.list, calledAt, provenance });
     this.recordResponse(provenance);
     this.applyAll([...this.state.getRemovals(changes), ...changes], changedAt);
     this.revision = revision;
@@ -186,12 +200,11 @@
       AbortSignal.any([signal, this.interruption.signal]),
     );
     const { changes, revision, provenance } = response;
+    const decoded = changes.flatMap((change) => this.decode(change));
     const changedAt = this.getChangedAt(calledAt, waitMs, provenance);
+    this.logVersions(decoded, changedAt, { call: StoreCall.watch, calledAt, provenance });
     this.recordResponse(provenance);
-    this.applyAll(
-      changes.flatMap((change) => this.decode(change)),
-      changedAt,
-    );
+    this.applyAll(decoded, changedAt);
     this.revision = Math.max(after, revision);
     this.isPauseDue = changes.length > 0;
     return provenance?.proofAgeMs ?? 0;
@@ -236,6 +249,31 @@
     this.changeLookbackMs = 0;
   }
 
+  /** Logs how new versions of weights in a response are dated. */
+  private logVersions(
+    changes: readonly FleetChange[],
+    changedAt: number,
+    { call, calledAt, provenance }: ResponseOrigin,
+  ): void {
+    const now = this.clock.now();
+    changes.forEach((change) => {
+      if (change.kind !== 'version') return;
+      const { model, version } = change.named;
+      if (version <= (this.state.namedVersions(model)?.newest ?? 0)) return;
+      this.log.info('Version dated.', {
+        model,
+        version,
+        datedMsAgo: Math.round(now - changedAt),
+        call,
+        callMs: Math.round(now - calledAt),
+        lastResponseMsAgo: Math.round(now - this.lastResponseAt),
+        changeAgeMs: provenance ? Math.round(provenance.changeAgeMs) : null,
+        isReachable: this.isReachable,
+        suspendedMs: Math.round(this.proofClock.now() - now - this.clockOffsetMs),
+      });
+    });
+  }
+
   private applyAll(changes: readonly FleetChange[], changedAt: number): void {
     this.state.applyBatch(() => changes.forEach((change) => this.applyOrDefer(change, changedAt)));
   }
--- a/packages/forwarding/src/requestAttempts.ts
+++ b/packages/forwarding/src/requestAttempts.ts
@@ -18,6 +18,7 @@
 import type { EndpointHandle } from './endpointHandle.js';
 import type { Exchange } from './exchange.js';
 import type { HeaderCodec } from './headerCodec.js';
+import { OutdatedUse } from './outdatedUse.js';
 import type { ResponseHead } from './heads.js';
 import { Refusal, RefusalReason } from './refusal.js';
 import type { StatementRecorder } from './statementRecorder.js';
@@ -322,7 +323,8 @@
   ): Attempt {
     const { exchange, services } = this;
     const { request, head, route, workspace, body, deadlineAt } = exchange;
-    const { codec, clock, queue, guard, onLoadChange } = services;
+    const { codec, clock, queue, guard, onLoadChange, directory, metrics, log } = services;
+    const use = new OutdatedUse(head.id, handle, directory, clock, metrics, log);
     const headers = codec.encodeRequestHeaders(request.rawHeaders, {
       timeLeftMs: deadlineAt - clock.now(),
       endpointId: handle.id,
@@ -342,7 +344,11 @@
       codec,
       observer,
       (status, responseHead) => this.recordHead(handle, status, responseHead),
-      () => services.statements.maySend(handle),
+      () => {
+        const maySend = services.statements.maySend(handle);
+        if (maySend) use.recordSend();
+        return maySend;
+      },
     );
     const prefillMs = handle.model?.prefillMs(head.promptTokens ?? 0) ?? 0;
     let isPrefilled = false;
@@ -361,11 +367,15 @@
       onLoadChange(handle);
       queue.dispatch(exchange.service, handle);
     };
+    const markFirstEvent = (): void => {
+      if (!isPrefilled) use.recordFirstEvent();
+      markPrefilled();
+    };
     this.sendCount += 1;
     guard.recordSend(exchange);
     handle.load.recordStart(prefillMs);
     onLoadChange(handle);
     call.start();
-    return { handle, call, markPrefilled, markEnded };
+    return { handle, call, markPrefilled: markFirstEvent, markEnded };
   }
 }
