Date versions by the last proof without them, on a clock that runs in suspensions

Callers were answered on weights whose time was over (VERSION). Now a change is dated by the time until which the content was last confirmed without it, at the reader of the store and at those who read from it, and dates and ages use the clock that also runs in suspensions.

The rule stood twice (FleetWatcher, RegionalFeed) and is one pure class now. SleepAwareClock added up rounding: each reading took the larger advance of two clocks, one of which shows whole milliseconds, so that it ran faster the more often it was read. It compares their offsets now, and shows the monotonic time while there are no suspensions.

Cost: a version may count as named up to 0.7 s before it was, so that outdated engines are left that much earlier.

--- a/features/support/largeFleet.ts
+++ b/features/support/largeFleet.ts
@@ -98,6 +98,7 @@
       noopMetrics,
       random,
       sharing,
+      this.clock,
     );
     this.directory.refresh();
   }
--- a/packages/common/src/sleepAwareClock.ts
+++ b/packages/common/src/sleepAwareClock.ts
@@ -1,28 +1,31 @@
 import type { Clock } from './services.js';
 
+/** Advance of the wall clock over the monotonic one that counts as a suspension, in milliseconds. */
+const minSuspensionMs = 10;
+
 /**
- * A clock in milliseconds that keeps running while the instance is suspended. The monotonic clock
- * stops during a suspension and the wall clock may be adjusted, so each reading adds whichever of the
- * two advanced more since the previous reading.
+ * A clock in milliseconds that keeps running while the instance is suspended; without suspensions it shows the
+ * monotonic time. The monotonic clock stops during a suspension and the wall clock may be adjusted, so time by
+ * which the wall clock gets ahead counts as a suspension.
  */
 export class SleepAwareClock {
-  private elapsed = 0;
-
-  private lastNow: number;
+  private suspendedMs = 0;
 
-  private lastWall: number;
+  /** Wall clock less monotonic clock when they were last compared, in milliseconds. */
+  private offsetMs: number;
 
   constructor(private readonly clock: Clock) {
-    this.lastNow = clock.now();
-    this.lastWall = clock.wall();
+    this.offsetMs = clock.wall() - clock.now();
   }
 
   now(): number {
     const now = this.clock.now();
-    const wall = this.clock.wall();
-    this.elapsed += Math.max(0, now - this.lastNow, wall - this.lastWall);
-    this.lastNow = now;
-    this.lastWall = wall;
-    return this.elapsed;
+    const aheadMs = this.clock.wall() - now - this.offsetMs;
+    // The wall clock shows whole milliseconds, so smaller differences would add up with each reading.
+    if (Math.abs(aheadMs) >= minSuspensionMs) {
+      this.suspendedMs += Math.max(0, aheadMs);
+      this.offsetMs += aheadMs;
+    }
+    return now + this.suspendedMs;
   }
 }
--- a/packages/decisions/src/forwarding/index.ts
+++ b/packages/decisions/src/forwarding/index.ts
@@ -2,6 +2,7 @@
 export * from './attemptHistory.js';
 export * from './capacityShare.js';
 export * from './changeBatchWindow.js';
+export * from './changeDating.js';
 export * from './configurationFreshness.js';
 export * from './deferredRemovals.js';
 export * from './endpointHealth.js';
--- a/packages/forwarding/src/agentUpdates.ts
+++ b/packages/forwarding/src/agentUpdates.ts
@@ -56,7 +56,8 @@
     private readonly directory: EndpointDirectory,
     private readonly peers: EntryPeers,
     private readonly datagrams: Pick<FleetDatagrams, 'sendAll'>,
-    private readonly clock: Clock,
+    /** Runs during a suspension too, as the time of a version does. */
+    private readonly versionClock: Pick<Clock, 'now'>,
     private readonly random: Random,
   ) {
     this.notifiers = new NotifierSelection(settings.instance);
@@ -187,7 +188,7 @@
     const origin = [...(services?.values() ?? [])].find((service) => service.origin)?.origin;
     const named = this.state.namedVersions(model.name);
     const version = named?.newest ?? 1;
-    const now = this.clock.now();
+    const now = this.versionClock.now();
     return {
       model: model.name,
       version,
--- a/packages/forwarding/src/endpointDirectory.ts
+++ b/packages/forwarding/src/endpointDirectory.ts
@@ -60,6 +60,8 @@
     private readonly metrics: Metrics,
     private readonly random: Random,
     private readonly entryCounts: EntryCounts,
+    /** Runs during a suspension too, as the time of a version does. */
+    private readonly versionClock: Pick<Clock, 'now'>,
   ) {
     this.senders = new NotifierSelection(settings.instance);
     this.statements = new EndpointStatements(random.next());
@@ -310,21 +312,24 @@
     return this.settings.bounds.versionMs;
   }
 
-  /** Monotonic time at which a version of an endpoint's weights ceased to be the newest; infinite while it is. */
-  outdatedAt({ profile }: EndpointHandle, version: number): number {
+  /**
+   * Time since a version of an endpoint's weights, by default the one that it serves, is outdated, in
+   * milliseconds; negative infinity while it is not.
+   */
+  outdatedMs({ profile, version: served }: EndpointHandle, version = served): number {
     const model = profile?.engine?.models[0]?.name;
-    if (model === undefined) return Infinity;
-    return this.state.namedVersions(model)?.outdatedAt(version) ?? Infinity;
+    if (version === undefined || model === undefined) return -Infinity;
+    const outdatedAt = this.state.namedVersions(model)?.outdatedAt(version) ?? Infinity;
+    return this.versionClock.now() - outdatedAt;
   }
 
   /** Plain services need no weights; an engine must hold all layers of a version that is still in use. */
   private hasUsableWeights(handle: EndpointHandle, now: number): boolean {
     if (!handle.model) return true;
-    const { version, profile } = handle;
-    const model = profile?.engine?.models[0]?.name;
-    if (version === undefined || model === undefined) return false;
+    if (handle.version === undefined || handle.profile?.engine?.models[0] === undefined)
+      return false;
     return isVersionEligible({
-      outdatedMs: now - this.outdatedAt(handle, version),
+      outdatedMs: this.outdatedMs(handle),
       graceMs: this.versionGraceMs,
       reportAgeMs: handle.load.reportAgeMs(now),
       startsAtOnce: handle.load.outstanding(now) < handle.slots * freeSlotShare,
--- a/packages/forwarding/src/fleetState.ts
+++ b/packages/forwarding/src/fleetState.ts
@@ -198,9 +198,11 @@
 
   addNamedVersion(model: string, version: number, namedAt: number): void {
     const named = this.namedVersionsByModel.get(model) ?? new NamedVersions();
-    if (version <= named.newest) return;
+    const isNewest = version > named.newest;
+    // An earlier date of a known version counts too.
     named.add(version, namedAt);
     this.namedVersionsByModel.set(model, named);
+    if (!isNewest) return;
     this.log.info('Version named.', { model, version });
     this.notifyChange();
   }
--- a/packages/forwarding/src/fleetWatcher.ts
+++ b/packages/forwarding/src/fleetWatcher.ts
@@ -8,7 +8,12 @@
   StoreChange,
   StoreFeed,
 } from '@laburnumstream/common';
-import { DeferredRemovals, changeBatchWindowMs } from '@laburnumstream/decisions';
+import {
+  ChangeDating,
+  DeferredRemovals,
+  changeBatchWindowMs,
+  confirmedUntil,
+} from '@laburnumstream/decisions';
 import type { FleetChange, FleetDecoder } from './fleetChange.js';
 import type { FleetState } from './fleetState.js';
 import { StoreCall, StoreCallCounter } from './storeCallCounter.js';
@@ -19,12 +24,8 @@
 const deferredWatchTimeoutMs = 250;
 /** The same while the store is unreachable, in milliseconds. */
 const probeWatchTimeoutMs = 50;
-/** Changes may have been made this long before the first response after an outage, in milliseconds. */
-const recoverySlackMs = 1_000;
 /** Time for which a new process still uses versions older than the named ones, in milliseconds. */
 const restartGraceMs = 2_500;
-/** Response time of a watch call that did not have to wait for a change, in milliseconds. */
-const immediateResponseMs = 15;
 /** Minimum time between two interruptions of a wait for changes, in milliseconds. */
 const interruptionIntervalMs = 250;
 const initialBackoffMs = 100;
@@ -50,7 +51,7 @@
 /** The call whose response brought changes. */
 interface ResponseOrigin {
   readonly call: StoreCall;
-  /** Monotonic time, in milliseconds. */
+  /** Time on the proof clock, in milliseconds. */
   readonly calledAt: number;
   readonly provenance: Provenance | undefined;
 }
@@ -70,8 +71,8 @@
   /** Monotonic time of the last response, or of the start before the first one, in milliseconds. */
   private lastResponseAt: number;
 
-  /** Time before the last response in which unseen changes may have been made, in milliseconds. */
-  private changeLookbackMs: number;
+  /** Dates changes on the proof clock, as the time to act on them also passes during a suspension. */
+  private readonly dating: ChangeDating;
 
   private isReachable = true;
 
@@ -91,9 +92,6 @@
 
   private readonly callCounter: StoreCallCounter;
 
-  /** Difference of the two clocks at the start, in milliseconds. */
-  private readonly clockOffsetMs: number;
-
   constructor(
     private readonly store: StoreFeed,
     private readonly codec: FleetDecoder,
@@ -107,9 +105,9 @@
   ) {
     this.lastResponseAt = clock.now();
     this.callCounter = new StoreCallCounter(metrics);
-    this.clockOffsetMs = proofClock.now() - clock.now();
     // It is unknown when the versions in the first snapshot were named, so they count as nearly due.
-    this.changeLookbackMs = Math.max(0, bounds.versionMs - restartGraceMs);
+    const lookbackMs = Math.max(0, bounds.versionMs - restartGraceMs);
+    this.dating = new ChangeDating(proofClock.now(), lookbackMs);
   }
 
   /** Watches the store until the signal is aborted. */
@@ -177,12 +175,12 @@
 
   /** Returns the time before the call at which the store confirmed the content, in milliseconds. */
   private async loadSnapshot(signal: AbortSignal): Promise<number> {
-    const calledAt = this.clock.now();
+    const calledAt = this.proofClock.now();
     const { values, revision, provenance } = await this.store.snapshot(this.codec.prefix, signal);
     const changes = values.flatMap((value) => this.decode(value));
-    const changedAt = this.earliestChangeAt(this.clock.now());
+    const changedAt = this.dating.dateChanges(this.proofClock.now());
     this.logVersions(changes, changedAt, { call: StoreCall.list, calledAt, provenance });
-    this.recordResponse(provenance);
+    this.recordResponse(provenance, calledAt);
     this.applyAll([...this.state.getRemovals(changes), ...changes], changedAt);
     this.revision = revision;
     return provenance?.proofAgeMs ?? 0;
@@ -192,7 +190,7 @@
   private async watchChanges(after: number, signal: AbortSignal): Promise<number> {
     const { prefix } = this.codec;
     const waitMs = this.nextWatchTimeoutMs;
-    const calledAt = this.clock.now();
+    const calledAt = this.proofClock.now();
     const response = await this.store.changes(
       prefix,
       after,
@@ -200,53 +198,39 @@
       AbortSignal.any([signal, this.interruption.signal]),
     );
     const { changes, revision, provenance } = response;
+    const receivedAt = this.proofClock.now();
     const decoded = changes.flatMap((change) => this.decode(change));
-    const changedAt = this.getChangedAt(calledAt, waitMs, provenance);
+    const changedAt = this.getChangedAt(Math.min(receivedAt, calledAt + waitMs), provenance);
     this.logVersions(decoded, changedAt, { call: StoreCall.watch, calledAt, provenance });
-    this.recordResponse(provenance);
+    const isUnchanged = changes.length === 0;
+    this.recordResponse(
+      provenance,
+      provenance ? calledAt : confirmedUntil({ calledAt, receivedAt, waitMs, isUnchanged }),
+    );
     this.applyAll(decoded, changedAt);
     this.revision = Math.max(after, revision);
     this.isPauseDue = changes.length > 0;
     return provenance?.proofAgeMs ?? 0;
   }
 
-  /** Returns the earliest time at which changes in a response to a watch may have become known. */
-  private getChangedAt(
-    calledAt: number,
-    waitMs: number,
-    provenance: Provenance | undefined,
-  ): number {
-    const now = this.clock.now();
-    // The response has begun by the end of the wait, however long it took to arrive.
-    const respondedAt = Math.min(now, calledAt + waitMs);
-    if (provenance) return respondedAt - provenance.changeAgeMs;
-    // A change that was returned immediately may have been made at any time since the last response. So may
-    // any change after a pause: a slow response can't be told apart from one that waited for a change.
-    const isAfterPause = calledAt - this.lastResponseAt > immediateResponseMs;
-    const isImmediate = now - calledAt <= immediateResponseMs;
-    return isAfterPause || isImmediate ? this.earliestChangeAt(now) : respondedAt;
-  }
-
   /**
-   * Returns the earliest time at which changes in a response received at `now` may have become known
-   * to any entry. During an outage no entry learns of changes, so the time to act on them counts from
-   * its end.
+   * Returns the earliest time at which changes in a response may have been made; the response began by
+   * `respondedAt`, however long it took to arrive.
    */
-  private earliestChangeAt(now: number): number {
-    const knownAt = this.isReachable
-      ? this.lastResponseAt
-      : Math.max(this.lastResponseAt, now - recoverySlackMs);
-    return knownAt - this.changeLookbackMs;
+  private getChangedAt(respondedAt: number, provenance: Provenance | undefined): number {
+    if (provenance) return respondedAt - provenance.changeAgeMs;
+    return this.dating.dateChanges(this.proofClock.now());
   }
 
-  /** Records a response with the store's content, before its changes are applied. */
-  private recordResponse(provenance: Provenance | undefined): void {
+  /** Records a response with all changes until `confirmedAt`, before its changes are applied. */
+  private recordResponse(provenance: Provenance | undefined, confirmedAt: number): void {
     const now = this.clock.now();
     const outage = provenance?.outage;
     if (!this.isReachable) this.deferredRemovals.storeRecovered(now - this.lastResponseAt, now);
     if (outage) this.deferredRemovals.storeRecovered(outage.durationMs, now - outage.endedMsAgo);
-    this.lastResponseAt = now - (provenance?.proofAgeMs ?? 0);
-    this.changeLookbackMs = 0;
+    const proofAgeMs = provenance?.proofAgeMs ?? 0;
+    this.lastResponseAt = now - proofAgeMs;
+    this.dating.recordResponse(confirmedAt - proofAgeMs);
   }
 
   /** Logs how new versions of weights in a response are dated. */
@@ -255,7 +239,8 @@
     changedAt: number,
     { call, calledAt, provenance }: ResponseOrigin,
   ): void {
-    const now = this.clock.now();
+    const now = this.proofClock.now();
+    const monotonicNow = this.clock.now();
     changes.forEach((change) => {
       if (change.kind !== 'version') return;
       const { model, version } = change.named;
@@ -266,10 +251,10 @@
         datedMsAgo: Math.round(now - changedAt),
         call,
         callMs: Math.round(now - calledAt),
-        lastResponseMsAgo: Math.round(now - this.lastResponseAt),
+        lastResponseMsAgo: Math.round(monotonicNow - this.lastResponseAt),
         changeAgeMs: provenance ? Math.round(provenance.changeAgeMs) : null,
         isReachable: this.isReachable,
-        suspendedMs: Math.round(this.proofClock.now() - now - this.clockOffsetMs),
+        suspendedMs: Math.round(now - monotonicNow),
       });
     });
   }
@@ -325,6 +310,7 @@
       this.log.warn('Watch history lost; reloading the snapshot.');
       return;
     }
+    this.dating.recordFailure();
     const fields = { type: failure.type, reason: failure.message };
     if (this.isReachable) this.log.warn('Store not reachable.', fields);
     else this.log.info('Store still not reachable.', fields);
--- a/packages/forwarding/src/forwardingEntry.ts
+++ b/packages/forwarding/src/forwardingEntry.ts
@@ -119,6 +119,7 @@
       metrics,
       random,
       entryCounts,
+      proofClock,
     );
     const guard = new CrashGuard((id) => this.directory.get(id), clock, metrics, log('crashes'));
     this.crashRecords = new CrashRecords(
@@ -139,6 +140,7 @@
       this.directory,
       guard,
       clock,
+      proofClock,
       random,
       metrics,
       log('sidecars'),
--- a/packages/forwarding/src/outdatedUse.ts
+++ b/packages/forwarding/src/outdatedUse.ts
@@ -14,7 +14,7 @@
   constructor(
     private readonly id: string,
     private readonly handle: EndpointHandle,
-    private readonly directory: Pick<EndpointDirectory, 'outdatedAt' | 'versionGraceMs'>,
+    private readonly directory: Pick<EndpointDirectory, 'outdatedMs' | 'versionGraceMs'>,
     private readonly clock: Clock,
     private readonly metrics: Metrics,
     private readonly log: Log,
@@ -38,7 +38,7 @@
     const { id, handle, directory, version, placedAt } = this;
     if (version === undefined) return;
     const now = this.clock.now();
-    const outdatedMs = now - directory.outdatedAt(handle, version);
+    const outdatedMs = directory.outdatedMs(handle, version);
     if (outdatedMs < 0) return;
     this.metrics.observe('outdated_age', outdatedMs, { step });
     const leftMs = directory.versionGraceMs - outdatedMs;
--- a/packages/forwarding/src/regionalFeed.ts
+++ b/packages/forwarding/src/regionalFeed.ts
@@ -10,7 +10,8 @@
   StoreSnapshot,
   StoredValue,
 } from '@laburnumstream/common';
-import { FeedReaders } from '@laburnumstream/decisions';
+import { ChangeDating, FeedReaders, confirmedUntil } from '@laburnumstream/decisions';
+import type { WatchTimes } from '@laburnumstream/decisions';
 import { FeedSource } from './feedProtocol.js';
 import { FeedClient } from './feedClient.js';
 import type { RelayedChanges } from './feedClient.js';
@@ -29,11 +30,12 @@
 const maxAttemptsMs = 1_300;
 /** Age from which the proof of an entry that reads from others is too old, in milliseconds. */
 const maxProofAgeMs = 2_600;
-/** Response time of a watch call that did not have to wait for a change, in milliseconds. */
-const immediateResponseMs = 15;
 /** Offset of the port at which the feed is served from the first port of an instance. */
 const feedPortOffset = 1;
 
+/** Times of a call on the proof clock, in milliseconds. */
+type CallTimes = Pick<WatchTimes, 'calledAt' | 'receivedAt'>;
+
 /** Revision after which a read returns the whole content. */
 const wholeContent = 0;
 
@@ -54,6 +56,9 @@
 
   private readonly readers: FeedReaders;
 
+  /** Dates changes that this entry reads from the store. */
+  private readonly dating: ChangeDating;
+
   /** Revision of the registered entries that `readers` were selected from. */
   private readersRevision = -1;
 
@@ -86,6 +91,8 @@
       () => this.source,
       log,
     );
+    // Others never learn the changes of the first snapshot by its date, as they need a snapshot too.
+    this.dating = new ChangeDating(proofClock.now(), 0);
     this.readers = new FeedReaders(settings.instance, new Set(settings.regions.values()).size);
     this.peers = new EntryPeers(settings, state);
   }
@@ -101,9 +108,8 @@
     const relayed = await this.readFromEntries(wholeContent, 0, signal);
     if (relayed) return { ...relayed, values: relayed.changes.flatMap(toStoredValue) };
     return this.readStore(
-      0,
       (onProgress) => this.store.snapshot(prefix, signal, onProgress),
-      (snapshot, learnedAt) => this.mirror.applySnapshot(snapshot, learnedAt),
+      (content, times) => this.applySnapshot(content, times),
       signal,
     );
   }
@@ -120,13 +126,35 @@
     const maxWaitMs = isReader ? this.getReaderWaitMs(waitMs) : fallbackWaitMs;
     const storeWaitMs = Math.min(waitMs, maxWaitMs);
     return this.readStore(
-      storeWaitMs,
       (onProgress) => this.store.changes(prefix, after, storeWaitMs, signal, onProgress),
-      (changes, learnedAt) => this.mirror.applyChanges(changes, learnedAt),
+      (content, times) => this.applyChanges(content, { ...times, waitMs: storeWaitMs }),
       signal,
     );
   }
 
+  /** Applies a response of the store to the mirror; returns it with the age of its changes. */
+  private applyChanges(
+    content: StoreChanges,
+    times: Pick<WatchTimes, 'calledAt' | 'receivedAt' | 'waitMs'>,
+  ): StoreChanges {
+    const { receivedAt } = times;
+    const changedAt = this.dating.dateChanges(receivedAt);
+    const isUnchanged = content.changes.length === 0;
+    this.mirror.applyChanges(content, changedAt);
+    this.dating.recordResponse(confirmedUntil({ ...times, isUnchanged }));
+    const provenance = { proofAgeMs: 0, changeAgeMs: receivedAt - changedAt, outage: undefined };
+    return { ...content, provenance };
+  }
+
+  private applySnapshot(
+    content: StoreSnapshot,
+    { calledAt, receivedAt }: CallTimes,
+  ): StoreSnapshot {
+    this.mirror.applySnapshot(content, this.dating.dateChanges(receivedAt));
+    this.dating.recordResponse(calledAt);
+    return content;
+  }
+
   /** Time for which the store owes the next part of a response, in milliseconds. */
   private getSilenceMs(): number {
     return this.silentSince === undefined ? 0 : this.proofClock.now() - this.silentSince;
@@ -216,15 +244,15 @@
       this.mirror.applyChanges(relayed, learnedAt);
     }
     this.mirror.confirm(calledAt - provenance.proofAgeMs);
+    this.dating.recordResponse(calledAt - provenance.proofAgeMs);
     const { outage } = provenance;
     if (outage) this.mirror.recordOutage(outage.durationMs, now - outage.endedMsAgo);
     this.handleResponse(FeedSource.entry, now);
   }
 
   private async readStore<Content extends StoreSnapshot | StoreChanges>(
-    waitMs: number,
     read: (onProgress: () => void) => Promise<Content>,
-    apply: (content: Content, learnedAt: number) => void,
+    apply: (content: Content, times: CallTimes) => Content,
     signal?: AbortSignal,
   ): Promise<Content> {
     const calledAt = this.proofClock.now();
@@ -235,20 +263,18 @@
       this.silentSince ??= calledAt;
       const content = await read(recordProgress);
       const now = this.proofClock.now();
-      const respondedAt = Math.min(now, calledAt + waitMs);
-      const lastResponseAt = this.respondedAt ?? now;
-      // A change that was returned immediately may have been made at any time since the last response. So may
-      // any change after a pause: a slow response can't be told apart from one that waited for a change.
-      const isAfterPause = calledAt - lastResponseAt > immediateResponseMs;
-      const isImmediate = now - calledAt <= immediateResponseMs;
-      apply(content, isAfterPause || isImmediate ? lastResponseAt : respondedAt);
+      const applied = apply(content, { calledAt, receivedAt: now });
       this.mirror.confirm(calledAt);
       if (this.isStoreFailing) this.mirror.recordOutage(now - (this.respondedAt ?? now), now);
       this.handleResponse(FeedSource.store, now);
-      return content;
+      return applied;
     } catch (error) {
-      if (signal?.aborted) this.silentSince = undefined;
-      else this.isStoreFailing = true;
+      if (signal?.aborted) {
+        this.silentSince = undefined;
+      } else {
+        this.isStoreFailing = true;
+        this.dating.recordFailure();
+      }
       throw error;
     }
   }
--- a/packages/sidecar/src/fleetView.ts
+++ b/packages/sidecar/src/fleetView.ts
@@ -22,7 +22,8 @@
     private readonly dataCentre: string,
     /** Region of each data centre. */
     private readonly regions: ReadonlyMap<string, string>,
-    private readonly clock: Clock,
+    /** Runs during a suspension too, as the time of a version does. */
+    private readonly clock: Pick<Clock, 'now'>,
     private readonly log: Log,
   ) {}
 
