Withdraw requests that could still start on a version whose time is over

Callers were answered on weights whose time was over (VERSION): the time between a send and its start was bounded by nothing but a margin at the placement, 0.95 s before an engine with free slots and 1.8 s before a busy one.

Calls that wait at an engine with an outdated version are withdrawn 250 ms before its time is over (their connection is reset, which the engine notices before it starts them) and are placed again, if they may be; a request is checked once more when its connection is there, also against a drain and an evacuation. The margins at the placement stay, so that few are withdrawn.

Ruled out: a deadline that ends with the version, which would end streams that have begun; a wider margin, as no queue and no pause of an instance has a bound that an entry knows.

--- a/packages/decisions/src/forwarding/versionEligibility.ts
+++ b/packages/decisions/src/forwarding/versionEligibility.ts
@@ -10,15 +10,25 @@
   readonly startsAtOnce: boolean;
 }
 
-/** Safety margins before the end of the grace time, in milliseconds: requests wait in a busy engine's queue. */
-const graceMarginMs = { free: 950, busy: 1_800 } as const;
+/** Time that a request usually waits in an engine's queue, so that few are withdrawn, in milliseconds. */
+const usualWaitMs = { free: 950, busy: 1_800 } as const;
 /** Report age above which the instance may be paused and start a request much later, in milliseconds. */
 const staleReportMs = 1_000;
+/** Time in which an engine notices that a request was withdrawn, in milliseconds. */
+const withdrawalMs = 250;
 
 /** Whether an engine's version permits sending it a request. */
 export function isVersionEligible(age: VersionAge): boolean {
   const { outdatedMs, graceMs, reportAgeMs, startsAtOnce } = age;
   if (outdatedMs < 0) return true;
-  const marginMs = startsAtOnce ? graceMarginMs.free : graceMarginMs.busy;
+  const marginMs = startsAtOnce ? usualWaitMs.free : usualWaitMs.busy;
   return outdatedMs < graceMs - marginMs && reportAgeMs < staleReportMs;
 }
+
+/** Whether a request that was sent to an engine may still start there; otherwise it is to be withdrawn. */
+export function mayStartOnVersion({
+  outdatedMs,
+  graceMs,
+}: Pick<VersionAge, 'outdatedMs' | 'graceMs'>): boolean {
+  return outdatedMs < graceMs - withdrawalMs;
+}
--- a/packages/forwarding/src/bufferedForwarder.ts
+++ b/packages/forwarding/src/bufferedForwarder.ts
@@ -11,7 +11,7 @@
 import { responseMemoryBytes } from './responseBounds.js';
 import { ResponseCollector } from './responseCollector.js';
 import type { CallOutcome, BufferedResponse } from './responseCollector.js';
-import { CallFault } from './endpointCall.js';
+import { CallFault, isEndpointFault } from './endpointCall.js';
 import { deadlineExceeded } from './exchange.js';
 import type { Exchange } from './exchange.js';
 
@@ -129,7 +129,7 @@
     fault: CallFault,
     reason: string,
   ): boolean {
-    this.recordHealth(attempt, AttemptOutcome.failed);
+    if (isEndpointFault(fault)) this.recordHealth(attempt, AttemptOutcome.failed);
     const execution = fault === CallFault.connection ? Execution.notRun : Execution.unknown;
     if (attempts.mayRetry({ attempt, execution, fault, reason })) return false;
     if (execution === Execution.notRun) throw attempts.createRefusal();
--- a/packages/forwarding/src/endpointCall.ts
+++ b/packages/forwarding/src/endpointCall.ts
@@ -22,6 +22,8 @@
   oversized: 'oversized',
   /** This process aborted the call because the endpoint sent nothing for too long. */
   silent: 'silent',
+  /** This process withdrew the call, as it could no longer start in time on the endpoint's weights. */
+  expired: 'expired',
   /** This process aborted the call for another reason. */
   aborted: 'aborted',
 } as const;
@@ -132,6 +134,11 @@
     return this.bytes;
   }
 
+  /** Whether a part of the response's body has arrived, so that the request has started. */
+  get hasContent(): boolean {
+    return this.bytes > 0;
+  }
+
   /** Properties of the response so far. */
   get stats(): CallStats {
     const { framing, bytes, connection } = this;
@@ -158,6 +165,13 @@
     this.connection.destroy();
   }
 
+  /** Aborts the call as one that has not started; reports it to the observer. */
+  withdraw(reason: string): void {
+    if (this.hasEnded) return;
+    this.fail(this.hasBeenSent ? CallFault.expired : CallFault.connection, reason);
+    this.controller?.abort(new Aborted());
+  }
+
   pause(): void {
     this.controller?.pause();
   }
@@ -256,6 +270,11 @@
   }
 }
 
+/** Whether the endpoint caused a fault, and this process did not. */
+export function isEndpointFault(fault: CallFault): boolean {
+  return fault !== CallFault.expired;
+}
+
 /** Whether a status is successful (2xx). */
 export function isSuccess(status: number): boolean {
   return status >= 200 && status < firstRedirectStatus;
--- a/packages/forwarding/src/endpointDirectory.ts
+++ b/packages/forwarding/src/endpointDirectory.ts
@@ -12,6 +12,7 @@
   NotifierSelection,
   countSenders,
   isVersionEligible,
+  mayStartOnVersion,
 } from '@laburnumstream/decisions';
 import type { CapacitySharers } from '@laburnumstream/decisions';
 import type { EndpointSource, ServiceStatements } from './dispatchQueue.js';
@@ -133,6 +134,25 @@
     );
   }
 
+  /** Whether a request that was placed on an endpoint may be written now, after its connection was established. */
+  maySend(handle: EndpointHandle): boolean {
+    const now = this.clock.now();
+    return (
+      this.statements.allows(handle.incarnation, now) &&
+      !handle.endpoint.isDraining &&
+      !this.state.isEvacuated(handle.endpoint.dataCentre) &&
+      this.hasUsableWeights(handle, now, true)
+    );
+  }
+
+  /** Whether requests that wait at an endpoint may still start there, by the version of its weights. */
+  mayStart(handle: EndpointHandle): boolean {
+    return mayStartOnVersion({
+      outdatedMs: this.outdatedMs(handle),
+      graceMs: this.versionGraceMs,
+    });
+  }
+
   /** Whether an endpoint runs, as far as is known. */
   isRunning(handle: EndpointHandle): boolean {
     return handle.isAnswering && (this.isRegistered(handle) || !handle.isLost);
@@ -324,7 +344,11 @@
   }
 
   /** Plain services need no weights; an engine must hold all layers of a version that is still in use. */
-  private hasUsableWeights(handle: EndpointHandle, now: number): boolean {
+  private hasUsableWeights(
+    handle: EndpointHandle,
+    now: number,
+    startsAtOnce = handle.load.outstanding(now) < handle.slots * freeSlotShare,
+  ): boolean {
     if (!handle.model) return true;
     if (handle.version === undefined || handle.profile?.engine?.models[0] === undefined)
       return false;
@@ -332,7 +356,7 @@
       outdatedMs: this.outdatedMs(handle),
       graceMs: this.versionGraceMs,
       reportAgeMs: handle.load.reportAgeMs(now),
-      startsAtOnce: handle.load.outstanding(now) < handle.slots * freeSlotShare,
+      startsAtOnce,
     });
   }
 
--- a/packages/forwarding/src/forwardingEntry.ts
+++ b/packages/forwarding/src/forwardingEntry.ts
@@ -28,6 +28,7 @@
 import { RegionalFeed } from './regionalFeed.js';
 import { BufferedForwarder } from './bufferedForwarder.js';
 import { StatementRecorder } from './statementRecorder.js';
+import { WaitingCalls } from './waitingCalls.js';
 
 /** Dependencies of an entry. */
 export interface EntryDependencies {
@@ -69,6 +70,8 @@
 
   private readonly directory: EndpointDirectory;
 
+  private readonly waitingCalls: WaitingCalls;
+
   private readonly queue: DispatchQueue;
 
   private readonly callers: CallerServer;
@@ -121,6 +124,7 @@
       entryCounts,
       proofClock,
     );
+    this.waitingCalls = new WaitingCalls(this.directory);
     const guard = new CrashGuard((id) => this.directory.get(id), clock, metrics, log('crashes'));
     this.crashRecords = new CrashRecords(
       store,
@@ -169,6 +173,7 @@
       onNamedLimit: (handle: EndpointHandle, perSecond: number | undefined) =>
         this.agents.recordNamedLimit(handle, perSecond),
       statements: new StatementRecorder(this.directory.statements, clock, metrics, log('sidecars')),
+      waitingCalls: this.waitingCalls,
       codec: headerCodec,
       clock,
       metrics,
@@ -238,6 +243,7 @@
     this.callers.applyLimits();
     this.directory.refresh();
     this.agents.scheduleUpdate();
+    this.waitingCalls.refresh();
     this.queue.dispatchAll();
   }
 }
--- a/packages/forwarding/src/requestAttempts.ts
+++ b/packages/forwarding/src/requestAttempts.ts
@@ -22,6 +22,7 @@
 import type { ResponseHead } from './heads.js';
 import { Refusal, RefusalReason } from './refusal.js';
 import type { StatementRecorder } from './statementRecorder.js';
+import type { WaitingCalls } from './waitingCalls.js';
 
 /**
  * Longest idle time of a connection on which a non-retryable request is sent, in milliseconds: the
@@ -56,6 +57,7 @@
   /** Called with the requests per second that a response names as the endpoint's limit, if any. */
   readonly onNamedLimit: (endpoint: EndpointHandle, perSecond: number | undefined) => void;
   readonly statements: StatementRecorder;
+  readonly waitingCalls: WaitingCalls;
   readonly codec: HeaderCodec;
   readonly clock: Clock;
   readonly metrics: Metrics;
@@ -345,7 +347,7 @@
       observer,
       (status, responseHead) => this.recordHead(handle, status, responseHead),
       () => {
-        const maySend = services.statements.maySend(handle);
+        const maySend = directory.maySend(handle);
         if (maySend) use.recordSend();
         return maySend;
       },
@@ -362,6 +364,7 @@
     const markEnded = (): void => {
       if (hasEnded) return;
       hasEnded = true;
+      services.waitingCalls.remove(call);
       markPrefilled();
       handle.load.recordEnd();
       onLoadChange(handle);
@@ -376,6 +379,7 @@
     handle.load.recordStart(prefillMs);
     onLoadChange(handle);
     call.start();
+    if (handle.model) services.waitingCalls.add(call, handle);
     return { handle, call, markPrefilled: markFirstEvent, markEnded };
   }
 }
--- a/packages/forwarding/src/statementRecorder.ts
+++ b/packages/forwarding/src/statementRecorder.ts
@@ -34,11 +34,6 @@
       .forEach((kind) => this.recordUnreadable(handle, kind));
   }
 
-  /** Whether a request may be sent to an endpoint now. */
-  maySend({ incarnation }: EndpointHandle): boolean {
-    return this.statements.allows(incarnation, this.clock.now());
-  }
-
   private recordLeaving(handle: EndpointHandle): void {
     if (!this.statements.recordLeaving(handle.incarnation, this.clock.now())) return;
     handle.pool.closeIdle();
