Tell followers the date of each change, also of versions that they read as one

The age of relayed changes was also taken at the arrival of the response, so that it was late by the time that the response took.

The mirror keeps the date of each batch of changes, and tells with each change how much later than the oldest unseen one it was made; ages count from the call of the follower, as those of proofs do (new header: a follower of the old build reads the store itself). A version that skips numbers ends the versions before it at the date of the first unseen change.

--- a/packages/common/src/services.ts
+++ b/packages/common/src/services.ts
@@ -235,7 +235,10 @@
 export interface Provenance {
   /** Time before the call at which the store confirmed the content as the newest, in milliseconds. */
   readonly proofAgeMs: number;
-  /** Time for which the oldest change in the content may have been known, in milliseconds. */
+  /**
+   * Time before the call at which the oldest change may have been made that the caller has not seen, in
+   * milliseconds; negative after the call. Of several changes of a key the content has the last one only.
+   */
   readonly changeAgeMs: number;
   /** The last outage that the process has seen. */
   readonly outage: StoreOutage | undefined;
@@ -254,6 +257,8 @@
   readonly key: string;
   readonly value: string | undefined;
   readonly revision: number;
+  /** Time that it was made after the oldest change of the response, in milliseconds; 0 by default. */
+  readonly laterMs?: number;
 }
 
 /** Changes in order of their revisions, and the revision after which to continue watching. */
--- a/packages/forwarding/src/feedClient.ts
+++ b/packages/forwarding/src/feedClient.ts
@@ -32,6 +32,7 @@
   return (
     typeof change.key === 'string' &&
     (change.value === undefined || typeof change.value === 'string') &&
+    (change.laterMs === undefined || change.laterMs >= 0) &&
     Number.isSafeInteger(change.revision) &&
     change.revision! <= maxRevision
   );
@@ -49,7 +50,7 @@
 function readProvenance({ headers }: TransferredResponse): Provenance {
   const proofAgeMs = Number(headers[FeedHeader.proofAge]);
   const changeAgeMs = Number(headers[FeedHeader.changeAge]);
-  if (!(proofAgeMs >= 0 && changeAgeMs >= 0))
+  if (!(proofAgeMs >= 0 && Number.isFinite(changeAgeMs)))
     throw new InvalidInput('The feed does not tell its age.');
   const durationMs = Number(headers[FeedHeader.outage]);
   const endedMsAgo = Number(headers[FeedHeader.outageEnded]);
--- a/packages/forwarding/src/feedProtocol.ts
+++ b/packages/forwarding/src/feedProtocol.ts
@@ -23,7 +23,7 @@
   /** A `FeedSource`. */
   source: 'laburnumstream-feed-source',
   proofAge: 'laburnumstream-feed-proof-age',
-  changeAge: 'laburnumstream-feed-change-age',
+  changeAge: 'laburnumstream-feed-changed-before',
   outage: 'laburnumstream-feed-outage',
   outageEnded: 'laburnumstream-feed-outage-ended',
 } as const;
--- a/packages/forwarding/src/fleetState.ts
+++ b/packages/forwarding/src/fleetState.ts
@@ -11,10 +11,16 @@
     state: FleetState,
     change: Extract<FleetChange, { kind: Kind }>,
     changedAt: number,
+    unseenSince: number,
   ) => void;
 };
 
-type Handler = (state: FleetState, change: FleetChange, changedAt: number) => void;
+type Handler = (
+  state: FleetState,
+  change: FleetChange,
+  changedAt: number,
+  unseenSince: number,
+) => void;
 
 const handlers: Handlers = {
   configuration: (state, { configuration }) =>
@@ -22,7 +28,8 @@
   endpoint: (state, { id, endpoint }) =>
     endpoint ? state.setEndpoint(endpoint) : state.removeEndpoint(id),
   evacuation: (state, { dataCentre, isActive }) => state.setEvacuation(dataCentre, isActive),
-  version: (state, { named }, at) => state.addNamedVersion(named.model, named.version, at),
+  version: (state, { named }, changedAt, unseenSince) =>
+    state.addNamedVersion(named.model, named.version, changedAt, unseenSince),
   entry: (state, { name, location }) => state.setEntry(name, location),
   crashes: (state, change) => state.applyCrashChange(change),
   conviction: (state, change) => state.setConviction(change),
@@ -109,10 +116,13 @@
     return new Map([...this.namedVersionsByModel].map(([model, { newest }]) => [model, newest]));
   }
 
-  /** Applies a change that was made at `changedAt` or later, in monotonic milliseconds. */
-  apply(change: FleetChange, changedAt: number): void {
+  /**
+   * Applies a change that was made at `changedAt` or later, in milliseconds. Changes that it has replaced may have
+   * been made since `unseenSince`.
+   */
+  apply(change: FleetChange, changedAt: number, unseenSince = changedAt): void {
     const handler = handlers[change.kind] as Handler;
-    handler(this, change, changedAt);
+    handler(this, change, changedAt, unseenSince);
   }
 
   /** Applies several changes and calls `onChange` at most once, after the last one. */
@@ -196,11 +206,13 @@
     this.notifyChange();
   }
 
-  addNamedVersion(model: string, version: number, namedAt: number): void {
+  addNamedVersion(model: string, version: number, changedAt: number, unseenSince: number): void {
     const named = this.namedVersionsByModel.get(model) ?? new NamedVersions();
     const isNewest = version > named.newest;
+    // Versions between the known one and this one may have been named and replaced.
+    if (version - 1 > named.newest) named.add(version - 1, unseenSince);
     // An earlier date of a known version counts too.
-    named.add(version, namedAt);
+    named.add(version, changedAt);
     this.namedVersionsByModel.set(model, named);
     if (!isNewest) return;
     this.log.info('Version named.', { model, version });
--- a/packages/forwarding/src/fleetWatcher.ts
+++ b/packages/forwarding/src/fleetWatcher.ts
@@ -48,6 +48,13 @@
   return {};
 }
 
+/** A decoded change of a response. */
+interface DatedChange {
+  readonly change: FleetChange;
+  /** Time that it was made after the oldest change of the response, in milliseconds. */
+  readonly laterMs: number;
+}
+
 /** The call whose response brought changes. */
 interface ResponseOrigin {
   readonly call: StoreCall;
@@ -181,7 +188,8 @@
     const changedAt = this.dating.dateChanges(this.proofClock.now());
     this.logVersions(changes, changedAt, { call: StoreCall.list, calledAt, provenance });
     this.recordResponse(provenance, calledAt);
-    this.applyAll([...this.state.getRemovals(changes), ...changes], changedAt);
+    const removals = this.state.getRemovals(changes.map(({ change }) => change));
+    this.applyAll([...removals.map((change) => ({ change, laterMs: 0 })), ...changes], changedAt);
     this.revision = revision;
     return provenance?.proofAgeMs ?? 0;
   }
@@ -200,7 +208,9 @@
     const { changes, revision, provenance } = response;
     const receivedAt = this.proofClock.now();
     const decoded = changes.flatMap((change) => this.decode(change));
-    const changedAt = this.getChangedAt(Math.min(receivedAt, calledAt + waitMs), provenance);
+    const changedAt = provenance
+      ? calledAt - provenance.changeAgeMs
+      : this.dating.dateChanges(receivedAt);
     this.logVersions(decoded, changedAt, { call: StoreCall.watch, calledAt, provenance });
     const isUnchanged = changes.length === 0;
     this.recordResponse(
@@ -213,15 +223,6 @@
     return provenance?.proofAgeMs ?? 0;
   }
 
-  /**
-   * Returns the earliest time at which changes in a response may have been made; the response began by
-   * `respondedAt`, however long it took to arrive.
-   */
-  private getChangedAt(respondedAt: number, provenance: Provenance | undefined): number {
-    if (provenance) return respondedAt - provenance.changeAgeMs;
-    return this.dating.dateChanges(this.proofClock.now());
-  }
-
   /** Records a response with all changes until `confirmedAt`, before its changes are applied. */
   private recordResponse(provenance: Provenance | undefined, confirmedAt: number): void {
     const now = this.clock.now();
@@ -235,20 +236,20 @@
 
   /** Logs how new versions of weights in a response are dated. */
   private logVersions(
-    changes: readonly FleetChange[],
-    changedAt: number,
+    changes: readonly DatedChange[],
+    oldestAt: number,
     { call, calledAt, provenance }: ResponseOrigin,
   ): void {
     const now = this.proofClock.now();
     const monotonicNow = this.clock.now();
-    changes.forEach((change) => {
+    changes.forEach(({ change, laterMs }) => {
       if (change.kind !== 'version') return;
       const { model, version } = change.named;
       if (version <= (this.state.namedVersions(model)?.newest ?? 0)) return;
       this.log.info('Version dated.', {
         model,
         version,
-        datedMsAgo: Math.round(now - changedAt),
+        datedMsAgo: Math.round(now - oldestAt - laterMs),
         call,
         callMs: Math.round(now - calledAt),
         lastResponseMsAgo: Math.round(monotonicNow - this.lastResponseAt),
@@ -259,18 +260,18 @@
     });
   }
 
-  private applyAll(changes: readonly FleetChange[], changedAt: number): void {
-    this.state.applyBatch(() => changes.forEach((change) => this.applyOrDefer(change, changedAt)));
+  private applyAll(changes: readonly DatedChange[], oldestAt: number): void {
+    this.state.applyBatch(() => changes.forEach((dated) => this.applyOrDefer(dated, oldestAt)));
   }
 
-  private applyOrDefer(change: FleetChange, changedAt: number): void {
+  private applyOrDefer({ change, laterMs }: DatedChange, oldestAt: number): void {
     const { key, isGone } = getRegistration(change);
     if (key && !isGone) this.deferredRemovals.cancel(key);
     if (key && isGone && this.deferredRemovals.defer(key, change, this.clock.now())) {
       this.log.info('Not registered; it may come back.', { key });
       return;
     }
-    this.state.apply(change, changedAt);
+    this.state.apply(change, oldestAt + laterMs, oldestAt);
   }
 
   private applyDueRemovals(): void {
@@ -280,10 +281,10 @@
     );
   }
 
-  private decode(change: StoreChange): FleetChange[] {
+  private decode(change: StoreChange): DatedChange[] {
     try {
       const decoded = this.codec.decode(change);
-      return decoded ? [decoded] : [];
+      return decoded ? [{ change: decoded, laterMs: change.laterMs ?? 0 }] : [];
     } catch (error) {
       if (!(error instanceof InvalidInput)) throw error;
       this.metrics.count('store_values_unreadable');
--- a/packages/forwarding/src/regionalFeed.ts
+++ b/packages/forwarding/src/regionalFeed.ts
@@ -120,6 +120,7 @@
     waitMs: number,
     signal?: AbortSignal,
   ): Promise<StoreChanges> {
+    const startedAt = this.proofClock.now();
     const isReader = this.pickSource() === undefined;
     const relayed = await this.readFromEntries(after, Math.min(waitMs, entryWaitMs), signal);
     if (relayed) return relayed;
@@ -127,22 +128,22 @@
     const storeWaitMs = Math.min(waitMs, maxWaitMs);
     return this.readStore(
       (onProgress) => this.store.changes(prefix, after, storeWaitMs, signal, onProgress),
-      (content, times) => this.applyChanges(content, { ...times, waitMs: storeWaitMs }),
+      (content, times) => this.applyChanges(content, { ...times, waitMs: storeWaitMs }, startedAt),
       signal,
     );
   }
 
-  /** Applies a response of the store to the mirror; returns it with the age of its changes. */
+  /** Applies a response of the store to the mirror; returns it with the age of its changes at `startedAt`. */
   private applyChanges(
     content: StoreChanges,
-    times: Pick<WatchTimes, 'calledAt' | 'receivedAt' | 'waitMs'>,
+    times: Omit<WatchTimes, 'isUnchanged'>,
+    startedAt: number,
   ): StoreChanges {
-    const { receivedAt } = times;
-    const changedAt = this.dating.dateChanges(receivedAt);
+    const changedAt = this.dating.dateChanges(times.receivedAt);
     const isUnchanged = content.changes.length === 0;
     this.mirror.applyChanges(content, changedAt);
     this.dating.recordResponse(confirmedUntil({ ...times, isUnchanged }));
-    const provenance = { proofAgeMs: 0, changeAgeMs: receivedAt - changedAt, outage: undefined };
+    const provenance = { proofAgeMs: 0, changeAgeMs: startedAt - changedAt, outage: undefined };
     return { ...content, provenance };
   }
 
@@ -175,7 +176,7 @@
     let source = this.pickSource();
     let sourceWaitMs = waitMs;
     while (source !== undefined && this.proofClock.now() - startedAt < maxAttemptsMs) {
-      const relayed = await this.readEntry(source, after, sourceWaitMs, signal);
+      const relayed = await this.readEntry(source, after, sourceWaitMs, startedAt, signal);
       if (relayed) return relayed;
       source = this.pickSource();
       sourceWaitMs = Math.min(waitMs, fallbackWaitMs);
@@ -193,11 +194,15 @@
     return this.readers.pickSource(this.proofClock.now());
   }
 
-  /** Reads from another entry; returns undefined if it can't be reached or has nothing recent. */
+  /**
+   * Reads from another entry; returns undefined if it can't be reached or has nothing recent. The age of the changes
+   * is that at `startedAt`, as other entries may have been tried before.
+   */
   private async readEntry(
     source: string,
     after: number,
     waitMs: number,
+    startedAt: number,
     signal?: AbortSignal,
   ): Promise<RelayedChanges | undefined> {
     const calledAt = this.proofClock.now();
@@ -211,8 +216,9 @@
         (isOlder && after === wholeContent)
       )
         throw new OldProof(address, proofAgeMs);
-      this.applyRelayed(after, relayed, calledAt, waitMs);
-      return relayed;
+      this.applyRelayed(after, relayed, calledAt);
+      const changeAgeMs = relayed.provenance.changeAgeMs - (calledAt - startedAt);
+      return { ...relayed, provenance: { ...relayed.provenance, changeAgeMs } };
     } catch (error) {
       if (signal?.aborted || error instanceof HistoryLost) throw error;
       this.readers.recordFailure(source, this.proofClock.now());
@@ -228,20 +234,15 @@
     return `${location.host}:${this.settings.firstPort + feedPortOffset}`;
   }
 
-  private applyRelayed(
-    after: number,
-    relayed: RelayedChanges,
-    calledAt: number,
-    waitMs: number,
-  ): void {
+  private applyRelayed(after: number, relayed: RelayedChanges, calledAt: number): void {
     const { changes, revision, provenance } = relayed;
     const now = this.proofClock.now();
-    const learnedAt = Math.min(now, calledAt + waitMs) - provenance.changeAgeMs;
+    const changedAt = calledAt - provenance.changeAgeMs;
     if (after === wholeContent) {
       const values = changes.flatMap(toStoredValue);
-      this.mirror.applySnapshot({ values, revision }, learnedAt);
+      this.mirror.applySnapshot({ values, revision }, changedAt);
     } else {
-      this.mirror.applyChanges(relayed, learnedAt);
+      this.mirror.applyChanges(relayed, changedAt);
     }
     this.mirror.confirm(calledAt - provenance.proofAgeMs);
     this.dating.recordResponse(calledAt - provenance.proofAgeMs);
--- a/packages/forwarding/src/storeMirror.ts
+++ b/packages/forwarding/src/storeMirror.ts
@@ -9,10 +9,21 @@
 /** Removed keys that are remembered; a follower from before the oldest one needs a snapshot. */
 const maxRemovals = 2_000;
 
+/** Number of batches whose dates are remembered; a follower from before the oldest one needs a snapshot. */
+const maxBatches = 1_000;
+
 /** The newest change of a key. */
-interface MirroredChange extends StoreChange {
-  /** Earliest time at which the change may have been known, on the mirror's clock. */
-  readonly learnedAt: number;
+interface MirroredChange extends Omit<StoreChange, 'laterMs'> {
+  /** Earliest time at which it may have been made, on the mirror's clock. */
+  readonly changedAt: number;
+}
+
+/** Changes that became known together. */
+interface ChangeBatch {
+  /** Revision of the newest of them. */
+  readonly revision: number;
+  /** Earliest time at which they may have been made, on the mirror's clock. */
+  readonly changedAt: number;
 }
 
 /** An outage of the store on the mirror's clock. */
@@ -29,7 +40,10 @@
   /** In the order of the changes. */
   private changesByKey = new Map<string, MirroredChange>();
 
-  /** Revision up to which removals may be unknown. */
+  /** In the order of the changes, also of those that were replaced by later ones of the same key. */
+  private batches: ChangeBatch[] = [];
+
+  /** Revision up to which removals and dates may be unknown. */
   private forgottenRevision = 0;
 
   private revisionKnown: number | undefined;
@@ -44,23 +58,25 @@
   }
 
   /** Replaces the content. What was removed before is unknown, so followers need a snapshot too. */
-  applySnapshot({ values, revision }: StoreSnapshot, learnedAt: number): void {
+  applySnapshot({ values, revision }: StoreSnapshot, changedAt: number): void {
     this.changesByKey = new Map();
+    this.batches = [];
     this.forgottenRevision = revision;
     // What was confirmed before may be newer than the snapshot.
     if (revision < (this.revisionKnown ?? 0)) this.confirmedAt = -Infinity;
     this.revisionKnown = revision;
-    this.applyChanges({ changes: values, revision }, learnedAt);
+    this.applyChanges({ changes: values, revision }, changedAt);
   }
 
-  applyChanges({ changes, revision }: StoreChanges, learnedAt: number): void {
-    changes.forEach((change) => {
+  applyChanges({ changes, revision }: StoreChanges, changedAt: number): void {
+    changes.forEach(({ laterMs = 0, ...change }) => {
       const known = this.changesByKey.get(change.key);
       if (known && known.revision >= change.revision) return;
       this.changesByKey.delete(change.key);
-      this.changesByKey.set(change.key, { ...change, learnedAt });
+      this.changesByKey.set(change.key, { ...change, changedAt: changedAt + laterMs });
     });
     this.revisionKnown = Math.max(this.revisionKnown ?? 0, revision);
+    this.recordBatch(changes, changedAt);
     this.forgetRemovals();
   }
 
@@ -77,17 +93,19 @@
   /** Returns the values and removals after a revision; undefined if some may have been forgotten. */
   changesAfter(revision: number): readonly StoreChange[] | undefined {
     if (revision !== 0 && revision < this.forgottenRevision) return undefined;
+    const oldestAt = this.oldestAfter(revision);
     return this.selectAfter(revision)
-      .map(({ key, value, revision: changedAt }) => ({ key, value, revision: changedAt }))
+      .map(({ changedAt, ...change }) =>
+        changedAt > oldestAt ? { ...change, laterMs: changedAt - oldestAt } : change,
+      )
       .sort((a, b) => a.revision - b.revision);
   }
 
   /** Describes the changes after a revision to a follower that called at `calledAt`. */
   describe(after: number, calledAt: number, now: number): Provenance {
-    const oldest = Math.min(now, ...this.selectAfter(after).map(({ learnedAt }) => learnedAt));
     return {
       proofAgeMs: Math.max(0, calledAt - this.confirmedAt),
-      changeAgeMs: now - oldest,
+      changeAgeMs: calledAt - Math.min(now, this.oldestAfter(after)),
       outage: this.describeOutage(now),
     };
   }
@@ -98,6 +116,21 @@
     return { durationMs, endedMsAgo: now - endedAt };
   }
 
+  /** Returns the date of the first change after a revision, also if a later one of its key has replaced it. */
+  private oldestAfter(revision: number): number {
+    const unseen = this.batches.filter((batch) => batch.revision > revision);
+    return Math.min(...unseen.map(({ changedAt }) => changedAt));
+  }
+
+  private recordBatch(changes: readonly StoreChange[], changedAt: number): void {
+    const revision = Math.max(...changes.map((change) => change.revision));
+    if (revision <= (this.batches.at(-1)?.revision ?? 0)) return;
+    this.batches.push({ revision, changedAt });
+    if (this.batches.length <= maxBatches) return;
+    const forgotten = this.batches.shift()!;
+    this.forgottenRevision = Math.max(this.forgottenRevision, forgotten.revision);
+  }
+
   private selectAfter(revision: number): MirroredChange[] {
     const isSnapshot = revision === 0;
     return [...this.changesByKey.values()].filter(
