Reset the connections of requests that are given up

Cause: meant to reset such connections, but undici destroys the socket of an aborted request itself, with an orderly end, before EndpointConnection.destroy is called; the engine then reads the request at the wake. Change: the socket of an endpoint's connection is always destroyed with a reset (ResetAwareSocket).

--- a/packages/forwarding/src/endpointConnection.ts
+++ b/packages/forwarding/src/endpointConnection.ts
@@ -51,13 +51,18 @@
       keepAliveTimeoutThreshold: idleMarginMs,
       strictContentLength: true,
       maxHeaderSize: maxHeaderBytes,
-      connect: createConnector(connectTimeoutMs, (socket) => {
-        this.socket = socket;
-        socket.once('connect', () => {
-          onConnect();
-          socket.on('readable', () => this.checkFraming());
-        });
-      }),
+      // The client itself destroys the socket of an aborted request.
+      connect: createConnector(
+        connectTimeoutMs,
+        (socket) => {
+          this.socket = socket;
+          socket.once('connect', () => {
+            onConnect();
+            socket.on('readable', () => this.checkFraming());
+          });
+        },
+        true,
+      ),
     });
     this.client.on('disconnect', () => this.handleClose());
     this.client.on('connectionError', () => this.handleClose());
@@ -79,8 +84,7 @@
   destroy(): void {
     // The client emits no event for a connection that has not been established.
     this.onClose(this);
-    if (this.socket?.connecting) this.socket.destroy();
-    else this.socket?.resetAndDestroy();
+    this.socket?.destroy();
     this.client.destroy().catch(() => undefined);
   }
 
--- a/packages/runtime/src/connector.ts
+++ b/packages/runtime/src/connector.ts
@@ -25,18 +25,20 @@
 /**
  * Creates a connector for the `connect` option of undici's clients. On its connections a reset is
  * never mistaken for the end of a response. A connection that is not established within `timeoutMs`
- * fails with `ConnectTimeout`. `onConnecting` is called with each socket before it connects.
+ * fails with `ConnectTimeout`. `onConnecting` is called with each socket before it connects. With
+ * `resetsWhenDestroyed`, a connection that the client destroys is reset instead of ended.
  */
 export function createConnector(
   timeoutMs = defaultTimeoutMs,
   onConnecting: (socket: Socket) => void = () => undefined,
+  resetsWhenDestroyed = false,
 ): Connector {
   return ({ protocol, hostname, port }, callback) => {
     if (protocol !== 'http:') {
       callback(new InvalidInput(`Only http: addresses can be reached, not ${protocol}`), null);
       return;
     }
-    const socket = new ResetAwareSocket();
+    const socket = new ResetAwareSocket(resetsWhenDestroyed);
     const timer = setTimeout(() => socket.destroy(new ConnectTimeout()), timeoutMs);
     let isOpen = false;
     socket.setNoDelay(true);
--- a/packages/runtime/src/resetAwareSocket.ts
+++ b/packages/runtime/src/resetAwareSocket.ts
@@ -24,7 +24,13 @@
   /** Whether the peer has closed its side but `end` has not been emitted yet. */
   private isEndPending = false;
 
-  constructor() {
+  /** The reset with which it is being destroyed. */
+  private pendingReset: { readonly cause: Error | undefined } | undefined;
+
+  constructor(
+    /** Whether destroying it resets the connection, so that data in transit is not delivered. */
+    private readonly resetsWhenDestroyed = false,
+  ) {
     // The probe is written after the peer has closed its side.
     super({ allowHalfOpen: true });
   }
@@ -46,7 +52,12 @@
   }
 
   override destroy(error?: Error): this {
-    return super.destroy(resetCodes.has(getErrorCode(error)) ? new ConnectionReset(error) : error);
+    const cause = resetCodes.has(getErrorCode(error)) ? new ConnectionReset(error) : error;
+    if (this.pendingReset) return super.destroy(this.pendingReset.cause);
+    if (!this.resetsWhenDestroyed || this.connecting || this.destroyed) return super.destroy(cause);
+    this.pendingReset = { cause };
+    // It calls this method again, without the cause.
+    return this.resetAndDestroy();
   }
 
   private scheduleEnd(): void {
--- a/packages/standins/src/platformEngine.ts
+++ b/packages/standins/src/platformEngine.ts
@@ -161,6 +161,9 @@
   /** Number of connections that callers closed while their request ran. */
   clientDisconnects = 0;
 
+  /** Number of connections that callers reset. */
+  clientResets = 0;
+
   private constructor(
     readonly id: string,
     private readonly server: Server,
@@ -174,6 +177,11 @@
   ): Promise<PlatformEngine> {
     const server = createServer();
     const engine = new PlatformEngine(id, server);
+    server.on('connection', (socket: Socket) => {
+      socket.once('error', ({ code }: NodeJS.ErrnoException) => {
+        if (code === 'ECONNRESET') engine.clientResets += 1;
+      });
+    });
     server.on('request', (request: IncomingMessage, response: ServerResponse) => {
       request.resume();
       engine.receivedHeaders.push(request.headers);
