Answer all that a stopping entry has read, and take only what is sure to end

Cause: requests were taken until 3 s after the signal and the process ended after 7 s, whatever their deadlines were. Nothing answered what was left at the end: running requests, requests in the queue, bodies half read. Answers to requests from before the signal kept their connections open; a request behind one that was answered with `Connection: close` was run and could not be answered; a refusal was lost when its caller still sent its body, as unread bytes reset the connection.

Change: - From the signal on a request is passed on only if its deadline is no later than 0.5 s before the shutdown bound (`PlannedStop`); others, waiting ones too, are refused with 503 and Retry-After. - Begun streams are resumed and moved as before, until 0.15 s before the bound. - At 0.5 s before the bound what is unanswered ends with 502, or 503 if it was not sent. - The deadline ends the reading of a body. - The last response on a connection says so when its head is written, also for requests from before the signal; requests behind it are not run. The server reads on for a second after its last response. - The listener stays open until the exit; idle connections close after 2.2 s (two checks of the load balancer) instead of 3 s.

Ruled out: a failing engine (engines answered all that they were sent), and the health of endpoints.

features/stops.feature: two scenarios sent requests without a deadline header (2.5 s by their route) in a grace of 4 s, later than they may now be taken; one of them after the end of the stop, which a real process does not outlive. Their grace is 8 s now, and the half request must be served within the stop.

--- a/features/steps/stops.steps.ts
+++ b/features/steps/stops.steps.ts
@@ -27,6 +27,9 @@
 /** Idle connections are closed after half of this time, before the stream ends. */
 const shutdownMs = 2_400;
 
+/** Leaves time for a request that arrives after idle connections were closed, in milliseconds. */
+const longShutdownMs = 8_000;
+
 /** Time after the start of a stop at which its idle connections have been closed, in milliseconds. */
 const idleClosedMs = 2_300;
 const longBodyBytes = 16_000_000;
@@ -128,6 +131,8 @@
   'the entry stops and its caller reads on and has sent a further request',
   async function further(this: StopsWorld) {
     await requestLongResponse(this);
+    const { settings } = this.reviewedFleet;
+    Object.assign(settings, { bounds: { ...settings.bounds, shutdownMs: longShutdownMs } });
     const stopped = measureStop(this.reviewedEntry);
     await sleep(idleClosedMs);
     const request = createRequestText('further').replace('/stream/', '/unsafe/');
@@ -182,9 +187,13 @@
     this.stopCaller.on('data', (text: string) => {
       this.stopText += text;
     });
+    const { settings } = this.platform;
+    Object.assign(settings, { bounds: { ...settings.bounds, shutdownMs: longShutdownMs } });
     const stopped = this.platformEntry.stop();
     await sleep(500);
     this.stopCaller.write(createRequestText('half').slice(0, 40));
+    await eventually(() => this.idleCaller.closed, 'the idle connection is closed');
+    this.stopCaller.write(createRequestText('half').slice(40));
     await stopped;
   },
 );
@@ -195,7 +204,6 @@
 });
 
 Then('the half request is served when its rest arrives', async function half(this: StopsWorld) {
-  this.stopCaller.write(createRequestText('half').slice(40));
   await eventually(() => this.stopText.endsWith('0\r\n\r\n'), 'the request is answered');
   assert.match(this.stopText, /^connection: close$/im);
 });
--- /dev/null
+++ b/features/support/seededStops.ts
@@ -0,0 +1,74 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+import { SeededRandom } from '@laburnumstream/common';
+import { callRegularly, callUntilGone } from './stopCaller.js';
+import type { StopOutcome, StopRequest } from './stopCaller.js';
+import { StopFleet, roomyShape } from './stopFleet.js';
+
+/** A stop that was played, and how all requests ended. */
+export interface PlayedStop {
+  readonly seed: number;
+  /** Monotonic time of the signal, in milliseconds. */
+  readonly stoppedAt: number;
+  readonly outcomes: readonly StopOutcome[];
+  /** Ids of the requests that engines have begun to execute. */
+  readonly ranIds: ReadonlySet<string>;
+}
+
+const routes = ['safe', 'unsafe', 'stream'] as const;
+/** Deadlines of requests, within the grace time and beyond it, in milliseconds. */
+const deadlinesMs = [500, 1_000, 2_500, 3_300, 6_000] as const;
+/** Requests that are taken before the signal end within the grace time, whatever their deadline is. */
+const longestWorkMs = 2_800;
+/** Time that a request and a stream take beyond the work of the engine, in milliseconds. */
+const transitMs = 450;
+const keptCallers = 6;
+/** Time between new connections, in milliseconds. */
+const intervalMs = 60;
+/** Range of the time of the signal, in milliseconds after the start of the traffic. */
+const stopAfterMs = { min: 300, spread: 1_200 } as const;
+/** Stops that are played at a time. */
+const parallelStops = 4;
+
+function pick<Value>(values: readonly Value[], random: SeededRandom): Value {
+  return values[Math.floor(random.next() * values.length)]!;
+}
+
+async function playStop(seed: number, fleet: StopFleet): Promise<PlayedStop> {
+  const random = new SeededRandom(seed);
+  const next = (): StopRequest => {
+    const deadlineMs = pick(deadlinesMs, random);
+    const workMs = random.next() * Math.min(longestWorkMs, deadlineMs - transitMs);
+    return { route: pick(routes, random), workMs: Math.round(workMs), deadlineMs };
+  };
+  try {
+    const sent = [
+      callRegularly(fleet, intervalMs, next),
+      ...Array.from({ length: keptCallers }, () => callUntilGone(fleet, next)),
+    ];
+    await sleep(stopAfterMs.min + random.next() * stopAfterMs.spread);
+    fleet.stop();
+    const outcomes = (await Promise.all(sent)).flat();
+    return { seed, stoppedAt: fleet.stoppedAt!, outcomes, ranIds: fleet.ranIds };
+  } finally {
+    fleet.close();
+  }
+}
+
+/** Starts fleets one after the other, as each takes adjacent ports. */
+async function startFleets(count: number, graceS: number): Promise<StopFleet[]> {
+  const fleets: StopFleet[] = [];
+  while (fleets.length < count) fleets.push(await StopFleet.start({ ...roomyShape, graceS }));
+  return fleets;
+}
+
+/** Plays stops with seeds from 1 on, a few at a time. */
+export async function playSeededStops(count: number, graceS: number): Promise<PlayedStop[]> {
+  const played: PlayedStop[] = [];
+  while (played.length < count) {
+    const fleets = await startFleets(Math.min(parallelStops, count - played.length), graceS);
+    const firstSeed = played.length + 1;
+    const stops = fleets.map((fleet, index) => playStop(firstSeed + index, fleet));
+    played.push(...(await Promise.all(stops)));
+  }
+  return played;
+}
--- a/packages/decisions/src/forwarding/index.ts
+++ b/packages/decisions/src/forwarding/index.ts
@@ -17,6 +17,7 @@
 export * from './pauseRetryDelay.js';
 export * from './peerLoads.js';
 export * from './placement.js';
+export * from './plannedStop.js';
 export * from './reportInterval.js';
 export * from './requestStage.js';
 export * from './responseClassification.js';
--- a/packages/forwarding/src/callerConnections.ts
+++ b/packages/forwarding/src/callerConnections.ts
@@ -1,5 +1,7 @@
 import type { ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
+import { closeAfterResponse } from './closingSocket.js';
+import { beforeHead } from './responseHead.js';
 
 /** What is in progress on one connection. */
 interface Connection {
@@ -9,6 +11,10 @@
   readonly unsent: Set<ServerResponse>;
   /** Bytes read when the last response had been sent; undefined before the first one. */
   bytesRead: number | undefined;
+  /** Response to the latest request; undefined before the first one. */
+  latest: ServerResponse | undefined;
+  /** Whether the head of the latest response says that the connection closes. */
+  isEnding: boolean;
 }
 
 /** Tracks the requests on callers' connections, so that only idle connections are closed. */
@@ -17,6 +23,9 @@
 
   private handling = 0;
 
+  /** Whether the last response on each connection says that it closes. */
+  private isDraining = false;
+
   /** Whether each connection is closed as soon as it is idle. */
   private isClosing = false;
 
@@ -27,15 +36,44 @@
   }
 
   add(socket: Socket): void {
-    this.connections.set(socket, { handling: 0, unsent: new Set(), bytesRead: undefined });
+    this.connections.set(socket, {
+      handling: 0,
+      unsent: new Set(),
+      bytesRead: undefined,
+      latest: undefined,
+      isEnding: false,
+    });
+    closeAfterResponse(socket);
     socket.once('close', () => this.connections.delete(socket));
   }
 
-  /** Tracks a request; returns a function to call when it has been handled. */
-  begin(socket: Socket, response: ServerResponse): () => void {
+  /** From now on, the last response on each connection says that it closes. */
+  startDraining(): void {
+    this.isDraining = true;
+  }
+
+  /** Makes a response the last one on its connection if no later request has been read. */
+  markLast(socket: Socket, response: ServerResponse): void {
+    response.setHeader('connection', 'close');
     const connection = this.connections.get(socket);
+    if (connection) connection.isEnding = true;
+  }
+
+  /**
+   * Tracks a request; returns a function to call when it has been handled, or undefined if it can't be
+   * answered because the response before it has said that the connection closes.
+   */
+  begin(socket: Socket, response: ServerResponse): (() => void) | undefined {
+    const connection = this.connections.get(socket);
+    if (connection?.isEnding) return undefined;
     this.handling += 1;
-    if (connection) connection.handling += 1;
+    if (connection) {
+      connection.handling += 1;
+      connection.latest = response;
+    }
+    beforeHead(response, () => {
+      if (this.isDraining && connection?.latest === response) this.markLast(socket, response);
+    });
     response.once('finish', () => {
       connection?.unsent.delete(response);
       if (connection) connection.bytesRead = socket.bytesRead;
@@ -64,7 +102,9 @@
   /** Whether a connection's responses have been sent and nothing of a further request was read. */
   private isIdle(socket: Socket): boolean {
     const connection = this.connections.get(socket);
-    if (!connection || connection.handling > 0 || connection.unsent.size > 0) return false;
+    // The HTTP server closes it after its last response.
+    if (!connection || connection.isEnding) return false;
+    if (connection.handling > 0 || connection.unsent.size > 0) return false;
     return socket.writableLength === 0 && socket.bytesRead === connection.bytesRead;
   }
 }
--- a/packages/forwarding/src/callerServer.ts
+++ b/packages/forwarding/src/callerServer.ts
@@ -2,7 +2,7 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import { createServer as createListener } from 'node:net';
 import type { Server as Listener } from 'node:net';
-import { NotFound, RouteKind, TooLarge, Unauthenticated, toFailure } from '@laburnumstream/common';
+import { NotFound, RouteKind, Unauthenticated, toFailure } from '@laburnumstream/common';
 import type {
   Clock,
   Failure,
@@ -15,13 +15,16 @@
 import { pickService } from '@laburnumstream/decisions';
 import type { RouteTable } from '@laburnumstream/decisions';
 import { CallerConnections } from './callerConnections.js';
-import { callerDisconnected, deadlineExceeded } from './exchange.js';
+import { callerDisconnected, deadlineExceeded, processStopping } from './exchange.js';
 import type { Exchange } from './exchange.js';
 import type { FleetState } from './fleetState.js';
 import type { HeaderCodec } from './headerCodec.js';
 import type { RequestHead } from './heads.js';
 import { Refusal, RefusalReason, toDeadlineFailure } from './refusal.js';
+import { readBody } from './requestBody.js';
 import { RequestCounter } from './requestCounter.js';
+import { toStopFailure } from './stopGate.js';
+import type { StopGate } from './stopGate.js';
 
 /** Forwards the requests of routes with one kind of retry semantics. */
 export interface RequestForwarder {
@@ -44,17 +47,6 @@
 const idleSlackMs = 5_000;
 const minIdleTimeoutMs = 60_000;
 
-async function readBody(request: IncomingMessage, maxBytes: number): Promise<Buffer> {
-  const parts: Buffer[] = [];
-  let size = 0;
-  for await (const part of request as AsyncIterable<Buffer>) {
-    size += part.length;
-    if (size > maxBytes) throw new TooLarge(`The body is larger than ${maxBytes} bytes.`);
-    parts.push(part);
-  }
-  return parts.length === 1 ? parts[0]! : Buffer.concat(parts);
-}
-
 function getPath(url: string): string {
   const query = url.indexOf('?');
   return query < 0 ? url : url.slice(0, query);
@@ -69,7 +61,8 @@
 
   private readonly connections = new CallerConnections();
 
-  private isDraining = false;
+  /** Aborts the requests that are being handled, by their responses. */
+  private readonly running = new Map<ServerResponse, AbortController>();
 
   private readonly counter: RequestCounter;
 
@@ -78,6 +71,7 @@
     private readonly freshness: FreshnessChecks,
     private readonly forwarders: Readonly<Record<RouteKind, RequestForwarder>>,
     private readonly codec: HeaderCodec,
+    private readonly gate: StopGate,
     private readonly clock: Clock,
     private readonly random: Random,
     private readonly metrics: Metrics,
@@ -120,33 +114,50 @@
     this.server.headersTimeout = 0;
   }
 
-  /** From now on, each response asks the caller to close its connection. */
+  /** From now on, the last response on each connection says that it closes. */
   startDraining(): void {
-    this.isDraining = true;
+    this.connections.startDraining();
   }
 
-  /** Stops accepting connections and closes each existing one as soon as it is idle. */
+  /** Closes each connection that has been used as soon as it is idle. */
   closeIdle(): void {
-    this.listener.close();
     this.connections.closeIdle();
   }
 
+  /** Ends the requests whose callers have not received anything with a final answer. */
+  abortUnanswered(): void {
+    [...this.running]
+      .filter(([response]) => !response.headersSent)
+      .forEach(([, controller]) => controller.abort(processStopping));
+  }
+
+  /** Stops accepting connections. */
+  close(): void {
+    this.listener.close();
+  }
+
   private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const end = this.connections.begin(request.socket, response);
+    // A request behind the last response of its connection could not be answered.
+    if (!end) {
+      request.resume();
+      return;
+    }
     try {
       await this.handle(request, response);
     } finally {
+      this.running.delete(response);
       end();
     }
   }
 
   private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const arrivedAt = this.clock.now();
-    if (this.isDraining) response.setHeader('connection', 'close');
     const head = this.codec.decodeRequestHead(request.headers);
     const controller = new AbortController();
     let route: Route | undefined;
     let timer: NodeJS.Timeout | undefined;
+    this.running.set(response, controller);
     response.once('close', () => {
       if (!response.writableFinished) controller.abort(callerDisconnected);
     });
@@ -161,11 +172,13 @@
       const workspace = this.authenticate(routes, route, head);
       const timeoutMs = Math.min(head.timeLeftMs ?? route.timeoutMs, route.timeoutMs);
       timer = setTimeout(() => controller.abort(deadlineExceeded), timeoutMs);
-      const body = await readBody(request, routes.configuration.limits.maxBodyBytes);
+      const deadlineAt = arrivedAt + timeoutMs;
+      const refusal = this.gate.findRefusal(deadlineAt);
+      if (refusal) throw refusal;
+      const { signal } = controller;
+      const body = await readBody(request, routes.configuration.limits.maxBodyBytes, signal);
       const service = pickService(route, this.random);
       if (service === undefined) throw new NotFound('The route has no service.');
-      const { signal } = controller;
-      const deadlineAt = arrivedAt + timeoutMs;
       const exchange = {
         request,
         response,
@@ -233,8 +246,7 @@
       this.log.info('Caller disconnected.', { id });
       return;
     }
-    const failure =
-      signal.reason === deadlineExceeded ? toDeadlineFailure(error) : toFailure(error);
+    const failure = this.toCallerFailure(error, signal);
     const { status, type, execution, retryAfterMs, message } = failure;
     this.counter.countFailed(route, failure);
     this.log.info('Request failed.', {
@@ -256,8 +268,13 @@
     }
     const headers = retryAfterMs === undefined ? [] : this.codec.encodeRetryAfter(retryAfterMs);
     // The unread rest of the body would be parsed as the next request.
-    if (!request.complete) headers.push('connection', 'close');
+    if (!request.complete) this.connections.markLast(request.socket, response);
     response.writeHead(status, [...headers, 'content-length', '0']);
     response.end();
   }
+
+  private toCallerFailure(error: unknown, { reason }: AbortSignal): Failure {
+    if (reason === deadlineExceeded) return toDeadlineFailure(error);
+    return reason === processStopping ? toStopFailure(error, this.gate) : toFailure(error);
+  }
 }
--- a/packages/forwarding/src/dispatchQueue.ts
+++ b/packages/forwarding/src/dispatchQueue.ts
@@ -90,6 +90,9 @@
 /** Upper limit of that delay, as a share of the caller's remaining time. */
 const maxRetryDelayShare = 1 / 3;
 
+/** Stages of requests whose callers have received a part of the response. */
+const begunStages: ReadonlySet<RequestStage> = new Set([RequestStage.begun, RequestStage.moving]);
+
 /** Queues requests until an endpoint can serve them in time, and refuses those that would be too late. */
 export class DispatchQueue {
   private readonly queues = new Map<string, WaitQueue<PendingRequest>>();
@@ -104,6 +107,8 @@
     private readonly random: Random,
     private readonly metrics: Metrics,
     private readonly log: Log,
+    /** Returns the refusal of a request that may not be sent any more because this process stops. */
+    private readonly findStopRefusal: (deadlineAt: number) => Refusal | undefined = () => undefined,
   ) {}
 
   /** Resolves with an endpoint; rejects with a `Refusal` if the request can't be served in time. */
@@ -113,6 +118,8 @@
     if (request.stage !== RequestStage.callerRetry)
       this.getShares(request.service).recordArrival(request.fairnessGroups, now);
     const candidate: Candidate = { ...request, availableCount: undefined };
+    const refusal = this.findBar(request);
+    if (refusal) return Promise.reject(refusal);
     const placement = queue.contenders === 0 ? this.tryPlacement(candidate, now) : undefined;
     if (placement) return Promise.resolve(this.recordPlacement(request, placement, now));
     const startAt = now + queue.expectedWaitMs(now);
@@ -140,6 +147,12 @@
     const now = this.clock.now();
     const among = changed && [changed];
     queue.inDispatchOrder(now).forEach((queued) => {
+      const refusal = this.findBar(queued);
+      if (refusal) {
+        queue.remove(queued);
+        queued.reject(refusal);
+        return;
+      }
       const placement = this.tryPlacement(queued, now, among);
       if (placement) {
         queue.remove(queued);
@@ -198,6 +211,11 @@
     return stagePolicies[request.stage].accepts(request, best, isInTime, now) ? best : undefined;
   }
 
+  /** Returns why a request may not be sent; a begun one is sent on for as long as this process runs. */
+  private findBar({ stage, deadlineAt }: PlacementRequest): Refusal | undefined {
+    return begunStages.has(stage) ? undefined : this.findStopRefusal(deadlineAt);
+  }
+
   private getGoalShare({ service, fairnessGroups }: PlacementRequest, now: number): number {
     const { base, min, max, perLead } = goalShare;
     const share = base - this.getShares(service).surplus(fairnessGroups, now) * perLead;
--- a/packages/forwarding/src/exchange.ts
+++ b/packages/forwarding/src/exchange.ts
@@ -20,12 +20,15 @@
   readonly arrivedAt: number;
   /** Monotonic time by which the response must be complete, in milliseconds. */
   readonly deadlineAt: number;
-  /** Aborted when the caller disconnects or the deadline passes. */
+  /** Aborted when the caller disconnects, the deadline passes or this process stops. */
   readonly signal: AbortSignal;
 }
 
 /** Abort reason: the deadline of the request has passed. */
 export const deadlineExceeded = Symbol('deadline exceeded');
 
+/** Abort reason: this process stops. */
+export const processStopping = Symbol('process stopping');
+
 /** Abort reason: the caller has closed its connection. */
 export const callerDisconnected = Symbol('caller disconnected');
--- a/packages/forwarding/src/forwardingEntry.ts
+++ b/packages/forwarding/src/forwardingEntry.ts
@@ -16,6 +16,7 @@
 import { entryGauges } from './entryGauges.js';
 import { EndpointDirectory } from './endpointDirectory.js';
 import type { EndpointHandle } from './endpointHandle.js';
+import { StopGate } from './stopGate.js';
 import { StreamForwarder } from './streamForwarder.js';
 import { EntryRegistration } from './entryRegistration.js';
 import type { FleetCodec } from './fleetChange.js';
@@ -46,13 +47,9 @@
 const proofAgeShare = 0.92;
 /** Time beyond the configuration bound up to which a key may be reported as unknown, in milliseconds. */
 const missingSlackMs = 500;
-/** Time in which the load balancer and callers notice that this process is draining, in milliseconds. */
-const drainNoticeMs = 3_000;
 /** Minimum lease of the registration, for which a dead entry stays registered, in milliseconds. */
 const minLeaseMs = 9_000;
 const drainPollMs = 50;
-/** Part of the shutdown bound that is reserved for the exit of the process, in milliseconds. */
-const shutdownMarginMs = 1_000;
 
 function parseAddress(address: string): { host: string; port: number } {
   const [host = '', port = '0'] = address.split(':');
@@ -79,7 +76,7 @@
 
   private readonly crashRecords: CrashRecords;
 
-  private isStopping = false;
+  private readonly gate: StopGate;
 
   constructor(private readonly dependencies: EntryDependencies) {
     const { settings, store, fleetCodec, headerCodec, clock, random, metrics, log } = dependencies;
@@ -132,7 +129,15 @@
       metrics,
       log('crashes'),
     );
-    this.queue = new DispatchQueue(this.directory, clock, random, metrics, log('line'));
+    this.gate = new StopGate(clock, random);
+    this.queue = new DispatchQueue(
+      this.directory,
+      clock,
+      random,
+      metrics,
+      log('line'),
+      (deadlineAt) => this.gate.findRefusal(deadlineAt),
+    );
     this.agents = new AgentLinks(
       settings,
       this.state,
@@ -191,6 +196,7 @@
       freshness,
       forwarders,
       headerCodec,
+      this.gate,
       clock,
       random,
       metrics,
@@ -215,21 +221,32 @@
     await this.callers.listen(host, port);
   }
 
-  /** Drains running requests; resolves when none are left or the shutdown time is over. */
+  /**
+   * Answers all requests and resolves when none are left or the shutdown time is over. Requests that
+   * could outlast it are refused, and those that do get a final answer.
+   */
   async stop(): Promise<void> {
-    const { clock, settings } = this.dependencies;
-    this.isStopping = true;
+    const plan = this.gate.start(this.dependencies.settings.bounds.shutdownMs);
     void this.registration.withdraw();
     this.callers.startDraining();
-    const endAt = clock.now() + settings.bounds.shutdownMs - shutdownMarginMs;
-    const noticeAt = clock.now() + Math.min(drainNoticeMs, settings.bounds.shutdownMs / 2);
-    while (clock.now() < noticeAt) await clock.sleep(drainPollMs);
+    this.queue.dispatchAll();
+    await this.waitUntil(plan.idleClosedAt);
     this.callers.closeIdle();
-    while (this.callers.active > 0 && clock.now() < endAt) await clock.sleep(drainPollMs);
+    await this.waitUntil(plan.earliestEndAt);
+    await this.waitUntil(plan.answersBy, () => this.callers.active === 0);
+    this.callers.abortUnanswered();
+    await this.waitUntil(plan.latestEndAt, () => this.callers.active === 0);
+    this.callers.close();
+  }
+
+  private async waitUntil(at: number, isDone: () => boolean = () => false): Promise<void> {
+    const { clock } = this.dependencies;
+    while (clock.now() < at && !isDone())
+      await clock.sleep(Math.min(drainPollMs, at - clock.now()));
   }
 
   private isReady(): boolean {
-    return !this.isStopping && this.state.routes !== undefined;
+    return !this.gate.isStopping && this.state.routes !== undefined;
   }
 
   private handleFleetChange(): void {
--- a/packages/forwarding/src/refusal.ts
+++ b/packages/forwarding/src/refusal.ts
@@ -19,6 +19,8 @@
   crashingContent: 'crashing_content',
   /** The deadline passed while the request was queued. */
   deadline: 'deadline',
+  /** This process stops before the deadline of the request. */
+  stopping: 'stopping',
 } as const;
 
 /** One of the values of {@link RefusalReason}. */
