Do not register a stopping entry again

Cause: the loop that renews the registration's lease went on after the registration was withdrawn, and registered anew at the next renewal, at most 3 s after the signal. An entry that had ended counted for up to 9 s (its lease) among those that share limits, and as a source of configuration.

`registration of an entry that stops` fails before (registered twice) and passes.

--- a/features/plannedStops.feature
+++ b/features/plannedStops.feature
@@ -55,5 +55,10 @@
     When it is stopped and 10 callers send long bodies and read nothing meanwhile
     Then each of them has received the refusal
 
+  Scenario: registration of an entry that stops
+    Given an entry on the platform with engines that answers
+    When the entry is stopped with 8 seconds of grace
+    Then it has not registered again
+
   Scenario: times of any planned stop
     Then the times of any planned stop are in order, and no request outlasts them
--- a/packages/forwarding/src/entryRegistration.ts
+++ b/packages/forwarding/src/entryRegistration.ts
@@ -11,6 +11,8 @@
 export class EntryRegistration {
   private lease: string | undefined;
 
+  private isWithdrawn = false;
+
   private readonly callCounter: StoreCallCounter;
 
   constructor(
@@ -27,7 +29,7 @@
 
   /** Maintains the registration until the signal is aborted. */
   async run(signal: AbortSignal): Promise<void> {
-    while (!signal.aborted) {
+    while (!signal.aborted && !this.isWithdrawn) {
       const delayMs = await this.renew(signal);
       await this.clock.sleep(delayMs, signal).catch(() => undefined);
     }
@@ -36,6 +38,7 @@
   /** Removes the registration when this entry stops taking requests. */
   async withdraw(): Promise<void> {
     const { lease } = this;
+    this.isWithdrawn = true;
     this.lease = undefined;
     try {
       if (lease) await this.store.revokeLease(lease);
@@ -67,5 +70,6 @@
     await this.store.put(this.key, this.value, { lease }, signal);
     this.lease = lease;
     this.log.info('Registered.', { key: this.key });
+    if (this.isWithdrawn) await this.withdraw();
   }
 }
