Let an agent that stops send its pieces to their end

Other agents that fetched pieces from it got a part (49,152 of 300,000 bytes in the test) and had to fetch them again: SIGTERM ended the process at once.

Checked and left: orders to the engine and staged pieces. The engine goes on by itself, and the agent reads staged pieces back before each order.

--- a/packages/sidecar/src/pieceServer.ts
+++ b/packages/sidecar/src/pieceServer.ts
@@ -27,6 +27,11 @@
     });
   });
 
+  /** Requests whose responses have not been sent in full. */
+  private running = 0;
+
+  private isDraining = false;
+
   constructor(
     private readonly versions: VersionCache,
     private readonly uplink: Uplink,
@@ -46,7 +51,26 @@
     });
   }
 
+  /** Whether a response is under way. */
+  get isSending(): boolean {
+    return this.running > 0;
+  }
+
+  /** Refuses further requests, so that other agents ask elsewhere. */
+  startDraining(): void {
+    this.isDraining = true;
+  }
+
   private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    this.running += 1;
+    response.once('close', () => {
+      this.running -= 1;
+    });
+    if (this.isDraining) {
+      response.setHeader('connection', 'close');
+      sendEmpty(response, PieceStatus.busy);
+      return;
+    }
     const [, version = '', part = ''] = pathPattern.exec(request.url ?? '') ?? [];
     const held = this.versions.get(Number(version));
     if (!held) {
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -27,6 +27,10 @@
   readonly log: (part: string) => Log;
 }
 
+/** Time for which a stop waits for pieces that are being sent, in milliseconds. */
+const pieceDrainMs = 1_500;
+const drainPollMs = 20;
+
 /** The agent on a platform with a store: reports the load of its engine and updates its weights. */
 export class Sidecar {
   private readonly view: FleetView;
@@ -115,6 +119,14 @@
     this.updater.run(chart, signal);
   }
 
+  /** Refuses to send pieces to other agents and resolves when those that are being sent have arrived. */
+  async stop(): Promise<void> {
+    const { clock } = this.dependencies;
+    const endAt = clock.now() + pieceDrainMs;
+    this.pieceServer.startDraining();
+    while (this.pieceServer.isSending && clock.now() < endAt) await clock.sleep(drainPollMs);
+  }
+
   /** Wakes the updater and closes the connections to members that left. */
   private onFleetChanged(): void {
     this.peers.retainHosts(new Set(this.view.members.map(({ name }) => name)));
