--- a/packages/standins/src/platformStore.ts
+++ b/packages/standins/src/platformStore.ts
@@ -122,7 +122,12 @@
 
   /** Writes a value in the encoding that operators and engines use. */
   write(key: string, value: object): void {
-    this.put(key, Buffer.from(JSON.stringify(value)).toString('base64'), 0);
+    this.writeBytes(key, JSON.stringify(value));
+  }
+
+  /** Writes a value of any bytes, or a text in UTF-8, as another writer may do. */
+  writeBytes(key: string, value: Buffer | string): void {
+    this.put(key, Buffer.from(value as string).toString('base64'), 0);
   }
 
   remove(key: string): void {
