Keep numbers that no datagram can carry out of datagrams

On an odd report of the engine ended the agent (`The number 0.5 cannot be converted to a BigInt`), and one odd value among those of the store (here a conviction without traits, which covers all requests) made all 84 requests of 3 s end 503.

Datagrams without a sender, or with a conviction without traits, count as unreadable; these are logged at `info` now, as `debug` is never written by the programs.

--- a/features/steps/oddRegistrations.steps.ts
+++ b/features/steps/oddRegistrations.steps.ts
@@ -16,6 +16,7 @@
   oddRegistrations,
   soundRegistration,
 } from '../support/oddRegistrations.js';
+import { oddHeaders, oddValues } from '../support/oddValues.js';
 import { PlatformFleet, createModelConfiguration } from '../support/platformFleet.js';
 
 /** An entry process, its callers and the path of its log. */
@@ -66,6 +67,12 @@
     .flatMap((text) => parseLogLine(text) ?? []);
 }
 
+function readUnreadable(running: OddProgram): LogLine[] {
+  return readLines(running).filter(
+    ({ message }) => message === 'store: Invalid value in the store ignored.',
+  );
+}
+
 async function startFleet(world: OddWorld, engines: number, entries: number): Promise<void> {
   const behaviours = new Array(engines).fill(Behaviours.answers);
   Object.assign(world, { oddFleet: await PlatformFleet.start(behaviours), oddPrograms: [] });
@@ -100,9 +107,16 @@
   await this.oddFleet?.close();
 });
 
-Given('two entry programs and four engines', async function two(this: OddWorld) {
-  await startFleet(this, 4, 2);
-});
+Given(
+  /^two entry programs and four engines( that send odd headers)?$/,
+  async function two(this: OddWorld, isOdd: string | null) {
+    await startFleet(this, 4, 2);
+    if (!isOdd) return;
+    this.oddFleet.engines.forEach(({ addedHeaders }, index) =>
+      Object.assign(addedHeaders, oddHeaders[index]),
+    );
+  },
+);
 
 When(
   'callers send 28 requests a second and another writer leaves odd registrations after 3 seconds',
@@ -129,9 +143,7 @@
   async function named(this: OddWorld) {
     for (const running of this.oddPrograms) {
       assert.ok(running.program.isRunning, running.program.errors);
-      const lines = readLines(running).filter(
-        ({ message }) => message === 'store: Invalid value in the store ignored.',
-      );
+      const lines = readUnreadable(running);
       const keys = lines.map(({ key }) => String(key).slice('servers/'.length));
       assert.deepEqual(keys.sort(), [...this.oddKeys].sort());
       lines.forEach((line) => assert.ok(JSON.stringify(line).length <= maxLineLength));
@@ -174,3 +186,44 @@
     countStatuses(results),
   );
 });
+
+When(
+  'another writer leaves odd values under each prefix that entries read',
+  async function values(this: OddWorld) {
+    oddValues.forEach(([key, value]) => this.oddFleet.store.writeBytes(key, value));
+    this.oddFleet.store.writeBytes('op/configuration', '{}');
+    this.oddKeys = oddValues.map(([key]) => key);
+    await sleep(2 * secondMs);
+  },
+);
+
+Then(
+  'the programs run and serve with the sound configuration',
+  async function serve(this: OddWorld) {
+    const results = await sendFor(this, 28, 3 * secondMs);
+    assert.ok(
+      results.every(({ status }) => status === 200),
+      countStatuses(results),
+    );
+    for (const running of this.oddPrograms) {
+      assert.ok(running.program.isRunning, running.program.errors);
+      assert.equal(await readMetric(running, 'configuration_version'), 1);
+    }
+  },
+);
+
+Then('both programs name each of these values in a bounded line', function lines(this: OddWorld) {
+  this.oddPrograms.forEach((running) => {
+    const found = readUnreadable(running);
+    assert.deepEqual(new Set(found.map(({ key }) => key)), new Set(this.oddKeys));
+    found.forEach((line) => assert.ok(JSON.stringify(line).length <= maxLineLength));
+  });
+});
+
+When('callers send 28 requests a second for 6 seconds', async function send(this: OddWorld) {
+  this.oddResults = await sendFor(this, 28, 6 * secondMs);
+});
+
+Then('both programs run', function run(this: OddWorld) {
+  this.oddPrograms.forEach(({ program }) => assert.ok(program.isRunning, program.errors));
+});
--- a/packages/forwarding/src/agentUpdates.ts
+++ b/packages/forwarding/src/agentUpdates.ts
@@ -1,5 +1,6 @@
 import type { Clock, FleetSettings, Random } from '@laburnumstream/common';
 import { NotifierSelection, reportIntervalMs } from '@laburnumstream/decisions';
+import { toDatagramNumber } from '@laburnumstream/links';
 import type { DatagramContent, FleetDatagrams } from '@laburnumstream/links';
 import type { EndpointDirectory } from './endpointDirectory.js';
 import type { EndpointHandle } from './endpointHandle.js';
@@ -191,14 +192,14 @@
     return {
       model: model.name,
       version,
-      namedMsAgo: Math.round(now - (named?.namedAt(version) ?? 0)),
+      namedMsAgo: toDatagramNumber(now - (named?.namedAt(version) ?? 0)),
       origin: origin?.address ?? '',
       originDataCentre: origin?.dataCentre ?? '',
-      originKbitPerS: Math.round((origin?.linkBitsPerSecond ?? 0) / kilobit),
+      originKbitPerS: toDatagramNumber((origin?.linkBitsPerSecond ?? 0) / kilobit),
       layers: engine.layers,
       chunks: engine.chunks,
       chunkBytes: engine.chunkBytes,
-      loadMs: Math.round(model.loadMs),
+      loadMs: toDatagramNumber(model.loadMs),
       members: this.directory.forService(endpoint.service).map((handle) => ({
         host: getHost(handle),
         dataCentre: handle.endpoint.dataCentre,
--- a/packages/forwarding/src/limitExchange.ts
+++ b/packages/forwarding/src/limitExchange.ts
@@ -1,4 +1,5 @@
 import type { Clock, Log } from '@laburnumstream/common';
+import { toDatagramNumber } from '@laburnumstream/links';
 import type { FleetDatagrams } from '@laburnumstream/links';
 import type { EndpointLimits } from '@laburnumstream/protocol';
 import type { EndpointDirectory } from './endpointDirectory.js';
@@ -68,9 +69,9 @@
     const { hosts } = this.peers;
     const limits = handles.map(({ incarnation, namedLimit }) => {
       const perSecond = namedLimit.perSecond(now);
-      const msAgo = Math.round(namedLimit.ageMs(now));
+      const msAgo = toDatagramNumber(namedLimit.ageMs(now));
       if (perSecond === undefined) return { endpoint: incarnation, msAgo };
-      return { endpoint: incarnation, msAgo, milliPerSecond: Math.round(perSecond * milli) };
+      return { endpoint: incarnation, msAgo, milliPerSecond: toDatagramNumber(perSecond * milli) };
     });
     for (let start = 0; start < limits.length; start += maxLimitsPerDatagram) {
       const some = limits.slice(start, start + maxLimitsPerDatagram);
--- a/packages/forwarding/src/loadBroadcast.ts
+++ b/packages/forwarding/src/loadBroadcast.ts
@@ -1,4 +1,5 @@
 import type { Clock } from '@laburnumstream/common';
+import { toDatagramNumber } from '@laburnumstream/links';
 import type { FleetDatagrams } from '@laburnumstream/links';
 import type { EntryLoad } from '@laburnumstream/protocol';
 import type { EndpointDirectory } from './endpointDirectory.js';
@@ -49,7 +50,7 @@
       .filter(({ load }) => load.ownRequests > 0)
       .map(({ endpoint, load }) => {
         const { requests, unreadMs } = load.ownLoad;
-        return { address: endpoint.address, requests, unreadMs: Math.round(unreadMs) };
+        return { address: endpoint.address, requests, unreadMs: toDatagramNumber(unreadMs) };
       });
     this.datagrams.sendAll({ case: 'load', value: { shares } }, regionHosts);
   }
--- a/packages/links/src/fleetDatagrams.ts
+++ b/packages/links/src/fleetDatagrams.ts
@@ -14,9 +14,12 @@
   FleetNews,
   PieceNews,
 } from '@laburnumstream/protocol';
+import { checkDatagram } from './datagramCheck.js';
 import { DatagramOrder } from './datagramOrder.js';
 
 const ipVersion = 4;
+/** Largest part of a reason that is logged, in characters. */
+const maxReasonLength = 300;
 
 /** Content of a datagram. */
 export type DatagramContent = NonNullable<MessageInitShape<typeof DatagramSchema>['content']>;
@@ -39,6 +42,10 @@
   limits?(limits: EndpointLimits, from: DatagramSource): void;
 }
 
+function getReason(error: unknown): string {
+  return toFailure(error).message.slice(0, maxReasonLength);
+}
+
 /** Resolves IP addresses to themselves at once: Node.js would defer each datagram for a look-up. */
 const resolveAddress: NonNullable<SocketOptions['lookup']> = (address, _options, callback) =>
   callback(null, address, ipVersion);
@@ -101,31 +108,57 @@
     if (port === undefined || hosts.length === 0) return;
     this.sequence += 1;
     const { sender, sequence, startedAt } = this;
-    const bytes = toBinary(
-      DatagramSchema,
-      create(DatagramSchema, { sender, sequence, startedAt, content }),
-    );
+    const bytes = this.encode({ sender, sequence, startedAt, content });
+    if (!bytes) return;
     const onSent = (error: Error | null): void => {
       if (error) this.metrics.count('datagrams_not_sent');
     };
     hosts.forEach((host) => this.socket.send(bytes, port, host, onSent));
   }
 
-  private receive(bytes: Buffer, host: string): void {
-    let datagram: Datagram;
+  /** Encodes a datagram; returns undefined if it has a value that no datagram can carry. */
+  private encode(datagram: MessageInitShape<typeof DatagramSchema>): Uint8Array | undefined {
     try {
-      datagram = fromBinary(DatagramSchema, bytes);
+      return toBinary(DatagramSchema, create(DatagramSchema, datagram));
+    } catch (error) {
+      this.metrics.count('datagrams_not_encoded');
+      const { case: kind = '' } = datagram.content ?? {};
+      this.log.warn('Datagram not encoded.', { kind, reason: getReason(error) });
+      return undefined;
+    }
+  }
+
+  private decode(bytes: Buffer, host: string): Datagram | undefined {
+    try {
+      const datagram = fromBinary(DatagramSchema, bytes);
+      checkDatagram(datagram);
+      return datagram;
     } catch (error) {
       this.metrics.count('datagrams_unreadable');
-      this.log.debug('Malformed datagram dropped.', { host, reason: toFailure(error).message });
-      return;
+      this.log.info('Malformed datagram dropped.', { host, reason: getReason(error) });
+      return undefined;
     }
+  }
+
+  private receive(bytes: Buffer, host: string): void {
+    const datagram = this.decode(bytes, host);
+    if (!datagram) return;
     if (!this.order.accept(datagram, this.clock.now())) {
       this.metrics.count('datagrams_late');
       return;
     }
-    const from = { sender: datagram.sender, host };
-    const { content } = datagram;
+    try {
+      this.handle(datagram, host);
+    } catch (error) {
+      this.metrics.count('datagrams_failed');
+      const { sender, content } = datagram;
+      const fields = { host, sender: sender.slice(0, maxReasonLength), kind: content.case ?? '' };
+      this.log.warn('Datagram not handled.', { ...fields, reason: getReason(error) });
+    }
+  }
+
+  private handle({ sender, content }: Datagram, host: string): void {
+    const from = { sender, host };
     if (content.case === 'fleet') this.handlers.fleet?.(content.value, from);
     else if (content.case === 'report') this.handlers.report?.(content.value, from);
     else if (content.case === 'pieces') this.handlers.pieces?.(content.value, from);
--- a/packages/links/src/index.ts
+++ b/packages/links/src/index.ts
@@ -3,6 +3,7 @@
 export type { Client, ConnectRouter, ServiceImpl } from '@connectrpc/connect';
 export { create } from '@bufbuild/protobuf';
 export type { MessageInitShape } from '@bufbuild/protobuf';
+export * from './datagramNumbers.js';
 export * from './datagramOrder.js';
 export * from './internalServer.js';
 export * from './linkPool.js';
--- a/packages/sidecar/src/engineReporter.ts
+++ b/packages/sidecar/src/engineReporter.ts
@@ -1,4 +1,5 @@
 import type { Clock } from '@laburnumstream/common';
+import { toDatagramNumber } from '@laburnumstream/links';
 import type { FleetDatagrams } from '@laburnumstream/links';
 import type { EngineMonitor } from './engineMonitor.js';
 
@@ -66,12 +67,12 @@
       bornAt: BigInt(state.bornAt),
       running: state.running,
       waiting: state.waiting,
-      pacePermille: Math.round(state.slowdown * permille),
+      pacePermille: toDatagramNumber(state.slowdown * permille),
       version,
       isSwitching,
       isAnswering,
-      answeredMsAgo: Math.round(this.monitor.answeredMsAgo),
-      ...(switchInMs === undefined ? {} : { switchInMs: Math.round(switchInMs) }),
+      answeredMsAgo: toDatagramNumber(this.monitor.answeredMsAgo),
+      ...(switchInMs === undefined ? {} : { switchInMs: toDatagramNumber(switchInMs) }),
     };
     const hosts: string[] = [];
     this.subscribers.forEach((subscriber, name) => {
