--- a/packages/links/src/refusals.ts
+++ b/packages/links/src/refusals.ts
@@ -5,6 +5,13 @@
 import type { Refusal } from '@laburnumstream/protocol';
 
 const unreachableRetryMs = 200;
+/** Statuses that a failure can have; one that has another counts as an internal one. */
+const failureStatuses = { first: 400, last: 599, internal: 500 } as const;
+
+function toFailureStatus(status: number): number {
+  const { first, last, internal } = failureStatuses;
+  return status >= first && status <= last ? status : internal;
+}
 
 /** Converts an error to a message. */
 export function toRefusal(error: unknown): Refusal {
@@ -18,7 +25,7 @@
   const { type, message, status, execution, retryAfterMs, keyUnused } = refusal;
   const known = Object.values(Execution).find((value) => value === execution);
   return new Failure(type, message, {
-    status,
+    status: toFailureStatus(status),
     execution: known ?? Execution.unknown,
     keyUnused,
     ...(retryAfterMs > 0 ? { retryAfterMs } : {}),
--- a/packages/sidecar/src/peerClient.ts
+++ b/packages/sidecar/src/peerClient.ts
@@ -22,9 +22,32 @@
 /** Delay before a busy agent is asked again, in milliseconds. */
 const busyRetryMs = 30;
 
+/** Largest number of pieces of a version. */
+const maxPieces = 100_000;
+const digestPattern = /^[0-9a-f]{64}$/;
+
+function isDigest(value: unknown): boolean {
+  return typeof value === 'string' && digestPattern.test(value);
+}
+
 function isManifest(value: unknown): value is PieceManifest {
-  const { model, version, digests } = value as Partial<PieceManifest>;
-  return typeof model === 'string' && typeof version === 'number' && Array.isArray(digests);
+  const { model, version, digests } = (value ?? {}) as Partial<PieceManifest>;
+  return (
+    typeof model === 'string' &&
+    Number.isSafeInteger(version) &&
+    Array.isArray(digests) &&
+    digests.length > 0 &&
+    digests.length <= maxPieces &&
+    digests.every(isDigest)
+  );
+}
+
+function parseManifest(body: Uint8Array): unknown {
+  try {
+    return JSON.parse(Buffer.from(body).toString('utf8'));
+  } catch {
+    return undefined;
+  }
 }
 
 function toReadFailure(error: unknown): unknown {
@@ -45,8 +68,8 @@
   async getManifest(host: string, version: number, signal: AbortSignal): Promise<PieceManifest> {
     const limit = createTimeoutSignal(manifestTimeoutMs, signal);
     const body = await this.read(host, `/weights/${version}/manifest`, limit);
-    const value: unknown = JSON.parse(Buffer.from(body).toString('utf8'));
-    if (isManifest(value)) return value;
+    const value = parseManifest(body);
+    if (isManifest(value) && value.version === version) return value;
     throw new InvalidInput(`${host} sent an invalid manifest.`);
   }
 
