Count no request that an entry withholds against its endpoint; date versions for agents by the monotonic clock

A request that is not sent, or withdrawn before it was, counted as a failed connection, so that ten of them rested a sound endpoint just as it had switched: such faults are this process's own ('withheld', 'expired') and tell nothing of the endpoint. And a time of day that is set ahead at one entry looks like a suspension, so that agents, which use the earliest date of all entries, would all have switched early: an entry tells them the age of a version by the monotonic clock from the moment at which it first did. A request is also withheld from an endpoint whose registration has ended since its placement.

--- a/packages/forwarding/src/agentLinks.ts
+++ b/packages/forwarding/src/agentLinks.ts
@@ -64,6 +64,7 @@
       directory,
       this.peers,
       this.datagrams,
+      clock,
       versionClock,
       random,
     );
--- a/packages/forwarding/src/agentUpdates.ts
+++ b/packages/forwarding/src/agentUpdates.ts
@@ -48,6 +48,9 @@
   /** Round in which each agent is due for its next regular update, by host. */
   private dueRounds = new Map<string, number>();
 
+  /** The newest version of each model, and the monotonic time at which it was named, in milliseconds. */
+  private readonly newest = new Map<string, { version: number; namedAt: number }>();
+
   /** Number of rounds of regular updates. */
   private round = 0;
 
@@ -57,7 +60,7 @@
     private readonly directory: EndpointDirectory,
     private readonly peers: EntryPeers,
     private readonly datagrams: Pick<FleetDatagrams, 'sendAll'>,
-    /** Runs during a suspension too, as the time of a version does. */
+    private readonly clock: Clock,
     private readonly versionClock: Pick<Clock, 'now'>,
     private readonly random: Random,
   ) {
@@ -181,19 +184,31 @@
     return reportIntervalMs({ entries: isLocal ? local : remote, isLocal });
   }
 
+  /**
+   * Time since a version was named, in milliseconds. Agents use the earliest date of all entries, so a time of day
+   * that is set ahead here, which looks like a suspension, must not date it back.
+   */
+  private getNamedMsAgo(model: string, version: number): number {
+    const now = this.clock.now();
+    const known = this.newest.get(model);
+    if (known?.version === version) return now - known.namedAt;
+    const namedAt = this.state.namedVersions(model)?.namedAt(version) ?? 0;
+    const ageMs = this.versionClock.now() - namedAt;
+    this.newest.set(model, { version, namedAt: now - ageMs });
+    return ageMs;
+  }
+
   private createWeightUpdate({ endpoint, profile }: EndpointHandle): WeightUpdate | undefined {
     const engine = profile?.engine;
     const [model] = engine?.models ?? [];
     if (!engine || !model) return undefined;
     const services = this.state.routes?.configuration.services;
     const origin = [...(services?.values() ?? [])].find((service) => service.origin)?.origin;
-    const named = this.state.namedVersions(model.name);
-    const version = named?.newest ?? 1;
-    const now = this.versionClock.now();
+    const version = this.state.namedVersions(model.name)?.newest ?? 1;
     return {
       model: model.name,
       version,
-      namedMsAgo: toDatagramNumber(now - (named?.namedAt(version) ?? 0)),
+      namedMsAgo: toDatagramNumber(this.getNamedMsAgo(model.name, version)),
       origin: origin?.address ?? '',
       originDataCentre: origin?.dataCentre ?? '',
       originKbitPerS: toDatagramNumber((origin?.linkBitsPerSecond ?? 0) / kilobit),
--- a/packages/forwarding/src/bufferedForwarder.ts
+++ b/packages/forwarding/src/bufferedForwarder.ts
@@ -11,7 +11,7 @@
 import { responseMemoryBytes } from './responseBounds.js';
 import { ResponseCollector } from './responseCollector.js';
 import type { CallOutcome, BufferedResponse } from './responseCollector.js';
-import { CallFault, isEndpointFault } from './endpointCall.js';
+import { CallFault, executionOf, isEndpointFault } from './endpointCall.js';
 import { deadlineExceeded } from './exchange.js';
 import type { Exchange } from './exchange.js';
 
@@ -130,7 +130,7 @@
     reason: string,
   ): boolean {
     if (isEndpointFault(fault)) this.recordHealth(attempt, AttemptOutcome.failed);
-    const execution = fault === CallFault.connection ? Execution.notRun : Execution.unknown;
+    const execution = executionOf(fault);
     if (attempts.mayRetry({ attempt, execution, fault, reason })) return false;
     if (execution === Execution.notRun) throw attempts.createRefusal();
     throw new OutcomeUnknown('The connection to the endpoint failed.');
--- a/packages/forwarding/src/endpointDirectory.ts
+++ b/packages/forwarding/src/endpointDirectory.ts
@@ -138,6 +138,7 @@
   maySend(handle: EndpointHandle): boolean {
     const now = this.clock.now();
     return (
+      this.isRegistered(handle) &&
       this.statements.allows(handle.incarnation, now) &&
       !handle.endpoint.isDraining &&
       !this.state.isEvacuated(handle.endpoint.dataCentre) &&
--- a/packages/forwarding/src/streamSession.ts
+++ b/packages/forwarding/src/streamSession.ts
@@ -5,7 +5,7 @@
 import { RequestAttempts } from './requestAttempts.js';
 import type { AttemptServices } from './requestAttempts.js';
 import { findCutCause } from './cutCause.js';
-import { CallFault, isEndpointFault } from './endpointCall.js';
+import { executionOf, isEndpointFault } from './endpointCall.js';
 import type { EndpointHandle } from './endpointHandle.js';
 import { EventDelivery } from './eventDelivery.js';
 import { EventRelay } from './eventRelay.js';
@@ -144,7 +144,7 @@
     if (outcome.kind === 'response') return this.handleResponse(attempt, outcome);
     const { fault, reason } = outcome;
     if (isEndpointFault(fault)) this.recordHealth(attempt.handle, AttemptOutcome.failed);
-    const execution = fault === CallFault.connection ? Execution.notRun : Execution.unknown;
+    const execution = executionOf(fault);
     if (this.attempts.mayRetry({ attempt, execution, fault, reason })) return false;
     if (execution === Execution.notRun) throw this.attempts.createRefusal();
     throw new OutcomeUnknown('The connection to the endpoint failed.');
--- a/packages/sidecar/src/fleetView.ts
+++ b/packages/sidecar/src/fleetView.ts
@@ -22,8 +22,7 @@
     private readonly dataCentre: string,
     /** Region of each data centre. */
     private readonly regions: ReadonlyMap<string, string>,
-    /** Runs during a suspension too, as the time of a version does. */
-    private readonly clock: Pick<Clock, 'now'>,
+    private readonly clock: Clock,
     private readonly log: Log,
   ) {}
 
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -1,4 +1,3 @@
-import { SleepAwareClock } from '@laburnumstream/common';
 import type { Chart, Clock, Log, Metrics, Random, SidecarSettings } from '@laburnumstream/common';
 import { FleetDatagrams } from '@laburnumstream/links';
 import { Notifier } from '@laburnumstream/runtime';
@@ -58,7 +57,7 @@
   constructor(private readonly dependencies: SidecarDependencies) {
     const { settings, engine, origin, clock, random, metrics, log } = dependencies;
     const { instance, host, dataCentre, regions, firstPort, bounds } = settings;
-    this.view = new FleetView(host, dataCentre, regions, new SleepAwareClock(clock), log('fleet'));
+    this.view = new FleetView(host, dataCentre, regions, clock, log('fleet'));
     this.datagrams = new FleetDatagrams(
       instance,
       {
