--- a/features/support/versionFleet.ts
+++ b/features/support/versionFleet.ts
@@ -46,6 +46,9 @@
   /** Monotonic time at which version 2 was acknowledged, in milliseconds; infinite before. */
   namedAt = Infinity;
 
+  /** Version of the engine's weights, as its agent reports it. */
+  reportedVersion = 1;
+
   /** Called with each line that the entry logs. */
   onLine: (message: string) => void = () => undefined;
 
@@ -163,15 +166,15 @@
     const metrics = new HistogramMetrics();
     const agent = new FleetDatagrams('side-9', {}, new SystemClock(), metrics, noopLog);
     await agent.bind(agentHost, firstPort, this.abort.signal);
-    const value = {
+    const report = {
       address: this.engine.address,
       bornAt: BigInt(firstStart),
       pacePermille: 1_000,
-      version: 1,
       isSwitching: false,
       isAnswering: true,
     };
     while (!this.abort.signal.aborted) {
+      const value = { ...report, version: this.reportedVersion };
       if (!this.engine.isStill) agent.send({ case: 'report', value }, host);
       await sleep(reportIntervalMs);
     }
