--- a/features/reviewedBounds.feature
+++ b/features/reviewedBounds.feature
@@ -54,7 +54,12 @@
       | is evacuated             |
 
   # Guards against an endpoint that is used after its registration has ended, as another entry was cut off from the store.
-  Scenario: outage that only the source of an entry has seen
+  Scenario Outline: registration that ends after the source of an entry was <contact> the store
     Given an entry's watcher of a source that has always had recent content
-    When the source has been cut off from the store and a registration ends
+    When a registration ends after the source was <contact> the store
     Then the registration has ended for the entry within 1000 ms
+
+    Examples:
+      | contact       |
+      | cut off from  |
+      | in touch with |
--- a/features/steps/reviewedBounds.steps.ts
+++ b/features/steps/reviewedBounds.steps.ts
@@ -35,8 +35,9 @@
   placedHandle: EndpointHandle;
   feedClock: VirtualClock;
   feedState: FleetState;
-  /** Adds what the source has seen to its next response. */
+  /** Lets the source tell of an outage that ends now. */
   cutSource: () => void;
+  endRegistration: () => void;
 }
 
 const { drainMs, evacuationMs } = platformBounds;
@@ -294,12 +295,16 @@
       born: firstStart,
     });
     const values = [{ key: 'servers/e0', value: registration, revision }];
-    let outage: { durationMs: number; endedMsAgo: number } | undefined;
+    let outageEndedAt: number | undefined;
     let isRemoved = false;
     const feed: StoreFeed = {
       snapshot: () => Promise.resolve({ values, revision }),
       changes: async (_prefix, after, waitMs, signal): Promise<StoreChanges> => {
         if (!isRemoved || after > revision) await clock.sleep(Math.min(waitMs, 500), signal);
+        const outage =
+          outageEndedAt === undefined
+            ? undefined
+            : { durationMs: 4_000, endedMsAgo: clock.now() - outageEndedAt };
         const provenance = { proofAgeMs: 0, changeAgeMs: 0, outage };
         if (!isRemoved || after > revision) return { changes: [], revision: after, provenance };
         const changes = [{ key: 'servers/e0', value: undefined, revision: revision + 1 }];
@@ -310,7 +315,9 @@
     this.feedState = new FleetState(noopMetrics, noopLog, () => undefined);
     this.reviewAbort = new AbortController();
     this.cutSource = (): void => {
-      outage = { durationMs: 4_000, endedMsAgo: 100 };
+      outageEndedAt = clock.now();
+    };
+    this.endRegistration = (): void => {
       isRemoved = true;
     };
     const watcher = new FleetWatcher(
@@ -331,9 +338,10 @@
 );
 
 When(
-  'the source has been cut off from the store and a registration ends',
-  function cut(this: ReviewWorld) {
-    this.cutSource();
+  /^a registration ends after the source was (cut off from|in touch with) the store$/,
+  function remove(this: ReviewWorld, contact: string) {
+    if (contact === 'cut off from') this.cutSource();
+    this.endRegistration();
   },
 );
 
