--- a/features/reviewedBounds.feature
+++ b/features/reviewedBounds.feature
@@ -4,7 +4,7 @@
   Scenario Outline: <kind> request at an engine that stands still while <event>
     Given an entry and an engine on version 1
     When a <kind> request is sent to the engine, which stands still until its time is over, and <event>
-    Then nothing reaches the engine as it wakes
+    Then the engine begins nothing as it wakes
 
     Examples:
       | kind   | event                         |
@@ -36,7 +36,7 @@
   # Guards against an endpoint that rests although it is sound, as this entry itself has held requests back.
   Scenario: requests that are not sent as the version of their engine is over
     Given an entry and an engine on version 1
-    When version 2 is named, 4 requests are placed 1900 ms after and the entry stands still for 1300 ms
+    When version 2 is named, 4 requests are placed 800 ms after and the entry stands still for 2300 ms
     And the engine has loaded version 2
     Then the engine is not at rest
 
