--- a/features/reviewedBounds.feature
+++ b/features/reviewedBounds.feature
@@ -36,7 +36,7 @@
   # Guards against an endpoint that rests although it is sound, as this entry itself has held requests back.
   Scenario: requests that are not sent as the version of their engine is over
     Given an entry and an engine on version 1
-    When version 2 is named, 4 requests are placed 800 ms after and the entry stands still for 2300 ms
+    When version 2 is named, 4 requests are placed 500 ms after and the entry stands still for 2300 ms
     And the engine has loaded version 2
     Then the engine is not at rest
 
--- a/features/steps/reviewedBounds.steps.ts
+++ b/features/steps/reviewedBounds.steps.ts
@@ -1,4 +1,6 @@
 import assert from 'node:assert/strict';
+import { request as httpRequest } from 'node:http';
+import type { ClientRequest } from 'node:http';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { After, Given, Then, When, World } from '@cucumber/cucumber';
 import { freePortPair } from '@laburnumstream/bench';
@@ -16,7 +18,7 @@
 import { LargeFleet, createEndpoint, noopLog, noopMetrics } from '../support/largeFleet.js';
 import { parseMetrics } from '../support/metricsText.js';
 import { platformBounds } from '../support/platformBounds.js';
-import { firstStart } from '../support/platformFleet.js';
+import { firstStart, platformHost } from '../support/platformFleet.js';
 import { RottingEngine } from '../support/rottingEngine.js';
 import type { OrderDelay } from '../support/rottingEngine.js';
 import { testVersion } from '../support/stagingEngine.js';
@@ -220,6 +222,30 @@
   },
 );
 
+/** Begins a request whose body is not sent yet. */
+function beginRequest({ platform: { settings } }: VersionFleet, index: number): ClientRequest {
+  const [host, port] = settings.callerAddress.split(':');
+  const headers = {
+    host: platformHost,
+    authorization: 'Bearer key-1',
+    'laburnumstream-request-id': `held-${index}`,
+    'laburnumstream-deadline-ms': '8000',
+    'content-length': '1',
+  };
+  const begun = httpRequest({ host, port, path: '/stream/x', method: 'POST', headers });
+  begun.flushHeaders();
+  return begun;
+}
+
+/** Resolves when a request has a response or its connection has ended. */
+function waitForEnd(request: ClientRequest): Promise<void> {
+  return new Promise((resolve) => {
+    request.on('response', (response) => response.resume());
+    request.on('error', () => resolve());
+    request.on('close', () => resolve());
+  });
+}
+
 When(
   /^version 2 is named, (\d+) requests are placed (\d+) ms after and the entry stands still for (\d+) ms$/,
   { timeout: 20_000 },
@@ -234,8 +260,14 @@
       if (placed === Number(count)) block(Number(forMs));
     };
     const before = versionFleet.engine.arrivals.length;
-    const requests = Array.from({ length: Number(count) }, () => versionFleet.send('stream'));
-    await Promise.allSettled(requests);
+    const requests = Array.from({ length: Number(count) }, (_, index) =>
+      beginRequest(versionFleet, index),
+    );
+    await sleep(sendMs);
+    // The entry reads all of them at once, so that all are placed before any connection is there.
+    const ends = requests.map(waitForEnd);
+    requests.forEach((request) => request.end('x'));
+    await Promise.all(ends);
     assert.equal(placed, Number(count));
     assert.equal(versionFleet.engine.arrivals.length, before, 'none was sent');
   },
