--- a/features/reviewedBounds.feature
+++ b/features/reviewedBounds.feature
@@ -1,30 +1,30 @@
 Feature: Bounds of time in review
 
   # Guards against a request that waits at an instance that stands still and reaches the engine after its time is over.
-  Scenario Outline: <kind> request at an engine that stands still while <event>
+  Scenario Outline: request at an engine that stands still
     Given an entry and an engine on version 1
     When a <kind> request is sent to the engine, which stands still until its time is over, and <event>
     Then the engine begins nothing as it wakes
 
     Examples:
-      | kind   | event                         |
-      | unsafe | its data centre is evacuated  |
-      | stream | its data centre is evacuated  |
-      | unsafe | it is registered as draining  |
-      | stream | it is registered as draining  |
-      | unsafe | its registration ends         |
-      | stream | its registration ends         |
+      | kind   | event                        |
+      | unsafe | its data centre is evacuated |
+      | stream | its data centre is evacuated |
+      | unsafe | it is registered as draining |
+      | stream | it is registered as draining |
+      | unsafe | its registration ends        |
+      | stream | its registration ends        |
 
   # Guards against a load of a staged piece that has turned bad since it was checked, long before the order.
-  Scenario Outline: piece that turns bad before an engine's order, which is late as <cause>
+  Scenario Outline: piece that turns bad before the order to load it
     Given an agent beside an engine that <cause>, and whose first piece turns bad once it was read
     When the agent is told that version 1 is wanted
     Then no piece had been bad for more than 3 s when the load was ordered
 
     Examples:
-      | cause                           |
-      | stages pieces slowly            |
-      | stands still before the order   |
+      | cause                         |
+      | stages pieces slowly          |
+      | stands still before the order |
 
   # Guards against agents that all load a version early, as one entry's time of day was set ahead.
   Scenario: time of day of one entry that is set ahead
@@ -41,7 +41,7 @@
     Then the engine is not at rest
 
   # Guards against a request that is sent to an endpoint whose registration ended after the placement.
-  Scenario Outline: request that was placed on an endpoint that <event>
+  Scenario Outline: placed request whose endpoint <event>
     Given a request that was placed on an endpoint
     When the endpoint <event>
     Then the request may not be sent to it
@@ -54,7 +54,7 @@
       | is evacuated             |
 
   # Guards against an endpoint that is used after its registration has ended, as another entry was cut off from the store.
-  Scenario Outline: registration that ends after the source of an entry was <contact> the store
+  Scenario Outline: registration that ends after its source was <contact> the store
     Given an entry's watcher of a source that has always had recent content
     When a registration ends after the source was <contact> the store
     Then the registration has ended for the entry within 1000 ms
