--- a/features/reviewedBounds.feature
+++ b/features/reviewedBounds.feature
@@ -33,6 +33,13 @@
     When version 2 is named and the time of day of the entry is set 3000 ms ahead 1000 ms after
     Then the agent is told that version 2 was named at most 1700 ms before it was
 
+  # Guards against agents that all load a version early, as an entry that has just started takes it for an older one.
+  Scenario: version that is named before another entry starts
+    Given an entry and an engine on version 1
+    And an agent that gets the updates of the entry
+    When version 2 is named and another entry starts 200 ms after
+    Then the agent is told that version 2 was named at most 1700 ms before it was
+
   # Guards against an endpoint that rests although it is sound, as this entry itself has held requests back.
   Scenario: requests that are not sent as the version of their engine is over
     Given an entry and an engine on version 1
--- a/features/steps/reviewedBounds.steps.ts
+++ b/features/steps/reviewedBounds.steps.ts
@@ -1,6 +1,4 @@
 import assert from 'node:assert/strict';
-import { request as httpRequest } from 'node:http';
-import type { ClientRequest } from 'node:http';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { After, Given, Then, When, World } from '@cucumber/cucumber';
 import { freePortPair } from '@laburnumstream/bench';
@@ -18,7 +16,8 @@
 import { LargeFleet, createEndpoint, noopLog, noopMetrics } from '../support/largeFleet.js';
 import { parseMetrics } from '../support/metricsText.js';
 import { platformBounds } from '../support/platformBounds.js';
-import { firstStart, platformHost } from '../support/platformFleet.js';
+import { firstStart } from '../support/platformFleet.js';
+import { beginRequest, createOtherEntry, waitForEnd } from '../support/reviewedFleet.js';
 import { RottingEngine } from '../support/rottingEngine.js';
 import type { OrderDelay } from '../support/rottingEngine.js';
 import { testVersion } from '../support/stagingEngine.js';
@@ -212,6 +211,19 @@
   },
 );
 
+When(
+  /^version 2 is named and another entry starts (\d+) ms after$/,
+  { timeout: 20_000 },
+  async function startOther(this: ReviewWorld, afterMs: string) {
+    const { versionFleet } = this;
+    const other = await createOtherEntry(versionFleet.platform);
+    versionFleet.nameNext();
+    await sleep(Number(afterMs));
+    await other.start(this.reviewAbort.signal);
+    await sleep(toldMs);
+  },
+);
+
 Then(
   /^the agent is told that version 2 was named at most (\d+) ms before it was$/,
   function told(this: ReviewWorld, most: string) {
@@ -222,30 +234,6 @@
   },
 );
 
-/** Begins a request whose body is not sent yet. */
-function beginRequest({ platform: { settings } }: VersionFleet, index: number): ClientRequest {
-  const [host, port] = settings.callerAddress.split(':');
-  const headers = {
-    host: platformHost,
-    authorization: 'Bearer key-1',
-    'laburnumstream-request-id': `held-${index}`,
-    'laburnumstream-deadline-ms': '8000',
-    'content-length': '1',
-  };
-  const begun = httpRequest({ host, port, path: '/stream/x', method: 'POST', headers });
-  begun.flushHeaders();
-  return begun;
-}
-
-/** Resolves when a request has a response or its connection has ended. */
-function waitForEnd(request: ClientRequest): Promise<void> {
-  return new Promise((resolve) => {
-    request.on('response', (response) => response.resume());
-    request.on('error', () => resolve());
-    request.on('close', () => resolve());
-  });
-}
-
 When(
   /^version 2 is named, (\d+) requests are placed (\d+) ms after and the entry stands still for (\d+) ms$/,
   { timeout: 20_000 },
