--- a/packages/sidecar/src/weightUpdater.ts
+++ b/packages/sidecar/src/weightUpdater.ts
@@ -1,4 +1,4 @@
-import { Unavailable, toFailure } from '@laburnumstream/common';
+import { SleepAwareClock, Unavailable, toFailure } from '@laburnumstream/common';
 import type { Chart, Clock, Log, Metrics } from '@laburnumstream/common';
 import { isWorthFinishing, computeSwitchDelayMs, switchPosition } from '@laburnumstream/decisions';
 import { Lifecycle } from '@laburnumstream/runtime';
@@ -56,7 +56,8 @@
     private readonly graceMs: number,
     private readonly onSwitchingChanged: () => void,
   ) {
-    this.staging = new EngineStaging(engine, dependencies.metrics, dependencies.log);
+    const { clock, metrics, log } = dependencies;
+    this.staging = new EngineStaging(engine, new SleepAwareClock(clock), metrics, log);
   }
 
   /** State of the weights, as reported to entries. */
@@ -260,6 +261,7 @@
       const { state } = this.monitor;
       if (!state || !this.monitor.isAnswering)
         throw new Unavailable('The engine does not respond.', retryDelayMs);
+      this.staging.requireRecentCheck();
       await this.engine.orderLoad(model, version, state.acceptedOrders, signal);
       this.log.info('Load ordered.', {
         version,
