--- a/packages/forwarding/src/fleetWatcher.ts
+++ b/packages/forwarding/src/fleetWatcher.ts
@@ -7,6 +7,7 @@
   Provenance,
   StoreChange,
   StoreFeed,
+  StoreOutage,
 } from '@laburnumstream/common';
 import {
   ChangeDating,
@@ -228,12 +229,22 @@
     const now = this.clock.now();
     const outage = provenance?.outage;
     if (!this.isReachable) this.deferredRemovals.storeRecovered(now - this.lastResponseAt, now);
-    if (outage) this.deferredRemovals.storeRecovered(outage.durationMs, now - outage.endedMsAgo);
+    if (outage) this.recordOutage(outage, now);
     const proofAgeMs = provenance?.proofAgeMs ?? 0;
     this.lastResponseAt = now - proofAgeMs;
     this.dating.recordResponse(confirmedAt - proofAgeMs);
   }
 
+  /**
+   * Records an outage that a source has seen. Only the part after this entry's own last response counts: before
+   * it, the store has responded to others, so that the source alone was cut off or suspended.
+   */
+  private recordOutage({ durationMs, endedMsAgo }: StoreOutage, now: number): void {
+    const endedAt = now - endedMsAgo;
+    const unansweredMs = endedAt - this.lastResponseAt;
+    this.deferredRemovals.storeRecovered(Math.min(durationMs, unansweredMs), endedAt);
+  }
+
   /** Logs how new versions of weights in a response are dated. */
   private logVersions(
     changes: readonly DatedChange[],
