Withdraw requests at instances that stand still before drains and evacuations are due

It is the fault of VERSION with another bound: calls were withdrawn for versions only. An endpoint that drains, is evacuated or is no longer registered retires; calls that have not started there are withdrawn before the bound if it has shown no sign of life for 0.7 s. One that lives has received them.

--- a/packages/forwarding/src/endpointDirectory.ts
+++ b/packages/forwarding/src/endpointDirectory.ts
@@ -12,7 +12,6 @@
   NotifierSelection,
   countSenders,
   isVersionEligible,
-  mayStartOnVersion,
 } from '@laburnumstream/decisions';
 import type { CapacitySharers } from '@laburnumstream/decisions';
 import type { EndpointSource, ServiceStatements } from './dispatchQueue.js';
@@ -20,6 +19,7 @@
 import { EndpointState } from './endpointState.js';
 import type { FleetState } from './fleetState.js';
 import type { EntryCounts } from './entryCounts.js';
+import { StartBounds } from './startBounds.js';
 
 /** What makes an endpoint eligible for a request, apart from free capacity. */
 export interface Eligibility {
@@ -51,6 +51,8 @@
   /** What endpoints have said of themselves, also those that are not registered now. */
   readonly statements: EndpointStatements;
 
+  readonly startBounds: StartBounds;
+
   /** Health of endpoints that have left, by id: some come back and fail again. */
   private readonly formerHealth = new Map<string, EndpointHealth>();
 
@@ -61,9 +63,9 @@
     private readonly metrics: Metrics,
     private readonly random: Random,
     private readonly entryCounts: EntryCounts,
-    /** Runs during a suspension too, as the time of a version does. */
-    private readonly versionClock: Pick<Clock, 'now'>,
+    versionClock: Pick<Clock, 'now'>,
   ) {
+    this.startBounds = new StartBounds(settings, state, clock, versionClock);
     this.senders = new NotifierSelection(settings.instance);
     this.statements = new EndpointStatements(random.next());
   }
@@ -99,6 +101,7 @@
       )
         return;
       handle.pool.closeIdle();
+      handle.retire(this.clock.now());
       this.handles.delete(id);
       this.formerHealth.set(id, handle.health);
     });
@@ -107,6 +110,7 @@
     this.byService.clear();
     this.byAddress.clear();
     this.handles.forEach((handle) => {
+      this.startBounds.updateRetirement(handle);
       this.byAddress.set(handle.endpoint.address, handle);
       const list = this.byService.get(handle.endpoint.service) ?? [];
       list.push(handle);
@@ -146,14 +150,6 @@
     );
   }
 
-  /** Whether requests that wait at an endpoint may still start there, by the version of its weights. */
-  mayStart(handle: EndpointHandle): boolean {
-    return mayStartOnVersion({
-      outdatedMs: this.outdatedMs(handle),
-      graceMs: this.versionGraceMs,
-    });
-  }
-
   /** Whether an endpoint runs, as far as is known. */
   isRunning(handle: EndpointHandle): boolean {
     return handle.isAnswering && (this.isRegistered(handle) || !handle.isLost);
@@ -328,22 +324,6 @@
     );
   }
 
-  /** Time after which no request may start on an outdated version, in milliseconds. */
-  get versionGraceMs(): number {
-    return this.settings.bounds.versionMs;
-  }
-
-  /**
-   * Time since a version of an endpoint's weights, by default the one that it serves, is outdated, in
-   * milliseconds; negative infinity while it is not.
-   */
-  outdatedMs({ profile, version: served }: EndpointHandle, version = served): number {
-    const model = profile?.engine?.models[0]?.name;
-    if (version === undefined || model === undefined) return -Infinity;
-    const outdatedAt = this.state.namedVersions(model)?.outdatedAt(version) ?? Infinity;
-    return this.versionClock.now() - outdatedAt;
-  }
-
   /** Plain services need no weights; an engine must hold all layers of a version that is still in use. */
   private hasUsableWeights(
     handle: EndpointHandle,
@@ -354,8 +334,8 @@
     if (handle.version === undefined || handle.profile?.engine?.models[0] === undefined)
       return false;
     return isVersionEligible({
-      outdatedMs: this.outdatedMs(handle),
-      graceMs: this.versionGraceMs,
+      outdatedMs: this.startBounds.outdatedMs(handle),
+      graceMs: this.startBounds.versionGraceMs,
       reportAgeMs: handle.load.reportAgeMs(now),
       startsAtOnce,
     });
--- a/packages/forwarding/src/endpointHandle.ts
+++ b/packages/forwarding/src/endpointHandle.ts
@@ -71,6 +71,9 @@
 
   model: EngineModel | undefined;
 
+  /** Monotonic time since when it is to get no requests, in milliseconds. */
+  private retirementAt: number | undefined;
+
   /** Monotonic time of the last sign that this incarnation of the endpoint runs, in milliseconds. */
   private signOfLifeAt = -Infinity;
 
@@ -103,6 +106,21 @@
     return this.signOfLifeAt;
   }
 
+  /** Monotonic time since when it is to get no requests, in milliseconds; undefined while it may. */
+  get retiredAt(): number | undefined {
+    return this.retirementAt;
+  }
+
+  /** Records that it is to get no requests, since the first time at which this was recorded. */
+  retire(now: number): void {
+    this.retirementAt ??= now;
+  }
+
+  /** Records that it may get requests again. */
+  resume(): void {
+    this.retirementAt = undefined;
+  }
+
   recordSignOfLife(at: number): void {
     this.signOfLifeAt = Math.max(this.signOfLifeAt, at);
   }
--- a/packages/forwarding/src/forwardingEntry.ts
+++ b/packages/forwarding/src/forwardingEntry.ts
@@ -121,7 +121,7 @@
       entryCounts,
       proofClock,
     );
-    this.waitingCalls = new WaitingCalls(this.directory);
+    this.waitingCalls = new WaitingCalls(this.directory.startBounds);
     const guard = new CrashGuard((id) => this.directory.get(id), clock, metrics, log('crashes'));
     this.crashRecords = new CrashRecords(
       store,
--- a/packages/forwarding/src/outdatedUse.ts
+++ b/packages/forwarding/src/outdatedUse.ts
@@ -1,6 +1,6 @@
 import type { Clock, Log, Metrics } from '@laburnumstream/common';
-import type { EndpointDirectory } from './endpointDirectory.js';
 import type { EndpointHandle } from './endpointHandle.js';
+import type { StartBounds } from './startBounds.js';
 
 /** Time before the end of an outdated version's use from which each request on it is logged, in milliseconds. */
 const loggedBeforeEndMs = 2_000;
@@ -14,7 +14,7 @@
   constructor(
     private readonly id: string,
     private readonly handle: EndpointHandle,
-    private readonly directory: Pick<EndpointDirectory, 'outdatedMs' | 'versionGraceMs'>,
+    private readonly bounds: Pick<StartBounds, 'outdatedMs' | 'versionGraceMs'>,
     private readonly clock: Clock,
     private readonly metrics: Metrics,
     private readonly log: Log,
@@ -35,13 +35,13 @@
   }
 
   private record(step: 'send' | 'first_event'): void {
-    const { id, handle, directory, version, placedAt } = this;
+    const { id, handle, bounds, version, placedAt } = this;
     if (version === undefined) return;
     const now = this.clock.now();
-    const outdatedMs = directory.outdatedMs(handle, version);
+    const outdatedMs = bounds.outdatedMs(handle, version);
     if (outdatedMs < 0) return;
     this.metrics.observe('outdated_age', outdatedMs, { step });
-    const leftMs = directory.versionGraceMs - outdatedMs;
+    const leftMs = bounds.versionGraceMs - outdatedMs;
     if (leftMs < 0) this.metrics.count('outdated_uses_late', { step });
     if (leftMs > loggedBeforeEndMs) return;
     this.log.info('Outdated version used.', {
--- a/packages/forwarding/src/requestAttempts.ts
+++ b/packages/forwarding/src/requestAttempts.ts
@@ -326,7 +326,7 @@
     const { exchange, services } = this;
     const { request, head, route, workspace, body, deadlineAt } = exchange;
     const { codec, clock, queue, guard, onLoadChange, directory, metrics, log } = services;
-    const use = new OutdatedUse(head.id, handle, directory, clock, metrics, log);
+    const use = new OutdatedUse(head.id, handle, directory.startBounds, clock, metrics, log);
     const headers = codec.encodeRequestHeaders(request.rawHeaders, {
       timeLeftMs: deadlineAt - clock.now(),
       endpointId: handle.id,
@@ -379,7 +379,7 @@
     handle.load.recordStart(prefillMs);
     onLoadChange(handle);
     call.start();
-    if (handle.model) services.waitingCalls.add(call, handle);
+    services.waitingCalls.add(call, handle);
     return { handle, call, markPrefilled: markFirstEvent, markEnded };
   }
 }
--- /dev/null
+++ b/packages/forwarding/src/startBounds.ts
@@ -0,0 +1,68 @@
+import type { Clock, FleetSettings } from '@laburnumstream/common';
+import { mayStartOnVersion } from '@laburnumstream/decisions';
+import type { EndpointHandle } from './endpointHandle.js';
+import type { FleetState } from './fleetState.js';
+
+/** Time in which a change that retires an endpoint comes to be known here, in milliseconds. */
+const retirementNoticeMs = 1_250;
+/** Time without a sign of life after which an endpoint may stand still, in milliseconds. */
+const standstillMs = 700;
+
+/** Until when requests that were sent to an endpoint may start there. */
+export class StartBounds {
+  constructor(
+    private readonly settings: FleetSettings,
+    private readonly state: FleetState,
+    private readonly clock: Clock,
+    /** Runs during a suspension too, as the time of a version does. */
+    private readonly versionClock: Pick<Clock, 'now'>,
+  ) {}
+
+  /** Time after which no request may start on an outdated version, in milliseconds. */
+  get versionGraceMs(): number {
+    return this.settings.bounds.versionMs;
+  }
+
+  /**
+   * Time since a version of an endpoint's weights, by default the one that it serves, is outdated, in
+   * milliseconds; negative infinity while it is not.
+   */
+  outdatedMs({ profile, version: served }: EndpointHandle, version = served): number {
+    const model = profile?.engine?.models[0]?.name;
+    if (version === undefined || model === undefined) return -Infinity;
+    const outdatedAt = this.state.namedVersions(model)?.outdatedAt(version) ?? Infinity;
+    return this.versionClock.now() - outdatedAt;
+  }
+
+  /** Whether a time is set from which no request may start at an endpoint. */
+  hasBound(handle: EndpointHandle): boolean {
+    return handle.retiredAt !== undefined || this.outdatedMs(handle) >= 0;
+  }
+
+  /** Whether requests that wait at an endpoint may still start there. */
+  mayStart(handle: EndpointHandle): boolean {
+    const { versionGraceMs: graceMs } = this;
+    if (this.mayStandStill(handle)) return false;
+    return mayStartOnVersion({ outdatedMs: this.outdatedMs(handle), graceMs });
+  }
+
+  /** Records whether a registered endpoint is to get no requests any more. */
+  updateRetirement(handle: EndpointHandle): void {
+    const { isDraining, dataCentre } = handle.endpoint;
+    if (isDraining || this.state.isEvacuated(dataCentre)) handle.retire(this.clock.now());
+    else handle.resume();
+  }
+
+  /**
+   * Whether an endpoint that is to get no requests may stand still, so that those that were sent reach it as it
+   * wakes. A live one has received them already.
+   */
+  private mayStandStill({ retiredAt, lastSignOfLifeAt, endpoint }: EndpointHandle): boolean {
+    if (retiredAt === undefined) return false;
+    const now = this.clock.now();
+    const { drainMs, evacuationMs } = this.settings.bounds;
+    const boundMs = this.state.isEvacuated(endpoint.dataCentre) ? evacuationMs : drainMs;
+    const isOver = now - retiredAt >= boundMs - retirementNoticeMs;
+    return isOver && now - lastSignOfLifeAt > standstillMs;
+  }
+}
--- a/packages/forwarding/src/waitingCalls.ts
+++ b/packages/forwarding/src/waitingCalls.ts
@@ -1,25 +1,25 @@
 import type { EndpointCall } from './endpointCall.js';
-import type { EndpointDirectory } from './endpointDirectory.js';
 import type { EndpointHandle } from './endpointHandle.js';
+import type { StartBounds } from './startBounds.js';
 
-/** Interval of checks while calls wait at engines with an outdated version, in milliseconds. */
+/** Interval of checks while calls wait at endpoints at which they may not start for ever, in milliseconds. */
 const checkIntervalMs = 20;
 
 /**
- * The calls that wait at engines for their start. How long an engine's queue, or an instance that stands still,
- * delays a start is not known when a request is sent, so calls that could start on a version whose time is over are
- * withdrawn before that.
+ * The calls that wait at endpoints for their start. How long an endpoint's queue, or an instance that stands still,
+ * delays a start is not known when a request is sent, so calls that could start later than they may are withdrawn
+ * before that: on a version whose time is over, or at an endpoint that is to get no requests.
  */
 export class WaitingCalls {
   private readonly handles = new Map<EndpointCall, EndpointHandle>();
 
   private timer: NodeJS.Timeout | undefined;
 
-  constructor(private readonly directory: Pick<EndpointDirectory, 'outdatedMs' | 'mayStart'>) {}
+  constructor(private readonly bounds: Pick<StartBounds, 'hasBound' | 'mayStart'>) {}
 
   add(call: EndpointCall, handle: EndpointHandle): void {
     this.handles.set(call, handle);
-    if (this.directory.outdatedMs(handle) >= 0) this.scheduleCheck();
+    if (this.bounds.hasBound(handle)) this.scheduleCheck();
   }
 
   remove(call: EndpointCall): void {
@@ -29,7 +29,7 @@
   /** To be called after a change of the fleet, with which a version may have become outdated. */
   refresh(): void {
     const handles = new Set(this.handles.values());
-    if ([...handles].some((handle) => this.directory.outdatedMs(handle) >= 0)) this.scheduleCheck();
+    if ([...handles].some((handle) => this.bounds.hasBound(handle))) this.scheduleCheck();
   }
 
   private scheduleCheck(): void {
@@ -40,13 +40,13 @@
     this.timer = undefined;
     this.handles.forEach((handle, call) => {
       if (call.hasContent) this.remove(call);
-      else if (!this.directory.mayStart(handle)) this.withdraw(call);
+      else if (!this.bounds.mayStart(handle)) this.withdraw(call);
     });
     this.refresh();
   }
 
   private withdraw(call: EndpointCall): void {
     this.remove(call);
-    call.withdraw('The version of the endpoint may be used no longer.');
+    call.withdraw('The request may start at the endpoint no longer.');
   }
 }
