Log responses that the end of a stop cuts

Streams that last beyond the shutdown bound end with the process, whose exit code is 0: nothing told operators of them. Seen in a run with streams of 6 s in a bound of 4 s: 3 cut at 3.9 s, one line.

--- a/packages/forwarding/src/forwardingEntry.ts
+++ b/packages/forwarding/src/forwardingEntry.ts
@@ -240,6 +240,9 @@
     // Requests that have arrived and were not read yet are answered, too.
     await this.dependencies.clock.sleep(drainPollMs);
     await this.waitUntil(plan.latestEndAt, () => this.callers.active === 0);
+    const { active } = this.callers;
+    if (active > 0)
+      this.dependencies.log('process').warn('Responses cut by the end of the stop.', { active });
   }
 
   private async waitUntil(at: number, isDone: () => boolean = () => false): Promise<void> {
