--- a/features/oddRegistrations.feature
+++ b/features/oddRegistrations.feature
@@ -34,3 +34,10 @@
     When it gets odd datagrams meanwhile
     Then the agent runs and counts odd reports and odd datagrams
     And after a sound report it reports its engine again
+
+  # Guards against: an engine whose registration has turned odd is used on by its old one.
+  Scenario: registration that turns odd
+    Given two entry programs and four engines
+    When another writer replaces the registration of one engine by an odd one
+    Then that engine is sent no requests and all of them are served
+    And it is sent requests again after its own registration returns
--- a/features/steps/oddRegistrations.steps.ts
+++ b/features/steps/oddRegistrations.steps.ts
@@ -37,6 +37,10 @@
 
 const secondMs = 1_000;
 const maxLineLength = 1_500;
+/** Time after which entries that have started together read from one that reads the store, in milliseconds. */
+const settleMs = 4_000;
+/** Time within which entries stop using an engine whose registration has ended, in milliseconds. */
+const drainMs = 2_000;
 
 async function readMetric({ program }: OddProgram, name: string): Promise<number> {
   const response = await fetch(`http://127.0.0.1:${program.metricsPort}/metrics`);
@@ -227,3 +231,40 @@
 Then('both programs run', function run(this: OddWorld) {
   this.oddPrograms.forEach(({ program }) => assert.ok(program.isRunning, program.errors));
 });
+
+When(
+  'another writer replaces the registration of one engine by an odd one',
+  async function replace(this: OddWorld) {
+    // Entries that have just started may read from each other for a while.
+    await sleep(settleMs);
+    const { store } = this.oddFleet;
+    store.writeBytes('servers/e0', oddRegistrations['port-out-of-range']!);
+    await sleep(drainMs);
+  },
+);
+
+Then(
+  'that engine is sent no requests and all of them are served',
+  async function unused(this: OddWorld) {
+    const [engine] = this.oddFleet.engines;
+    const before = engine!.startedRequestIds.length;
+    const results = await sendFor(this, 28, 3 * secondMs);
+    assert.ok(
+      results.every(({ status }) => status === 200),
+      countStatuses(results),
+    );
+    assert.equal(engine!.startedRequestIds.length - before, 0);
+  },
+);
+
+Then(
+  'it is sent requests again after its own registration returns',
+  async function again(this: OddWorld) {
+    const [engine] = this.oddFleet.engines;
+    const before = engine!.startedRequestIds.length;
+    this.oddFleet.registerEngine(engine!, 'ready');
+    await sleep(secondMs);
+    await sendFor(this, 28, 2 * secondMs);
+    assert.ok(engine!.startedRequestIds.length > before);
+  },
+);
