Show the lines of a request whose head was cut where its check fails

One run of 8 scenarios, at a load of 33 beside this test's own four features: a caller of safe had the whole answer after 3 arrivals, 2 are expected ('cut at 56', with a length, fresh connections).

--- a/features/steps/cutHeads.steps.ts
+++ b/features/steps/cutHeads.steps.ts
@@ -166,7 +166,13 @@
 Then(/^each caller has (.+)$/, function outcome(this: CutHeadsWorld, expected: string) {
   this.cutResults.forEach((result) => {
     const { status, body } = result.response;
-    outcomeChecks[expected]!(result, `cut at ${result.cutAt}: ${status} ${body}`);
+    const lines = this.cutFleet.logEntries.filter(
+      ({ fields }) => fields.id === createId(result.cutAt),
+    );
+    outcomeChecks[expected]!(
+      result,
+      `cut at ${result.cutAt}: ${status} ${body} ${JSON.stringify(lines)}`,
+    );
   });
   assert.ok(this.cutResults.length >= minHeadLength);
   const { cuts, plan } = this.cutting;
