--- a/packages/forwarding/src/fleetWatcher.ts
+++ b/packages/forwarding/src/fleetWatcher.ts
@@ -293,9 +293,21 @@
   }
 
   private decode(change: StoreChange): DatedChange[] {
+    const decoded = this.tryDecode(change) ?? this.decodeUnreadable(change);
+    return decoded ? [{ change: decoded, laterMs: change.laterMs ?? 0 }] : [];
+  }
+
+  /** A registration that can't be read names nobody, so the one that it has replaced is over. */
+  private decodeUnreadable(change: StoreChange): FleetChange | undefined {
+    if (change.value === undefined) return undefined;
+    const removal = this.tryDecode({ ...change, value: undefined });
+    return removal && getRegistration(removal).key ? removal : undefined;
+  }
+
+  /** Returns undefined, after a log line, for a value that can't be read. */
+  private tryDecode(change: StoreChange): FleetChange | undefined {
     try {
-      const decoded = this.codec.decode(change);
-      return decoded ? [{ change: decoded, laterMs: change.laterMs ?? 0 }] : [];
+      return this.codec.decode(change);
     } catch (error) {
       if (!(error instanceof InvalidInput)) throw error;
       this.metrics.count('store_values_unreadable');
@@ -304,7 +316,7 @@
         revision: change.revision,
         reason: error.message,
       });
-      return [];
+      return undefined;
     }
   }
 
