Check what entries read from each other as other inputs

A feed whose body was cut threw SyntaxError, one with null in place of a change TypeError, and its ages were unbounded (oddInputs.feature 'feeds of entries' fails before, 22 of 22 scenarios pass now). Errors are typed, reasons and ages bounded.

--- a/features/oddInputs.feature
+++ b/features/oddInputs.feature
@@ -32,6 +32,7 @@
       | snapshots of the store | 1    |
       | changes of the store   | 1    |
       | leases of the store    | 1    |
+      | feeds of entries       | 1    |
 
   # Guards against: one item of a response that can't be read hides those beside it.
   Scenario: odd item beside sound ones in a response of the store
--- a/features/steps/oddInputs.steps.ts
+++ b/features/steps/oddInputs.steps.ts
@@ -5,6 +5,7 @@
 import type { AddressInfo } from 'node:net';
 import { After, Then, When } from '@cucumber/cucumber';
 import { Failure, InvalidInput } from '@laburnumstream/common';
+import { FeedClient, FeedHeader } from '@laburnumstream/forwarding';
 import type { FleetChange } from '@laburnumstream/forwarding';
 import { FleetDatagrams, create, fromRefusal } from '@laburnumstream/links';
 import {
@@ -134,6 +135,23 @@
     sound: { events: [soundItem, { Key: 'servers/e1', Revision: 4, Removed: true }], AsOf: 4 },
     read: (address) => new StoreClient(address).changes('', 1, 100),
   },
+  'feeds of entries': {
+    sound: {
+      revision: 4,
+      changes: [
+        { key: 'servers/e0', value: '{}', revision: 3 },
+        { key: 'servers/e1', revision: 4 },
+      ],
+    },
+    read: async (address) => {
+      const client = new FeedClient();
+      try {
+        return await client.read(address, 1, 100);
+      } finally {
+        client.close();
+      }
+    },
+  },
   'leases of the store': {
     sound: { Lease: 7, TtlMs: 1_000 },
     read: (address) => new StoreClient(address).grantLease(1_000),
@@ -170,7 +188,11 @@
 }
 
 async function listen(world: OddInputsWorld, respond: (path: string) => string): Promise<string> {
-  const server = createServer((request, response) => response.end(respond(request.url ?? '')));
+  const server = createServer((request, response) => {
+    response.setHeader(FeedHeader.proofAge, '1');
+    response.setHeader(FeedHeader.changeAge, '1');
+    response.end(respond(request.url ?? ''));
+  });
   Object.assign(world, { oddServer: server });
   await new Promise<void>((resolve) => {
     server.listen(0, '127.0.0.1', () => resolve());
--- a/packages/forwarding/src/feedClient.ts
+++ b/packages/forwarding/src/feedClient.ts
@@ -17,6 +17,10 @@
 /** Time in which a response must be complete, in milliseconds: it may make little progress for ever. */
 const totalMs = 60_000;
 const maxBytes = 64_000_000;
+/** Longest time that a feed can state, in milliseconds: a year. */
+const maxAgeMs = 31_536_000_000;
+/** Largest part of a reason that is kept, in characters. */
+const maxReasonLength = 200;
 /** Delay before an entry that can't respond is asked again, in milliseconds. */
 const retryDelayMs = 1_000;
 
@@ -27,19 +31,24 @@
   readonly isFromReader: boolean;
 }
 
+function isOptionalTime(value: unknown): boolean {
+  if (value === undefined) return true;
+  return typeof value === 'number' && value >= 0 && value <= maxAgeMs;
+}
+
 function isChange(value: unknown, maxRevision: number): value is StoreChange {
-  const change = value as Partial<StoreChange>;
+  const change = (value ?? {}) as Partial<StoreChange>;
   return (
     typeof change.key === 'string' &&
     (change.value === undefined || typeof change.value === 'string') &&
-    (change.laterMs === undefined || change.laterMs >= 0) &&
+    isOptionalTime(change.laterMs) &&
     Number.isSafeInteger(change.revision) &&
     change.revision! <= maxRevision
   );
 }
 
 function isFeedBody(value: unknown): value is FeedBody {
-  const { revision, changes } = value as Partial<FeedBody>;
+  const { revision, changes } = (value ?? {}) as Partial<FeedBody>;
   return (
     Number.isSafeInteger(revision) &&
     Array.isArray(changes) &&
@@ -47,21 +56,36 @@
   );
 }
 
+/** Returns a time of a header in milliseconds; undefined if there is none that can be right. */
+function readTime(value: string | string[] | undefined, minMs = 0): number | undefined {
+  const time = value === undefined || value === '' ? NaN : Number(value);
+  return time >= minMs && time <= maxAgeMs ? time : undefined;
+}
+
 function readProvenance({ headers }: TransferredResponse): Provenance {
-  const proofAgeMs = Number(headers[FeedHeader.proofAge]);
-  const changeAgeMs = Number(headers[FeedHeader.changeAge]);
-  if (!(proofAgeMs >= 0 && Number.isFinite(changeAgeMs)))
+  const proofAgeMs = readTime(headers[FeedHeader.proofAge]);
+  const changeAgeMs = readTime(headers[FeedHeader.changeAge], -maxAgeMs);
+  if (proofAgeMs === undefined || changeAgeMs === undefined)
     throw new InvalidInput('The feed does not tell its age.');
-  const durationMs = Number(headers[FeedHeader.outage]);
-  const endedMsAgo = Number(headers[FeedHeader.outageEnded]);
-  const outage = durationMs >= 0 && endedMsAgo >= 0 ? { durationMs, endedMsAgo } : undefined;
+  const durationMs = readTime(headers[FeedHeader.outage]);
+  const endedMsAgo = readTime(headers[FeedHeader.outageEnded]);
+  const hasOutage = durationMs !== undefined && endedMsAgo !== undefined;
+  const outage = hasOutage ? { durationMs, endedMsAgo } : undefined;
   return { proofAgeMs, changeAgeMs, outage };
 }
 
-async function readBody({ headers, body }: TransferredResponse): Promise<FeedBody> {
+async function parseBody({ headers, body }: TransferredResponse): Promise<unknown> {
   const isCompressed = headers['content-encoding'] === 'gzip';
-  const text = isCompressed ? await decompress(body, { maxOutputLength: maxBytes }) : body;
-  const value: unknown = JSON.parse(text.toString('utf8'));
+  try {
+    const text = isCompressed ? await decompress(body, { maxOutputLength: maxBytes }) : body;
+    return JSON.parse(text.toString('utf8'));
+  } catch (error) {
+    throw new InvalidInput(`The feed cannot be read: ${String(error).slice(0, maxReasonLength)}`);
+  }
+}
+
+async function readBody(response: TransferredResponse): Promise<FeedBody> {
+  const value = await parseBody(response);
   if (isFeedBody(value)) return value;
   throw new InvalidInput('The feed is invalid.');
 }
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -6,6 +6,8 @@
 export * from './endpointDirectory.js';
 export * from './endpointCall.js';
 export * from './endpointHandle.js';
+export * from './feedClient.js';
+export { FeedHeader } from './feedProtocol.js';
 export * from './fleetChange.js';
 export * from './forwardingEntry.js';
 export * from './headerCodec.js';
