--- a/features/steps/reviewedBounds.steps.ts
+++ b/features/steps/reviewedBounds.steps.ts
@@ -1,7 +1,6 @@
 import assert from 'node:assert/strict';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { After, Given, Then, When, World } from '@cucumber/cucumber';
-import { freePortPair } from '@laburnumstream/bench';
 import { SeededRandom, SleepAwareClock } from '@laburnumstream/common';
 import type { StoreChanges, StoreFeed } from '@laburnumstream/common';
 import { FleetState, FleetWatcher } from '@laburnumstream/forwarding';
@@ -18,6 +17,7 @@
 import { platformBounds } from '../support/platformBounds.js';
 import { firstStart } from '../support/platformFleet.js';
 import { beginRequest, createOtherEntry, waitForEnd } from '../support/reviewedFleet.js';
+import { createSidecarSettings } from '../support/sidecarSettings.js';
 import { RottingEngine } from '../support/rottingEngine.js';
 import type { OrderDelay } from '../support/rottingEngine.js';
 import { testVersion } from '../support/stagingEngine.js';
@@ -104,25 +104,13 @@
 Given(
   /^an agent beside an engine that (.+), and whose first piece turns bad once it was read$/,
   async function agent(this: ReviewWorld, delay: OrderDelay) {
-    const firstPort = await freePortPair();
+    const settings = await createSidecarSettings();
+    const { firstPort } = settings;
     this.reviewAbort = new AbortController();
     this.reviewEngine = new RottingEngine(delay);
     const clock = new SystemClock();
     const sidecar = new Sidecar({
-      settings: {
-        instance: 'side-1',
-        host: '127.0.0.1',
-        dataCentre: 'a',
-        region: 'r',
-        regions: new Map([['a', 'r']]),
-        firstPort,
-        linkBitsPerSecond: 1e9,
-        store: { address: '127.0.0.1:1', minLeaseMs: 1_000 },
-        heartbeatMs: 1_200,
-        endpointAddress: '127.0.0.1:9',
-        service: 'model',
-        bounds: platformBounds,
-      },
+      settings,
       engine: this.reviewEngine,
       origin: new FaultyPieceOrigin(),
       chart: readChart('switch'),
--- a/features/steps/sidecar.steps.ts
+++ b/features/steps/sidecar.steps.ts
@@ -2,14 +2,12 @@
 import { createServer } from 'node:http';
 import type { Server } from 'node:http';
 import { After, Given, Then, When } from '@cucumber/cucumber';
-import { freePortPair } from '@laburnumstream/bench';
 import { SeededRandom } from '@laburnumstream/common';
-import type { SidecarSettings } from '@laburnumstream/common';
 import { FleetDatagrams } from '@laburnumstream/links';
 import { HistogramMetrics, SystemClock, readChart } from '@laburnumstream/runtime';
 import { Sidecar } from '@laburnumstream/sidecar';
 import { eventually } from '../support/assertions.js';
-import { platformBounds } from '../support/platformBounds.js';
+import { createSidecarSettings } from '../support/sidecarSettings.js';
 import { FaultyPieceOrigin } from '../support/faultyPieceOrigin.js';
 import { StagingEngine, getPieceContent, testVersion } from '../support/stagingEngine.js';
 
@@ -39,29 +37,10 @@
   memberConnections: Set<object>;
 }
 
-async function createSettings(): Promise<SidecarSettings> {
-  // Datagrams use the same port on the entry's and the agent's address.
-  const firstPort = await freePortPair();
-  return {
-    instance: 'side-1',
-    host: '127.0.0.1',
-    dataCentre: 'a',
-    region: 'r',
-    regions: new Map([['a', 'r']]),
-    firstPort,
-    linkBitsPerSecond: 1e9,
-    store: { address: '127.0.0.1:1', minLeaseMs: 1_000 },
-    heartbeatMs: 1_200,
-    endpointAddress: '127.0.0.1:9',
-    service: 'model',
-    bounds: platformBounds,
-  };
-}
-
 Given(
   'an agent beside an empty engine and an origin with version 1',
   async function start(this: SidecarWorld) {
-    const settings = await createSettings();
+    const settings = await createSidecarSettings();
     this.sidecarAbort = new AbortController();
     this.sidecarEngine = new StagingEngine();
     this.sidecarOrigin = new FaultyPieceOrigin();
--- a/packages/forwarding/src/dispatchQueue.ts
+++ b/packages/forwarding/src/dispatchQueue.ts
@@ -118,7 +118,7 @@
     if (request.stage !== RequestStage.callerRetry)
       this.getShares(request.service).recordArrival(request.fairnessGroups, now);
     const candidate: Candidate = { ...request, availableCount: undefined };
-    const refusal = this.findBar(request);
+    const refusal = this.findStopRefusalOf(request);
     if (refusal) return Promise.reject(refusal);
     const placement = queue.contenders === 0 ? this.tryPlacement(candidate, now) : undefined;
     if (placement) return Promise.resolve(this.recordPlacement(request, placement, now));
@@ -147,7 +147,7 @@
     const now = this.clock.now();
     const among = changed && [changed];
     queue.inDispatchOrder(now).forEach((queued) => {
-      const refusal = this.findBar(queued);
+      const refusal = this.findStopRefusalOf(queued);
       if (refusal) {
         queue.remove(queued);
         queued.reject(refusal);
@@ -212,7 +212,7 @@
   }
 
   /** Returns why a request may not be sent; a begun one is sent on for as long as this process runs. */
-  private findBar({ stage, deadlineAt }: PlacementRequest): Refusal | undefined {
+  private findStopRefusalOf({ stage, deadlineAt }: PlacementRequest): Refusal | undefined {
     return begunStages.has(stage) ? undefined : this.findStopRefusal(deadlineAt);
   }
 
