--- a/bench/src/mutations/mutations.ts
+++ b/bench/src/mutations/mutations.ts
@@ -126,8 +126,8 @@
   {
     name: 'clock that runs during sleep',
     file: 'packages/common/dist/sleepAwareClock.js',
-    find: 'now - this.lastNow, wall - this.lastWall',
-    replace: 'now - this.lastNow',
+    find: 'return now + this.suspendedMs',
+    replace: 'return now',
     test: 'Bounds that all entries share: removed keys and calls that are slow, lost or late',
   },
   {
--- a/bench/src/mutations/soakMutations.ts
+++ b/bench/src/mutations/soakMutations.ts
@@ -35,8 +35,8 @@
   },
   {
     name: 'unknown outcome of a broken connection',
-    file: 'packages/forwarding/dist/bufferedForwarder.js',
-    find: 'fault === CallFault.connection ? Execution.notRun : Execution.unknown',
+    file: 'packages/forwarding/dist/endpointCall.js',
+    find: 'unsentFaults.has(fault) ? Execution.notRun : Execution.unknown',
     replace: 'Execution.notRun',
     test,
     soak: soak('engineMisbehaves'),
@@ -76,8 +76,8 @@
   {
     name: 'wait for running requests of an entry that stops',
     file: 'packages/forwarding/dist/forwardingEntry.js',
-    find: 'while (this.callers.active > 0 && clock.now() < endAt)',
-    replace: 'while (false)',
+    find: 'this.waitUntil(plan.answersBy, () => this.callers.active === 0)',
+    replace: 'this.waitUntil(plan.answersBy, () => true)',
     test,
     soak: soak('stopEntry'),
   },
