Versions: count at the test's engine only requests of its own callers

Repeated on, 1 of 60 scenarios failed ('while a version is named', late at 3684, 4718, 5751 and 6784 ms), and 1 of 480 rounds of the same steps in a trial with the entry's lines (late at 3670 and 4702 ms). There the entry has learned version 2 within 7 ms, refused every stream, and logs no request as placed, so the engine counted calls that this entry hasn't made. They come 1032 ms apart, which is the 30 ms of the engine's response and the 1000 ms after which a registration is tried again: supposed are entries of other tests whose store had that port before (the path was not captured in 300 further rounds).

The engine now counts requests with its fleet's header only, which all callers of the test send and entries forward.

--- a/features/support/queueingEngine.ts
+++ b/features/support/queueingEngine.ts
@@ -1,3 +1,4 @@
+import { randomUUID } from 'node:crypto';
 import { createServer as createHttpServer } from 'node:http';
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { createServer } from 'node:net';
@@ -8,6 +9,8 @@
 /** Time between two passes of the engine, in milliseconds: a request begins at the next one at the earliest. */
 const passMs = 30;
 const eventCount = 3;
+/** Header whose value tells which fleet a caller belongs to; entries forward it unchanged. */
+export const fleetHeader = 'x-test-fleet';
 
 /** A request at an engine; `at` is monotonic. */
 export interface EngineRecord {
@@ -28,6 +31,9 @@
   /** Wait of a request in the queue, in milliseconds. */
   queueMs = 0;
 
+  /** Value of the header that all requests of this engine's fleet carry. */
+  readonly fleetId = randomUUID();
+
   private readonly sockets = new Set<Socket>();
 
   /** Connections of which nothing has been read. */
@@ -87,6 +93,11 @@
   private async respond(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const id = String(request.headers['laburnumstream-request-id']);
     request.resume();
+    // Clients of a server that had this port before, in another test, may still call it.
+    if (request.headers[fleetHeader] !== this.fleetId) {
+      response.writeHead(404, { connection: 'close' }).end();
+      return;
+    }
     this.arrivals.push({ id, at: performance.now() });
     await sleep(Math.max(passMs, this.queueMs));
     if (request.socket.destroyed) return;
--- a/features/support/reviewedFleet.ts
+++ b/features/support/reviewedFleet.ts
@@ -9,6 +9,7 @@
 import { platformBounds } from './platformBounds.js';
 import { platformHost } from './platformFleet.js';
 import type { PlatformFleet } from './platformFleet.js';
+import { fleetHeader } from './queueingEngine.js';
 import type { VersionFleet } from './versionFleet.js';
 
 /** Creates another entry of a fleet, with the usual bounds. */
@@ -39,7 +40,7 @@
 
 /** Begins a request whose body is not sent yet. */
 export function beginRequest(
-  { platform: { settings } }: VersionFleet,
+  { platform: { settings }, engine }: VersionFleet,
   index: number,
 ): ClientRequest {
   const [host, port] = settings.callerAddress.split(':');
@@ -49,6 +50,7 @@
     'laburnumstream-request-id': `held-${index}`,
     'laburnumstream-deadline-ms': '8000',
     'content-length': '1',
+    [fleetHeader]: engine.fleetId,
   };
   const begun = httpRequest({ host, port, path: '/stream/x', method: 'POST', headers });
   begun.flushHeaders();
--- a/features/support/versionFleet.ts
+++ b/features/support/versionFleet.ts
@@ -9,7 +9,7 @@
 import { sendRequest } from './platformCaller.js';
 import type { CallerResponse } from './platformCaller.js';
 import { PlatformFleet, createModelConfiguration, firstStart } from './platformFleet.js';
-import { QueueingEngine } from './queueingEngine.js';
+import { QueueingEngine, fleetHeader } from './queueingEngine.js';
 import type { EngineRecord } from './queueingEngine.js';
 import { SteppedClock } from './steppedClock.js';
 
@@ -109,7 +109,10 @@
 
   /** Sends a request of a kind; its caller waits longer than the version may be used. */
   send(kind: string): Promise<CallerResponse> {
-    const headers = { 'laburnumstream-deadline-ms': String(timeoutMs) };
+    const headers = {
+      'laburnumstream-deadline-ms': String(timeoutMs),
+      [fleetHeader]: this.engine.fleetId,
+    };
     return sendRequest(this.platform, `/${kind}/x`, { headers });
   }
 
