--- a/features/crashingParts.feature
+++ b/features/crashingParts.feature
@@ -45,7 +45,7 @@
     Then at most 3 of them reach endpoints later than 3 seconds after the fifth crash
     And sound requests are served at least half as often as before
 
-  # Guards against a part that is blamed because all requests share it.
+  # Guards against a part that is quarantined because all requests share it.
   Scenario Outline: endpoints that end for other reasons
     Given 4 entry programs and 8 endpoints that crash on content
     When endpoints end <how> for 6 seconds
@@ -60,11 +60,11 @@
   Scenario: explanation of a refusal for content
     Given an entry on the platform with engines that breaks, breaks, breaks, breaks, breaks
     When a caller sends a request to safe until it is refused for crashing_content
-    Then the explanation of its id names Content convicted.*Request refused for its content.*request:
+    Then the explanation of its id names Content quarantined.*Request refused for its content.*request:
     And the metrics count content_convicted 1
 
-  Scenario: conviction that operators lift
+  Scenario: quarantine that operators lift
     Given an entry on the platform with engines that breaks, breaks, breaks, breaks, breaks
     When a caller sends a request to safe until it is refused for crashing_content
-    And operators withdraw all convictions
+    And operators release all quarantines
     Then a request to safe is sent to an engine again
--- a/features/repeatedRequests.feature
+++ b/features/repeatedRequests.feature
@@ -1,7 +1,7 @@
 Feature: Repeated requests that crash endpoints
 
   # Guards against a request that crashes all endpoints of a small service again each time that they are
-  # back: it was convicted only after more crashes than the rule for whole requests allows.
+  # back: it was quarantined only after more crashes than the rule for whole requests allows.
   Scenario Outline: endpoints that are back late
     Given 4 entry programs and 3 endpoints that crash on content
     And endpoints that end are back after 3300 ms under new ids
@@ -33,7 +33,7 @@
       | 60    | 1      | 2600     | the store is away              | under new ids               |
       | 60    | 3      | 700      | an entry is replaced           | under the ids that they had |
 
-  # Guards against blame for a sound request that is under way whenever endpoints end.
+  # Guards against the quarantine of a sound request that is under way whenever endpoints end.
   Scenario Outline: sound request that is repeated
     Given 4 entry programs and 3 endpoints that crash on content
     And a request that is repeated was served <times> times
--- a/features/steps/crashEvidence.steps.ts
+++ b/features/steps/crashEvidence.steps.ts
@@ -77,27 +77,27 @@
 );
 
 When(
-  /^another entry convicts (\w+) after (\d+) crashes$/,
-  function convicts(this: EvidenceWorld, trait: string, crashes: string) {
-    this.evidence.adopt({ traits: split(trait), crashes: Number(crashes) });
+  /^another entry quarantines (\w+) after (\d+) crashes$/,
+  function quarantines(this: EvidenceWorld, trait: string, crashes: string) {
+    this.evidence.accept({ traits: split(trait), crashes: Number(crashes) });
   },
 );
 
 When(
-  /^the conviction of (\w+) after (\d+) crashes is withdrawn$/,
-  function withdraw(this: EvidenceWorld, trait: string, crashes: string) {
-    this.evidence.withdraw({ traits: split(trait), crashes: Number(crashes) });
+  /^the quarantine of (\w+) after (\d+) crashes is released$/,
+  function release(this: EvidenceWorld, trait: string, crashes: string) {
+    this.evidence.release({ traits: split(trait), crashes: Number(crashes) });
   },
 );
 
 Then(/^requests with (.+) are refused$/, function refused(this: EvidenceWorld, traits: string) {
-  assert.ok(this.evidence.convictions.find(new Set(split(traits))));
+  assert.ok(this.evidence.quarantines.find(new Set(split(traits))));
 });
 
 Then(
   /^requests with (.+) are not refused$/,
   function notRefused(this: EvidenceWorld, traits: string) {
-    assert.equal(this.evidence.convictions.find(new Set(split(traits))), undefined);
+    assert.equal(this.evidence.quarantines.find(new Set(split(traits))), undefined);
   },
 );
 
@@ -117,12 +117,12 @@
 );
 
 Then(
-  /^at most (\d+) crashes and (\d+) convictions are remembered, in at most (\d+) MB of their own$/,
-  function remembered(this: EvidenceWorld, crashes: string, convictions: string, most: string) {
+  /^at most (\d+) crashes and (\d+) quarantines are remembered, in at most (\d+) MB of their own$/,
+  function remembered(this: EvidenceWorld, crashes: string, quarantines: string, most: string) {
     assert.ok(this.evidence.crashCount <= Number(crashes), `${this.evidence.crashCount} crashes`);
-    for (let index = 0; index < 2 * Number(convictions); index += 1)
-      this.evidence.adopt({ traits: [`part:bad-${index}`], crashes: 3 });
-    assert.ok(this.evidence.convictions.size <= Number(convictions));
+    for (let index = 0; index < 2 * Number(quarantines); index += 1)
+      this.evidence.accept({ traits: [`part:bad-${index}`], crashes: 3 });
+    assert.ok(this.evidence.quarantines.size <= Number(quarantines));
     const megabytes = (measureHeapBytes() - this.bytesBefore) / bytesPerMegabyte;
     const seen = `${megabytes.toFixed(1)} MB`;
     this.log(seen);
@@ -132,7 +132,7 @@
 
 Then('a part that crashes endpoints is still found', function found(this: EvidenceWorld) {
   crash(this, 4, 200, split('bad'));
-  assert.ok(this.evidence.convictions.find(new Set(split('bad'))));
+  assert.ok(this.evidence.quarantines.find(new Set(split('bad'))));
 });
 
 const timeMs = fc.integer({ min: 3_000, max: 25_000 });
@@ -147,7 +147,7 @@
     seed: fc.nat(),
     entries: fc.integer({ min: minEntries, max: 9 }),
     endpoints: fc.integer({ min: minEndpoints, max: 12 }),
-    newsDelayMs: fc.constantFrom(20, 400, 1_000),
+    updateDelayMs: fc.constantFrom(20, 400, 1_000),
     badPerSecond: fc.constantFrom(1, 3, 8),
     otherEnds: fc.array(ends, { maxLength: 5 }),
     restarts: fc.array(fc.record({ atMs: timeMs, entry: fc.nat({ max: 8 }) }), { maxLength: 4 }),
@@ -180,7 +180,7 @@
     seed: fc.nat(),
     entries: fc.integer({ min: 1, max: 9 }),
     endpoints: fc.integer({ min: 2, max: 4 }),
-    newsDelayMs: fc.constantFrom(20, 400),
+    updateDelayMs: fc.constantFrom(20, 400),
     restartMs: fc.constantFrom(1_300, 3_300),
     completedBefore: fc.constantFrom(0, 12, 60),
     isCrashing: fc.constant(isCrashing),
--- a/features/steps/cutPath.steps.ts
+++ b/features/steps/cutPath.steps.ts
@@ -89,10 +89,10 @@
   },
 );
 
-When('operators withdraw all convictions', async function withdraw(this: CutWorld) {
+When('operators release all quarantines', async function withdraw(this: CutWorld) {
   const { store } = this.platform;
   const getKeys = (): string[] => store.keys('laburnumstream/convictions/');
-  await eventually(() => getKeys().length > 0, 'convictions are stored');
+  await eventually(() => getKeys().length > 0, 'quarantines are stored');
   getKeys().forEach((key) => {
     const value = JSON.parse(Buffer.from(store.read(key)!, 'base64').toString('utf8')) as object;
     store.write(key, { ...value, isWithdrawn: true });
--- a/features/support/crashSimulation.ts
+++ b/features/support/crashSimulation.ts
@@ -1,7 +1,7 @@
 import { SeededRandom } from '@laburnumstream/common';
 import type { Random } from '@laburnumstream/common';
-import { CrashEvidence, convictionKey } from '@laburnumstream/decisions';
-import type { Conviction, CrashNews } from '@laburnumstream/decisions';
+import { CrashEvidence, quarantineKey } from '@laburnumstream/decisions';
+import type { Quarantine, CrashUpdate } from '@laburnumstream/decisions';
 
 /** Parameters of a simulated fleet whose endpoints crash on one part of prompts. */
 export interface CrashHistory {
@@ -9,7 +9,7 @@
   readonly entries: number;
   readonly endpoints: number;
   /** Time until entries hear each other, in milliseconds. */
-  readonly newsDelayMs: number;
+  readonly updateDelayMs: number;
   /** Requests with the part per second. */
   readonly badPerSecond: number;
   /** Times at which endpoints end for other reasons, and how many at once. */
@@ -58,7 +58,7 @@
 const secondMs = 1_000;
 const crashDelayMs = 60;
 
-const noNews: CrashNews = { crashes: [], survivals: [], convictions: [], completions: 0 };
+const emptyUpdate: CrashUpdate = { crashes: [], survivals: [], quarantines: [], completions: 0 };
 
 /** Simulates entries, endpoints and callers in virtual time, over the evidence that entries keep. */
 class CrashSimulation {
@@ -68,11 +68,14 @@
 
   private readonly endpoints: SimulatedEndpoint[];
 
-  private readonly news: { readonly at: number; readonly to: number; readonly news: CrashNews }[] =
-    [];
+  private readonly update: {
+    readonly at: number;
+    readonly to: number;
+    readonly update: CrashUpdate;
+  }[] = [];
 
   /** What entries have recorded in the store, for those that start later. */
-  private readonly records: { readonly at: number; readonly news: CrashNews }[] = [];
+  private readonly records: { readonly at: number; readonly update: CrashUpdate }[] = [];
 
   /** Time of the last start of each entry. */
   private readonly restartedAt: number[];
@@ -114,11 +117,12 @@
     otherEnds.filter(isDue).forEach(({ count }) => {
       this.endpoints.slice(0, count).forEach((endpoint, index) => this.crash(endpoint, index, now));
     });
-    this.deliverNews(now);
+    this.deliverUpdate(now);
     this.evidence.forEach((own, entry) => {
-      const { convicted, withdrawn } = own.settle(now, () => -Infinity);
-      if (convicted.length > 0) this.tell(entry, { ...noNews, convictions: convicted }, now);
-      withdrawn.forEach((conviction) => this.withdraw(conviction));
+      const { quarantined, released } = own.settle(now, () => -Infinity);
+      if (quarantined.length > 0)
+        this.tell(entry, { ...emptyUpdate, quarantines: quarantined }, now);
+      released.forEach((quarantine) => this.release(quarantine));
     });
     this.endpoints.forEach((endpoint, index) => this.progress(endpoint, index, now));
     if (this.random.next() < (soundPerSecond * stepMs) / secondMs) this.arrive(false, now);
@@ -146,7 +150,7 @@
     now: number,
   ): void {
     const { entry, traits, isBad } = request;
-    const isRefused = this.evidence[entry]!.convictions.find(traits) !== undefined;
+    const isRefused = this.evidence[entry]!.quarantines.find(traits) !== undefined;
     if (!isBad) this.outcome.soundSent += 1;
     if (isRefused && !isBad) this.outcome.soundRefused += 1;
     const free = this.endpoints.filter(
@@ -190,26 +194,26 @@
       .forEach((request) => this.send({ ...request, isRepeatable: false }, now));
   }
 
-  private tell(from: number, news: CrashNews, now: number): void {
-    const at = now + this.history.newsDelayMs;
-    this.records.push({ at, news });
+  private tell(from: number, update: CrashUpdate, now: number): void {
+    const at = now + this.history.updateDelayMs;
+    this.records.push({ at, update });
     this.evidence.forEach((_, to) => {
-      if (to !== from) this.news.push({ at, to, news });
+      if (to !== from) this.update.push({ at, to, update });
     });
   }
 
   /** Delivers what entries told each other; each adds what it knows of the same crashes. */
-  private deliverNews(now: number): void {
-    const due = this.news.filter(({ at }) => at <= now);
-    this.news.splice(0, this.news.length, ...this.news.filter(({ at }) => at > now));
-    due.forEach(({ to, news }) => this.evidence[to]!.merge(news, now));
+  private deliverUpdate(now: number): void {
+    const due = this.update.filter(({ at }) => at <= now);
+    this.update.splice(0, this.update.length, ...this.update.filter(({ at }) => at > now));
+    due.forEach(({ to, update }) => this.evidence[to]!.merge(update, now));
   }
 
-  private withdraw(conviction: Conviction): void {
-    this.evidence.forEach((own) => own.withdraw(conviction));
-    const key = convictionKey(conviction);
+  private release(quarantine: Quarantine): void {
+    this.evidence.forEach((own) => own.release(quarantine));
+    const key = quarantineKey(quarantine);
     const kept = this.records.filter(
-      ({ news }) => !news.convictions.some((other) => convictionKey(other) === key),
+      ({ update }) => !update.quarantines.some((other) => quarantineKey(other) === key),
     );
     this.records.splice(0, this.records.length, ...kept);
   }
@@ -218,7 +222,7 @@
   private restart(entry: number, now: number): void {
     const own = new CrashEvidence();
     this.restartedAt[entry % this.evidence.length] = now;
-    this.records.filter(({ at }) => at <= now).forEach(({ news }) => own.merge(news, now));
+    this.records.filter(({ at }) => at <= now).forEach(({ update }) => own.merge(update, now));
     this.evidence[entry % this.evidence.length] = own;
   }
 }
--- a/features/support/repeatedRequestSimulation.ts
+++ b/features/support/repeatedRequestSimulation.ts
@@ -1,7 +1,7 @@
 import { SeededRandom } from '@laburnumstream/common';
 import type { Random } from '@laburnumstream/common';
 import { CrashEvidence } from '@laburnumstream/decisions';
-import type { CrashNews } from '@laburnumstream/decisions';
+import type { CrashUpdate } from '@laburnumstream/decisions';
 
 /** Parameters of a simulated small service one of whose requests is sent again and again. */
 export interface RepeatedRequestHistory {
@@ -9,7 +9,7 @@
   readonly entries: number;
   readonly endpoints: number;
   /** Time until entries hear each other, in milliseconds. */
-  readonly newsDelayMs: number;
+  readonly updateDelayMs: number;
   /** Time after which an endpoint that has ended is back, as another incarnation, in milliseconds. */
   readonly restartMs: number;
   /** Times that the request is completed, at one entry, before anything ends. */
@@ -66,7 +66,7 @@
 const secondMs = 1_000;
 const reportDelayMs = 350;
 
-const noNews: CrashNews = { crashes: [], survivals: [], convictions: [], completions: 0 };
+const emptyUpdate: CrashUpdate = { crashes: [], survivals: [], quarantines: [], completions: 0 };
 
 /** Simulates entries, endpoints and callers in virtual time, over the evidence that entries keep. */
 class RepeatedRequestSimulation {
@@ -79,7 +79,7 @@
   private readonly tasks: { readonly at: number; readonly run: (now: number) => void }[] = [];
 
   /** What entries have recorded in the store, for those that start later. */
-  private readonly records: CrashNews[] = [];
+  private readonly records: CrashUpdate[] = [];
 
   private readonly restartedAt: number[];
 
@@ -122,7 +122,7 @@
       this.schedule(at, (now) => this.sendCopies(now));
     for (let now = stepMs; now < lengthMs; now += stepMs) this.step(now);
     const traits = new Set([repeatedTrait]);
-    this.outcome.isRefused = this.evidence.some(({ convictions }) => convictions.find(traits));
+    this.outcome.isRefused = this.evidence.some(({ quarantines }) => quarantines.find(traits));
     return this.outcome;
   }
 
@@ -135,9 +135,10 @@
     this.tasks.splice(0, this.tasks.length, ...this.tasks.filter(({ at }) => at > now));
     due.forEach(({ run }) => run(now));
     this.evidence.forEach((own, entry) => {
-      const { convicted, withdrawn } = own.settle(now, () => -Infinity);
-      if (convicted.length > 0) this.tell(entry, { ...noNews, convictions: convicted }, now);
-      withdrawn.forEach((conviction) => this.evidence.forEach((each) => each.withdraw(conviction)));
+      const { quarantined, released } = own.settle(now, () => -Infinity);
+      if (quarantined.length > 0)
+        this.tell(entry, { ...emptyUpdate, quarantines: quarantined }, now);
+      released.forEach((quarantine) => this.evidence.forEach((each) => each.release(quarantine)));
     });
     this.endpoints.forEach((endpoint, index) => this.progress(endpoint, index, now));
     if (this.random.next() < (this.history.othersPerSecond * stepMs) / secondMs)
@@ -170,7 +171,7 @@
   private place(request: RunningRequest, now: number): void {
     const { entry, trait, isRepeated } = request;
     const own = this.evidence[entry]!;
-    const isRefused = own.isHeld(trait) || own.convictions.find(new Set([trait])) !== undefined;
+    const isRefused = own.isHeld(trait) || own.quarantines.find(new Set([trait])) !== undefined;
     if (!isRepeated) this.outcome.othersSent += 1;
     if (isRefused && !isRepeated) this.outcome.othersRefused += 1;
     const free = this.endpoints.filter(
@@ -219,21 +220,21 @@
   }
 
   /** Tells the other entries, each of which answers with the completed requests that it knows of. */
-  private tell(from: number, news: CrashNews, now: number): void {
-    const at = now + this.history.newsDelayMs;
-    this.schedule(at, () => this.records.push(news));
+  private tell(from: number, update: CrashUpdate, now: number): void {
+    const at = now + this.history.updateDelayMs;
+    this.schedule(at, () => this.records.push(update));
     this.evidence.forEach((_, to) => {
-      if (to !== from) this.schedule(at, (then) => this.receive(from, to, news, then));
+      if (to !== from) this.schedule(at, (then) => this.receive(from, to, update, then));
     });
   }
 
-  private receive(from: number, to: number, news: CrashNews, now: number): void {
-    const survivals = this.evidence[to]!.reportSurvivals(news.crashes, now);
-    this.evidence[to]!.merge(news, now);
-    const told = new Map(news.survivals.map(({ trait, count }) => [trait, count]));
+  private receive(from: number, to: number, update: CrashUpdate, now: number): void {
+    const survivals = this.evidence[to]!.reportSurvivals(update.crashes, now);
+    this.evidence[to]!.merge(update, now);
+    const told = new Map(update.survivals.map(({ trait, count }) => [trait, count]));
     const added = survivals.filter(({ trait, count }) => count > (told.get(trait) ?? 0));
-    this.schedule(now + this.history.newsDelayMs, (then) =>
-      this.evidence[from]!.merge({ ...noNews, survivals: added }, then),
+    this.schedule(now + this.history.updateDelayMs, (then) =>
+      this.evidence[from]!.merge({ ...emptyUpdate, survivals: added }, then),
     );
   }
 
@@ -241,7 +242,7 @@
   private restart(entry: number, now: number): void {
     const own = new CrashEvidence();
     this.restartedAt[entry] = now;
-    this.records.forEach((news) => own.merge(news, now));
+    this.records.forEach((update) => own.merge(update, now));
     this.evidence[entry] = own;
   }
 }
--- a/packages/cli/src/requestTimeline.ts
+++ b/packages/cli/src/requestTimeline.ts
@@ -30,7 +30,7 @@
   [pauseMessage]: 'paused',
 };
 
-/** A conviction concerns the requests with its traits, and replaces what was said of them before. */
+/** A quarantine concerns the requests with its traits, and replaces what was said of them before. */
 function getTraits({ traits }: LogLine): string {
   return `traits ${Array.isArray(traits) ? traits.join('+') : ''}`;
 }
@@ -48,9 +48,9 @@
   [limitMessage]: getEndpoint,
   [leavingMessage]: getEndpoint,
   [pauseMessage]: getEndpoint,
-  'crashes: Content convicted.': getTraits,
-  'crashes: Content convicted by another entry.': getTraits,
-  'crashes: Conviction withdrawn.': getTraits,
+  'crashes: Content quarantined.': getTraits,
+  'crashes: Content quarantined by another entry.': getTraits,
+  'crashes: Quarantine released.': getTraits,
   'process: Shutdown started.': () => 'process',
   'process: Started.': () => 'process',
 };
--- a/packages/decisions/src/crashes/crashBlame.ts
+++ b/packages/decisions/src/crashes/crashCauses.ts
@@ -18,14 +18,14 @@
 }
 
 /** Traits that crash endpoints when a request has all of them. */
-export interface Culprit {
+export interface CrashCause {
   readonly traits: readonly string[];
   readonly crashes: readonly EndpointCrash[];
 }
 
-/** Crashes that blame a shared part with which no request was ever completed. */
+/** Crashes that are attributed to a shared part with which no request was ever completed. */
 const minPartCrashes = 4;
-/** Crashes that blame a whole request; one more if it was ever completed. */
+/** Crashes that are attributed to a whole request; one more if it was ever completed. */
 const minRequestCrashes = 3;
 /** Completed requests with a trait that outweigh one crash. */
 const survivalsPerCrash = 5;
@@ -33,21 +33,21 @@
 const sameCauseMs = 20;
 
 /** A trait with the crashes since the last request that was completed with it. */
-interface Suspect {
+interface Candidate {
   readonly trait: string;
   readonly survivals: number;
   readonly crashes: readonly EndpointCrash[];
 }
 
-/** Number of crashes that are needed to blame a trait, after so many completed requests with it. */
+/** Number of crashes after which crashes are attributed to a trait, after so many completed requests with it. */
 export function requiredCrashes(trait: string, survivals: number): number {
   if (!isSharedPart(trait)) return minRequestCrashes + Math.min(survivals, 1);
   return minPartCrashes + Math.ceil(survivals / survivalsPerCrash);
 }
 
-/** Whether `culprit` explains crashes of `other` but for those of one moment. */
-export function explains(culprit: Culprit, other: Culprit): boolean {
-  return countMoments(other.crashes.filter((crash) => !culprit.crashes.includes(crash))) <= 1;
+/** Whether `cause` explains crashes of `other` but for those of one moment. */
+export function explains(cause: CrashCause, other: CrashCause): boolean {
+  return countMoments(other.crashes.filter((crash) => !cause.crashes.includes(crash))) <= 1;
 }
 
 /** Number of crashes, of which those at about the same time count as one. */
@@ -64,10 +64,10 @@
   return count;
 }
 
-function findSuspects(
+function findCandidates(
   crashes: readonly EndpointCrash[],
   survivalOf: (trait: string) => Survival | undefined,
-): Suspect[] {
+): Candidate[] {
   const crashesByTrait = new Map<string, EndpointCrash[]>();
   crashes.forEach((crash) =>
     crash.traits.forEach((trait) => {
@@ -91,43 +91,44 @@
 
 /**
  * Finds the traits that explain crashes. An endpoint takes all its requests along, so that traits of
- * sound requests were under way at crashes too. The trait that explains most is blamed first, and its
+ * sound requests were under way at crashes too. The trait that explains most is attributed first, and its
  * crashes no longer count against others. Traits that were under way at exactly the same crashes can't
- * be told apart and are blamed only together, until a request that has some of them tells more.
+ * be told apart and are attributed only together, until a request that has only some of them is completed or ends an endpoint.
  */
-export function findCulprits(
+export function findCrashCauses(
   crashes: readonly EndpointCrash[],
   survivalOf: (trait: string) => Survival | undefined,
-): Culprit[] {
-  const suspects = findSuspects(crashes, survivalOf);
+): CrashCause[] {
+  const candidates = findCandidates(crashes, survivalOf);
   const explained = new Set<EndpointCrash>();
-  const culprits: Culprit[] = [];
+  const causes: CrashCause[] = [];
   for (;;) {
-    const [first] = suspects
-      .map((suspect) => {
-        const unexplained = suspect.crashes.filter((crash) => !explained.has(crash));
+    const [first] = candidates
+      .map((candidate) => {
+        const unexplained = candidate.crashes.filter((crash) => !explained.has(crash));
         const moments = countMoments(unexplained);
-        return { suspect, crashes: unexplained.length, moments };
+        return { candidate, crashes: unexplained.length, moments };
       })
       .filter(
-        ({ suspect, moments }) => moments >= requiredCrashes(suspect.trait, suspect.survivals),
+        ({ candidate, moments }) =>
+          moments >= requiredCrashes(candidate.trait, candidate.survivals),
       )
       .sort(
         (a, b) =>
-          a.suspect.survivals - b.suspect.survivals ||
+          a.candidate.survivals - b.candidate.survivals ||
           b.moments - a.moments ||
           b.crashes - a.crashes,
       );
-    if (!first) return culprits;
-    const { crashes: blamed } = first.suspect;
-    const traits = suspects
+    if (!first) return causes;
+    const { crashes: attributed } = first.candidate;
+    const traits = candidates
       .filter(({ trait, survivals, crashes: other }) => {
-        const isBlamable = countMoments(other) >= requiredCrashes(trait, survivals);
-        return isBlamable && isSameSet(other, blamed);
+        const isExplained = countMoments(other) >= requiredCrashes(trait, survivals);
+        return isExplained && isSameSet(other, attributed);
       })
       .map(({ trait }) => trait)
       .sort();
-    culprits.push({ traits, crashes: blamed });
-    blamed.forEach((crash) => explained.add(crash));
+    causes.push({ traits, crashes: attributed });
+    attributed.forEach((crash) => explained.add(crash));
   }
 }
--- a/packages/decisions/src/crashes/crashEvidence.ts
+++ b/packages/decisions/src/crashes/crashEvidence.ts
@@ -1,25 +1,25 @@
 import { LRUCache } from 'lru-cache';
-import { countMoments, explains, findCulprits, requiredCrashes } from './crashBlame.js';
-import type { Culprit, Survival } from './crashBlame.js';
-import { Convictions, convictionKey } from './convictions.js';
-import type { Conviction } from './convictions.js';
-import { findRequestSuspects } from './requestSuspects.js';
+import { countMoments, explains, findCrashCauses, requiredCrashes } from './crashCauses.js';
+import type { CrashCause, Survival } from './crashCauses.js';
+import { Quarantines, quarantineKey } from './quarantines.js';
+import type { Quarantine } from './quarantines.js';
+import { findCrashingRequests } from './crashingRequests.js';
 import { isSharedPart } from './traits.js';
 
-/** What one entry tells others of crashes; times are given as ages, since clocks differ. */
-export interface CrashNews {
+/** What one entry reports to others of crashes; times are given as ages, since clocks differ. */
+export interface CrashUpdate {
   readonly crashes: readonly CrashReport[];
   readonly survivals: readonly SurvivalReport[];
-  readonly convictions: readonly Conviction[];
+  readonly quarantines: readonly Quarantine[];
   /** Requests with shared parts that the entry has seen completed. */
   readonly completions: number;
 }
 
 /** What follows from crashes that have settled. */
-export interface Verdicts {
-  readonly convicted: readonly Conviction[];
-  /** Earlier convictions of this entry whose crashes another trait explains. */
-  readonly withdrawn: readonly Conviction[];
+export interface CrashFindings {
+  readonly quarantined: readonly Quarantine[];
+  /** Earlier quarantines of this entry whose crashes another trait explains. */
+  readonly released: readonly Quarantine[];
   /** Endpoints that gave a sign of life, so that their crashes do not count. */
   readonly falseAlarms: readonly string[];
 }
@@ -58,47 +58,47 @@
 /** Time for which crashes are remembered, in milliseconds: the next one may come much later. */
 const crashMemoryMs = 21_600_000;
 const maxCrashes = 256;
-const maxWithdrawn = 256;
+const maxReleased = 256;
 const maxOwn = 256;
 const maxTraitsPerCrash = 1_024;
 /**
- * Completed requests without a shared part that are needed to blame it: while none is completed, a part
+ * Completed requests without a shared part that are needed before crashes are attributed to it: while none is completed, a part
  * of all requests looks the same as one that crashes endpoints.
  */
 const minContrast = 8;
 /** Maximum number of traits whose completed requests are counted; the least recent are dropped. */
 const maxSurvivals = 8_192;
 
-function toConviction({ traits, crashes }: Culprit): Conviction {
+function toQuarantine({ traits, crashes }: CrashCause): Quarantine {
   return { traits, crashes: crashes.length };
 }
 
-/** Collects crashes of endpoints and completed requests, and convicts the traits that crash endpoints. */
+/** Collects crashes of endpoints and completed requests, and quarantines the traits that crash endpoints. */
 export class CrashEvidence {
-  readonly convictions = new Convictions();
+  readonly quarantines = new Quarantines();
 
   private readonly crashes = new Map<string, KnownCrash>();
 
   private readonly survivals = new LRUCache<string, Survival>({ max: maxSurvivals });
 
-  /** Number of crashes behind each withdrawn conviction, by key; only more crashes convict again. */
-  private readonly withdrawn = new LRUCache<string, number>({ max: maxWithdrawn });
+  /** Number of crashes behind each released quarantine, by key; only more crashes quarantine again. */
+  private readonly released = new LRUCache<string, number>({ max: maxReleased });
 
-  /** Culprits that this entry has found by itself, by the key of their convictions. */
-  private readonly own = new LRUCache<string, Culprit>({ max: maxOwn });
+  /** Causes that this entry has found by itself, by the key of their quarantines. */
+  private readonly own = new LRUCache<string, CrashCause>({ max: maxOwn });
 
-  /** Requests with shared parts that were completed at this entry, or at the one that told most. */
+  /** Requests with shared parts that were completed at this entry, or at the one that reported most. */
   private completions = 0;
 
-  /** Whether crashes have settled, or reports of settled ones have come, since culprits were sought. */
+  /** Whether crashes have settled, or reports of settled ones have come, since causes were sought. */
   private isChanged = false;
 
   /** Requests under which endpoints ended repeatedly; undefined when they are to be found again. */
-  private knownSuspects: ReadonlyMap<string, number> | undefined;
+  private knownCrashingRequests: ReadonlyMap<string, number> | undefined;
 
   /** Whether anything is known that may concern a request. */
   get isActive(): boolean {
-    return this.crashes.size > 0 || this.convictions.size > 0;
+    return this.crashes.size > 0 || this.quarantines.size > 0;
   }
 
   /** Whether a crash waits for its settlement. */
@@ -106,7 +106,7 @@
     return [...this.crashes.values()].some(({ isSettled }) => !isSettled);
   }
 
-  /** Whether culprits are to be sought, now or when crashes settle. */
+  /** Whether causes are to be sought, now or when crashes settle. */
   get needsSettlement(): boolean {
     return this.crashes.size > 0 && (this.isChanged || this.hasUnsettled);
   }
@@ -116,19 +116,19 @@
   }
 
   /** Whole requests that were under way at several crashes, not completed since, by number of crashes. */
-  get suspects(): ReadonlyMap<string, number> {
-    this.knownSuspects ??= findRequestSuspects(this.crashes.values(), (trait) =>
+  get crashingRequests(): ReadonlyMap<string, number> {
+    this.knownCrashingRequests ??= findCrashingRequests(this.crashes.values(), (trait) =>
       this.survivals.peek(trait),
     );
-    return this.knownSuspects;
+    return this.knownCrashingRequests;
   }
 
   /**
-   * Whether a whole request is a suspect and the last crash under it has not settled: the next attempt
+   * Whether a whole request is a crashing request and the last crash under it has not settled: the next attempt
    * would end another endpoint before the evidence is complete.
    */
   isHeld(trait: string): boolean {
-    if (!this.suspects.has(trait)) return false;
+    if (!this.crashingRequests.has(trait)) return false;
     return [...this.crashes.values()].some(
       ({ isSettled, traits }) => !isSettled && traits.has(trait),
     );
@@ -141,7 +141,7 @@
 
   /** Records that an endpoint may have ended at `at` under requests with these traits. */
   recordCrash(endpoint: string, at: number, traits: Iterable<string>): void {
-    this.knownSuspects = undefined;
+    this.knownCrashingRequests = undefined;
     const former = this.crashes.get(endpoint);
     // An endpoint that is lost once more was not lost before.
     const known = former && at < former.at + settleMs ? former : undefined;
@@ -159,16 +159,16 @@
   recordSurvival(traits: ReadonlySet<string>, now: number): void {
     if ([...traits].some(isSharedPart)) this.countCompletions(this.completions + 1);
     for (const trait of traits) {
-      if (this.knownSuspects?.has(trait)) this.knownSuspects = undefined;
+      if (this.knownCrashingRequests?.has(trait)) this.knownCrashingRequests = undefined;
       const { count = 0 } = this.survivals.get(trait) ?? {};
       this.survivals.set(trait, { count: count + 1, lastAt: now });
     }
   }
 
-  /** Merges what another entry tells. */
-  merge({ crashes, survivals, convictions, completions }: CrashNews, now: number): void {
+  /** Merges the report of another entry. */
+  merge({ crashes, survivals, quarantines, completions }: CrashUpdate, now: number): void {
     this.countCompletions(Math.max(this.completions, completions));
-    if (survivals.length > 0) this.knownSuspects = undefined;
+    if (survivals.length > 0) this.knownCrashingRequests = undefined;
     survivals.forEach(({ trait, count, msAgo }) => {
       const known = this.survivals.get(trait);
       const lastAt = Math.max(known?.lastAt ?? -Infinity, now - msAgo);
@@ -177,41 +177,41 @@
     crashes.forEach(({ endpoint, msAgo, traits }) =>
       this.recordCrash(endpoint, now - msAgo, traits),
     );
-    convictions.forEach((conviction) => this.adopt(conviction));
+    quarantines.forEach((quarantine) => this.accept(quarantine));
   }
 
   /**
-   * Adopts the conviction of another entry. Returns false if requests with these traits were completed
+   * Accepts the quarantine of another entry. Returns false if requests with these traits were completed
    * here so often that the crashes do not outweigh them.
    */
-  adopt(conviction: Conviction): boolean {
-    const { traits, crashes } = conviction;
+  accept(quarantine: Quarantine): boolean {
+    const { traits, crashes } = quarantine;
     if (traits.length === 0) return false;
-    if (crashes <= (this.withdrawn.get(convictionKey(conviction)) ?? 0)) return true;
+    if (crashes <= (this.released.get(quarantineKey(quarantine)) ?? 0)) return true;
     const isContradicted = traits.every(
       (trait) => crashes < requiredCrashes(trait, this.survivals.get(trait)?.count ?? 0),
     );
-    if (!isContradicted && !this.convictions.has(conviction)) {
-      this.convictions.add(conviction);
+    if (!isContradicted && !this.quarantines.has(quarantine)) {
+      this.quarantines.add(quarantine);
       this.isChanged = true;
     }
     return !isContradicted;
   }
 
-  /** Drops a conviction that proved wrong; entries that have not heard of it yet may still repeat it. */
-  withdraw(conviction: Conviction): void {
-    const key = convictionKey(conviction);
-    this.convictions.remove(conviction);
+  /** Drops a quarantine that proved wrong; entries that have not heard of it yet may still repeat it. */
+  release(quarantine: Quarantine): void {
+    const key = quarantineKey(quarantine);
+    this.quarantines.remove(quarantine);
     this.own.delete(key);
-    this.withdrawn.set(key, conviction.crashes);
+    this.released.set(key, quarantine.crashes);
   }
 
   /**
-   * Settles crashes whose time has come and returns the verdicts that follow. A crash does not count
+   * Settles crashes whose time has come and returns the findings that follow. A crash does not count
    * if the endpoint has given a sign of life since; `lastSignOfLife` returns its monotonic time,
    * -Infinity if there was none.
    */
-  settle(now: number, lastSignOfLife: (endpoint: string) => number): Verdicts {
+  settle(now: number, lastSignOfLife: (endpoint: string) => number): CrashFindings {
     const falseAlarms: string[] = [];
     this.crashes.forEach((crash) => {
       if (now - crash.at > crashMemoryMs) this.forget(crash.endpoint);
@@ -223,9 +223,9 @@
       Object.assign(crash, { isSettled: true });
       this.isChanged = true;
     });
-    if (!this.isChanged) return { convicted: [], withdrawn: [], falseAlarms };
+    if (!this.isChanged) return { quarantined: [], released: [], falseAlarms };
     this.isChanged = false;
-    return { ...this.judge(), falseAlarms };
+    return { ...this.evaluate(), falseAlarms };
   }
 
   /** Whether the crash of an endpoint is recorded and has not been found to be a lost connection. */
@@ -243,8 +243,8 @@
     return this.forget(endpoint);
   }
 
-  /** What to tell other entries of the crashes of these endpoints, with completed requests that matter. */
-  report(endpoints: Iterable<string>, now: number): CrashNews {
+  /** The report to other entries on the crashes of these endpoints, with completed requests that matter. */
+  report(endpoints: Iterable<string>, now: number): CrashUpdate {
     const known = [...endpoints].flatMap((endpoint) => this.crashes.get(endpoint) ?? []);
     const crashes = known.map(({ endpoint, at, traits }) => ({
       endpoint,
@@ -252,7 +252,7 @@
       traits: [...traits],
     }));
     const survivals = this.reportSurvivals(crashes, now);
-    return { crashes, survivals, convictions: [], completions: this.completions };
+    return { crashes, survivals, quarantines: [], completions: this.completions };
   }
 
   /** The completed requests with traits of these crashes. */
@@ -270,23 +270,23 @@
     this.completions = count;
   }
 
-  private judge(): Omit<Verdicts, 'falseAlarms'> {
-    const adopted = this.findAdopted();
-    const found = this.findCulprits(adopted);
-    const withdrawn = [...this.own].filter(([key, former]) =>
-      CrashEvidence.isRefuted(key, former, [...found, ...adopted]),
+  private evaluate(): Omit<CrashFindings, 'falseAlarms'> {
+    const accepted = this.findAccepted();
+    const found = this.findCrashCauses(accepted);
+    const released = [...this.own].filter(([key, former]) =>
+      CrashEvidence.isRefuted(key, former, [...found, ...accepted]),
     );
-    withdrawn.forEach(([, { traits, crashes }]) =>
-      this.withdraw({ traits, crashes: crashes.length }),
+    released.forEach(([, { traits, crashes }]) =>
+      this.release({ traits, crashes: crashes.length }),
     );
-    const convicted = found.filter((culprit) => this.isConvictable(culprit));
-    convicted.forEach((culprit) => {
-      this.own.set(convictionKey(culprit), culprit);
-      this.convictions.add(toConviction(culprit));
+    const quarantined = found.filter((cause) => this.mayQuarantine(cause));
+    quarantined.forEach((cause) => {
+      this.own.set(quarantineKey(cause), cause);
+      this.quarantines.add(toQuarantine(cause));
     });
     return {
-      convicted: convicted.map(toConviction),
-      withdrawn: withdrawn.map(([, culprit]) => toConviction(culprit)),
+      quarantined: quarantined.map(toQuarantine),
+      released: released.map(([, cause]) => toQuarantine(cause)),
     };
   }
 
@@ -294,11 +294,11 @@
     return [...this.crashes.values()].filter(({ isSettled }) => isSettled);
   }
 
-  /** The single traits that only other entries have convicted, with the crashes known here. */
-  private findAdopted(): Culprit[] {
-    return this.convictions.all
+  /** The single traits that only other entries have quarantined, with the crashes known here. */
+  private findAccepted(): CrashCause[] {
+    return this.quarantines.all
       .filter(
-        (conviction) => conviction.traits.length === 1 && !this.own.has(convictionKey(conviction)),
+        (quarantine) => quarantine.traits.length === 1 && !this.own.has(quarantineKey(quarantine)),
       )
       .map(({ traits }) => ({
         traits,
@@ -306,41 +306,41 @@
       }));
   }
 
-  /** The traits that explain the crashes that no adopted conviction explains. */
-  private findCulprits(adopted: readonly Culprit[]): Culprit[] {
-    const explained = new Set(adopted.flatMap(({ crashes }) => crashes));
+  /** The traits that explain the crashes that no accepted quarantine explains. */
+  private findCrashCauses(accepted: readonly CrashCause[]): CrashCause[] {
+    const explained = new Set(accepted.flatMap(({ crashes }) => crashes));
     const unexplained = this.settledCrashes.filter((crash) => !explained.has(crash));
     const hasContrast = this.completions >= minContrast;
-    return findCulprits(unexplained, (trait) => this.survivals.peek(trait)).filter(
+    return findCrashCauses(unexplained, (trait) => this.survivals.peek(trait)).filter(
       ({ traits }) => hasContrast || !traits.every(isSharedPart),
     );
   }
 
   /**
-   * Whether another trait explains the crashes of an earlier culprit by now. One of several traits is
+   * Whether another trait explains the crashes of an earlier cause by now. One of several traits is
    * too narrow to do harm, and may well contain the true one.
    */
-  private static isRefuted(key: string, former: Culprit, found: readonly Culprit[]): boolean {
+  private static isRefuted(key: string, former: CrashCause, found: readonly CrashCause[]): boolean {
     if (former.traits.length > 1) return false;
     return (
-      found.every((culprit) => convictionKey(culprit) !== key) &&
-      found.some((culprit) => explains(culprit, former))
+      found.every((cause) => quarantineKey(cause) !== key) &&
+      found.some((cause) => explains(cause, former))
     );
   }
 
-  /** Whether a culprit is new, and earlier ones leave enough of its crashes unexplained. */
-  private isConvictable(culprit: Culprit): boolean {
-    if (this.convictions.has(culprit)) return false;
-    const key = convictionKey(culprit);
-    if (culprit.crashes.length <= (this.withdrawn.get(key) ?? 0)) return false;
+  /** Whether a cause is new, and earlier ones leave enough of its crashes unexplained. */
+  private mayQuarantine(cause: CrashCause): boolean {
+    if (this.quarantines.has(cause)) return false;
+    const key = quarantineKey(cause);
+    if (cause.crashes.length <= (this.released.get(key) ?? 0)) return false;
     const standing = [...this.own.values()].filter(({ traits }) => traits.length === 1);
     const explained = new Set(standing.flatMap(({ crashes }) => crashes));
-    const left = culprit.crashes.filter((crash) => !explained.has(crash));
-    return culprit.traits.some((trait) => countMoments(left) >= requiredCrashes(trait, 0));
+    const left = cause.crashes.filter((crash) => !explained.has(crash));
+    return cause.traits.some((trait) => countMoments(left) >= requiredCrashes(trait, 0));
   }
 
   private forget(endpoint: string): boolean {
-    this.knownSuspects = undefined;
+    this.knownCrashingRequests = undefined;
     return this.crashes.delete(endpoint);
   }
 
--- a/packages/decisions/src/crashes/requestSuspects.ts
+++ b/packages/decisions/src/crashes/crashingRequests.ts
@@ -1,14 +1,14 @@
-import type { EndpointCrash, Survival } from './crashBlame.js';
+import type { EndpointCrash, Survival } from './crashCauses.js';
 import { isSharedPart } from './traits.js';
 
-/** Crashes under one whole request from which on it is a suspect, until it is completed. */
-const minSuspectCrashes = 3;
+/** Crashes under one whole request from which on it is a crashing request, until it is completed. */
+const minRequestCrashes = 3;
 
 /**
  * Finds the whole requests under which endpoints have ended repeatedly since they were last completed,
  * with the number of crashes. Crashes count at once, not only when they have settled.
  */
-export function findRequestSuspects(
+export function findCrashingRequests(
   crashes: Iterable<EndpointCrash>,
   survivalOf: (trait: string) => Survival | undefined,
 ): ReadonlyMap<string, number> {
@@ -19,5 +19,5 @@
       if (!isSharedPart(trait) && at > lastAt) counts.set(trait, (counts.get(trait) ?? 0) + 1);
     }
   }
-  return new Map([...counts].filter(([, count]) => count >= minSuspectCrashes));
+  return new Map([...counts].filter(([, count]) => count >= minRequestCrashes));
 }
--- a/packages/decisions/src/crashes/index.ts
+++ b/packages/decisions/src/crashes/index.ts
@@ -1,6 +1,6 @@
-/** Conviction of content that crashes endpoints. */
-export * from './convictions.js';
-export * from './crashBlame.js';
+/** Quarantine of content that crashes endpoints. */
+export * from './quarantines.js';
+export * from './crashCauses.js';
 export * from './crashEvidence.js';
-export * from './requestSuspects.js';
+export * from './crashingRequests.js';
 export * from './traits.js';
--- a/packages/forwarding/src/agentLinks.ts
+++ b/packages/forwarding/src/agentLinks.ts
@@ -54,7 +54,7 @@
       load: (load, { sender }) => this.loadBroadcast.receive(load, sender),
       limits: (limits, { sender }) =>
         this.limitExchange.receive(limits, sender).forEach((handle) => this.onReport(handle)),
-      crashes: (news, { host }) => this.crashExchange.receive(news, host),
+      crashes: (update, { host }) => this.crashExchange.receive(update, host),
     };
     this.datagrams = new FleetDatagrams(settings.instance, handlers, clock, metrics, log);
     this.peers = new EntryPeers(settings, state);
@@ -78,7 +78,7 @@
     while (!signal.aborted) {
       this.updates.sendRegular();
       this.loadBroadcast.send();
-      this.crashExchange.repeatConvictions();
+      this.crashExchange.repeatQuarantines();
       this.limitExchange.repeat();
       await this.clock.sleep(updateIntervalMs, signal).catch(() => undefined);
     }
--- a/packages/forwarding/src/crashExchange.ts
+++ b/packages/forwarding/src/crashExchange.ts
@@ -1,15 +1,15 @@
-import type { Conviction, CrashNews, CrashReport } from '@laburnumstream/decisions';
+import type { Quarantine, CrashUpdate, CrashReport } from '@laburnumstream/decisions';
 import type { FleetDatagrams } from '@laburnumstream/links';
-import type { CrashNews as CrashNewsMessage } from '@laburnumstream/protocol';
+import type { CrashNews as CrashMessage } from '@laburnumstream/protocol';
 import type { CrashGuard, CrashListener } from './crashGuard.js';
 import type { EntryPeers } from './entryPeers.js';
 
 /** Maximum number of traits in one datagram, so that it fits a packet. */
 const maxTraitsPerDatagram = 40;
-/** Maximum number of convictions that are repeated every second. */
-const maxRepeatedConvictions = 20;
+/** Maximum number of quarantines that are repeated every second. */
+const maxRepeatedQuarantines = 20;
 
-const noNews: CrashNews = { crashes: [], survivals: [], convictions: [], completions: 0 };
+const emptyUpdate: CrashUpdate = { crashes: [], survivals: [], quarantines: [], completions: 0 };
 
 /** Divides a crash into reports that each fit a datagram. */
 function splitReport({ endpoint, msAgo, traits }: CrashReport): CrashReport[] {
@@ -20,37 +20,37 @@
   });
 }
 
-/** Divides convictions into groups that each fit a datagram. */
-function divide(convictions: readonly Conviction[]): Conviction[][] {
-  const groups: Conviction[][] = [];
+/** Divides quarantines into groups that each fit a datagram. */
+function divide(quarantines: readonly Quarantine[]): Quarantine[][] {
+  const groups: Quarantine[][] = [];
   let traits = Infinity;
-  convictions.forEach((conviction) => {
-    traits += conviction.traits.length;
+  quarantines.forEach((quarantine) => {
+    traits += quarantine.traits.length;
     if (traits > maxTraitsPerDatagram) {
       groups.push([]);
-      traits = conviction.traits.length;
+      traits = quarantine.traits.length;
     }
-    groups.at(-1)!.push(conviction);
+    groups.at(-1)!.push(quarantine);
   });
   return groups;
 }
 
-function encode({ crashes, survivals, convictions, completions }: CrashNews) {
+function encode({ crashes, survivals, quarantines, completions }: CrashUpdate) {
   return {
     case: 'crashes' as const,
     value: {
       crashes: crashes.map((crash) => ({ ...crash, traits: [...crash.traits] })),
       survivals: [...survivals],
       completions,
-      convictions: convictions.map((conviction) => ({
-        ...conviction,
-        traits: [...conviction.traits],
+      convictions: quarantines.map((quarantine) => ({
+        ...quarantine,
+        traits: [...quarantine.traits],
       })),
     },
   };
 }
 
-/** Tells other entries directly of crashes and convictions; the store may be away. */
+/** Tells other entries directly of crashes and quarantines; the store may be away. */
 export class CrashExchange implements CrashListener {
   constructor(
     private readonly peers: EntryPeers,
@@ -60,37 +60,43 @@
     guard.addListener(this);
   }
 
-  onNews(news: CrashNews): void {
+  onUpdate(update: CrashUpdate): void {
     const { hosts } = this.peers;
-    news.crashes.flatMap(splitReport).forEach((crash) => {
+    update.crashes.flatMap(splitReport).forEach((crash) => {
       const traits = new Set(crash.traits);
-      const survivals = news.survivals.filter(({ trait }) => traits.has(trait));
-      this.datagrams.sendAll(encode({ ...news, crashes: [crash], survivals }), hosts);
+      const survivals = update.survivals.filter(({ trait }) => traits.has(trait));
+      this.datagrams.sendAll(encode({ ...update, crashes: [crash], survivals }), hosts);
     });
   }
 
-  onConviction(conviction: Conviction): void {
+  onQuarantine(quarantine: Quarantine): void {
     const { hosts } = this.peers;
-    this.datagrams.sendAll(encode({ ...noNews, convictions: [conviction] }), hosts);
+    this.datagrams.sendAll(encode({ ...emptyUpdate, quarantines: [quarantine] }), hosts);
   }
 
-  /** Others withdraw it by their own evidence, or read the withdrawal from the store. */
-  onWithdrawal(): void {}
+  /** Others release it by their own evidence, or read the release from the store. */
+  onRelease(): void {}
 
-  /** Repeats the convictions to the entries of this region, for those that have started since. */
-  repeatConvictions(): void {
-    const convictions = this.guard.convictions.slice(0, maxRepeatedConvictions);
-    if (convictions.length === 0) return;
+  /** Repeats the quarantines to the entries of this region, for those that have started since. */
+  repeatQuarantines(): void {
+    const quarantines = this.guard.quarantines.slice(0, maxRepeatedQuarantines);
+    if (quarantines.length === 0) return;
     const { regionHosts } = this.peers;
-    divide(convictions).forEach((some) =>
-      this.datagrams.sendAll(encode({ ...noNews, convictions: some }), regionHosts),
+    divide(quarantines).forEach((some) =>
+      this.datagrams.sendAll(encode({ ...emptyUpdate, quarantines: some }), regionHosts),
     );
   }
 
-  /** Merges what another entry tells, and answers with completed requests that it does not know of. */
-  receive(message: CrashNewsMessage, host: string): void {
-    const added = this.guard.receive(message);
+  /** Merges the report of another entry, and answers with completed requests that it does not know of. */
+  receive(message: CrashMessage, host: string): void {
+    const { crashes, survivals, convictions, completions } = message;
+    const added = this.guard.receive({
+      crashes,
+      survivals,
+      quarantines: convictions,
+      completions,
+    });
     if (added.length === 0) return;
-    this.datagrams.send(encode({ ...noNews, survivals: added }), host);
+    this.datagrams.send(encode({ ...emptyUpdate, survivals: added }), host);
   }
 }
--- a/packages/forwarding/src/crashGuard.ts
+++ b/packages/forwarding/src/crashGuard.ts
@@ -1,6 +1,6 @@
 import type { Clock, Log, Metrics } from '@laburnumstream/common';
 import { CrashEvidence } from '@laburnumstream/decisions';
-import type { Conviction, CrashNews, SurvivalReport } from '@laburnumstream/decisions';
+import type { Quarantine, CrashUpdate, SurvivalReport } from '@laburnumstream/decisions';
 import { Framing } from './endpointCall.js';
 import type { EndpointHandle } from './endpointHandle.js';
 import type { Exchange } from './exchange.js';
@@ -10,18 +10,18 @@
 
 /** Passes on what this entry has seen. */
 export interface CrashListener {
-  onNews(news: CrashNews): void;
-  onConviction(conviction: Conviction): void;
-  onWithdrawal(conviction: Conviction): void;
+  onUpdate(update: CrashUpdate): void;
+  onQuarantine(quarantine: Quarantine): void;
+  onRelease(quarantine: Quarantine): void;
 }
 
-/** Time in which connections to one endpoint break before other entries are told, in milliseconds. */
+/** Time in which connections to one endpoint break before they are reported to other entries, in milliseconds. */
 const reportDelayMs = 350;
 /** Interval between checks whether a crash counts, in milliseconds. */
 const settleIntervalMs = 100;
 /** Delay after which callers may send a request again that was held back, in milliseconds. */
 const holdRetryDelayMs = 1_300;
-/** A conviction has no end, so callers are asked to stay away for long, in milliseconds. */
+/** A quarantine has no end, so callers are asked to stay away for long, in milliseconds. */
 const retryDelayMs = 600_000;
 
 /** Finds content that crashes endpoints, from connections that break, and refuses requests with it. */
@@ -32,7 +32,7 @@
 
   private readonly listeners: CrashListener[] = [];
 
-  /** Incarnations of endpoints whose crashes other entries are still to be told of. */
+  /** Incarnations of endpoints whose crashes are still to be reported to other entries. */
   private readonly unreported = new Set<string>();
 
   private reportTimer: NodeJS.Timeout | undefined;
@@ -51,8 +51,8 @@
     this.listeners.push(listener);
   }
 
-  get convictions(): readonly Conviction[] {
-    return this.evidence.convictions.all;
+  get quarantines(): readonly Quarantine[] {
+    return this.evidence.quarantines.all;
   }
 
   /** Number of endpoints that ended under requests, as far as they are remembered. */
@@ -60,31 +60,32 @@
     return this.evidence.crashCount;
   }
 
-  /** Number of requests that were under way at several crashes and are not convicted. */
-  get suspectCount(): number {
-    const { convictions, suspects } = this.evidence;
-    return [...suspects.keys()].filter((trait) => !convictions.has({ traits: [trait] })).length;
+  /** Number of requests that were under way at several crashes and are not quarantined. */
+  get crashingRequestCount(): number {
+    const { quarantines, crashingRequests } = this.evidence;
+    return [...crashingRequests.keys()].filter((trait) => !quarantines.has({ traits: [trait] }))
+      .length;
   }
 
   /** Throws a `Refusal` if the request's content crashes endpoints. */
   check(exchange: Exchange): void {
-    const { convictions } = this.evidence;
-    if (convictions.size === 0) return;
-    const hasDigests = convictions.someTrait(isDigest);
+    const { quarantines } = this.evidence;
+    if (quarantines.size === 0) return;
+    const hasDigests = quarantines.someTrait(isDigest);
     const traits = hasDigests ? getTraits(exchange) : new Set(getPartTraits(exchange));
-    const conviction = convictions.find(traits);
-    if (!conviction) return;
-    const { crashes } = conviction;
-    const content = conviction.traits.join(' and ');
+    const quarantine = quarantines.find(traits);
+    if (!quarantine) return;
+    const { crashes } = quarantine;
+    const content = quarantine.traits.join(' and ');
     const { id } = exchange.head;
-    this.log.info('Request refused for its content.', { id, traits: conviction.traits, crashes });
+    this.log.info('Request refused for its content.', { id, traits: quarantine.traits, crashes });
     const message = `${crashes} endpoints crashed on requests with ${content}.`;
     throw new Refusal(RefusalReason.crashingContent, message, retryDelayMs);
   }
 
   /** Whether crashes under this very request are not settled, so that it must not be sent. */
   isHeld(exchange: Exchange): boolean {
-    return this.evidence.suspects.size > 0 && this.evidence.isHeld(getDigest(exchange));
+    return this.evidence.crashingRequests.size > 0 && this.evidence.isHeld(getDigest(exchange));
   }
 
   /** Throws a `Refusal` while crashes under this very request are not settled. */
@@ -110,10 +111,10 @@
 
   /** Records that a request is sent to an endpoint; counts those that were under way at several crashes. */
   recordSend(exchange: Exchange): void {
-    const { suspects } = this.evidence;
-    if (suspects.size === 0) return;
+    const { crashingRequests } = this.evidence;
+    if (crashingRequests.size === 0) return;
     const digest = getDigest(exchange);
-    const crashes = suspects.get(digest);
+    const crashes = crashingRequests.get(digest);
     if (crashes === undefined) return;
     this.metrics.count('requests_sent_after_crashes');
     const completions = this.evidence.countSurvivals(digest);
@@ -138,44 +139,44 @@
     if (traits.length > 0) this.recordCrash(incarnation, traits);
   }
 
-  /** Merges what another entry tells; returns what this entry can add on the same crashes. */
-  receive(news: CrashNews): SurvivalReport[] {
+  /** Merges the report of another entry; returns what this entry can add on the same crashes. */
+  receive(update: CrashUpdate): SurvivalReport[] {
     const now = this.clock.now();
-    const added = news.convictions.filter(
-      (conviction) => !this.evidence.convictions.has(conviction),
+    const added = update.quarantines.filter(
+      (quarantine) => !this.evidence.quarantines.has(quarantine),
     );
-    const survivals = this.evidence.reportSurvivals(news.crashes, now);
-    this.evidence.merge(news, now);
+    const survivals = this.evidence.reportSurvivals(update.crashes, now);
+    this.evidence.merge(update, now);
     added
-      .filter((conviction) => this.evidence.convictions.has(conviction))
+      .filter((quarantine) => this.evidence.quarantines.has(quarantine))
       .forEach(({ traits, crashes }) =>
-        this.log.info('Content convicted by another entry.', { traits, crashes }),
+        this.log.info('Content quarantined by another entry.', { traits, crashes }),
       );
     if (this.evidence.needsSettlement) this.scheduleSettlement();
-    const told = new Map(news.survivals.map(({ trait, count }) => [trait, count]));
-    return survivals.filter(({ trait, count }) => count > (told.get(trait) ?? 0));
+    const reported = new Map(update.survivals.map(({ trait, count }) => [trait, count]));
+    return survivals.filter(({ trait, count }) => count > (reported.get(trait) ?? 0));
   }
 
-  /** Adopts a conviction; returns false if it is contradicted by requests that were completed here. */
-  adopt(conviction: Conviction): boolean {
-    const isKnown = this.evidence.convictions.has(conviction);
-    const isAdopted = this.evidence.adopt(conviction);
-    const { traits, crashes } = conviction;
-    if (isAdopted && !isKnown)
-      this.log.info('Content convicted by another entry.', { traits, crashes });
-    if (!isAdopted) this.log.warn('Conviction contradicted.', { traits, crashes });
-    return isAdopted;
+  /** Accepts a quarantine; returns false if it is contradicted by requests that were completed here. */
+  accept(quarantine: Quarantine): boolean {
+    const isKnown = this.evidence.quarantines.has(quarantine);
+    const isAccepted = this.evidence.accept(quarantine);
+    const { traits, crashes } = quarantine;
+    if (isAccepted && !isKnown)
+      this.log.info('Content quarantined by another entry.', { traits, crashes });
+    if (!isAccepted) this.log.warn('Quarantine contradicted.', { traits, crashes });
+    return isAccepted;
   }
 
-  /** Drops a conviction that another entry, or an operator, has withdrawn. */
-  withdraw(conviction: Conviction): void {
-    const isKnown = this.evidence.convictions.has(conviction);
-    this.evidence.withdraw(conviction);
-    if (isKnown) this.log.warn('Conviction withdrawn.', { traits: conviction.traits });
+  /** Drops a quarantine that another entry, or an operator, has released. */
+  release(quarantine: Quarantine): void {
+    const isKnown = this.evidence.quarantines.has(quarantine);
+    this.evidence.release(quarantine);
+    if (isKnown) this.log.warn('Quarantine released.', { traits: quarantine.traits });
   }
 
   /** What this entry has seen of the crashes of some endpoints, without those that were false alarms. */
-  createReport(endpoints: Iterable<string>): CrashNews {
+  createReport(endpoints: Iterable<string>): CrashUpdate {
     return this.evidence.report(endpoints, this.clock.now());
   }
 
@@ -205,11 +206,11 @@
     endpoints.forEach((endpoint) =>
       this.evidence.dropFalseAlarm(endpoint, this.getSignOfLife(endpoint)),
     );
-    const news = this.createReport(endpoints);
-    news.crashes.forEach(({ endpoint, traits }) =>
+    const update = this.createReport(endpoints);
+    update.crashes.forEach(({ endpoint, traits }) =>
       this.log.info('Endpoint lost under requests.', { endpoint, traits: traits.length }),
     );
-    if (news.crashes.length > 0) this.listeners.forEach((listener) => listener.onNews(news));
+    if (update.crashes.length > 0) this.listeners.forEach((listener) => listener.onUpdate(update));
   }
 
   private scheduleSettlement(): void {
@@ -226,22 +227,22 @@
       .takeWhole(now)
       .filter(({ endpoint, at }) => this.getSignOfLife(endpoint) > at)
       .forEach(({ traits }) => this.evidence.recordSurvival(traits, now));
-    const { convicted, withdrawn, falseAlarms } = this.evidence.settle(now, (incarnation) =>
+    const { quarantined, released, falseAlarms } = this.evidence.settle(now, (incarnation) =>
       this.getSignOfLife(incarnation),
     );
     falseAlarms.forEach((endpoint) =>
       this.log.info('Crash not counted.', { endpoint, reason: 'sign of life' }),
     );
-    withdrawn.forEach((conviction) => {
-      this.log.warn('Conviction withdrawn.', { traits: conviction.traits });
-      this.listeners.forEach((listener) => listener.onWithdrawal(conviction));
+    released.forEach((quarantine) => {
+      this.log.warn('Quarantine released.', { traits: quarantine.traits });
+      this.listeners.forEach((listener) => listener.onRelease(quarantine));
     });
-    convicted.forEach((conviction) => {
-      const { traits, crashes } = conviction;
+    quarantined.forEach((quarantine) => {
+      const { traits, crashes } = quarantine;
       this.metrics.count('content_convicted');
       const completions = Math.max(...traits.map((trait) => this.evidence.countSurvivals(trait)));
-      this.log.warn('Content convicted.', { traits, crashes, completions });
-      this.listeners.forEach((listener) => listener.onConviction(conviction));
+      this.log.warn('Content quarantined.', { traits, crashes, completions });
+      this.listeners.forEach((listener) => listener.onQuarantine(quarantine));
     });
   }
 
--- a/packages/forwarding/src/crashRecords.ts
+++ b/packages/forwarding/src/crashRecords.ts
@@ -1,9 +1,9 @@
 import { Conflict, toFailure } from '@laburnumstream/common';
 import type { Clock, KeyValueStore, Log, Metrics, Random } from '@laburnumstream/common';
-import { convictionKey } from '@laburnumstream/decisions';
-import type { Conviction, CrashNews } from '@laburnumstream/decisions';
+import { quarantineKey } from '@laburnumstream/decisions';
+import type { Quarantine, CrashUpdate } from '@laburnumstream/decisions';
 import type { CrashGuard, CrashListener } from './crashGuard.js';
-import type { FleetChange, FleetCodec, StoredConviction } from './fleetChange.js';
+import type { FleetChange, FleetCodec, StoredQuarantine } from './fleetChange.js';
 import { StoreCall, StoreCallCounter } from './storeCallCounter.js';
 
 /** Time to live of an entry's record of crashes: others read it at once, or when they start. */
@@ -13,12 +13,12 @@
 /** Time in which crashes are batched into one write, in milliseconds. */
 const batchMs = 100;
 const retryDelayMs = 1_000;
-/** Time over which the entries spread their writes of the same conviction, in milliseconds for each. */
+/** Time over which the entries spread their writes of the same quarantine, in milliseconds for each. */
 const writeSpreadMsPerEntry = 15;
 
 /**
- * Keeps crashes and convictions in the store, for entries that do not hear this one and for those that
- * start later. Convictions have no lease: they must outlive all entries.
+ * Keeps crashes and quarantines in the store, for entries that do not hear this one and for those that
+ * start later. Quarantines have no lease: they must outlive all entries.
  */
 export class CrashRecords implements CrashListener {
   /** Incarnations of the endpoints whose crashes this entry saw last. */
@@ -26,11 +26,11 @@
 
   private isRecordChanged = false;
 
-  /** Convictions to be written, by key. */
-  private readonly unwritten = new Map<string, StoredConviction>();
+  /** Quarantines to be written, by key. */
+  private readonly unwritten = new Map<string, StoredQuarantine>();
 
-  /** Keys of convictions that the store has as withdrawn. */
-  private readonly withdrawnKeys = new Set<string>();
+  /** Keys of quarantines that the store has as released. */
+  private readonly releasedKeys = new Set<string>();
 
   private isScheduled = false;
 
@@ -51,50 +51,50 @@
     guard.addListener(this);
   }
 
-  onNews(news: CrashNews): void {
-    const endpoints = news.crashes.map(({ endpoint }) => endpoint);
+  onUpdate(update: CrashUpdate): void {
+    const endpoints = update.crashes.map(({ endpoint }) => endpoint);
     const older = this.recentCrashes.filter((endpoint) => !endpoints.includes(endpoint));
     this.recentCrashes = [...older, ...endpoints].slice(-maxRecordedCrashes);
     this.isRecordChanged = true;
     this.schedule(batchMs);
   }
 
-  onConviction(conviction: Conviction): void {
-    this.unwritten.set(convictionKey(conviction), { conviction, isWithdrawn: false });
-    // All entries convict at about the same time; the first one that writes spares the others the call.
+  onQuarantine(quarantine: Quarantine): void {
+    this.unwritten.set(quarantineKey(quarantine), { quarantine, isReleased: false });
+    // All entries quarantine at about the same time; the first one that writes spares the others the call.
     this.schedule(this.random.next() * writeSpreadMsPerEntry * this.entryCount());
   }
 
-  onWithdrawal(conviction: Conviction): void {
-    this.unwritten.set(convictionKey(conviction), { conviction, isWithdrawn: true });
+  onRelease(quarantine: Quarantine): void {
+    this.unwritten.set(quarantineKey(quarantine), { quarantine, isReleased: true });
     this.schedule(0);
   }
 
   /** Applies a change of the store. */
-  apply(change: Extract<FleetChange, { kind: 'crashes' | 'conviction' }>): void {
+  apply(change: Extract<FleetChange, { kind: 'crashes' | 'quarantine' }>): void {
     if (change.kind === 'crashes') {
-      if (change.news) this.guard.receive(change.news);
+      if (change.update) this.guard.receive(change.update);
     } else if (change.stored) this.applyStored(change.stored);
     else this.restoreMissing();
   }
 
-  private applyStored({ conviction, isWithdrawn }: StoredConviction): void {
-    const key = convictionKey(conviction);
-    if (isWithdrawn) {
-      this.withdrawnKeys.add(key);
-      this.guard.withdraw(conviction);
-    } else if (!this.guard.adopt(conviction)) {
-      this.unwritten.set(key, { conviction, isWithdrawn: true });
+  private applyStored({ quarantine, isReleased }: StoredQuarantine): void {
+    const key = quarantineKey(quarantine);
+    if (isReleased) {
+      this.releasedKeys.add(key);
+      this.guard.release(quarantine);
+    } else if (!this.guard.accept(quarantine)) {
+      this.unwritten.set(key, { quarantine, isReleased: true });
       this.schedule(0);
       return;
     }
     this.unwritten.delete(key);
   }
 
-  /** Writes convictions again that the store has lost. */
+  /** Writes quarantines again that the store has lost. */
   private restoreMissing(): void {
-    this.guard.convictions.forEach((conviction) =>
-      this.unwritten.set(convictionKey(conviction), { conviction, isWithdrawn: false }),
+    this.guard.quarantines.forEach((quarantine) =>
+      this.unwritten.set(quarantineKey(quarantine), { quarantine, isReleased: false }),
     );
     this.schedule(this.random.next() * writeSpreadMsPerEntry * this.entryCount());
   }
@@ -113,7 +113,7 @@
   /** Writes what has changed; returns false if the store did not take all of it. */
   private async write(): Promise<boolean> {
     try {
-      for (const [key, stored] of this.unwritten) await this.writeConviction(key, stored);
+      for (const [key, stored] of this.unwritten) await this.writeQuarantine(key, stored);
       if (this.isRecordChanged) await this.writeRecord();
       return true;
     } catch (error) {
@@ -124,19 +124,19 @@
     }
   }
 
-  private async writeConviction(key: string, stored: StoredConviction): Promise<void> {
-    const { conviction, isWithdrawn } = stored;
-    // Only a withdrawal, or a conviction after one, may replace what another entry has written.
-    const mayReplace = isWithdrawn || this.withdrawnKeys.has(key);
+  private async writeQuarantine(key: string, stored: StoredQuarantine): Promise<void> {
+    const { quarantine, isReleased } = stored;
+    // Only a release, or a quarantine after one, may replace what another entry has written.
+    const mayReplace = isReleased || this.releasedKeys.has(key);
     const condition = mayReplace ? {} : { ifRevision: 0 };
     try {
-      const storeKey = this.codec.convictionKey(conviction);
-      await this.store.put(storeKey, this.codec.encodeConviction(stored), condition);
-      this.withdrawnKeys.delete(key);
+      const storeKey = this.codec.quarantineKey(quarantine);
+      await this.store.put(storeKey, this.codec.encodeQuarantine(stored), condition);
+      this.releasedKeys.delete(key);
       this.callCounter.countSuccess(StoreCall.crashes);
     } catch (error) {
       if (!(error instanceof Conflict)) throw error;
-      this.log.debug('Conviction already stored.', { traits: conviction.traits });
+      this.log.debug('Quarantine already stored.', { traits: quarantine.traits });
     }
     if (this.unwritten.get(key) === stored) this.unwritten.delete(key);
   }
@@ -145,8 +145,8 @@
     this.isRecordChanged = false;
     try {
       const lease = await this.store.grantLease(recordLeaseMs);
-      const news = this.guard.createReport(this.recentCrashes);
-      const value = this.codec.encodeCrashes(news);
+      const update = this.guard.createReport(this.recentCrashes);
+      const value = this.codec.encodeCrashes(update);
       await this.store.put(this.codec.crashesKey(this.instance), value, { lease });
       this.callCounter.countSuccess(StoreCall.crashes);
     } catch (error) {
--- a/packages/forwarding/src/fleetChange.ts
+++ b/packages/forwarding/src/fleetChange.ts
@@ -5,13 +5,13 @@
   NamedVersion,
   StoreChange,
 } from '@laburnumstream/common';
-import type { Conviction, CrashNews } from '@laburnumstream/decisions';
+import type { Quarantine, CrashUpdate } from '@laburnumstream/decisions';
 
-/** A conviction as it is stored. */
-export interface StoredConviction {
-  readonly conviction: Conviction;
+/** A quarantine as it is stored. */
+export interface StoredQuarantine {
+  readonly quarantine: Quarantine;
   /** Whether an entry has found that it was wrong. */
-  readonly isWithdrawn: boolean;
+  readonly isReleased: boolean;
 }
 
 /** A decoded change in the store that entries act on. */
@@ -23,12 +23,12 @@
   /** `location` is undefined when the entry is no longer registered. */
   | { readonly kind: 'entry'; readonly name: string; readonly location: EntryLocation | undefined }
   /** Crashes that an entry has seen; undefined when its record has expired. */
-  | { readonly kind: 'crashes'; readonly name: string; readonly news: CrashNews | undefined }
+  | { readonly kind: 'crashes'; readonly name: string; readonly update: CrashUpdate | undefined }
   /** `stored` is undefined when the store no longer has it. */
   | {
-      readonly kind: 'conviction';
+      readonly kind: 'quarantine';
       readonly key: string;
-      readonly stored: StoredConviction | undefined;
+      readonly stored: StoredQuarantine | undefined;
     };
 
 /** Decodes the keys and values of the store. */
@@ -47,8 +47,8 @@
   encodeEntry(location: EntryLocation): string;
   /** The key under which an entry records crashes. */
   crashesKey(name: string): string;
-  encodeCrashes(news: CrashNews): string;
-  /** The key under which a conviction is stored. */
-  convictionKey(conviction: Conviction): string;
-  encodeConviction(stored: StoredConviction): string;
+  encodeCrashes(update: CrashUpdate): string;
+  /** The key under which a quarantine is stored. */
+  quarantineKey(quarantine: Quarantine): string;
+  encodeQuarantine(stored: StoredQuarantine): string;
 }
--- a/packages/forwarding/src/fleetState.ts
+++ b/packages/forwarding/src/fleetState.ts
@@ -3,7 +3,7 @@
 import type { FleetChange } from './fleetChange.js';
 
 /** A change that concerns crashes of endpoints. */
-export type CrashChange = Extract<FleetChange, { kind: 'crashes' | 'conviction' }>;
+export type CrashChange = Extract<FleetChange, { kind: 'crashes' | 'quarantine' }>;
 
 /** How each kind of change is applied. */
 type Handlers = {
@@ -32,7 +32,7 @@
     state.addNamedVersion(named.model, named.version, changedAt, unseenSince),
   entry: (state, { name, location }) => state.setEntry(name, location),
   crashes: (state, change) => state.applyCrashChange(change),
-  conviction: (state, change) => state.setConviction(change),
+  quarantine: (state, change) => state.setQuarantine(change),
 };
 
 /** This entry's view of the fleet. Configuration and weight versions never decrease. */
@@ -52,8 +52,8 @@
   /** Number of registered entries, by data centre. */
   private readonly entriesByDataCentre = new Map<string, number>();
 
-  /** Keys of the stored convictions. */
-  private readonly convictionKeys = new Set<string>();
+  /** Keys of the stored quarantines. */
+  private readonly quarantineKeys = new Set<string>();
 
   /** Number of changes to the registered entries. */
   private entryChanges = 0;
@@ -142,12 +142,12 @@
     const ids = new Set<string>();
     const dataCentres = new Set<string>();
     const names = new Set<string>();
-    const convictions = new Set<string>();
+    const quarantines = new Set<string>();
     changes.forEach((change) => {
       if (change.kind === 'endpoint') ids.add(change.id);
       if (change.kind === 'evacuation') dataCentres.add(change.dataCentre);
       if (change.kind === 'entry') names.add(change.name);
-      if (change.kind === 'conviction') convictions.add(change.key);
+      if (change.kind === 'quarantine') quarantines.add(change.key);
     });
     const endpoints = [...this.endpointsById.keys()]
       .filter((id) => !ids.has(id))
@@ -158,10 +158,10 @@
     const entries = [...this.locationsByEntry.keys()]
       .filter((name) => !names.has(name))
       .map((name) => ({ kind: 'entry', name, location: undefined }) as const);
-    const lostConvictions = [...this.convictionKeys]
-      .filter((key) => !convictions.has(key))
-      .map((key) => ({ kind: 'conviction', key, stored: undefined }) as const);
-    return [...endpoints, ...evacuations, ...entries, ...lostConvictions];
+    const lostQuarantines = [...this.quarantineKeys]
+      .filter((key) => !quarantines.has(key))
+      .map((key) => ({ kind: 'quarantine', key, stored: undefined }) as const);
+    return [...endpoints, ...evacuations, ...entries, ...lostQuarantines];
   }
 
   setConfiguration(table: RouteTable): void {
@@ -233,9 +233,9 @@
     this.onCrashChange(change);
   }
 
-  setConviction(change: Extract<FleetChange, { kind: 'conviction' }>): void {
-    if (change.stored) this.convictionKeys.add(change.key);
-    else this.convictionKeys.delete(change.key);
+  setQuarantine(change: Extract<FleetChange, { kind: 'quarantine' }>): void {
+    if (change.stored) this.quarantineKeys.add(change.key);
+    else this.quarantineKeys.delete(change.key);
     this.onCrashChange(change);
   }
 
--- a/packages/forwarding/src/requestAttempts.ts
+++ b/packages/forwarding/src/requestAttempts.ts
@@ -101,7 +101,7 @@
       if (this.isBegun) await this.waitForExecution(signal);
       else guard.checkHold(this.exchange);
       const placement = await queue.place(this.createPlacementRequest(), signal);
-      // It may have been convicted while it waited.
+      // It may have been quarantined while it waited.
       guard.check(this.exchange);
       return placement;
     } catch (error) {
