One dating of store content for an entry; every response says its age

DatedStore wraps a store and dates what it returns; RegionalFeed uses it, FleetWatcher only reads ages. Provenance is mandatory (DatedFeed), and the time at which a call began is handed to readFromEntries instead of taken there again.

--- a/features/steps/clockSteps.steps.ts
+++ b/features/steps/clockSteps.steps.ts
@@ -3,7 +3,7 @@
 import { SleepAwareClock, StoreUnavailable } from '@laburnumstream/common';
 import type { Log, StoreChanges, StoreFeed } from '@laburnumstream/common';
 import { ConfigurationFreshness } from '@laburnumstream/decisions';
-import { FleetState, FleetWatcher } from '@laburnumstream/forwarding';
+import { DatedStore, FleetState, FleetWatcher } from '@laburnumstream/forwarding';
 import { storeCodec } from '@laburnumstream/platform';
 import { VirtualClock } from '@laburnumstream/standins';
 import { noopLog, noopMetrics } from '../support/largeFleet.js';
@@ -75,7 +75,7 @@
   const warnings: string[] = [];
   const log: Log = { ...noopLog, warn: (message) => warnings.push(message) };
   const steppedWatcher = new FleetWatcher(
-    steppedStore,
+    new DatedStore(steppedStore, proofClock, platformBounds),
     storeCodec,
     new FleetState(noopMetrics, noopLog, () => undefined),
     proof,
--- a/features/steps/feedReview.steps.ts
+++ b/features/steps/feedReview.steps.ts
@@ -3,7 +3,7 @@
 import { Given, Then, When } from '@cucumber/cucumber';
 import { SleepAwareClock, rendezvousOrder } from '@laburnumstream/common';
 import type { StoreChange, StoreChanges, StoreFeed, StoredValue } from '@laburnumstream/common';
-import { FleetState, FleetWatcher, StoreMirror } from '@laburnumstream/forwarding';
+import { DatedStore, FleetState, FleetWatcher, StoreMirror } from '@laburnumstream/forwarding';
 import { storeCodec } from '@laburnumstream/platform';
 import { HistogramMetrics } from '@laburnumstream/runtime';
 import { VirtualClock } from '@laburnumstream/standins';
@@ -147,12 +147,13 @@
   const log = { debug: ignore, info: ignore, warn: ignore, error: ignore };
   const metrics = new HistogramMetrics();
   this.state = new FleetState(metrics, log, ignore);
+  const proofClock = new SleepAwareClock(clock);
   const watcher = new FleetWatcher(
-    this.store,
+    new DatedStore(this.store, proofClock, platformBounds),
     storeCodec,
     this.state,
     { confirm: ignore },
-    new SleepAwareClock(clock),
+    proofClock,
     clock,
     metrics,
     log,
--- a/features/steps/platformPrograms.steps.ts
+++ b/features/steps/platformPrograms.steps.ts
@@ -5,7 +5,7 @@
 import type { SettingsLines } from '@laburnumstream/bench';
 import { SleepAwareClock } from '@laburnumstream/common';
 import { ConfigurationFreshness } from '@laburnumstream/decisions';
-import { FleetWatcher, FleetState } from '@laburnumstream/forwarding';
+import { DatedStore, FleetWatcher, FleetState } from '@laburnumstream/forwarding';
 import { FleetDatagrams } from '@laburnumstream/links';
 import { StoreClient, storeCodec } from '@laburnumstream/platform';
 import { HistogramMetrics, SystemClock } from '@laburnumstream/runtime';
@@ -113,12 +113,13 @@
   Object.assign(world, { watcherAbort: new AbortController() });
   const metrics = new HistogramMetrics();
   Object.assign(world, { fleetState: new FleetState(metrics, silentLog, () => undefined) });
+  const proofClock = new SleepAwareClock(clock);
   const watcher = new FleetWatcher(
-    new StoreClient(world.programStore.address),
+    new DatedStore(new StoreClient(world.programStore.address), proofClock, platformBounds),
     storeCodec,
     world.fleetState,
     new ConfigurationFreshness(4_600, 2_500),
-    new SleepAwareClock(clock),
+    proofClock,
     clock,
     metrics,
     silentLog,
--- a/features/steps/reviewedBounds.steps.ts
+++ b/features/steps/reviewedBounds.steps.ts
@@ -2,7 +2,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { After, Given, Then, When, World } from '@cucumber/cucumber';
 import { SeededRandom, SleepAwareClock } from '@laburnumstream/common';
-import type { StoreChanges, StoreFeed } from '@laburnumstream/common';
+import type { DatedChanges, DatedFeed } from '@laburnumstream/common';
 import { FleetState, FleetWatcher } from '@laburnumstream/forwarding';
 import type { EndpointHandle } from '@laburnumstream/forwarding';
 import { FleetDatagrams } from '@laburnumstream/links';
@@ -305,9 +305,14 @@
     const values = [{ key: 'servers/e0', value: registration, revision }];
     let outageEndedAt: number | undefined;
     let isRemoved = false;
-    const feed: StoreFeed = {
-      snapshot: () => Promise.resolve({ values, revision }),
-      changes: async (_prefix, after, waitMs, signal): Promise<StoreChanges> => {
+    const feed: DatedFeed = {
+      snapshot: () =>
+        Promise.resolve({
+          values,
+          revision,
+          provenance: { proofAgeMs: 0, changeAgeMs: 0, outage: undefined },
+        }),
+      changes: async (_prefix, after, waitMs, signal): Promise<DatedChanges> => {
         if (!isRemoved || after > revision) await clock.sleep(Math.min(waitMs, 500), signal);
         const outage =
           outageEndedAt === undefined
--- a/features/steps/versionDates.steps.ts
+++ b/features/steps/versionDates.steps.ts
@@ -4,9 +4,22 @@
 import { After, Given, Then, When, World } from '@cucumber/cucumber';
 import { freePortPair } from '@laburnumstream/bench';
 import { SleepAwareClock, StoreUnavailable } from '@laburnumstream/common';
-import type { Clock, FleetSettings, StoreChanges, StoreFeed } from '@laburnumstream/common';
+import type {
+  Clock,
+  DatedChanges,
+  DatedFeed,
+  FleetSettings,
+  StoreChanges,
+  StoreFeed,
+} from '@laburnumstream/common';
 import { FeedReaders } from '@laburnumstream/decisions';
-import { FleetState, FleetWatcher, RegionalFeed, StoreMirror } from '@laburnumstream/forwarding';
+import {
+  DatedStore,
+  FleetState,
+  FleetWatcher,
+  RegionalFeed,
+  StoreMirror,
+} from '@laburnumstream/forwarding';
 import { storeCodec } from '@laburnumstream/platform';
 import { SystemClock } from '@laburnumstream/runtime';
 import { VirtualClock } from '@laburnumstream/standins';
@@ -41,7 +54,7 @@
 const entryNames = ['front-0', 'front-1', 'front-2'] as const;
 
 /** Starts a watcher of a feed; both of its clocks begin at 0. */
-function watch(world: DatesWorld, feed: StoreFeed, clock: Clock, state: FleetState): void {
+function watch(world: DatesWorld, feed: DatedFeed, clock: Clock, state: FleetState): void {
   Object.assign(world, { dateState: state, dateAbort: new AbortController() });
   const watcher = new FleetWatcher(
     feed,
@@ -74,7 +87,8 @@
   /^version 2 is named (in .+|and then .+)$/,
   async function name(this: DatesWorld, when: string) {
     const store = new VersionStore(this.dateClock, versionFaults[when]!);
-    watch(this, store, this.dateClock, createState());
+    const dated = new DatedStore(store, new SleepAwareClock(this.dateClock), platformBounds);
+    watch(this, dated, this.dateClock, createState());
     await this.dateClock.runUntil(observedMs);
     this.versionNamedAt = store.namedAt;
   },
@@ -96,9 +110,10 @@
     const { mirror } = this;
     mirror.applySnapshot({ values: [], revision: firstRevision }, 0);
     const describe = (after: number) => mirror.describe(after, clock.now(), clock.now());
-    const feed: StoreFeed = {
-      snapshot: () => Promise.resolve({ values: [], revision: firstRevision }),
-      changes: async (_prefix, after, waitMs, signal): Promise<StoreChanges> => {
+    const feed: DatedFeed = {
+      snapshot: () =>
+        Promise.resolve({ values: [], revision: firstRevision, provenance: describe(0) }),
+      changes: async (_prefix, after, waitMs, signal): Promise<DatedChanges> => {
         if (clock.now() < Number(ms)) throw new StoreUnavailable('The source does not respond.');
         const revision = mirror.revision!;
         if (after >= revision) await clock.sleep(waitMs, signal);
--- a/features/support/changingStore.ts
+++ b/features/support/changingStore.ts
@@ -1,7 +1,7 @@
 import { SleepAwareClock, Unavailable } from '@laburnumstream/common';
 import type { FleetBounds, StoreFeed } from '@laburnumstream/common';
 import { ConfigurationFreshness } from '@laburnumstream/decisions';
-import { FleetState, FleetWatcher } from '@laburnumstream/forwarding';
+import { DatedStore, FleetState, FleetWatcher } from '@laburnumstream/forwarding';
 import type { FleetDecoder } from '@laburnumstream/forwarding';
 import type { VirtualClock } from '@laburnumstream/standins';
 import { LargeFleet, createEndpoint, noopLog, noopMetrics } from './largeFleet.js';
@@ -38,7 +38,7 @@
   const proof = new ConfigurationFreshness(4_600, 2_500);
   const proofClock = new SleepAwareClock(clock);
   return new FleetWatcher(
-    store,
+    new DatedStore(store, proofClock, bounds),
     codec,
     state,
     proof,
--- a/features/support/watchHistory.ts
+++ b/features/support/watchHistory.ts
@@ -1,7 +1,7 @@
 import { HistoryLost, SleepAwareClock, StoreUnavailable } from '@laburnumstream/common';
 import type { StoreChange, StoreChanges, StoreSnapshot } from '@laburnumstream/common';
 import { ConfigurationFreshness } from '@laburnumstream/decisions';
-import { FleetWatcher, FleetState } from '@laburnumstream/forwarding';
+import { DatedStore, FleetWatcher, FleetState } from '@laburnumstream/forwarding';
 import type { FleetChange } from '@laburnumstream/forwarding';
 import { HistogramMetrics } from '@laburnumstream/runtime';
 import { VirtualClock } from '@laburnumstream/standins';
@@ -191,7 +191,7 @@
   const codec = { prefix, decode };
   const store = new SimulatedStore(history, clock, instance);
   const watcher = new FleetWatcher(
-    store,
+    new DatedStore(store, proofClock, platformBounds),
     codec,
     state,
     proof,
--- a/packages/common/src/services.ts
+++ b/packages/common/src/services.ts
@@ -231,16 +231,19 @@
   readonly endedMsAgo: number;
 }
 
-/** What is known of content that another process has read from the store and passes on. */
+/** What is known of content of the store that this process, or another one, has read. */
 export interface Provenance {
-  /** Time before the call at which the store confirmed the content as the newest, in milliseconds. */
+  /**
+   * Time before the call at which the store confirmed the content as the newest, in milliseconds; 0 if the store itself
+   * has responded.
+   */
   readonly proofAgeMs: number;
   /**
    * Time before the call at which the oldest change may have been made that the caller has not seen, in
    * milliseconds; negative after the call. Of several changes of a key the content has the last one only.
    */
   readonly changeAgeMs: number;
-  /** The last outage that the process has seen. */
+  /** The last outage that another process which passes the content on has seen. */
   readonly outage: StoreOutage | undefined;
 }
 
@@ -248,8 +251,11 @@
 export interface StoreSnapshot {
   readonly values: readonly StoredValue[];
   readonly revision: number;
-  /** Undefined when the store itself has responded. */
-  readonly provenance?: Provenance;
+}
+
+/** A snapshot of which it is known how old it is. */
+export interface DatedSnapshot extends StoreSnapshot {
+  readonly provenance: Provenance;
 }
 
 /** A write, or a deletion if `value` is undefined. */
@@ -265,8 +271,11 @@
 export interface StoreChanges {
   readonly changes: readonly StoreChange[];
   readonly revision: number;
-  /** Undefined when the store itself has responded. */
-  readonly provenance?: Provenance;
+}
+
+/** Changes of which it is known how old they are. */
+export interface DatedChanges extends StoreChanges {
+  readonly provenance: Provenance;
 }
 
 /**
@@ -287,3 +296,15 @@
     onProgress?: () => void,
   ): Promise<StoreChanges>;
 }
+
+/** Snapshots and changes of a store's prefix with their ages; the calls are those of `StoreFeed`. */
+export interface DatedFeed {
+  snapshot(prefix: string, signal?: AbortSignal, onProgress?: () => void): Promise<DatedSnapshot>;
+  changes(
+    prefix: string,
+    after: number,
+    waitMs: number,
+    signal?: AbortSignal,
+    onProgress?: () => void,
+  ): Promise<DatedChanges>;
+}
--- /dev/null
+++ b/packages/forwarding/src/datedStore.ts
@@ -0,0 +1,81 @@
+import { HistoryLost } from '@laburnumstream/common';
+import type {
+  Clock,
+  DatedChanges,
+  DatedFeed,
+  DatedSnapshot,
+  FleetBounds,
+  StoreFeed,
+} from '@laburnumstream/common';
+import { ChangeDating, confirmedUntil } from '@laburnumstream/decisions';
+
+/** Time for which a new process still uses versions older than the named ones, in milliseconds. */
+const restartGraceMs = 2_500;
+
+/** A store whose responses are dated by what it has confirmed before. */
+export class DatedStore implements DatedFeed {
+  /** To be told of content that was read elsewhere, too. */
+  readonly dating: ChangeDating;
+
+  constructor(
+    private readonly store: StoreFeed,
+    /** Runs during a suspension too, as the time to act on a change does. */
+    private readonly clock: Pick<Clock, 'now'>,
+    { versionMs }: Pick<FleetBounds, 'versionMs'>,
+  ) {
+    // It is unknown when the versions in the first snapshot were named, so they count as nearly due.
+    const lookbackMs = Math.max(0, versionMs - restartGraceMs);
+    this.dating = new ChangeDating(clock.now(), lookbackMs);
+  }
+
+  async snapshot(
+    prefix: string,
+    signal?: AbortSignal,
+    onProgress?: () => void,
+  ): Promise<DatedSnapshot> {
+    const calledAt = this.clock.now();
+    const content = await this.countFailure(
+      () => this.store.snapshot(prefix, signal, onProgress),
+      signal,
+    );
+    const changedAt = this.dating.dateChanges(this.clock.now());
+    this.dating.recordResponse(calledAt);
+    return { ...content, provenance: DatedStore.describe(calledAt - changedAt) };
+  }
+
+  async changes(
+    prefix: string,
+    after: number,
+    waitMs: number,
+    signal?: AbortSignal,
+    onProgress?: () => void,
+  ): Promise<DatedChanges> {
+    const calledAt = this.clock.now();
+    const content = await this.countFailure(
+      () => this.store.changes(prefix, after, waitMs, signal, onProgress),
+      signal,
+    );
+    const receivedAt = this.clock.now();
+    const changedAt = this.dating.dateChanges(receivedAt);
+    const isUnchanged = content.changes.length === 0;
+    this.dating.recordResponse(confirmedUntil({ calledAt, receivedAt, waitMs, isUnchanged }));
+    return { ...content, provenance: DatedStore.describe(calledAt - changedAt) };
+  }
+
+  /** A lost history is a response, too. */
+  private async countFailure<Content>(
+    call: () => Promise<Content>,
+    signal: AbortSignal | undefined,
+  ): Promise<Content> {
+    try {
+      return await call();
+    } catch (error) {
+      if (!signal?.aborted && !(error instanceof HistoryLost)) this.dating.recordFailure();
+      throw error;
+    }
+  }
+
+  private static describe(changeAgeMs: number): DatedSnapshot['provenance'] {
+    return { proofAgeMs: 0, changeAgeMs, outage: undefined };
+  }
+}
--- a/packages/forwarding/src/feedClient.ts
+++ b/packages/forwarding/src/feedClient.ts
@@ -1,7 +1,7 @@
 import { promisify } from 'node:util';
 import { gunzip } from 'node:zlib';
 import { HistoryLost, InvalidInput, Unavailable } from '@laburnumstream/common';
-import type { Provenance, StoreChange, StoreChanges } from '@laburnumstream/common';
+import type { DatedChanges, Provenance, StoreChange } from '@laburnumstream/common';
 import { createConnector } from '@laburnumstream/runtime';
 import { Client } from 'undici';
 import { FeedHeader, FeedSource, FeedStatus, feedPath } from './feedProtocol.js';
@@ -25,8 +25,7 @@
 const retryDelayMs = 1_000;
 
 /** Changes as passed on by another entry. */
-export interface RelayedChanges extends StoreChanges {
-  readonly provenance: Provenance;
+export interface RelayedChanges extends DatedChanges {
   /** Whether the other entry reads the store itself. */
   readonly isFromReader: boolean;
 }
--- a/packages/forwarding/src/fleetWatcher.ts
+++ b/packages/forwarding/src/fleetWatcher.ts
@@ -1,20 +1,15 @@
 import { HistoryLost, InvalidInput, SleepAwareClock, toFailure } from '@laburnumstream/common';
 import type {
   Clock,
+  DatedFeed,
   FleetBounds,
   Log,
   Metrics,
   Provenance,
   StoreChange,
-  StoreFeed,
   StoreOutage,
 } from '@laburnumstream/common';
-import {
-  ChangeDating,
-  DeferredRemovals,
-  changeBatchWindowMs,
-  confirmedUntil,
-} from '@laburnumstream/decisions';
+import { DeferredRemovals, changeBatchWindowMs } from '@laburnumstream/decisions';
 import type { FleetChange, FleetDecoder } from './fleetChange.js';
 import type { FleetState } from './fleetState.js';
 import { StoreCall, StoreCallCounter } from './storeCallCounter.js';
@@ -25,8 +20,6 @@
 const deferredWatchTimeoutMs = 250;
 /** The same while the store is unreachable, in milliseconds. */
 const probeWatchTimeoutMs = 50;
-/** Time for which a new process still uses versions older than the named ones, in milliseconds. */
-const restartGraceMs = 2_500;
 /** Minimum time between two interruptions of a wait for changes, in milliseconds. */
 const interruptionIntervalMs = 250;
 const initialBackoffMs = 100;
@@ -61,7 +54,7 @@
   readonly call: StoreCall;
   /** Time on the proof clock, in milliseconds. */
   readonly calledAt: number;
-  readonly provenance: Provenance | undefined;
+  readonly provenance: Provenance;
 }
 
 /** Records how recently the store has confirmed the fleet state. */
@@ -79,9 +72,6 @@
   /** Monotonic time of the last response, or of the start before the first one, in milliseconds. */
   private lastResponseAt: number;
 
-  /** Dates changes on the proof clock, as the time to act on them also passes during a suspension. */
-  private readonly dating: ChangeDating;
-
   private isReachable = true;
 
   /** Ends the current call or pause; replaced after each. */
@@ -101,7 +91,7 @@
   private readonly callCounter: StoreCallCounter;
 
   constructor(
-    private readonly store: StoreFeed,
+    private readonly store: DatedFeed,
     private readonly codec: FleetDecoder,
     private readonly state: FleetState,
     private readonly proof: FreshnessProof,
@@ -113,9 +103,6 @@
   ) {
     this.lastResponseAt = clock.now();
     this.callCounter = new StoreCallCounter(metrics);
-    // It is unknown when the versions in the first snapshot were named, so they count as nearly due.
-    const lookbackMs = Math.max(0, bounds.versionMs - restartGraceMs);
-    this.dating = new ChangeDating(proofClock.now(), lookbackMs);
   }
 
   /** Watches the store until the signal is aborted. */
@@ -186,13 +173,13 @@
     const calledAt = this.proofClock.now();
     const { values, revision, provenance } = await this.store.snapshot(this.codec.prefix, signal);
     const changes = values.flatMap((value) => this.decode(value));
-    const changedAt = this.dating.dateChanges(this.proofClock.now());
+    const changedAt = calledAt - provenance.changeAgeMs;
     this.logVersions(changes, changedAt, { call: StoreCall.list, calledAt, provenance });
-    this.recordResponse(provenance, calledAt);
+    this.recordResponse(provenance);
     const removals = this.state.getRemovals(changes.map(({ change }) => change));
     this.applyAll([...removals.map((change) => ({ change, laterMs: 0 })), ...changes], changedAt);
     this.revision = revision;
-    return provenance?.proofAgeMs ?? 0;
+    return provenance.proofAgeMs;
   }
 
   /** Returns the time before the call at which the store confirmed the content, in milliseconds. */
@@ -207,32 +194,22 @@
       AbortSignal.any([signal, this.interruption.signal]),
     );
     const { changes, revision, provenance } = response;
-    const receivedAt = this.proofClock.now();
     const decoded = changes.flatMap((change) => this.decode(change));
-    const changedAt = provenance
-      ? calledAt - provenance.changeAgeMs
-      : this.dating.dateChanges(receivedAt);
+    const changedAt = calledAt - provenance.changeAgeMs;
     this.logVersions(decoded, changedAt, { call: StoreCall.watch, calledAt, provenance });
-    const isUnchanged = changes.length === 0;
-    this.recordResponse(
-      provenance,
-      provenance ? calledAt : confirmedUntil({ calledAt, receivedAt, waitMs, isUnchanged }),
-    );
+    this.recordResponse(provenance);
     this.applyAll(decoded, changedAt);
     this.revision = Math.max(after, revision);
     this.isPauseDue = changes.length > 0;
-    return provenance?.proofAgeMs ?? 0;
+    return provenance.proofAgeMs;
   }
 
-  /** Records a response with all changes until `confirmedAt`, before its changes are applied. */
-  private recordResponse(provenance: Provenance | undefined, confirmedAt: number): void {
+  /** Records a response before its changes are applied. */
+  private recordResponse({ proofAgeMs, outage }: Provenance): void {
     const now = this.clock.now();
-    const outage = provenance?.outage;
     if (!this.isReachable) this.deferredRemovals.storeRecovered(now - this.lastResponseAt, now);
     if (outage) this.recordOutage(outage, now);
-    const proofAgeMs = provenance?.proofAgeMs ?? 0;
     this.lastResponseAt = now - proofAgeMs;
-    this.dating.recordResponse(confirmedAt - proofAgeMs);
   }
 
   /**
@@ -264,7 +241,7 @@
         call,
         callMs: Math.round(now - calledAt),
         lastResponseMsAgo: Math.round(monotonicNow - this.lastResponseAt),
-        changeAgeMs: provenance ? Math.round(provenance.changeAgeMs) : null,
+        changeAgeMs: Math.round(provenance.changeAgeMs),
         isReachable: this.isReachable,
         suspendedMs: Math.round(now - monotonicNow),
       });
@@ -334,7 +311,6 @@
       this.log.warn('Watch history lost; reloading the snapshot.');
       return;
     }
-    this.dating.recordFailure();
     const fields = { type: failure.type, reason: failure.message };
     if (this.isReachable) this.log.warn('Store not reachable.', fields);
     else this.log.info('Store still not reachable.', fields);
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -2,6 +2,7 @@
 export * from './agentUpdates.js';
 export * from './responseCollector.js';
 export * from './connectionPool.js';
+export * from './datedStore.js';
 export * from './dispatchQueue.js';
 export * from './endpointDirectory.js';
 export * from './endpointCall.js';
--- a/packages/forwarding/src/regionalFeed.ts
+++ b/packages/forwarding/src/regionalFeed.ts
@@ -1,17 +1,18 @@
 import { HistoryLost, NotFound, OldProof, toFailure } from '@laburnumstream/common';
 import type {
+  DatedChanges,
+  DatedFeed,
+  DatedSnapshot,
   FleetSettings,
   Log,
   Metrics,
   SleepAwareClock,
   StoreChange,
-  StoreChanges,
   StoreFeed,
-  StoreSnapshot,
   StoredValue,
 } from '@laburnumstream/common';
-import { ChangeDating, FeedReaders, confirmedUntil } from '@laburnumstream/decisions';
-import type { WatchTimes } from '@laburnumstream/decisions';
+import { FeedReaders } from '@laburnumstream/decisions';
+import { DatedStore } from './datedStore.js';
 import { FeedSource } from './feedProtocol.js';
 import { FeedClient } from './feedClient.js';
 import type { RelayedChanges } from './feedClient.js';
@@ -33,9 +34,6 @@
 /** Offset of the port at which the feed is served from the first port of an instance. */
 const feedPortOffset = 1;
 
-/** Times of a call on the proof clock, in milliseconds. */
-type CallTimes = Pick<WatchTimes, 'calledAt' | 'receivedAt'>;
-
 /** Revision after which a read returns the whole content. */
 const wholeContent = 0;
 
@@ -47,7 +45,7 @@
  * The store's content for an entry: a few entries of each region read the store, the others read from
  * those. So a link between regions carries a few copies of each change, however many entries there are.
  */
-export class RegionalFeed implements StoreFeed {
+export class RegionalFeed implements DatedFeed {
   private readonly mirror = new StoreMirror();
 
   private readonly client = new FeedClient();
@@ -56,8 +54,7 @@
 
   private readonly readers: FeedReaders;
 
-  /** Dates changes that this entry reads from the store. */
-  private readonly dating: ChangeDating;
+  private readonly store: DatedStore;
 
   /** Revision of the registered entries that `readers` were selected from. */
   private readersRevision = -1;
@@ -77,7 +74,7 @@
   private silentSince: number | undefined;
 
   constructor(
-    private readonly store: StoreFeed,
+    store: StoreFeed,
     private readonly settings: FleetSettings,
     private readonly state: FleetState,
     private readonly proofClock: SleepAwareClock,
@@ -91,8 +88,7 @@
       () => this.source,
       log,
     );
-    // Others never learn the changes of the first snapshot by its date, as they need a snapshot too.
-    this.dating = new ChangeDating(proofClock.now(), 0);
+    this.store = new DatedStore(store, proofClock, settings.bounds);
     this.readers = new FeedReaders(settings.instance, new Set(settings.regions.values()).size);
     this.peers = new EntryPeers(settings, state);
   }
@@ -104,12 +100,14 @@
     return this.server.listen(host, firstPort + feedPortOffset, signal);
   }
 
-  async snapshot(prefix: string, signal?: AbortSignal): Promise<StoreSnapshot> {
-    const relayed = await this.readFromEntries(wholeContent, 0, signal);
+  async snapshot(prefix: string, signal?: AbortSignal): Promise<DatedSnapshot> {
+    const startedAt = this.proofClock.now();
+    const relayed = await this.readFromEntries(wholeContent, 0, startedAt, signal);
     if (relayed) return { ...relayed, values: relayed.changes.flatMap(toStoredValue) };
     return this.readStore(
+      startedAt,
       (onProgress) => this.store.snapshot(prefix, signal, onProgress),
-      (content, times) => this.applySnapshot(content, times),
+      (content, changedAt) => this.mirror.applySnapshot(content, changedAt),
       signal,
     );
   }
@@ -119,43 +117,22 @@
     after: number,
     waitMs: number,
     signal?: AbortSignal,
-  ): Promise<StoreChanges> {
+  ): Promise<DatedChanges> {
     const startedAt = this.proofClock.now();
     const isReader = this.pickSource() === undefined;
-    const relayed = await this.readFromEntries(after, Math.min(waitMs, entryWaitMs), signal);
+    const entriesWaitMs = Math.min(waitMs, entryWaitMs);
+    const relayed = await this.readFromEntries(after, entriesWaitMs, startedAt, signal);
     if (relayed) return relayed;
     const maxWaitMs = isReader ? this.getReaderWaitMs(waitMs) : fallbackWaitMs;
     const storeWaitMs = Math.min(waitMs, maxWaitMs);
     return this.readStore(
+      startedAt,
       (onProgress) => this.store.changes(prefix, after, storeWaitMs, signal, onProgress),
-      (content, times) => this.applyChanges(content, { ...times, waitMs: storeWaitMs }, startedAt),
+      (content, changedAt) => this.mirror.applyChanges(content, changedAt),
       signal,
     );
   }
 
-  /** Applies a response of the store to the mirror; returns it with the age of its changes at `startedAt`. */
-  private applyChanges(
-    content: StoreChanges,
-    times: Omit<WatchTimes, 'isUnchanged'>,
-    startedAt: number,
-  ): StoreChanges {
-    const changedAt = this.dating.dateChanges(times.receivedAt);
-    const isUnchanged = content.changes.length === 0;
-    this.mirror.applyChanges(content, changedAt);
-    this.dating.recordResponse(confirmedUntil({ ...times, isUnchanged }));
-    const provenance = { proofAgeMs: 0, changeAgeMs: startedAt - changedAt, outage: undefined };
-    return { ...content, provenance };
-  }
-
-  private applySnapshot(
-    content: StoreSnapshot,
-    { calledAt, receivedAt }: CallTimes,
-  ): StoreSnapshot {
-    this.mirror.applySnapshot(content, this.dating.dateChanges(receivedAt));
-    this.dating.recordResponse(calledAt);
-    return content;
-  }
-
   /** Time for which the store owes the next part of a response, in milliseconds. */
   private getSilenceMs(): number {
     return this.silentSince === undefined ? 0 : this.proofClock.now() - this.silentSince;
@@ -170,9 +147,9 @@
   private async readFromEntries(
     after: number,
     waitMs: number,
+    startedAt: number,
     signal?: AbortSignal,
   ): Promise<RelayedChanges | undefined> {
-    const startedAt = this.proofClock.now();
     let source = this.pickSource();
     let sourceWaitMs = waitMs;
     while (source !== undefined && this.proofClock.now() - startedAt < maxAttemptsMs) {
@@ -216,8 +193,9 @@
         (isOlder && after === wholeContent)
       )
         throw new OldProof(address, proofAgeMs);
+      const changedAt = this.dateRelayed(after, relayed, calledAt);
       this.applyRelayed(after, relayed, calledAt);
-      const changeAgeMs = relayed.provenance.changeAgeMs - (calledAt - startedAt);
+      const changeAgeMs = startedAt - changedAt;
       return { ...relayed, provenance: { ...relayed.provenance, changeAgeMs } };
     } catch (error) {
       if (signal?.aborted || error instanceof HistoryLost) throw error;
@@ -234,6 +212,15 @@
     return `${location.host}:${this.settings.firstPort + feedPortOffset}`;
   }
 
+  /**
+   * Returns the date of the oldest relayed change. A snapshot tells nothing of the changes before it, so that one is
+   * dated by what this entry has read before.
+   */
+  private dateRelayed(after: number, { provenance }: RelayedChanges, calledAt: number): number {
+    if (after === wholeContent) return this.store.dating.dateChanges(this.proofClock.now());
+    return calledAt - provenance.changeAgeMs;
+  }
+
   private applyRelayed(after: number, relayed: RelayedChanges, calledAt: number): void {
     const { changes, revision, provenance } = relayed;
     const now = this.proofClock.now();
@@ -245,15 +232,17 @@
       this.mirror.applyChanges(relayed, changedAt);
     }
     this.mirror.confirm(calledAt - provenance.proofAgeMs);
-    this.dating.recordResponse(calledAt - provenance.proofAgeMs);
+    this.store.dating.recordResponse(calledAt - provenance.proofAgeMs);
     const { outage } = provenance;
     if (outage) this.mirror.recordOutage(outage.durationMs, now - outage.endedMsAgo);
     this.handleResponse(FeedSource.entry, now);
   }
 
-  private async readStore<Content extends StoreSnapshot | StoreChanges>(
+  /** Reads from the store and passes the date of the oldest change to `apply`; the ages are those at `startedAt`. */
+  private async readStore<Content extends DatedSnapshot | DatedChanges>(
+    startedAt: number,
     read: (onProgress: () => void) => Promise<Content>,
-    apply: (content: Content, times: CallTimes) => Content,
+    apply: (content: Content, changedAt: number) => void,
     signal?: AbortSignal,
   ): Promise<Content> {
     const calledAt = this.proofClock.now();
@@ -264,18 +253,16 @@
       this.silentSince ??= calledAt;
       const content = await read(recordProgress);
       const now = this.proofClock.now();
-      const applied = apply(content, { calledAt, receivedAt: now });
+      const { provenance } = content;
+      const changedAt = calledAt - provenance.changeAgeMs;
+      apply(content, changedAt);
       this.mirror.confirm(calledAt);
       if (this.isStoreFailing) this.mirror.recordOutage(now - (this.respondedAt ?? now), now);
       this.handleResponse(FeedSource.store, now);
-      return applied;
+      return { ...content, provenance: { ...provenance, changeAgeMs: startedAt - changedAt } };
     } catch (error) {
-      if (signal?.aborted) {
-        this.silentSince = undefined;
-      } else {
-        this.isStoreFailing = true;
-        this.dating.recordFailure();
-      }
+      if (signal?.aborted) this.silentSince = undefined;
+      else this.isStoreFailing = true;
       throw error;
     }
   }
