--- a/packages/forwarding/src/endpointCall.ts
+++ b/packages/forwarding/src/endpointCall.ts
@@ -24,7 +24,10 @@
   oversized: 'oversized',
   /** This process aborted the call because the endpoint sent nothing for too long. */
   silent: 'silent',
-  /** This process withdrew the call, as it could no longer start in time on the endpoint's weights. */
+  /**
+   * This process withdrew the call, as it could no longer start in time: the endpoint's weights are outdated, or it
+   * drains, is evacuated or has left.
+   */
   expired: 'expired',
   /** This process aborted the call for another reason. */
   aborted: 'aborted',
--- a/packages/forwarding/src/endpointDirectory.ts
+++ b/packages/forwarding/src/endpointDirectory.ts
@@ -51,6 +51,7 @@
   /** What endpoints have said of themselves, also those that are not registered now. */
   readonly statements: EndpointStatements;
 
+  /** Until when requests that were sent to an endpoint may start there. */
   readonly startBounds: StartBounds;
 
   /** Health of endpoints that have left, by id: some come back and fail again. */
@@ -63,6 +64,7 @@
     private readonly metrics: Metrics,
     private readonly random: Random,
     private readonly entryCounts: EntryCounts,
+    /** Runs during a suspension too, as the time of a version does. */
     versionClock: Pick<Clock, 'now'>,
   ) {
     this.startBounds = new StartBounds(settings, state, clock, versionClock);
