Named versions keep the monotonic date beside the other one

AgentUpdates copied the date of the newest version to its own map to tell agents an age that a time of day set ahead does not change. FleetWatcher now hands over by how much its clock is ahead when it applies a change, and NamedVersions keeps both dates. Agents also get an earlier date of a version that is known already, which the copy missed.

--- a/features/steps/agentUpdates.steps.ts
+++ b/features/steps/agentUpdates.steps.ts
@@ -88,16 +88,7 @@
     const peers = new EntryPeers(settings, state);
     this.sent = [];
     const random = new SeededRandom(1);
-    this.updates = new AgentUpdates(
-      settings,
-      state,
-      directory,
-      peers,
-      datagrams,
-      clock,
-      clock,
-      random,
-    );
+    this.updates = new AgentUpdates(settings, state, directory, peers, datagrams, clock, random);
     await clock.runUntil(settings.bounds.versionMs * 2);
   },
 );
--- a/packages/decisions/src/forwarding/namedVersions.ts
+++ b/packages/decisions/src/forwarding/namedVersions.ts
@@ -1,20 +1,35 @@
-/** Weight versions of one model that operators named, with monotonic times in milliseconds. */
+/** When a version was named, in milliseconds. */
+export interface VersionDate {
+  /** Earliest time at which it may have been named. */
+  readonly at: number;
+  /** The same on the monotonic clock, while `at` may be on one that runs during suspensions. */
+  readonly monotonicAt: number;
+}
+
+/** Weight versions of one model that operators named, and when. */
 export class NamedVersions {
-  private readonly times = new Map<number, number>();
+  private readonly dates = new Map<number, VersionDate>();
 
   /** The newest version; 0 for none. */
   get newest(): number {
-    return Math.max(0, ...this.times.keys());
+    return Math.max(0, ...this.dates.keys());
   }
 
   /** Adds a version; of several times for one version the earliest counts. */
-  add(version: number, namedAt: number): void {
-    this.times.set(version, Math.min(this.times.get(version) ?? Infinity, namedAt));
+  add(version: number, at: number, monotonicAt = at): void {
+    const known = this.dates.get(version);
+    if (known && known.at <= at) return;
+    this.dates.set(version, { at, monotonicAt });
+  }
+
+  /** Returns when a version was named; undefined when the version is unknown. */
+  dateOf(version: number): VersionDate | undefined {
+    return this.dates.get(version);
   }
 
   /** Time at which a version was named; undefined when the version is unknown. */
   namedAt(version: number): number | undefined {
-    return this.times.get(version);
+    return this.dateOf(version)?.at;
   }
 
   /**
@@ -22,7 +37,7 @@
    * newer version counts, so that further ones don't extend the use of an outdated version.
    */
   outdatedAt(served: number): number {
-    const newer = [...this.times].filter(([version]) => version > served);
-    return Math.min(Infinity, ...newer.map(([, at]) => at));
+    const newer = [...this.dates].filter(([version]) => version > served);
+    return Math.min(Infinity, ...newer.map(([, { at }]) => at));
   }
 }
--- a/packages/forwarding/src/agentLinks.ts
+++ b/packages/forwarding/src/agentLinks.ts
@@ -42,7 +42,6 @@
     private readonly directory: EndpointDirectory,
     private readonly guard: CrashGuard,
     private readonly clock: Clock,
-    versionClock: Pick<Clock, 'now'>,
     private readonly random: Random,
     metrics: Metrics,
     private readonly log: Log,
@@ -65,7 +64,6 @@
       this.peers,
       this.datagrams,
       clock,
-      versionClock,
       random,
     );
     this.loadBroadcast = new LoadBroadcast(this.peers, directory, this.datagrams, clock);
--- a/packages/forwarding/src/agentUpdates.ts
+++ b/packages/forwarding/src/agentUpdates.ts
@@ -48,9 +48,6 @@
   /** Round in which each agent is due for its next regular update, by host. */
   private dueRounds = new Map<string, number>();
 
-  /** The newest version of each model, and the monotonic time at which it was named, in milliseconds. */
-  private readonly newest = new Map<string, { version: number; namedAt: number }>();
-
   /** Number of rounds of regular updates. */
   private round = 0;
 
@@ -61,7 +58,6 @@
     private readonly peers: EntryPeers,
     private readonly datagrams: Pick<FleetDatagrams, 'sendAll'>,
     private readonly clock: Clock,
-    private readonly versionClock: Pick<Clock, 'now'>,
     private readonly random: Random,
   ) {
     this.notifiers = new NotifierSelection(settings.instance);
@@ -189,13 +185,8 @@
    * that is set ahead here, which looks like a suspension, must not date it back.
    */
   private getNamedMsAgo(model: string, version: number): number {
-    const now = this.clock.now();
-    const known = this.newest.get(model);
-    if (known?.version === version) return now - known.namedAt;
-    const namedAt = this.state.namedVersions(model)?.namedAt(version) ?? 0;
-    const ageMs = this.versionClock.now() - namedAt;
-    this.newest.set(model, { version, namedAt: now - ageMs });
-    return ageMs;
+    const { monotonicAt = 0 } = this.state.namedVersions(model)?.dateOf(version) ?? {};
+    return this.clock.now() - monotonicAt;
   }
 
   private createWeightUpdate({ endpoint, profile }: EndpointHandle): WeightUpdate | undefined {
--- a/packages/forwarding/src/fleetState.ts
+++ b/packages/forwarding/src/fleetState.ts
@@ -5,22 +5,26 @@
 /** A change that concerns crashes of endpoints. */
 export type CrashChange = Extract<FleetChange, { kind: 'crashes' | 'conviction' }>;
 
+/** Times of a change on a clock that runs during suspensions, in milliseconds. */
+export interface ChangeTimes {
+  /** Earliest time at which it may have been made. */
+  readonly changedAt: number;
+  /** Earliest time at which changes that it has replaced may have been made. */
+  readonly unseenSince: number;
+  /** Advance of the clock over the monotonic one. */
+  readonly suspendedMs: number;
+}
+
 /** How each kind of change is applied. */
 type Handlers = {
   readonly [Kind in FleetChange['kind']]: (
     state: FleetState,
     change: Extract<FleetChange, { kind: Kind }>,
-    changedAt: number,
-    unseenSince: number,
+    times: ChangeTimes,
   ) => void;
 };
 
-type Handler = (
-  state: FleetState,
-  change: FleetChange,
-  changedAt: number,
-  unseenSince: number,
-) => void;
+type Handler = (state: FleetState, change: FleetChange, times: ChangeTimes) => void;
 
 const handlers: Handlers = {
   configuration: (state, { configuration }) =>
@@ -28,8 +32,7 @@
   endpoint: (state, { id, endpoint }) =>
     endpoint ? state.setEndpoint(endpoint) : state.removeEndpoint(id),
   evacuation: (state, { dataCentre, isActive }) => state.setEvacuation(dataCentre, isActive),
-  version: (state, { named }, changedAt, unseenSince) =>
-    state.addNamedVersion(named.model, named.version, changedAt, unseenSince),
+  version: (state, { named }, times) => state.addNamedVersion(named.model, named.version, times),
   entry: (state, { name, location }) => state.setEntry(name, location),
   crashes: (state, change) => state.applyCrashChange(change),
   conviction: (state, change) => state.setConviction(change),
@@ -116,13 +119,14 @@
     return new Map([...this.namedVersionsByModel].map(([model, { newest }]) => [model, newest]));
   }
 
-  /**
-   * Applies a change that was made at `changedAt` or later, in milliseconds. Changes that it has replaced may have
-   * been made since `unseenSince`.
-   */
-  apply(change: FleetChange, changedAt: number, unseenSince = changedAt): void {
+  /** Applies a change that was made at `changedAt` or later, in milliseconds. */
+  apply(
+    change: FleetChange,
+    changedAt: number,
+    { unseenSince = changedAt, suspendedMs = 0 }: Partial<ChangeTimes> = {},
+  ): void {
     const handler = handlers[change.kind] as Handler;
-    handler(this, change, changedAt, unseenSince);
+    handler(this, change, { changedAt, unseenSince, suspendedMs });
   }
 
   /** Applies several changes and calls `onChange` at most once, after the last one. */
@@ -206,13 +210,17 @@
     this.notifyChange();
   }
 
-  addNamedVersion(model: string, version: number, changedAt: number, unseenSince: number): void {
+  addNamedVersion(
+    model: string,
+    version: number,
+    { changedAt, unseenSince, suspendedMs }: ChangeTimes,
+  ): void {
     const named = this.namedVersionsByModel.get(model) ?? new NamedVersions();
     const isNewest = version > named.newest;
     // Versions between the known one and this one may have been named and replaced.
-    if (version - 1 > named.newest) named.add(version - 1, unseenSince);
+    if (version - 1 > named.newest) named.add(version - 1, unseenSince, unseenSince - suspendedMs);
     // An earlier date of a known version counts too.
-    named.add(version, changedAt);
+    named.add(version, changedAt, changedAt - suspendedMs);
     this.namedVersionsByModel.set(model, named);
     if (!isNewest) return;
     this.log.info('Version named.', { model, version });
--- a/packages/forwarding/src/fleetWatcher.ts
+++ b/packages/forwarding/src/fleetWatcher.ts
@@ -11,7 +11,7 @@
 } from '@laburnumstream/common';
 import { DeferredRemovals, changeBatchWindowMs } from '@laburnumstream/decisions';
 import type { FleetChange, FleetDecoder } from './fleetChange.js';
-import type { FleetState } from './fleetState.js';
+import type { ChangeTimes, FleetState } from './fleetState.js';
 import { StoreCall, StoreCallCounter } from './storeCallCounter.js';
 
 /** Timeout of a watch call, in milliseconds; its end proves that nothing has changed. */
@@ -249,17 +249,24 @@
   }
 
   private applyAll(changes: readonly DatedChange[], oldestAt: number): void {
-    this.state.applyBatch(() => changes.forEach((dated) => this.applyOrDefer(dated, oldestAt)));
+    const times = {
+      unseenSince: oldestAt,
+      suspendedMs: this.proofClock.now() - this.clock.now(),
+    };
+    this.state.applyBatch(() => changes.forEach((dated) => this.applyOrDefer(dated, times)));
   }
 
-  private applyOrDefer({ change, laterMs }: DatedChange, oldestAt: number): void {
+  private applyOrDefer(
+    { change, laterMs }: DatedChange,
+    times: Omit<ChangeTimes, 'changedAt'>,
+  ): void {
     const { key, isGone } = getRegistration(change);
     if (key && !isGone) this.deferredRemovals.cancel(key);
     if (key && isGone && this.deferredRemovals.defer(key, change, this.clock.now())) {
       this.log.info('Not registered; it may come back.', { key });
       return;
     }
-    this.state.apply(change, oldestAt + laterMs, oldestAt);
+    this.state.apply(change, times.unseenSince + laterMs, times);
   }
 
   private applyDueRemovals(): void {
--- a/packages/forwarding/src/forwardingEntry.ts
+++ b/packages/forwarding/src/forwardingEntry.ts
@@ -149,7 +149,6 @@
       this.directory,
       guard,
       clock,
-      proofClock,
       random,
       metrics,
       log('sidecars'),
