A mirror reads what a follower gets in one go

changesAfter and describe each looked for the oldest unseen batch, and the content and its age were taken at two moments. readAfter returns both; waits ask hasChangesAfter, which sorts nothing. Tests call readAfter with the same assertions.

--- a/features/steps/feedFailures.steps.ts
+++ b/features/steps/feedFailures.steps.ts
@@ -118,7 +118,7 @@
   /^a follower that calls at (\d+) ms learns a proof of (\d+) ms before its call$/,
   function proof(this: FeedWorld, calledAt: string, ageMs: string) {
     const now = Number(calledAt) + 500;
-    const { proofAgeMs } = this.mirror.describe(50, Number(calledAt), now);
+    const { proofAgeMs } = this.mirror.readAfter(50, Number(calledAt), now)!.provenance;
     assert.equal(proofAgeMs, Number(ageMs));
   },
 );
@@ -141,7 +141,7 @@
 Then(
   /^a follower of revision (\d+) learns of the removal$/,
   function learns(this: FeedWorld, revision: string) {
-    const changes = this.mirror.changesAfter(Number(revision));
+    const changes = this.mirror.readAfter(Number(revision), 0, 0)?.changes;
     assert.deepEqual(changes, [{ key: 'servers/e1', value: undefined, revision: 60 }]);
   },
 );
@@ -149,7 +149,7 @@
 Then(
   /^a follower of revision (\d+) has to take a snapshot, without the key$/,
   function snapshot(this: FeedWorld, revision: string) {
-    assert.equal(this.mirror.changesAfter(Number(revision)), undefined);
-    assert.deepEqual(this.mirror.changesAfter(0), []);
+    assert.equal(this.mirror.readAfter(Number(revision), 0, 0), undefined);
+    assert.deepEqual(this.mirror.readAfter(0, 0, 0)!.changes, []);
   },
 );
--- a/features/steps/feedReview.steps.ts
+++ b/features/steps/feedReview.steps.ts
@@ -84,7 +84,7 @@
     const { mirror } = this;
     const read = new Map<string, StoreChange>();
     const readAfter = (after: number): number => {
-      mirror.changesAfter(after)!.forEach((change) => read.set(change.key, change));
+      mirror.readAfter(after, 0, 0)!.changes.forEach((change) => read.set(change.key, change));
       return mirror.revision!;
     };
     const known = readAfter(0);
--- a/features/steps/versionDates.steps.ts
+++ b/features/steps/versionDates.steps.ts
@@ -109,15 +109,15 @@
     this.mirror = new StoreMirror();
     const { mirror } = this;
     mirror.applySnapshot({ values: [], revision: firstRevision }, 0);
-    const describe = (after: number) => mirror.describe(after, clock.now(), clock.now());
+    const read = (after: number) => mirror.readAfter(after, clock.now(), clock.now())!;
     const feed: DatedFeed = {
       snapshot: () =>
-        Promise.resolve({ values: [], revision: firstRevision, provenance: describe(0) }),
+        Promise.resolve({ values: [], revision: firstRevision, provenance: read(0).provenance }),
       changes: async (_prefix, after, waitMs, signal): Promise<DatedChanges> => {
         if (clock.now() < Number(ms)) throw new StoreUnavailable('The source does not respond.');
         const revision = mirror.revision!;
         if (after >= revision) await clock.sleep(waitMs, signal);
-        return { changes: mirror.changesAfter(after)!, revision, provenance: describe(after) };
+        return read(after);
       },
     };
     watch(this, feed, clock, createState());
--- a/packages/forwarding/src/feedServer.ts
+++ b/packages/forwarding/src/feedServer.ts
@@ -2,7 +2,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { promisify } from 'node:util';
 import { gzip } from 'node:zlib';
-import type { Log, SleepAwareClock, StoreChange } from '@laburnumstream/common';
+import type { DatedChanges, Log, SleepAwareClock } from '@laburnumstream/common';
 import { Notifier } from '@laburnumstream/runtime';
 import { FeedHeader, FeedStatus, feedPath } from './feedProtocol.js';
 import type { FeedBody, FeedSource } from './feedProtocol.js';
@@ -85,12 +85,12 @@
       return;
     }
     await this.waitForChange(after, waitMs, response);
-    const changes = this.mirror.changesAfter(after);
+    const content = this.mirror.readAfter(after, calledAt, this.proofClock.now());
     const isSilent = this.getSilenceMs() > maxSilenceMs;
     if (isSilent || this.mirror.revision === undefined)
       FeedServer.sendEmpty(response, FeedStatus.notReady);
-    else if (!changes) FeedServer.sendEmpty(response, FeedStatus.historyLost);
-    else await this.send(response, after, changes, calledAt);
+    else if (!content) FeedServer.sendEmpty(response, FeedStatus.historyLost);
+    else await this.send(response, after, content);
   }
 
   private async waitForChange(
@@ -99,8 +99,7 @@
     response: ServerResponse,
   ): Promise<void> {
     const { revision } = this.mirror;
-    if (revision === undefined || after === 0 || this.mirror.changesAfter(after)?.length !== 0)
-      return;
+    if (revision === undefined || after === 0 || this.mirror.hasChangesAfter(after)) return;
     const closed = new AbortController();
     response.once('close', () => closed.abort());
     const endAt = this.proofClock.now() + waitMs;
@@ -109,22 +108,16 @@
       const untilSilentMs = maxSilenceMs - this.getSilenceMs();
       if (untilSilentMs < 0) return;
       await this.changed.wait(Math.min(leftMs, untilSilentMs + 1), closed.signal);
-      if (this.mirror.changesAfter(after)?.length !== 0) return;
+      if (this.mirror.hasChangesAfter(after)) return;
     }
   }
 
   private async send(
     response: ServerResponse,
     after: number,
-    changes: readonly StoreChange[],
-    calledAt: number,
+    { changes, revision, provenance }: DatedChanges,
   ): Promise<void> {
-    const { revision = 0 } = this.mirror;
-    const { proofAgeMs, changeAgeMs, outage } = this.mirror.describe(
-      after,
-      calledAt,
-      this.proofClock.now(),
-    );
+    const { proofAgeMs, changeAgeMs, outage } = provenance;
     const { bytes, isCompressed } = await this.encode(after, { revision, changes });
     response.writeHead(FeedStatus.ok, {
       'content-length': bytes.length,
--- a/packages/forwarding/src/storeMirror.ts
+++ b/packages/forwarding/src/storeMirror.ts
@@ -1,5 +1,5 @@
 import type {
-  Provenance,
+  DatedChanges,
   StoreChange,
   StoreChanges,
   StoreOutage,
@@ -90,24 +90,33 @@
     this.outage = { durationMs, endedAt };
   }
 
-  /** Returns the values and removals after a revision; undefined if some may have been forgotten. */
-  changesAfter(revision: number): readonly StoreChange[] | undefined {
-    if (revision !== 0 && revision < this.forgottenRevision) return undefined;
+  /** Whether there are values or removals after a revision, or some may have been forgotten. */
+  hasChangesAfter(revision: number): boolean {
+    return this.hasForgotten(revision) || this.selectAfter(revision).length > 0;
+  }
+
+  /**
+   * Returns the values and removals after a revision for a follower that called at `calledAt`; undefined if some may
+   * have been forgotten.
+   */
+  readAfter(revision: number, calledAt: number, now: number): DatedChanges | undefined {
+    if (this.hasForgotten(revision)) return undefined;
     const oldestAt = this.oldestAfter(revision);
-    return this.selectAfter(revision)
+    const changes = this.selectAfter(revision)
       .map(({ changedAt, ...change }) =>
         changedAt > oldestAt ? { ...change, laterMs: changedAt - oldestAt } : change,
       )
       .sort((a, b) => a.revision - b.revision);
-  }
-
-  /** Describes the changes after a revision to a follower that called at `calledAt`. */
-  describe(after: number, calledAt: number, now: number): Provenance {
-    return {
+    const provenance = {
       proofAgeMs: Math.max(0, calledAt - this.confirmedAt),
-      changeAgeMs: calledAt - Math.min(now, this.oldestAfter(after)),
+      changeAgeMs: calledAt - Math.min(now, oldestAt),
       outage: this.describeOutage(now),
     };
+    return { changes, revision: this.revisionKnown ?? 0, provenance };
+  }
+
+  private hasForgotten(revision: number): boolean {
+    return revision !== 0 && revision < this.forgottenRevision;
   }
 
   private describeOutage(now: number): StoreOutage | undefined {
