Agents prefer the dates of versions that entries know over those they guess

It told agents this guess as it told a date it knows, and agents keep the earliest date of all entries: after the start of an entry 0.2 s after a version was named, all engines switched early (service only).

Each date now says which part of its age is a guess: the lookback of a new process, and the second that is assumed after an outage. It goes with the content (Provenance.unseenMs, also from entry to entry) and to agents (WeightNews.unseen_ms, beside named_ms_ago, which is without it). Agents take the earliest proven date and a guess only while nothing is proven. An entry acts on its own guess as before. A proven date is the last confirmation without the version, so it is never late. An agent of before reads the age without its guess, until its other entries tell it more; an entry of before counts as proven, as now.

'date of a version' has 4 examples: 2 fail if agents take the earliest of all, 1 fails if they leave the guess out.

Tests that make provenances or dates of a mirror by hand name unseenMs: 0.

--- a/features/reviewedBounds.feature
+++ b/features/reviewedBounds.feature
@@ -39,6 +39,20 @@
     And an agent that gets the updates of the entry
     When version 2 is named and another entry starts 200 ms after
     Then the agent is told that version 2 was named at most 1700 ms before it was
+    And the agent takes version 1 for outdated from at most 1700 ms before it was, and not later
+
+  # Guards against agents that act on what an entry guesses though others know it, or on no date at all.
+  Scenario Outline: date of a version from entries that <know>
+    Given an agent beside an engine on version 1
+    When entries tell it that version 2 was named <dates> ms ago, the guessed part after a plus
+    Then the agent takes version 1 for outdated since <ms> ms
+
+    Examples:
+      | know             | dates               | ms   |
+      | all know it      | 1200, 1000          | 1200 |
+      | guess or know it | 1000+5500, 1200     | 1200 |
+      | know or guess it | 1200, 1000+5500     | 1200 |
+      | all guess it     | 100+5500, 1000+5500 | 6500 |
 
   # Guards against an endpoint that rests although it is sound, as this entry itself has held requests back.
   Scenario: requests that are not sent as the version of their engine is over
--- a/features/steps/feedFailures.steps.ts
+++ b/features/steps/feedFailures.steps.ts
@@ -109,7 +109,7 @@
   /^a mirror that the store confirmed in a call at (\d+) ms$/,
   function confirmed(this: FeedWorld, at: string) {
     this.mirror = new StoreMirror();
-    this.mirror.applySnapshot({ values: [], revision: 50 }, 0);
+    this.mirror.applySnapshot({ values: [], revision: 50 }, { changedAt: 0, unseenMs: 0 });
     this.mirror.confirm(Number(at));
   },
 );
@@ -128,14 +128,17 @@
   function took(this: FeedWorld, revision: string) {
     this.mirror = new StoreMirror();
     const values = [{ key: 'servers/e1', value: '{}', revision: 30 }];
-    this.mirror.applySnapshot({ values, revision: Number(revision) }, 0);
+    this.mirror.applySnapshot(
+      { values, revision: Number(revision) },
+      { changedAt: 0, unseenMs: 0 },
+    );
   },
 );
 
 When(/^a key is removed at revision (\d+)$/, function remove(this: FeedWorld, at: string) {
   const revision = Number(at);
   const changes = [{ key: 'servers/e1', value: undefined, revision }];
-  this.mirror.applyChanges({ changes, revision }, 0);
+  this.mirror.applyChanges({ changes, revision }, { changedAt: 0, unseenMs: 0 });
 });
 
 Then(
--- a/features/steps/feedReview.steps.ts
+++ b/features/steps/feedReview.steps.ts
@@ -68,14 +68,14 @@
     this.mirror = new StoreMirror();
     this.mirror.applySnapshot(
       { values: [createConfigurationChange(Number(revision))], revision: Number(revision) },
-      0,
+      { changedAt: 0, unseenMs: 0 },
     );
   },
 );
 
 When('it gets a snapshot of revision 10', function regress(this: FeedReviewWorld) {
   const values = [createConfigurationChange(firstRevision)];
-  this.mirror.applySnapshot({ values, revision: firstRevision }, 0);
+  this.mirror.applySnapshot({ values, revision: firstRevision }, { changedAt: 0, unseenMs: 0 });
 });
 
 Then(
@@ -89,7 +89,7 @@
     };
     const known = readAfter(0);
     const changes = [createConfigurationChange(lastRevision)];
-    mirror.applyChanges({ changes, revision: lastRevision }, 0);
+    mirror.applyChanges({ changes, revision: lastRevision }, { changedAt: 0, unseenMs: 0 });
     readAfter(known);
     assert.equal(read.get('op/config')?.revision, lastRevision);
   },
--- a/features/steps/reviewedBounds.steps.ts
+++ b/features/steps/reviewedBounds.steps.ts
@@ -7,8 +7,9 @@
 import type { EndpointHandle } from '@laburnumstream/forwarding';
 import { FleetDatagrams } from '@laburnumstream/links';
 import { storeCodec } from '@laburnumstream/platform';
+import type { FleetNews } from '@laburnumstream/protocol';
 import { HistogramMetrics, SystemClock, readChart } from '@laburnumstream/runtime';
-import { Sidecar } from '@laburnumstream/sidecar';
+import { FleetView, Sidecar } from '@laburnumstream/sidecar';
 import { VirtualClock } from '@laburnumstream/standins';
 import { eventually } from '../support/assertions.js';
 import { FaultyPieceOrigin } from '../support/faultyPieceOrigin.js';
@@ -32,6 +33,8 @@
   sendUpdate: () => void;
   /** Age of version 2 as an agent was told, less its real one, in milliseconds. */
   addedAges: number[];
+  /** What an agent knows of the fleet. */
+  agentView: FleetView;
   placedFleet: LargeFleet;
   placedHandle: EndpointHandle;
   feedClock: VirtualClock;
@@ -165,8 +168,10 @@
   const { platform } = this.versionFleet;
   this.reviewAbort = new AbortController();
   this.addedAges = [];
+  this.agentView = new FleetView(otherAgentHost, 'a', new Map(), new SystemClock(), noopLog);
   const handlers = {
-    fleet: ({ weights }: { weights?: { version: number; namedMsAgo: number } }): void => {
+    fleet: ({ weights }: FleetNews): void => {
+      if (weights) this.agentView.update(weights);
       if (weights?.version !== 2) return;
       const ageMs = performance.now() - this.versionFleet.namedAt;
       this.addedAges.push(Math.round(weights.namedMsAgo - ageMs));
@@ -222,6 +227,16 @@
   },
 );
 
+Then(
+  /^the agent takes version 1 for outdated from at most (\d+) ms before it was, and not later$/,
+  function act(this: ReviewWorld, most: string) {
+    const ageMs = performance.now() - this.versionFleet.namedAt;
+    const addedMs = Math.round(this.agentView.outdatedMs(1) - ageMs);
+    this.log(`${addedMs} ms before it was`);
+    assert.ok(addedMs >= 0 && addedMs <= Number(most), `${addedMs} ms before it was`);
+  },
+);
+
 When(
   /^version 2 is named, (\d+) requests are placed (\d+) ms after and the entry stands still for (\d+) ms$/,
   { timeout: 20_000 },
@@ -310,7 +325,7 @@
         Promise.resolve({
           values,
           revision,
-          provenance: { proofAgeMs: 0, changeAgeMs: 0, outage: undefined },
+          provenance: { proofAgeMs: 0, changeAgeMs: 0, unseenMs: 0, outage: undefined },
         }),
       changes: async (_prefix, after, waitMs, signal): Promise<DatedChanges> => {
         if (!isRemoved || after > revision) await clock.sleep(Math.min(waitMs, 500), signal);
@@ -318,7 +333,7 @@
           outageEndedAt === undefined
             ? undefined
             : { durationMs: 4_000, endedMsAgo: clock.now() - outageEndedAt };
-        const provenance = { proofAgeMs: 0, changeAgeMs: 0, outage };
+        const provenance = { proofAgeMs: 0, changeAgeMs: 0, unseenMs: 0, outage };
         if (!isRemoved || after > revision) return { changes: [], revision: after, provenance };
         const changes = [{ key: 'servers/e0', value: undefined, revision: revision + 1 }];
         return { changes, revision: revision + 1, provenance };
--- a/features/steps/versionDates.steps.ts
+++ b/features/steps/versionDates.steps.ts
@@ -108,7 +108,7 @@
     const { dateClock: clock } = this;
     this.mirror = new StoreMirror();
     const { mirror } = this;
-    mirror.applySnapshot({ values: [], revision: firstRevision }, 0);
+    mirror.applySnapshot({ values: [], revision: firstRevision }, { changedAt: 0, unseenMs: 0 });
     const read = (after: number) => mirror.readAfter(after, clock.now(), clock.now())!;
     const feed: DatedFeed = {
       snapshot: () =>
@@ -131,7 +131,10 @@
     for (const [index, time] of [Number(first), Number(second)].entries()) {
       await this.dateClock.runUntil(time);
       const change = createVersionChange(index + 2);
-      this.mirror.applyChanges({ changes: [change], revision: change.revision }, time);
+      this.mirror.applyChanges(
+        { changes: [change], revision: change.revision },
+        { changedAt: time, unseenMs: 0 },
+      );
       this.mirror.confirm(time);
     }
     await this.dateClock.runUntil(observedMs);
--- a/packages/common/src/services.ts
+++ b/packages/common/src/services.ts
@@ -243,6 +243,8 @@
    * milliseconds; negative after the call. Of several changes of a key the content has the last one only.
    */
   readonly changeAgeMs: number;
+  /** Part of that age for which it is a guess that no change had been made before, in milliseconds; 0 if it is proven. */
+  readonly unseenMs: number;
   /** The last outage that another process which passes the content on has seen. */
   readonly outage: StoreOutage | undefined;
 }
--- a/packages/decisions/src/forwarding/changeDating.ts
+++ b/packages/decisions/src/forwarding/changeDating.ts
@@ -13,6 +13,14 @@
   readonly isUnchanged: boolean;
 }
 
+/** When changes were made, in milliseconds of one clock. */
+export interface ChangeDate {
+  /** Earliest time at which they may have been made. */
+  readonly changedAt: number;
+  /** Time from then on for which it is a guess that they had not been made before; 0 if that is proven. */
+  readonly unseenMs: number;
+}
+
 /** Returns the time until which the response to a watch contains all changes. */
 export function confirmedUntil({ calledAt, receivedAt, waitMs, isUnchanged }: WatchTimes): number {
   const waitEndsAt = calledAt + waitMs;
@@ -43,12 +51,12 @@
    * Returns the date of changes in a response that is received at `now`. During an outage no entry learns of
    * changes, so the time to act on them counts from its end.
    */
-  dateChanges(now: number): number {
-    const isAfterOutage = this.failures >= minOutageFailures;
-    const knownAt = isAfterOutage
-      ? Math.max(this.confirmedAt, now - recoverySlackMs)
-      : this.confirmedAt;
-    return knownAt - this.lookbackMs;
+  dateChanges(now: number): ChangeDate {
+    const { confirmedAt, lookbackMs } = this;
+    const recoveredAt = this.failures >= minOutageFailures ? now - recoverySlackMs : -Infinity;
+    if (recoveredAt <= confirmedAt)
+      return { changedAt: confirmedAt - lookbackMs, unseenMs: lookbackMs };
+    return { changedAt: recoveredAt - lookbackMs, unseenMs: recoverySlackMs + lookbackMs };
   }
 
   /** Records a response that contains all changes until `at`. */
--- a/packages/forwarding/src/agentUpdates.ts
+++ b/packages/forwarding/src/agentUpdates.ts
@@ -26,6 +26,12 @@
   return endpoint.address.split(':')[0]!;
 }
 
+/** Longest possible time since the version of an update was named, in milliseconds; infinite without one. */
+function getAgeMs(update: WeightUpdate | undefined): number {
+  const { namedMsAgo = Infinity, unseenMs = 0 } = update ?? {};
+  return namedMsAgo + unseenMs;
+}
+
 /** Describes what agents act on in a weight update; the age of the version changes all the time. */
 function describe({ version, origin, members = [] }: WeightUpdate): string {
   const holders = members.map((member) => `${member.host} ${member.version}`);
@@ -70,9 +76,7 @@
   sendRegular(): void {
     this.round += 1;
     const { versionMs } = this.settings.bounds;
-    this.send(
-      (handle, weights) => this.isDue(handle) || (weights?.namedMsAgo ?? Infinity) <= versionMs,
-    );
+    this.send((handle, weights) => this.isDue(handle) || getAgeMs(weights) <= versionMs);
   }
 
   /** Sends updates after a change of the fleet: to new agents, and to others if their weights changed. */
@@ -156,7 +160,7 @@
     update: WeightUpdate | undefined,
   ): WeightUpdate | undefined {
     const { instance, bounds } = this.settings;
-    if (!isLocal && (update?.namedMsAgo ?? 0) > bounds.versionMs) return undefined;
+    if (!isLocal && update && getAgeMs(update) > bounds.versionMs) return undefined;
     // An entry that is not registered has no rank among the others.
     const isNotifier =
       (isLocal && !this.state.entryLocations.has(instance)) ||
@@ -181,12 +185,20 @@
   }
 
   /**
-   * Time since a version was named, in milliseconds. Agents use the earliest date of all entries, so a time of day
-   * that is set ahead here, which looks like a suspension, must not date it back.
+   * Returns how long ago a version was named. Agents use the earliest date that any entry knows, so a time of day
+   * that is set ahead here, which looks like a suspension, must not date it back, and a guess is told as one.
    */
-  private getNamedMsAgo(model: string, version: number): number {
-    const { monotonicAt = 0 } = this.state.namedVersions(model)?.dateOf(version) ?? {};
-    return this.clock.now() - monotonicAt;
+  private describeAge(
+    model: string,
+    version: number,
+  ): Pick<WeightUpdate, 'namedMsAgo' | 'unseenMs'> {
+    const date = this.state.namedVersions(model)?.dateOf(version);
+    const ageMs = this.clock.now() - (date?.monotonicAt ?? 0);
+    const unseenMs = Math.min(ageMs, date?.unseenMs ?? 0);
+    return {
+      namedMsAgo: toDatagramNumber(ageMs - unseenMs),
+      unseenMs: toDatagramNumber(unseenMs),
+    };
   }
 
   private createWeightUpdate({ endpoint, profile }: EndpointHandle): WeightUpdate | undefined {
@@ -199,7 +211,7 @@
     return {
       model: model.name,
       version,
-      namedMsAgo: toDatagramNumber(this.getNamedMsAgo(model.name, version)),
+      ...this.describeAge(model.name, version),
       origin: origin?.address ?? '',
       originDataCentre: origin?.dataCentre ?? '',
       originKbitPerS: toDatagramNumber((origin?.linkBitsPerSecond ?? 0) / kilobit),
--- a/packages/forwarding/src/datedStore.ts
+++ b/packages/forwarding/src/datedStore.ts
@@ -5,13 +5,19 @@
   DatedFeed,
   DatedSnapshot,
   FleetBounds,
+  Provenance,
   StoreFeed,
 } from '@laburnumstream/common';
 import { ChangeDating, confirmedUntil } from '@laburnumstream/decisions';
+import type { ChangeDate } from '@laburnumstream/decisions';
 
 /** Time for which a new process still uses versions older than the named ones, in milliseconds. */
 const restartGraceMs = 2_500;
 
+function describe({ changedAt, unseenMs }: ChangeDate, calledAt: number): Provenance {
+  return { proofAgeMs: 0, changeAgeMs: calledAt - changedAt, unseenMs, outage: undefined };
+}
+
 /** A store whose responses are dated by what it has confirmed before. */
 export class DatedStore implements DatedFeed {
   /** To be told of content that was read elsewhere, too. */
@@ -38,9 +44,9 @@
       () => this.store.snapshot(prefix, signal, onProgress),
       signal,
     );
-    const changedAt = this.dating.dateChanges(this.clock.now());
+    const date = this.dating.dateChanges(this.clock.now());
     this.dating.recordResponse(calledAt);
-    return { ...content, provenance: DatedStore.describe(calledAt - changedAt) };
+    return { ...content, provenance: describe(date, calledAt) };
   }
 
   async changes(
@@ -56,10 +62,10 @@
       signal,
     );
     const receivedAt = this.clock.now();
-    const changedAt = this.dating.dateChanges(receivedAt);
+    const date = this.dating.dateChanges(receivedAt);
     const isUnchanged = content.changes.length === 0;
     this.dating.recordResponse(confirmedUntil({ calledAt, receivedAt, waitMs, isUnchanged }));
-    return { ...content, provenance: DatedStore.describe(calledAt - changedAt) };
+    return { ...content, provenance: describe(date, calledAt) };
   }
 
   /** A lost history is a response, too. */
@@ -74,8 +80,4 @@
       throw error;
     }
   }
-
-  private static describe(changeAgeMs: number): DatedSnapshot['provenance'] {
-    return { proofAgeMs: 0, changeAgeMs, outage: undefined };
-  }
 }
--- a/packages/forwarding/src/feedClient.ts
+++ b/packages/forwarding/src/feedClient.ts
@@ -66,11 +66,12 @@
   const changeAgeMs = readTime(headers[FeedHeader.changeAge], -maxAgeMs);
   if (proofAgeMs === undefined || changeAgeMs === undefined)
     throw new InvalidInput('The feed does not tell its age.');
+  const unseenMs = readTime(headers[FeedHeader.unseen]) ?? 0;
   const durationMs = readTime(headers[FeedHeader.outage]);
   const endedMsAgo = readTime(headers[FeedHeader.outageEnded]);
   const hasOutage = durationMs !== undefined && endedMsAgo !== undefined;
   const outage = hasOutage ? { durationMs, endedMsAgo } : undefined;
-  return { proofAgeMs, changeAgeMs, outage };
+  return { proofAgeMs, changeAgeMs, unseenMs, outage };
 }
 
 async function parseBody({ headers, body }: TransferredResponse): Promise<unknown> {
--- a/packages/forwarding/src/feedProtocol.ts
+++ b/packages/forwarding/src/feedProtocol.ts
@@ -24,6 +24,8 @@
   source: 'laburnumstream-feed-source',
   proofAge: 'laburnumstream-feed-proof-age',
   changeAge: 'laburnumstream-feed-changed-before',
+  /** Absent if it is 0. */
+  unseen: 'laburnumstream-feed-unseen',
   outage: 'laburnumstream-feed-outage',
   outageEnded: 'laburnumstream-feed-outage-ended',
 } as const;
--- a/packages/forwarding/src/feedServer.ts
+++ b/packages/forwarding/src/feedServer.ts
@@ -117,13 +117,14 @@
     after: number,
     { changes, revision, provenance }: DatedChanges,
   ): Promise<void> {
-    const { proofAgeMs, changeAgeMs, outage } = provenance;
+    const { proofAgeMs, changeAgeMs, unseenMs, outage } = provenance;
     const { bytes, isCompressed } = await this.encode(after, { revision, changes });
     response.writeHead(FeedStatus.ok, {
       'content-length': bytes.length,
       [FeedHeader.source]: this.getSource(),
       [FeedHeader.proofAge]: Math.ceil(proofAgeMs),
       [FeedHeader.changeAge]: Math.ceil(changeAgeMs),
+      ...(unseenMs > 0 && { [FeedHeader.unseen]: Math.ceil(unseenMs) }),
       ...(outage && {
         [FeedHeader.outage]: Math.round(outage.durationMs),
         [FeedHeader.outageEnded]: Math.round(outage.endedMsAgo),
--- a/packages/forwarding/src/fleetState.ts
+++ b/packages/forwarding/src/fleetState.ts
@@ -13,6 +13,8 @@
   readonly unseenSince: number;
   /** Advance of the clock over the monotonic one. */
   readonly suspendedMs: number;
+  /** Time from `changedAt` on for which it is a guess that it had not been made before; 0 if that is proven. */
+  readonly unseenMs: number;
 }
 
 /** How each kind of change is applied. */
@@ -123,10 +125,10 @@
   apply(
     change: FleetChange,
     changedAt: number,
-    { unseenSince = changedAt, suspendedMs = 0 }: Partial<ChangeTimes> = {},
+    { unseenSince = changedAt, suspendedMs = 0, unseenMs = 0 }: Partial<ChangeTimes> = {},
   ): void {
     const handler = handlers[change.kind] as Handler;
-    handler(this, change, { changedAt, unseenSince, suspendedMs });
+    handler(this, change, { changedAt, unseenSince, suspendedMs, unseenMs });
   }
 
   /** Applies several changes and calls `onChange` at most once, after the last one. */
@@ -213,14 +215,16 @@
   addNamedVersion(
     model: string,
     version: number,
-    { changedAt, unseenSince, suspendedMs }: ChangeTimes,
+    { changedAt, unseenSince, suspendedMs, unseenMs }: ChangeTimes,
   ): void {
     const named = this.namedVersionsByModel.get(model) ?? new NamedVersions();
     const isNewest = version > named.newest;
+    const add = (added: number, at: number): void =>
+      named.add(added, at, { monotonicAt: at - suspendedMs, unseenMs });
     // Versions between the known one and this one may have been named and replaced.
-    if (version - 1 > named.newest) named.add(version - 1, unseenSince, unseenSince - suspendedMs);
+    if (version - 1 > named.newest) add(version - 1, unseenSince);
     // An earlier date of a known version counts too.
-    named.add(version, changedAt, changedAt - suspendedMs);
+    add(version, changedAt);
     this.namedVersionsByModel.set(model, named);
     if (!isNewest) return;
     this.log.info('Version named.', { model, version });
--- a/packages/forwarding/src/fleetWatcher.ts
+++ b/packages/forwarding/src/fleetWatcher.ts
@@ -177,7 +177,8 @@
     this.logVersions(changes, changedAt, { call: StoreCall.list, calledAt, provenance });
     this.recordResponse(provenance);
     const removals = this.state.getRemovals(changes.map(({ change }) => change));
-    this.applyAll([...removals.map((change) => ({ change, laterMs: 0 })), ...changes], changedAt);
+    const removed = removals.map((change) => ({ change, laterMs: 0 }));
+    this.applyAll([...removed, ...changes], changedAt, provenance);
     this.revision = revision;
     return provenance.proofAgeMs;
   }
@@ -198,7 +199,7 @@
     const changedAt = calledAt - provenance.changeAgeMs;
     this.logVersions(decoded, changedAt, { call: StoreCall.watch, calledAt, provenance });
     this.recordResponse(provenance);
-    this.applyAll(decoded, changedAt);
+    this.applyAll(decoded, changedAt, provenance);
     this.revision = Math.max(after, revision);
     this.isPauseDue = changes.length > 0;
     return provenance.proofAgeMs;
@@ -242,16 +243,22 @@
         callMs: Math.round(now - calledAt),
         lastResponseMsAgo: Math.round(monotonicNow - this.lastResponseAt),
         changeAgeMs: Math.round(provenance.changeAgeMs),
+        unseenMs: Math.round(provenance.unseenMs),
         isReachable: this.isReachable,
         suspendedMs: Math.round(now - monotonicNow),
       });
     });
   }
 
-  private applyAll(changes: readonly DatedChange[], oldestAt: number): void {
+  private applyAll(
+    changes: readonly DatedChange[],
+    oldestAt: number,
+    { unseenMs }: Provenance,
+  ): void {
     const times = {
       unseenSince: oldestAt,
       suspendedMs: this.proofClock.now() - this.clock.now(),
+      unseenMs,
     };
     this.state.applyBatch(() => changes.forEach((dated) => this.applyOrDefer(dated, times)));
   }
--- a/packages/forwarding/src/regionalFeed.ts
+++ b/packages/forwarding/src/regionalFeed.ts
@@ -6,12 +6,14 @@
   FleetSettings,
   Log,
   Metrics,
+  Provenance,
   SleepAwareClock,
   StoreChange,
   StoreFeed,
   StoredValue,
 } from '@laburnumstream/common';
 import { FeedReaders } from '@laburnumstream/decisions';
+import type { ChangeDate } from '@laburnumstream/decisions';
 import { DatedStore } from './datedStore.js';
 import { FeedSource } from './feedProtocol.js';
 import { FeedClient } from './feedClient.js';
@@ -41,6 +43,11 @@
   return value === undefined ? [] : [{ key, value, revision }];
 }
 
+/** Returns the date of the oldest change in a response to a call at `calledAt`. */
+function readDate({ changeAgeMs, unseenMs }: Provenance, calledAt: number): ChangeDate {
+  return { changedAt: calledAt - changeAgeMs, unseenMs };
+}
+
 /**
  * The store's content for an entry: a few entries of each region read the store, the others read from
  * those. So a link between regions carries a few copies of each change, however many entries there are.
@@ -107,7 +114,7 @@
     return this.readStore(
       startedAt,
       (onProgress) => this.store.snapshot(prefix, signal, onProgress),
-      (content, changedAt) => this.mirror.applySnapshot(content, changedAt),
+      (content, date) => this.mirror.applySnapshot(content, date),
       signal,
     );
   }
@@ -128,7 +135,7 @@
     return this.readStore(
       startedAt,
       (onProgress) => this.store.changes(prefix, after, storeWaitMs, signal, onProgress),
-      (content, changedAt) => this.mirror.applyChanges(content, changedAt),
+      (content, date) => this.mirror.applyChanges(content, date),
       signal,
     );
   }
@@ -193,10 +200,10 @@
         (isOlder && after === wholeContent)
       )
         throw new OldProof(address, proofAgeMs);
-      const changedAt = this.dateRelayed(after, relayed, calledAt);
+      const { changedAt, unseenMs } = this.dateRelayed(after, relayed, calledAt);
       this.applyRelayed(after, relayed, calledAt);
       const changeAgeMs = startedAt - changedAt;
-      return { ...relayed, provenance: { ...relayed.provenance, changeAgeMs } };
+      return { ...relayed, provenance: { ...relayed.provenance, changeAgeMs, unseenMs } };
     } catch (error) {
       if (signal?.aborted || error instanceof HistoryLost) throw error;
       this.readers.recordFailure(source, this.proofClock.now());
@@ -216,20 +223,20 @@
    * Returns the date of the oldest relayed change. A snapshot tells nothing of the changes before it, so that one is
    * dated by what this entry has read before.
    */
-  private dateRelayed(after: number, { provenance }: RelayedChanges, calledAt: number): number {
+  private dateRelayed(after: number, { provenance }: RelayedChanges, calledAt: number): ChangeDate {
     if (after === wholeContent) return this.store.dating.dateChanges(this.proofClock.now());
-    return calledAt - provenance.changeAgeMs;
+    return readDate(provenance, calledAt);
   }
 
   private applyRelayed(after: number, relayed: RelayedChanges, calledAt: number): void {
     const { changes, revision, provenance } = relayed;
     const now = this.proofClock.now();
-    const changedAt = calledAt - provenance.changeAgeMs;
+    const date = readDate(provenance, calledAt);
     if (after === wholeContent) {
       const values = changes.flatMap(toStoredValue);
-      this.mirror.applySnapshot({ values, revision }, changedAt);
+      this.mirror.applySnapshot({ values, revision }, date);
     } else {
-      this.mirror.applyChanges(relayed, changedAt);
+      this.mirror.applyChanges(relayed, date);
     }
     this.mirror.confirm(calledAt - provenance.proofAgeMs);
     this.store.dating.recordResponse(calledAt - provenance.proofAgeMs);
@@ -242,7 +249,7 @@
   private async readStore<Content extends DatedSnapshot | DatedChanges>(
     startedAt: number,
     read: (onProgress: () => void) => Promise<Content>,
-    apply: (content: Content, changedAt: number) => void,
+    apply: (content: Content, date: ChangeDate) => void,
     signal?: AbortSignal,
   ): Promise<Content> {
     const calledAt = this.proofClock.now();
@@ -254,12 +261,12 @@
       const content = await read(recordProgress);
       const now = this.proofClock.now();
       const { provenance } = content;
-      const changedAt = calledAt - provenance.changeAgeMs;
-      apply(content, changedAt);
+      const date = readDate(provenance, calledAt);
+      apply(content, date);
       this.mirror.confirm(calledAt);
       if (this.isStoreFailing) this.mirror.recordOutage(now - (this.respondedAt ?? now), now);
       this.handleResponse(FeedSource.store, now);
-      return { ...content, provenance: { ...provenance, changeAgeMs: startedAt - changedAt } };
+      return { ...content, provenance: { ...provenance, changeAgeMs: startedAt - date.changedAt } };
     } catch (error) {
       if (signal?.aborted) this.silentSince = undefined;
       else this.isStoreFailing = true;
--- a/packages/forwarding/src/storeMirror.ts
+++ b/packages/forwarding/src/storeMirror.ts
@@ -6,6 +6,8 @@
   StoreSnapshot,
 } from '@laburnumstream/common';
 
+import type { ChangeDate } from '@laburnumstream/decisions';
+
 /** Removed keys that are remembered; a follower from before the oldest one needs a snapshot. */
 const maxRemovals = 2_000;
 
@@ -18,12 +20,10 @@
   readonly changedAt: number;
 }
 
-/** Changes that became known together. */
-interface ChangeBatch {
+/** Changes that became known together, with their date on the mirror's clock. */
+interface ChangeBatch extends ChangeDate {
   /** Revision of the newest of them. */
   readonly revision: number;
-  /** Earliest time at which they may have been made, on the mirror's clock. */
-  readonly changedAt: number;
 }
 
 /** An outage of the store on the mirror's clock. */
@@ -58,25 +58,25 @@
   }
 
   /** Replaces the content. What was removed before is unknown, so followers need a snapshot too. */
-  applySnapshot({ values, revision }: StoreSnapshot, changedAt: number): void {
+  applySnapshot({ values, revision }: StoreSnapshot, date: ChangeDate): void {
     this.changesByKey = new Map();
     this.batches = [];
     this.forgottenRevision = revision;
     // What was confirmed before may be newer than the snapshot.
     if (revision < (this.revisionKnown ?? 0)) this.confirmedAt = -Infinity;
     this.revisionKnown = revision;
-    this.applyChanges({ changes: values, revision }, changedAt);
+    this.applyChanges({ changes: values, revision }, date);
   }
 
-  applyChanges({ changes, revision }: StoreChanges, changedAt: number): void {
+  applyChanges({ changes, revision }: StoreChanges, date: ChangeDate): void {
     changes.forEach(({ laterMs = 0, ...change }) => {
       const known = this.changesByKey.get(change.key);
       if (known && known.revision >= change.revision) return;
       this.changesByKey.delete(change.key);
-      this.changesByKey.set(change.key, { ...change, changedAt: changedAt + laterMs });
+      this.changesByKey.set(change.key, { ...change, changedAt: date.changedAt + laterMs });
     });
     this.revisionKnown = Math.max(this.revisionKnown ?? 0, revision);
-    this.recordBatch(changes, changedAt);
+    this.recordBatch(changes, date);
     this.forgetRemovals();
   }
 
@@ -101,7 +101,7 @@
    */
   readAfter(revision: number, calledAt: number, now: number): DatedChanges | undefined {
     if (this.hasForgotten(revision)) return undefined;
-    const oldestAt = this.oldestAfter(revision);
+    const { changedAt: oldestAt, unseenMs } = this.dateAfter(revision);
     const changes = this.selectAfter(revision)
       .map(({ changedAt, ...change }) =>
         changedAt > oldestAt ? { ...change, laterMs: changedAt - oldestAt } : change,
@@ -110,6 +110,7 @@
     const provenance = {
       proofAgeMs: Math.max(0, calledAt - this.confirmedAt),
       changeAgeMs: calledAt - Math.min(now, oldestAt),
+      unseenMs,
       outage: this.describeOutage(now),
     };
     return { changes, revision: this.revisionKnown ?? 0, provenance };
@@ -125,16 +126,22 @@
     return { durationMs, endedMsAgo: now - endedAt };
   }
 
-  /** Returns the date of the first change after a revision, also if a later one of its key has replaced it. */
-  private oldestAfter(revision: number): number {
+  /**
+   * Returns the date of the first change after a revision, also if a later one of its key has replaced it. It is a
+   * guess if that of any change is.
+   */
+  private dateAfter(revision: number): ChangeDate {
     const unseen = this.batches.filter((batch) => batch.revision > revision);
-    return Math.min(...unseen.map(({ changedAt }) => changedAt));
+    return {
+      changedAt: Math.min(...unseen.map(({ changedAt }) => changedAt)),
+      unseenMs: Math.max(0, ...unseen.map(({ unseenMs }) => unseenMs)),
+    };
   }
 
-  private recordBatch(changes: readonly StoreChange[], changedAt: number): void {
+  private recordBatch(changes: readonly StoreChange[], date: ChangeDate): void {
     const revision = Math.max(...changes.map((change) => change.revision));
     if (revision <= (this.batches.at(-1)?.revision ?? 0)) return;
-    this.batches.push({ revision, changedAt });
+    this.batches.push({ revision, ...date });
     if (this.batches.length <= maxBatches) return;
     const forgotten = this.batches.shift()!;
     this.forgottenRevision = Math.max(this.forgottenRevision, forgotten.revision);
--- a/packages/sidecar/src/fleetView.ts
+++ b/packages/sidecar/src/fleetView.ts
@@ -92,16 +92,13 @@
   update(announcement: WeightNews): boolean {
     if (announcement.version < this.version) return false;
     const previous = this.latest;
-    const namedAt = this.clock.now() - announcement.namedMsAgo;
-    if (this.namedVersions.namedAt(announcement.version) === undefined) {
-      this.log.info('Version wanted.', {
-        version: announcement.version,
-        namedMsAgo: announcement.namedMsAgo,
-      });
-    }
+    const { version, namedMsAgo, unseenMs } = announcement;
+    if (this.namedVersions.namedAt(version) === undefined)
+      this.log.info('Version wanted.', { version, namedMsAgo, unseenMs });
     // Entries disagree on the age of a version: the earliest time counts, as the first entry to learn
-    // of the version knows its age best.
-    this.namedVersions.add(announcement.version, namedAt);
+    // of the version knows its age best. One that has started since can only guess it.
+    const namedAt = this.clock.now() - namedMsAgo - unseenMs;
+    this.namedVersions.addReported(version, namedAt, unseenMs);
     this.latest = announcement;
     return (
       !previous ||
