--- a/features/steps/feedFailures.steps.ts
+++ b/features/steps/feedFailures.steps.ts
@@ -109,7 +109,7 @@
   /^a mirror that the store confirmed in a call at (\d+) ms$/,
   function confirmed(this: FeedWorld, at: string) {
     this.mirror = new StoreMirror();
-    this.mirror.applySnapshot({ values: [], revision: 50 }, 0);
+    this.mirror.applySnapshot({ values: [], revision: 50 }, { changedAt: 0, unseenMs: 0 });
     this.mirror.confirm(Number(at));
   },
 );
@@ -118,7 +118,7 @@
   /^a follower that calls at (\d+) ms learns a proof of (\d+) ms before its call$/,
   function proof(this: FeedWorld, calledAt: string, ageMs: string) {
     const now = Number(calledAt) + 500;
-    const { proofAgeMs } = this.mirror.describe(50, Number(calledAt), now);
+    const { proofAgeMs } = this.mirror.readAfter(50, Number(calledAt), now)!.provenance;
     assert.equal(proofAgeMs, Number(ageMs));
   },
 );
@@ -128,20 +128,23 @@
   function took(this: FeedWorld, revision: string) {
     this.mirror = new StoreMirror();
     const values = [{ key: 'servers/e1', value: '{}', revision: 30 }];
-    this.mirror.applySnapshot({ values, revision: Number(revision) }, 0);
+    this.mirror.applySnapshot(
+      { values, revision: Number(revision) },
+      { changedAt: 0, unseenMs: 0 },
+    );
   },
 );
 
 When(/^a key is removed at revision (\d+)$/, function remove(this: FeedWorld, at: string) {
   const revision = Number(at);
   const changes = [{ key: 'servers/e1', value: undefined, revision }];
-  this.mirror.applyChanges({ changes, revision }, 0);
+  this.mirror.applyChanges({ changes, revision }, { changedAt: 0, unseenMs: 0 });
 });
 
 Then(
   /^a follower of revision (\d+) learns of the removal$/,
   function learns(this: FeedWorld, revision: string) {
-    const changes = this.mirror.changesAfter(Number(revision));
+    const changes = this.mirror.readAfter(Number(revision), 0, 0)?.changes;
     assert.deepEqual(changes, [{ key: 'servers/e1', value: undefined, revision: 60 }]);
   },
 );
@@ -149,7 +152,7 @@
 Then(
   /^a follower of revision (\d+) has to take a snapshot, without the key$/,
   function snapshot(this: FeedWorld, revision: string) {
-    assert.equal(this.mirror.changesAfter(Number(revision)), undefined);
-    assert.deepEqual(this.mirror.changesAfter(0), []);
+    assert.equal(this.mirror.readAfter(Number(revision), 0, 0), undefined);
+    assert.deepEqual(this.mirror.readAfter(0, 0, 0)!.changes, []);
   },
 );
--- a/features/steps/feedReview.steps.ts
+++ b/features/steps/feedReview.steps.ts
@@ -3,7 +3,7 @@
 import { Given, Then, When } from '@cucumber/cucumber';
 import { SleepAwareClock, rendezvousOrder } from '@laburnumstream/common';
 import type { StoreChange, StoreChanges, StoreFeed, StoredValue } from '@laburnumstream/common';
-import { FleetState, FleetWatcher, StoreMirror } from '@laburnumstream/forwarding';
+import { DatedStore, FleetState, FleetWatcher, StoreMirror } from '@laburnumstream/forwarding';
 import { storeCodec } from '@laburnumstream/platform';
 import { HistogramMetrics } from '@laburnumstream/runtime';
 import { VirtualClock } from '@laburnumstream/standins';
@@ -68,14 +68,14 @@
     this.mirror = new StoreMirror();
     this.mirror.applySnapshot(
       { values: [createConfigurationChange(Number(revision))], revision: Number(revision) },
-      0,
+      { changedAt: 0, unseenMs: 0 },
     );
   },
 );
 
 When('it gets a snapshot of revision 10', function regress(this: FeedReviewWorld) {
   const values = [createConfigurationChange(firstRevision)];
-  this.mirror.applySnapshot({ values, revision: firstRevision }, 0);
+  this.mirror.applySnapshot({ values, revision: firstRevision }, { changedAt: 0, unseenMs: 0 });
 });
 
 Then(
@@ -84,12 +84,12 @@
     const { mirror } = this;
     const read = new Map<string, StoreChange>();
     const readAfter = (after: number): number => {
-      mirror.changesAfter(after)!.forEach((change) => read.set(change.key, change));
+      mirror.readAfter(after, 0, 0)!.changes.forEach((change) => read.set(change.key, change));
       return mirror.revision!;
     };
     const known = readAfter(0);
     const changes = [createConfigurationChange(lastRevision)];
-    mirror.applyChanges({ changes, revision: lastRevision }, 0);
+    mirror.applyChanges({ changes, revision: lastRevision }, { changedAt: 0, unseenMs: 0 });
     readAfter(known);
     assert.equal(read.get('op/config')?.revision, lastRevision);
   },
@@ -147,12 +147,13 @@
   const log = { debug: ignore, info: ignore, warn: ignore, error: ignore };
   const metrics = new HistogramMetrics();
   this.state = new FleetState(metrics, log, ignore);
+  const proofClock = new SleepAwareClock(clock);
   const watcher = new FleetWatcher(
-    this.store,
+    new DatedStore(this.store, proofClock, platformBounds),
     storeCodec,
     this.state,
     { confirm: ignore },
-    new SleepAwareClock(clock),
+    proofClock,
     clock,
     metrics,
     log,
--- a/packages/forwarding/src/feedClient.ts
+++ b/packages/forwarding/src/feedClient.ts
@@ -1,7 +1,7 @@
 import { promisify } from 'node:util';
 import { gunzip } from 'node:zlib';
 import { HistoryLost, InvalidInput, Unavailable } from '@laburnumstream/common';
-import type { Provenance, StoreChange, StoreChanges } from '@laburnumstream/common';
+import type { DatedChanges, Provenance, StoreChange } from '@laburnumstream/common';
 import { createConnector } from '@laburnumstream/runtime';
 import { Client } from 'undici';
 import { FeedHeader, FeedSource, FeedStatus, feedPath } from './feedProtocol.js';
@@ -25,8 +25,7 @@
 const retryDelayMs = 1_000;
 
 /** Changes as passed on by another entry. */
-export interface RelayedChanges extends StoreChanges {
-  readonly provenance: Provenance;
+export interface RelayedChanges extends DatedChanges {
   /** Whether the other entry reads the store itself. */
   readonly isFromReader: boolean;
 }
@@ -67,11 +66,12 @@
   const changeAgeMs = readTime(headers[FeedHeader.changeAge], -maxAgeMs);
   if (proofAgeMs === undefined || changeAgeMs === undefined)
     throw new InvalidInput('The feed does not tell its age.');
+  const unseenMs = readTime(headers[FeedHeader.unseen]) ?? 0;
   const durationMs = readTime(headers[FeedHeader.outage]);
   const endedMsAgo = readTime(headers[FeedHeader.outageEnded]);
   const hasOutage = durationMs !== undefined && endedMsAgo !== undefined;
   const outage = hasOutage ? { durationMs, endedMsAgo } : undefined;
-  return { proofAgeMs, changeAgeMs, outage };
+  return { proofAgeMs, changeAgeMs, unseenMs, outage };
 }
 
 async function parseBody({ headers, body }: TransferredResponse): Promise<unknown> {
