--- a/features/begunStreams.feature
+++ b/features/begunStreams.feature
@@ -24,6 +24,18 @@
       | its route is taken away                       |
       | the configuration gets another version        |
 
+  # Guards against begun streams that wait until their deadline beside endpoints that would take them.
+  Scenario Outline: streams that are broken off while endpoints are full in turn
+    When one stream in 6 is broken off while <state>
+    Then 0.97 of them are whole
+    And no event is missing or comes twice
+    And the repeats keep the retry budget
+
+    Examples:
+      | state                                          |
+      | each of 6 endpoints is full for 700 ms of 1050 |
+      | all of 6 endpoints are full for 450 ms of 2500 |
+
   # Guards against a begun stream that is given up although its caller still waits.
   Scenario: begun stream that waits as long as its caller
     Given an entry and 3 endpoints
--- a/features/steps/begunStreams.steps.ts
+++ b/features/steps/begunStreams.steps.ts
@@ -6,6 +6,13 @@
 import { BegunFleet, breakOff, eventCount } from '../support/begunFleet.js';
 import type { Arrival } from '../support/begunFleet.js';
 import { begunTroubles } from '../support/begunTroubles.js';
+import {
+  fullEndpoints,
+  fullOptions,
+  fullPeriods,
+  sendThroughPeriods,
+  streamDeadlineMs,
+} from '../support/fullPeriods.js';
 import { sumMetric } from '../support/metricsText.js';
 import { deadlineMs } from '../support/platformCaller.js';
 import type { CallerResponse } from '../support/platformCaller.js';
@@ -81,11 +88,39 @@
   },
 );
 
-Then('its caller gets all events once each', function whole(this: BegunWorld) {
-  const wholeCount = this.streams.filter((stream) => {
+When(
+  /^one stream in 6 is broken off while (.+)$/,
+  { timeout: 90_000 },
+  async function send(this: BegunWorld, name: string) {
+    this.begunFleet = await BegunFleet.start(fullEndpoints, fullOptions);
+    const { begunFleet: fleet } = this;
+    fleet.configure({ TimeoutMs: streamDeadlineMs });
+    const entries = await fleet.startTwoEntries();
+    this.streams = await sendThroughPeriods(fleet, entries, fullPeriods[name]!);
+  },
+);
+
+/** Number of streams of which each event has come once. */
+function countWhole(streams: readonly CallerResponse[]): number {
+  return streams.filter((stream) => {
     const ids = eventIds(stream);
     return stream.isWhole && ids.length === eventCount && isInOrder(ids);
   }).length;
+}
+
+Then(/^(\d\.\d+) of them are whole$/, function mostWhole(this: BegunWorld, least: string) {
+  const wholeCount = countWhole(this.streams);
+  const { arrivals } = this.begunFleet;
+  const repeats = arrivals.filter(
+    (arrival, index) => index !== indexOfFirst(arrivals, arrival),
+  ).length;
+  const seen = `${wholeCount} of ${this.streams.length} streams whole, ${repeats} repeats; ${describeCuts(this)}`;
+  this.log(seen);
+  assert.ok(wholeCount >= Number(least) * this.streams.length, seen);
+});
+
+Then('its caller gets all events once each', function whole(this: BegunWorld) {
+  const wholeCount = countWhole(this.streams);
   const seen = `${wholeCount} of ${this.streams.length} streams whole; ${describeCuts(this)}`;
   this.log(seen);
   assert.equal(wholeCount, this.streams.length, seen);
--- a/features/support/begunFleet.ts
+++ b/features/support/begunFleet.ts
@@ -1,7 +1,7 @@
 import { once } from 'node:events';
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { setTimeout as sleep } from 'node:timers/promises';
-import type { FleetBounds } from '@laburnumstream/common';
+import type { FleetBounds, ForwarderSettings } from '@laburnumstream/common';
 import type { ForwardingEntry } from '@laburnumstream/forwarding';
 import { FleetDatagrams } from '@laburnumstream/links';
 import { HistogramMetrics, SystemClock } from '@laburnumstream/runtime';
@@ -11,6 +11,7 @@
 import { sendRequest } from './platformCaller.js';
 import type { CallerResponse } from './platformCaller.js';
 import { PlatformFleet, createConfiguration } from './platformFleet.js';
+import { createOtherEntry, createOtherSettings } from './reviewedFleet.js';
 
 /** Events of a stream, and the last one before it is broken off. */
 export const eventCount = 12;
@@ -20,6 +21,8 @@
 const longEventIntervalMs = 60;
 /** Window of the retry budget in this test, in milliseconds: after it an entry knows that it is alone. */
 const retryWindowMs = 1_000;
+/** Time after a window within which an entry knows the number of entries, in milliseconds. */
+const budgetNoticeMs = 10_000;
 /** Part of the retry budget that an entry uses for retries after failures. */
 const usedShare = 0.8;
 /** Address of the agents in this test. */
@@ -71,8 +74,13 @@
   /** Called for each stream that arrives again. */
   resume: Interruption = async () => undefined;
 
+  /** Whether an endpoint turns a request away. */
+  refuses: (endpoint: BegunEndpoint, request: IncomingMessage) => boolean = ({ isFull }) => isFull;
+
   private readonly agentAbort = new AbortController();
 
+  private readonly otherAbort = new AbortController();
+
   private agent: FleetDatagrams | undefined;
 
   private version = 1;
@@ -99,25 +107,37 @@
     return fleet;
   }
 
-  /** Starts the entry and waits until it knows all endpoints. */
-  async startEntry(): Promise<ForwardingEntry> {
+  /** Starts the entry and waits until it knows all endpoints, and the number of entries. */
+  async startEntry(entries = 1): Promise<ForwardingEntry> {
     const entry = await this.platform.startEntry();
     await eventually(
       () => this.countLines('fleet: Endpoint registered.') === this.endpoints.length,
       'all endpoints are registered',
     );
-    await this.waitForBudget();
+    await this.waitForBudget(entries);
     return entry;
   }
 
-  /** Waits until the entry knows that it is alone, and so may use the whole retry budget. */
-  private async waitForBudget(): Promise<void> {
+  /** Starts the entry and another one; returns the settings of both when they know of each other. */
+  async startTwoEntries(): Promise<ForwarderSettings[]> {
+    const { platform, otherAbort } = this;
+    const settings = await createOtherSettings(platform);
+    const other = await createOtherEntry(platform, settings);
+    // It starts first: the last one to start is also the last one to know the number of entries.
+    await other.start(otherAbort.signal);
+    await this.startEntry(2);
+    return [platform.settings, settings];
+  }
+
+  /** Waits until the entry knows the number of entries, and so may use its whole share of the retry budget. */
+  private async waitForBudget(entries: number): Promise<void> {
     const { metrics, settings } = this.platform;
-    const least = settings.bounds.retrySlack * usedShare;
+    const least = (settings.bounds.retrySlack / entries) * usedShare;
     await eventually(async () => (await this.sendPlain()).status === 200, 'a request is answered');
     await eventually(
       () => sumMetric(metrics, 'retry_budget_allowed', { service: 'desk' }) >= least,
-      'the entry may use the whole retry budget',
+      'the entry may use its whole share of the retry budget',
+      settings.bounds.retryWindowMs + budgetNoticeMs,
     );
     this.arrivals.splice(0);
   }
@@ -210,6 +230,7 @@
 
   async close(): Promise<void> {
     this.agentAbort.abort();
+    this.otherAbort.abort();
     this.endpoints.forEach(({ engine }) => engine.close());
     await this.platform.close();
   }
@@ -230,7 +251,8 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
-    const { engine, index, isFull } = endpoint;
+    const { engine, index } = endpoint;
+    const isFull = this.refuses(endpoint, request);
     const id = String(request.headers['laburnumstream-request-id']);
     this.arrivals.push({ at: performance.now(), id, endpoint: index, isRun: !isFull });
     if (isFull) Behaviours.refuses(request, response);
--- a/features/support/reviewedFleet.ts
+++ b/features/support/reviewedFleet.ts
@@ -2,6 +2,7 @@
 import type { ClientRequest } from 'node:http';
 import { freePorts } from '@laburnumstream/bench';
 import { SeededRandom } from '@laburnumstream/common';
+import type { ForwarderSettings } from '@laburnumstream/common';
 import { ForwardingEntry } from '@laburnumstream/forwarding';
 import { StoreClient, platformHeaders, storeCodec } from '@laburnumstream/platform';
 import { HistogramMetrics, SystemClock } from '@laburnumstream/runtime';
@@ -11,22 +12,28 @@
 import type { PlatformFleet } from './platformFleet.js';
 import type { VersionFleet } from './versionFleet.js';
 
-/** Creates another entry of a fleet, with the usual bounds. */
-export async function createOtherEntry({
-  settings,
-  store,
-}: PlatformFleet): Promise<ForwardingEntry> {
+/** Creates the settings of another entry of a fleet, with the usual bounds. */
+export async function createOtherSettings({ settings }: PlatformFleet): Promise<ForwarderSettings> {
   const [callers, readiness] = await freePorts(2);
   const host = '127.0.0.2';
+  return {
+    ...settings,
+    instance: 'front-2',
+    host,
+    callerAddress: `${host}:${callers}`,
+    readinessAddress: `${host}:${readiness}`,
+    bounds: platformBounds,
+  };
+}
+
+/** Creates another entry of a fleet, with the usual bounds. */
+export async function createOtherEntry(
+  fleet: PlatformFleet,
+  settings?: ForwarderSettings,
+): Promise<ForwardingEntry> {
+  const { store } = fleet;
   return new ForwardingEntry({
-    settings: {
-      ...settings,
-      instance: 'front-2',
-      host,
-      callerAddress: `${host}:${callers}`,
-      readinessAddress: `${host}:${readiness}`,
-      bounds: platformBounds,
-    },
+    settings: settings ?? (await createOtherSettings(fleet)),
     store: new StoreClient(store.address),
     fleetCodec: storeCodec,
     headerCodec: platformHeaders,
