Begun streams share what they meet at endpoints, and ask where a place is known

Cause: each begun stream learned alone which endpoints refuse, and waited for a backoff that doubled to 800 ms, although others of the entry had just been taken. The refusals used up the retry budget.

Change: BegunAdmission (decisions) keeps for each endpoint what begun requests met there. After a refusal it gets the next one after 250 ms, or when a request of the entry has left it, and one at a time until one is taken; placement prefers endpoints that have just taken one. The backoff of a stream ends at 400 ms, and at 100 ms where a place is known. Retry budget, executions and exclusions after executions are as before.

--- a/features/attemptHistory.feature
+++ b/features/attemptHistory.feature
@@ -9,6 +9,16 @@
   Scenario: request that has not begun
     Then in 300 histories a request that has not begun gets no endpoint twice
 
+  # Guards against retries that many begun streams spend on one endpoint that refuses them, and against waits
+  # beside an endpoint that has room.
+  Scenario: endpoint that refuses begun requests
+    Then in 300 histories an endpoint that may refuse gets one begun request in 250 milliseconds
+    And in 300 histories an endpoint gets a begun request at once after it has taken one or another has left
+
+  # Guards against a begun request that waits although an endpoint has just taken another one.
+  Scenario: begun request that was refused three times
+    Then it may be sent after 400 milliseconds, and after 100 to an endpoint that has a place
+
   # Guards against begun streams that are cut because requests wait, or because the goal of a new one has passed.
   Scenario Outline: stages in the queue
     Given a full endpoint and 3 requests that wait for it
--- a/features/steps/attemptHistory.steps.ts
+++ b/features/steps/attemptHistory.steps.ts
@@ -6,6 +6,7 @@
 import { DispatchQueue } from '@laburnumstream/forwarding';
 import type { EndpointHandle, PlacementRequest } from '@laburnumstream/forwarding';
 import type { VirtualClock } from '@laburnumstream/standins';
+import { AdmissionSimulation, admissionSteps } from '../support/admissionHistory.js';
 import {
   LargeFleet,
   anyEndpoint,
@@ -126,6 +127,49 @@
   forAllHistories(false, ({ sent }) => assert.equal(new Set(sent).size, sent.length));
 });
 
+function forAllAdmissions(
+  check: (simulation: AdmissionSimulation, hasRoom: boolean) => void,
+): void {
+  fc.assert(
+    fc.property(admissionSteps, (all) => {
+      const simulation = new AdmissionSimulation();
+      all.forEach((step) => check(simulation, simulation.apply(step)));
+    }),
+    { seed, numRuns: histories },
+  );
+}
+
+Then(
+  /^in 300 histories an endpoint that may refuse gets one begun request in (\d+) milliseconds$/,
+  (ms: string) => {
+    forAllAdmissions(({ doubtful }) => {
+      const [before = -Infinity, last = Infinity] = doubtful.slice(-2);
+      assert.ok(doubtful.length < 2 || last - before >= Number(ms), `${last - before} ms`);
+    });
+  },
+);
+
+Then(
+  'in 300 histories an endpoint gets a begun request at once after it has taken one or another has left',
+  () => {
+    forAllAdmissions(({ admission, now }, hasRoom) => {
+      if (hasRoom) assert.ok(admission.allows(now));
+    });
+  },
+);
+
+Then(
+  /^it may be sent after (\d+) milliseconds, and after (\d+) to an endpoint that has a place$/,
+  (ms: string, withPlaceMs: string) => {
+    const history = new AttemptHistory(maxEndpoints, () => true);
+    ['e0', 'e1', 'e2'].forEach((id) => history.recordRefusal({ id }, 0));
+    const waits = (hasPlace: boolean, at: number): boolean =>
+      history.isExcluded('e3', true, at, hasPlace);
+    assert.ok(waits(false, Number(ms) - 1) && !waits(false, Number(ms)));
+    assert.ok(waits(true, Number(withPlaceMs) - 1) && !waits(true, Number(withPlaceMs)));
+  },
+);
+
 function createRequest(id: string, request: Partial<PlacementRequest> = {}): PlacementRequest {
   return {
     id,
--- a/packages/decisions/src/forwarding/attemptHistory.ts
+++ b/packages/decisions/src/forwarding/attemptHistory.ts
@@ -5,7 +5,7 @@
 
 /** Why an endpoint gets no further attempt of a request for now. */
 interface Exclusion {
-  /** Number of attempts that failed there. */
+  /** Number of attempts that failed there, without those that it refused. */
   readonly failures: number;
   /** Monotonic time until which it holds for a request that has begun, in milliseconds. */
   readonly until: number;
@@ -17,9 +17,9 @@
 const exclusionMs = { initial: 200, max: 1_600 } as const;
 /**
  * Delay of a begun request after the first endpoint that refuses it, doubled by each further one: each
- * attempt that is refused is missing in the retry budget.
+ * attempt that is refused is missing in the retry budget. Where a place is known only the first applies.
  */
-const backoffMs = { initial: 100, max: 800 } as const;
+const backoffMs = { initial: 100, max: 400 } as const;
 
 function exponentialMs({ initial, max }: { initial: number; max: number }, times: number): number {
   return Math.min(max, initial * 2 ** times);
@@ -34,8 +34,8 @@
   /** Refusals since the last attempt that was executed. */
   private refusals = 0;
 
-  /** Monotonic time until which a begun request is sent nowhere, in milliseconds. */
-  private backoffUntil = -Infinity;
+  /** Monotonic time of the last refusal, in milliseconds. */
+  private refusedAt = -Infinity;
 
   constructor(
     /** Maximum number of endpoints that may execute the request. */
@@ -64,13 +64,22 @@
     return this.countRunning(this.executedAt) >= this.maxEndpoints;
   }
 
-  /** Records that an endpoint has refused the request without executing it. */
-  recordRefusal(endpoint: Endpoint, now: number): void {
-    this.exclude(endpoint, now);
-    this.backoffUntil = now + exponentialMs(backoffMs, this.refusals);
+  /**
+   * Records that an endpoint has refused the request without executing it. How long begun requests leave it
+   * alone depends on what all of them have met there.
+   */
+  recordRefusal({ id }: Endpoint, now: number): void {
+    this.exclusions.set(id, this.exclusions.get(id) ?? { failures: 0, until: now });
+    this.refusedAt = now;
     this.refusals += 1;
   }
 
+  /** Records that the request did not reach an endpoint, which gets it no more for now. */
+  recordUnsent(endpoint: Endpoint, now: number): void {
+    this.recordRefusal(endpoint, now);
+    this.exclude(endpoint, now);
+  }
+
   /** Records that an endpoint may have executed the request, or a part of it, and gets it no more for now. */
   recordExecution(endpoint: Endpoint, now: number): void {
     this.exclude(endpoint, now);
@@ -98,12 +107,19 @@
 
   /**
    * Whether the request must not be sent to an endpoint now. While it can be refused, no endpoint gets it
-   * twice; once it has begun, one that has failed may get it again after a while.
+   * twice; once it has begun, one that has failed may get it again after a while, and earlier if the endpoint
+   * is known to have a place.
    */
-  isExcluded(id: string, isBegun: boolean, now: number): boolean {
+  isExcluded(id: string, isBegun: boolean, now: number, hasPlace = false): boolean {
     const exclusion = this.exclusions.get(id);
     if (!isBegun) return exclusion !== undefined;
-    return now < this.backoffUntil || (exclusion !== undefined && now < exclusion.until);
+    return now < this.backoffUntil(hasPlace) || (exclusion !== undefined && now < exclusion.until);
+  }
+
+  /** Monotonic time until which a begun request is not sent, to an endpoint with a place or to others. */
+  private backoffUntil(hasPlace: boolean): number {
+    const times = hasPlace ? 0 : Math.max(0, this.refusals - 1);
+    return this.refusals === 0 ? -Infinity : this.refusedAt + exponentialMs(backoffMs, times);
   }
 
   private exclude({ id }: Endpoint, now: number): void {
--- a/packages/decisions/src/forwarding/index.ts
+++ b/packages/decisions/src/forwarding/index.ts
@@ -1,5 +1,6 @@
 /** Forwarding of requests: placement on endpoints, queueing, retries and endpoint health. */
 export * from './attemptHistory.js';
+export * from './begunAdmission.js';
 export * from './capacityShare.js';
 export * from './changeBatchWindow.js';
 export * from './changeDating.js';
--- a/packages/decisions/src/forwarding/placement.ts
+++ b/packages/decisions/src/forwarding/placement.ts
@@ -65,12 +65,16 @@
   return Math.min(maxOverrunCostMs, Math.max(0, endsAt - switchAt) * overrunCostFactor);
 }
 
-/** Chooses the endpoint with the lowest cost: the expected time to the first event plus penalties. */
+/**
+ * Chooses the endpoint with the lowest cost: the expected time to the first event plus penalties.
+ * `addedCostMs` is a penalty that depends on the request.
+ */
 export function bestPlacement<Target extends PlacementTarget>(
   targets: readonly Target[],
   demand: Demand,
   now: number,
   random: Random,
+  addedCostMs: (target: Target) => number = () => 0,
 ): Placement<Target> | undefined {
   let best: Placement<Target> | undefined;
   let bestCost = Infinity;
@@ -79,7 +83,8 @@
     const regionCost = target.isLocal ? 0 : crossRegionCostMs;
     const overrun = overrunCost(target, demand, expected, now);
     const failureCost = target.health.failureRate(now) * failureCostMs;
-    const cost = expected + regionCost + overrun + failureCost + random.next() * jitterMs;
+    const penalties = regionCost + overrun + failureCost + addedCostMs(target);
+    const cost = expected + penalties + random.next() * jitterMs;
     if (cost >= bestCost) return;
     bestCost = cost;
     best = { target, expectedMs: expected };
--- a/packages/forwarding/src/dispatchQueue.ts
+++ b/packages/forwarding/src/dispatchQueue.ts
@@ -203,7 +203,10 @@
     const { service, eligibility, demand } = request;
     const targets = this.directory.available(service, eligibility, among);
     if (!among) Object.assign(request, { availableCount: targets.length });
-    const best = bestPlacement(targets, demand, now, this.random);
+    const addedCostMs = begunStages.has(request.stage)
+      ? ({ begunAdmission }: EndpointHandle): number => begunAdmission.costMs(now)
+      : undefined;
+    const best = bestPlacement(targets, demand, now, this.random, addedCostMs);
     if (!best) return undefined;
     const availableMs =
       (request.goalAt - now - responseTransitMs) * this.getGoalShare(request, now);
@@ -241,6 +244,7 @@
   ): Placement<EndpointHandle> {
     const { target, expectedMs } = placement;
     this.directory.recordPlacement(target);
+    if (begunStages.has(request.stage)) target.begunAdmission.recordPlacement(now);
     this.getQueue(request.service).recordServed(request.workspace, now);
     if (request.stage !== RequestStage.callerRetry)
       this.getShares(request.service).recordServed(request.fairnessGroups, now);
--- a/packages/forwarding/src/endpointHandle.ts
+++ b/packages/forwarding/src/endpointHandle.ts
@@ -1,5 +1,6 @@
 import type { Clock, Endpoint, Metrics, Random, ServiceProfile } from '@laburnumstream/common';
 import {
+  BegunAdmission,
   EndpointHealth,
   EndpointLoad,
   EngineModel,
@@ -39,6 +40,8 @@
 
   readonly namedLimit: NamedLimit;
 
+  readonly begunAdmission = new BegunAdmission();
+
   /** Identifies the endpoint from its start to its end, among all entries. */
   readonly incarnation: string;
 
--- a/packages/forwarding/src/requestAttempts.ts
+++ b/packages/forwarding/src/requestAttempts.ts
@@ -137,8 +137,9 @@
     if (fault && breakingFaults.has(fault)) services.guard.recordBreak(handle, exchange);
     this.isMoving = false;
     this.retryingSince = now;
-    if (execution === Execution.notRun) this.history.recordRefusal(handle, now);
-    else this.history.recordExecution(handle, now);
+    if (execution !== Execution.notRun) this.history.recordExecution(handle, now);
+    else if (fault) this.history.recordUnsent(handle, now);
+    else this.history.recordRefusal(handle, now);
     const denial = this.findDenial(execution);
     this.retryDenial = denial;
     const isRepeated = denial === undefined;
@@ -267,7 +268,11 @@
   }
 
   private isExcluded(id: string): boolean {
-    return this.history.isExcluded(id, this.isBegun, this.services.clock.now());
+    const { history, isBegun, services } = this;
+    const now = services.clock.now();
+    const admission = services.directory.get(id)?.begunAdmission;
+    if (isBegun && !this.isMoving && admission?.allows(now) === false) return true;
+    return history.isExcluded(id, isBegun, now, admission?.hasPlace(now));
   }
 
   /** Takes a retry or a move from the budget; returns false when its part is exhausted. */
@@ -339,13 +344,21 @@
     const { method = 'GET', url = '/' } = request;
     const callRequest = { method, path: url, id: head.id, headers, body };
     const maxIdleMs = this.isRetryable ? Infinity : maxNonRetryableIdleMs;
+    const { isBegun } = this;
+    let isTaken = false;
     const call = new EndpointCall(
       handle.pool,
       callRequest,
       maxIdleMs,
       codec,
       observer,
-      (status, responseHead) => this.recordHead(handle, status, responseHead),
+      (status, responseHead) => {
+        const { wasNotRun } = responseHead;
+        isTaken = isSuccess(status) && !wasNotRun;
+        if (isBegun && (isTaken || wasNotRun))
+          handle.begunAdmission.recordResult(isTaken, clock.now());
+        this.recordHead(handle, status, responseHead);
+      },
       () => {
         const maySend = directory.maySend(handle);
         if (maySend) use.recordSend();
@@ -366,6 +379,7 @@
       hasEnded = true;
       services.waitingCalls.remove(call);
       markPrefilled();
+      if (isTaken) handle.begunAdmission.recordDeparture();
       handle.load.recordEnd();
       onLoadChange(handle);
       queue.dispatch(exchange.service, handle);
