Count requests at their engine from their placement on, and use engines whose entries or agents restart

The agent knew no entries until their next regular update, up to 3 s later.

Change: a placement counts at once (load, connections, the single probe of an ejected endpoint), and until the next turn of the event loop if it is not sent; without entries in an engine's region the others share all of it; a report counts for 4 s; an agent that no longer reports gets an update each second.

--- a/features/agentUpdates.feature
+++ b/features/agentUpdates.feature
@@ -59,3 +59,11 @@
       | an engine of its region     | 1          |
       | an engine of another region | 0          |
       | a plain endpoint            | 0          |
+
+  # Guards against agents that restart and report to no entry before its next regular update, up to 3 s later.
+  Scenario: agent that has stopped reporting
+    Given an entry among 99 with 150 engines
+    When it sends its regular update
+    And all agents report, and 2 seconds later all but that of one engine
+    And 2 rounds have passed
+    Then the agent of that engine got 2 updates, and each other at most one
--- a/features/steps/agentUpdates.steps.ts
+++ b/features/steps/agentUpdates.steps.ts
@@ -29,6 +29,9 @@
 }
 
 const notifiers = 4;
+const msPerSecond = 1_000;
+/** The engine whose agent does not report. */
+const silentEngine = 'e7';
 /** Index of an endpoint of a plain service in the entry's region. */
 const plainIndex = 600;
 /** Time in which a scheduled broadcast is sent, in milliseconds. */
@@ -115,6 +118,24 @@
   });
 });
 
+function reportLoads({ largeFleet: { directory, clock } }: UpdateWorld, except?: string): void {
+  const load = { running: 1, waiting: 0, slowdown: 1 };
+  const sharers = { local: 1, remote: 1, isLocal: true };
+  [...directory.all]
+    .filter(({ id }) => id !== except)
+    .forEach((handle) => handle.applyLoadReport(load, sharers, new SeededRandom(1), clock.now()));
+}
+
+When(
+  /^all agents report, and (\d+) seconds later all but that of one engine$/,
+  async function silence(this: UpdateWorld, seconds: string) {
+    const { clock } = this.largeFleet;
+    reportLoads(this);
+    await clock.runUntil(clock.now() + Number(seconds) * msPerSecond);
+    reportLoads(this, silentEngine);
+  },
+);
+
 When('an engine is cold for longer', function warm(this: UpdateWorld) {
   this.sent = [];
   addEngine(this, 7, 1_000);
@@ -152,6 +173,18 @@
   assert.ok(Math.max(...this.perRound) <= most, this.perRound.join());
 });
 
+Then(
+  'the agent of that engine got {int} updates, and each other at most one',
+  function again(this: UpdateWorld, count: number) {
+    const hosts = this.sent.flatMap((update) => update.hosts);
+    const { directory } = this.largeFleet;
+    [...directory.all].forEach(({ id, endpoint }) => {
+      const got = hosts.filter((host) => host === getHost(endpoint.address)).length;
+      assert.ok(id === silentEngine ? got === count : got <= 1, `${id} got ${got}`);
+    });
+  },
+);
+
 Then('each agent gets one update', function each(this: UpdateWorld) {
   const hosts = this.sent.flatMap((update) => update.hosts);
   assert.equal(hosts.length, this.engines);
--- a/packages/decisions/src/forwarding/capacityShare.ts
+++ b/packages/decisions/src/forwarding/capacityShare.ts
@@ -10,7 +10,7 @@
   readonly isLocal: boolean;
 }
 
-/** Part of the capacity that is reserved for entries in the endpoint's region. */
+/** Part of the capacity that is reserved for entries in the endpoint's region, if there are any. */
 const localPart = 0.75;
 
 /**
@@ -20,10 +20,11 @@
 export function capacityShare(capacity: number, sharers: CapacitySharers, random: Random): number {
   const { local, remote, isLocal } = sharers;
   if (capacity <= 0) return 0;
-  const part = remote === 0 || local === 0 ? 1 : localPart;
+  const reserved = local === 0 ? 0 : localPart;
+  const part = remote === 0 ? 1 : reserved;
   const share = isLocal
     ? (capacity * part) / Math.max(1, local)
-    : (capacity * (1 - part)) / Math.max(1, remote);
+    : (capacity * (1 - reserved)) / Math.max(1, remote);
   // Randomized rounding: the expected value is the exact share.
   return Math.floor(share + random.next());
 }
--- a/packages/decisions/src/forwarding/endpointLoad.ts
+++ b/packages/decisions/src/forwarding/endpointLoad.ts
@@ -20,8 +20,8 @@
 
 /** Number of peers from which on load updates come too late to keep all within the capacity. */
 const manyPeers = 4;
-/** Age at which a report no longer counts, in milliseconds. */
-const staleReportMs = 1_500;
+/** Age at which a report no longer counts, in milliseconds: an agent that restarts reports again before. */
+const staleReportMs = 4_000;
 
 /** One entry's estimate of an endpoint's load: the last report plus the requests sent since. */
 export class EndpointLoad {
@@ -39,6 +39,9 @@
   /** Own requests sent since the last report. */
   private startedSinceReport = 0;
 
+  /** Prefill times of placed requests that have not been sent yet, in milliseconds. */
+  private readonly placed: number[] = [];
+
   private allowance = Infinity;
 
   private reportedAt = -Infinity;
@@ -121,10 +124,27 @@
     return Math.max(0, this.peerCount() - this.peerLoads.count(now));
   }
 
+  /** Number of placed requests that have not been sent yet. */
+  get unsentPlacements(): number {
+    return this.placed.length;
+  }
+
+  /** Counts a request from its placement on, so that the next one is placed with this one in view. */
+  recordPlacement(prefillMs: number): void {
+    this.placed.push(prefillMs);
+    this.add(prefillMs);
+  }
+
+  /** Ends the counting of placed requests that were not sent. */
+  dropPlacements(): void {
+    this.placed.splice(0).forEach((prefillMs) => this.remove(prefillMs));
+  }
+
+  /** Records that a request is sent, after its placement if that was recorded. */
   recordStart(prefillMs: number): void {
-    this.ownRequests += 1;
-    this.startedSinceReport += 1;
-    this.ownUnreadMs += prefillMs;
+    const placedMs = this.placed.shift();
+    if (placedMs !== undefined) this.remove(placedMs);
+    this.add(prefillMs);
   }
 
   /** Records that the prompt of an own request was processed. */
@@ -137,4 +157,16 @@
     this.ownRequests -= 1;
     this.allowance += 1;
   }
+
+  private add(prefillMs: number): void {
+    this.ownRequests += 1;
+    this.startedSinceReport += 1;
+    this.ownUnreadMs += prefillMs;
+  }
+
+  private remove(prefillMs: number): void {
+    this.ownRequests -= 1;
+    this.startedSinceReport = Math.max(0, this.startedSinceReport - 1);
+    this.ownUnreadMs = Math.max(0, this.ownUnreadMs - prefillMs);
+  }
 }
--- a/packages/forwarding/src/agentUpdates.ts
+++ b/packages/forwarding/src/agentUpdates.ts
@@ -11,6 +11,8 @@
 const notifiersPerAgent = { local: 4, remote: 1 } as const;
 /** Rounds from one regular update of an agent to the next. */
 const roundsPerUpdate = 3;
+/** Time without reports after which an agent may have restarted and know no entries, in milliseconds. */
+const silentAgentMs = 1_500;
 const kilobit = 1_000;
 
 type Update = Extract<DatagramContent, { case: 'fleet' }>['value'];
@@ -69,7 +71,8 @@
 
   /**
    * Sends the regular update to a part of the agents, so that each gets one every few rounds. A version
-   * that was named lately is repeated in each round, as agents must learn of it in time.
+   * that was named lately is repeated in each round, as agents must learn of it in time, and so is the
+   * update of an agent that no longer reports.
    */
   sendRegular(): void {
     this.round += 1;
@@ -88,7 +91,13 @@
   }
 
   private isDue(handle: EndpointHandle): boolean {
-    return (this.dueRounds.get(getHost(handle)) ?? 0) <= this.round;
+    return (this.dueRounds.get(getHost(handle)) ?? 0) <= this.round || this.isOverdue(handle);
+  }
+
+  /** Whether an agent has reported to this entry, but not lately. */
+  private isOverdue({ load }: EndpointHandle): boolean {
+    const ageMs = load.reportAgeMs(this.clock.now());
+    return ageMs > silentAgentMs && ageMs < Infinity;
   }
 
   private send(
--- a/packages/forwarding/src/connectionPool.ts
+++ b/packages/forwarding/src/connectionPool.ts
@@ -18,9 +18,10 @@
     return this.open.size;
   }
 
-  /** Whether a request can be sent without exceeding `maxConnections`. */
-  hasCapacity(maxConnections: number): boolean {
-    return this.idle.length > 0 || this.open.size < maxConnections;
+  /** Whether a request can be sent without exceeding `maxConnections`, after `unsent` others that were placed. */
+  hasCapacity(maxConnections: number, unsent = 0): boolean {
+    const opening = Math.max(0, unsent - this.idle.length);
+    return this.idle.length > unsent || this.open.size + opening < maxConnections;
   }
 
   /** Returns the most recently used connection if it was idle for at most `maxIdleMs`, or a new one. */
--- a/packages/forwarding/src/dispatchQueue.ts
+++ b/packages/forwarding/src/dispatchQueue.ts
@@ -93,6 +93,12 @@
 /** Stages of requests whose callers have received a part of the response. */
 const begunStages: ReadonlySet<RequestStage> = new Set([RequestStage.begun, RequestStage.moving]);
 
+/** Counts a request at its endpoint until its sender has sent it, or has not. */
+function countPlacement({ load, model }: EndpointHandle, { demand }: PlacementRequest): void {
+  load.recordPlacement(model?.prefillMs(demand.promptTokens) ?? 0);
+  setImmediate(() => load.dropPlacements());
+}
+
 /** Queues requests until an endpoint can serve them in time, and refuses those that would be too late. */
 export class DispatchQueue {
   private readonly queues = new Map<string, WaitQueue<PendingRequest>>();
@@ -259,6 +265,7 @@
       configuration: request.configurationVersion,
       proofAgeMs: Math.round(request.configurationAgeMs),
     });
+    countPlacement(target, request);
     return placement;
   }
 
--- a/packages/forwarding/src/endpointDirectory.ts
+++ b/packages/forwarding/src/endpointDirectory.ts
@@ -356,7 +356,7 @@
       1,
       Math.floor(((profile?.maxConnections ?? 0) * connectionShare) / entries),
     );
-    if (!pool.hasCapacity(maxConnections)) return false;
+    if (!pool.hasCapacity(maxConnections, handle.load.unsentPlacements)) return false;
     if (
       handle.model &&
       !handle.load.hasCapacity({ ...engineQueueLimits, slots: handle.slots }, now)
