Seeded stops: tell whether a request without an answer was read

The check of the known red entry could not tell whether the request had been read. The entry's log is kept now: a request that it has logged must have an answer however short its time was (stricter than before), and the message has the times of connect, write and exit, the lines of the request and of the stop. Seeds may start elsewhere.

--- a/features/steps/plannedStops.steps.ts
+++ b/features/steps/plannedStops.steps.ts
@@ -72,6 +72,20 @@
   return `${id}: ${seconds(sentAt)} to ${seconds(endedAt)} s, ${status} ${error}`;
 }
 
+/** Describes a request of a seeded stop that got no response, with what the entry has logged. */
+function describeUnanswered(played: PlayedStop, outcome: StopOutcome): string {
+  const { seed, stoppedAt, exitedAt = 0, unansweredLines, stopLines } = played;
+  const seconds = (at: number | undefined): string =>
+    at === undefined ? 'never' : ((at - stoppedAt) / msPerSecond).toFixed(2);
+  const { connectedAt, writtenAt } = outcome;
+  return [
+    `seed ${seed}, ${describeOutcome(outcome, stoppedAt)}`,
+    `connected ${seconds(connectedAt)}, written ${seconds(writtenAt)}, exit ${seconds(exitedAt)}`,
+    ...unansweredLines.get(outcome.id)!,
+    ...stopLines,
+  ].join('\n');
+}
+
 function assertNone(world: PlannedStopsWorld, outcomes: readonly StopOutcome[], what: string) {
   const { stoppedAt = 0 } = world.stopFleet;
   const lines = outcomes.map((outcome) => describeOutcome(outcome, stoppedAt));
@@ -330,12 +344,16 @@
 Then(
   'no request is without an answer but those that crossed the close of their connection',
   function crossed(this: PlannedStopsWorld) {
-    const wrong = this.played.flatMap(({ seed, outcomes, stoppedAt }) =>
-      outcomes
+    const wrong = this.played.flatMap((played) =>
+      played.outcomes
         // Without a connection nothing was sent.
         .filter(({ status, error }) => status === 0 && error !== 'ECONNREFUSED')
-        .filter(({ sentAt, endedAt }) => endedAt - sentAt > crossingMs)
-        .map((outcome) => `seed ${seed}, ${describeOutcome(outcome, stoppedAt)}`),
+        .filter(
+          ({ id, sentAt, endedAt }) =>
+            // A request that the entry has logged was read.
+            endedAt - sentAt > crossingMs || played.unansweredLines.get(id)!.length > 0,
+        )
+        .map((outcome) => describeUnanswered(played, outcome)),
     );
     assert.equal(wrong.length, 0, wrong.join('\n'));
   },
--- a/features/support/seededStops.ts
+++ b/features/support/seededStops.ts
@@ -15,6 +15,12 @@
   readonly outcomes: readonly StopOutcome[];
   /** Ids of the requests that engines have begun to execute. */
   readonly ranIds: ReadonlySet<string>;
+  /** Log lines of the entry on each request that got no response; none for one that was not read. */
+  readonly unansweredLines: ReadonlyMap<string, readonly string[]>;
+  /** Log lines of the entry on its stop. */
+  readonly stopLines: readonly string[];
+  /** Monotonic time at which its exit was noticed, in milliseconds. */
+  readonly exitedAt: number | undefined;
 }
 
 const routes = ['safe', 'unsafe', 'stream'] as const;
@@ -54,7 +60,18 @@
     const outcomes = (await Promise.all(sent)).flat();
     const stoppedAt = fleet.stoppedAt!;
     const { latestEndAt } = new PlannedStop(stoppedAt, graceS * msPerSecond);
-    return { seed, stoppedAt, latestEndAt, outcomes, ranIds: fleet.ranIds };
+    const unanswered = outcomes.filter(({ status }) => status === 0);
+    return {
+      seed,
+      stoppedAt,
+      latestEndAt,
+      outcomes,
+      ranIds: fleet.ranIds,
+      // The quote after the id keeps lines of longer ids out.
+      unansweredLines: new Map(unanswered.map(({ id }) => [id, fleet.findLines(`"${id}"`)])),
+      stopLines: fleet.findLines('"process: '),
+      exitedAt: fleet.exitedAt,
+    };
   } finally {
     fleet.close();
   }
@@ -67,12 +84,16 @@
   return fleets;
 }
 
-/** Plays stops with seeds from 1 on, a few at a time. */
-export async function playSeededStops(count: number, graceS: number): Promise<PlayedStop[]> {
+/** Plays stops with seeds from `startSeed` on, a few at a time. */
+export async function playSeededStops(
+  count: number,
+  graceS: number,
+  startSeed = 1,
+): Promise<PlayedStop[]> {
   const played: PlayedStop[] = [];
   while (played.length < count) {
     const fleets = await startFleets(Math.min(parallelStops, count - played.length), graceS);
-    const firstSeed = played.length + 1;
+    const firstSeed = startSeed + played.length;
     const stops = fleets.map((fleet, index) => playStop(firstSeed + index, fleet, graceS));
     played.push(...(await Promise.all(stops)));
   }
--- a/features/support/stopCaller.ts
+++ b/features/support/stopCaller.ts
@@ -23,6 +23,10 @@
 export interface StopOutcome {
   readonly id: string;
   readonly sentAt: number;
+  /** Time at which its connection was there; undefined without one. */
+  readonly connectedAt: number | undefined;
+  /** Time at which its last byte was handed to the operating system; undefined before it. */
+  readonly writtenAt: number | undefined;
   readonly endedAt: number;
   /** Time by which its caller wanted the whole response. */
   readonly deadlineAt: number;
@@ -65,6 +69,27 @@
   });
 }
 
+/** Times of what has become of a request on its connection, on the monotonic clock in milliseconds. */
+interface SendTimes {
+  connectedAt?: number;
+  writtenAt?: number;
+}
+
+function recordTimes(sent: ClientRequest): SendTimes {
+  const times: SendTimes = {};
+  const connected = (): void => {
+    times.connectedAt = performance.now();
+  };
+  sent.once('socket', (socket) => {
+    if (socket.connecting) socket.once('connect', connected);
+    else connected();
+  });
+  sent.once('finish', () => {
+    times.writtenAt = performance.now();
+  });
+  return times;
+}
+
 function readResponse(response: IncomingMessage): Promise<string> {
   return new Promise((resolve) => {
     let text = '';
@@ -86,6 +111,7 @@
   const id = `stop-${lastId}`;
   const sentAt = performance.now();
   const sent = open(fleet, id, request);
+  const times = recordTimes(sent);
   const answered = new Promise<IncomingMessage | string>((resolve) => {
     sent.once('response', resolve);
     sent.on('error', (error: NodeJS.ErrnoException) => resolve(error.code ?? error.message));
@@ -98,6 +124,8 @@
   return {
     id,
     sentAt,
+    connectedAt: times.connectedAt,
+    writtenAt: times.writtenAt,
     endedAt: performance.now(),
     deadlineAt: sentAt + request.deadlineMs,
     status: isError ? 0 : answer.statusCode!,
--- a/features/support/stopFleet.ts
+++ b/features/support/stopFleet.ts
@@ -1,3 +1,5 @@
+import { closeSync, openSync, readFileSync } from 'node:fs';
+import { dirname, join } from 'node:path';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { PlatformProgram, makeEntrySettings } from '@laburnumstream/bench';
 import type { SettingsLines } from '@laburnumstream/bench';
@@ -62,6 +64,13 @@
   /** Monotonic time of the signal, in milliseconds; undefined before it. */
   stoppedAt: number | undefined;
 
+  /** Monotonic time at which the exit of the entry was noticed, in milliseconds; undefined before it. */
+  exitedAt: number | undefined;
+
+  private readonly logFile = join(dirname(this.program.file), 'entry.log');
+
+  private readonly log = openSync(this.logFile, 'a');
+
   private constructor(
     private readonly store: PlatformStore,
     readonly engines: readonly PlatformEngine[],
@@ -99,6 +108,13 @@
     return new Set(this.engines.flatMap(({ startedRequestIds }) => startedRequestIds));
   }
 
+  /** Log lines of the entry that contain a text, such as the id of a request that it has read. */
+  findLines(text: string): string[] {
+    return readFileSync(this.logFile, 'utf8')
+      .split('\n')
+      .filter((line) => line.includes(text));
+  }
+
   /** Sends SIGTERM to the entry. */
   stop(): void {
     this.stoppedAt = performance.now();
@@ -107,13 +123,17 @@
 
   close(): void {
     this.program.close();
+    closeSync(this.log);
     this.engines.forEach((engine) => engine.close());
     this.store.close();
   }
 
   private async startProgram(): Promise<void> {
     this.program.write(this.lines);
-    await this.program.start();
+    await this.program.start(this.log);
+    void this.program.waitForExit().then(() => {
+      this.exitedAt = performance.now();
+    });
     const url = `http://${this.lines['Listen.Ready']}/`;
     const isReady = (): Promise<boolean> =>
       fetch(url).then(
