A response to another request no longer costs the waiting request its own answer

Cause: a response with another request's id, written where the waiting request's is expected, ended that request as crossed: 502, or a retry that the budget must bear. undici gives each response to the running request and takes what follows for an error, so it can't read on itself.

Change: the socket of a connection to an endpoint filters what it receives until the head of the own answer. One response with another id and one length, or plain chunks, is dropped, counted (responses_foreign_total) and logged; its connection is not used again; whatever proves no end goes to the client and fails as before. Besides, heads that have run into each other (a status line within a header or the reason, two different ids) are crossed: with the first id of two, a status or a frame of another response was taken for the own one.

Changed check: 'second answer that comes late' of wholeAnswers demanded crossed for a copy with its id, which is the fault that is mended. It now demands the own answer's body behind such a copy, and crossed behind two copies and behind one without an id.

--- a/features/steps/wholeAnswers.steps.ts
+++ b/features/steps/wholeAnswers.steps.ts
@@ -45,6 +45,18 @@
   ...Object.keys(framings).map((framing) => [framing, 'a close'] as const),
 ];
 
+const lateBody = 'firstother';
+const ownBody = 'own answer';
+const lateHead = `HTTP/1.1 200 OK\r\nContent-Length: ${lateBody.length}\r\n`;
+const lateResponse = `${lateHead}Laburnumstream-Request-Id: r1\r\n\r\n${lateBody}`;
+/** Late second responses to a request, by the names that step texts use. */
+const lateResponses: Readonly<Record<string, string>> = {
+  'with its id': lateResponse,
+  'twice with its id': lateResponse.repeat(2),
+  'without its id': `${lateHead}\r\n${lateBody}`,
+};
+const ownResponse = `HTTP/1.1 200 OK\r\nLaburnumstream-Request-Id: r2\r\nContent-Length: ${ownBody.length}\r\n\r\n${ownBody}`;
+
 async function read(
   world: AnswersWorld,
   reader: string,
@@ -103,13 +115,13 @@
 });
 
 When(
-  /^an endpoint answers twice, (with|without) its id, and the second time late$/,
+  /^an endpoint answers twice, (with its id|twice with its id|without its id), and the second time late$/,
   async function twice(this: AnswersWorld, how: string) {
     let requests = 0;
     this.answering = await ScriptedEndpoint.start((socket) => {
       requests += 1;
-      const id = requests === 1 || how === 'with' ? 'r1' : undefined;
-      sendScriptedResponse(socket, 'a length', 'all bytes', id);
+      if (requests === 1) sendScriptedResponse(socket, 'a length', 'all bytes', 'r1');
+      else socket.write(`${lateResponses[how]}${ownResponse}`);
     });
     this.outcome = await getSecondOutcome(this.answering.address);
   },
@@ -174,13 +186,22 @@
 );
 
 Then(
-  /^the next request on the connection gets (\w+)$/,
+  /^the next request on the connection gets (crossed)$/,
   function next(this: AnswersWorld, fault: string) {
     assert.equal(this.outcome.kind, 'fault', JSON.stringify(this.outcome));
     if (this.outcome.kind === 'fault') assert.equal(this.outcome.fault, fault);
   },
 );
 
+Then(
+  'the next request on the connection gets its own answer',
+  function ownAnswer(this: AnswersWorld) {
+    assert.equal(this.outcome.kind, 'response', JSON.stringify(this.outcome));
+    if (this.outcome.kind === 'response')
+      assert.equal(this.outcome.response.body.toString(), ownBody);
+  },
+);
+
 When("the answer to an operator's change is cut", async function change(this: AnswersWorld) {
   this.answering = await ScriptedEndpoint.start((socket) => {
     socket.write('HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n{"version":');
--- a/features/support/platformFleet.ts
+++ b/features/support/platformFleet.ts
@@ -116,7 +116,7 @@
 
   private constructor(
     readonly store: PlatformStore,
-    readonly engines: readonly PlatformEngine[],
+    readonly engines: PlatformEngine[],
     readonly settings: ForwarderSettings,
   ) {}
 
@@ -155,6 +155,12 @@
     return entry;
   }
 
+  /** Registers an engine that is closed with the fleet. */
+  addEngine(engine: PlatformEngine): void {
+    this.engines.push(engine);
+    this.registerEngine(engine, 'ready');
+  }
+
   /** Writes an engine's registration to the store. */
   registerEngine(
     engine: Pick<PlatformEngine, 'id' | 'address'>,
--- a/features/wholeAnswers.feature
+++ b/features/wholeAnswers.feature
@@ -65,9 +65,10 @@
     Then the next request on the connection gets <outcome>
 
     Examples:
-      | how             | outcome |
-      | with its id     | crossed |
-      | without its id  | crossed |
+      | how               | outcome       |
+      | with its id       | its own answer |
+      | twice with its id | crossed       |
+      | without its id    | crossed       |
 
   Scenario: refusal without an id
     When an endpoint refuses the second request on a connection without an id
--- a/packages/decisions/src/forwarding/index.ts
+++ b/packages/decisions/src/forwarding/index.ts
@@ -12,6 +12,8 @@
 export * from './entryCount.js';
 export * from './eventSplitter.js';
 export * from './feedReaders.js';
+export * from './foreignResponseFilter.js';
+export * from './framedHead.js';
 export * from './namedLimit.js';
 export * from './namedVersions.js';
 export * from './notifierSelection.js';
--- a/packages/forwarding/src/endpointConnection.ts
+++ b/packages/forwarding/src/endpointConnection.ts
@@ -1,5 +1,7 @@
-import type { Socket } from 'node:net';
+import { ForeignResponseFilter } from '@laburnumstream/decisions';
+import type { FramedHeaders } from '@laburnumstream/decisions';
 import { createConnector } from '@laburnumstream/runtime';
+import type { ResetAwareSocket } from '@laburnumstream/runtime';
 import { Client } from 'undici';
 import type { Dispatcher } from 'undici';
 import { framingPerBodyByte, maxFramingBytes, maxHeaderBytes } from './responseBounds.js';
@@ -15,6 +17,14 @@
 export interface FramedHandler extends Dispatcher.DispatchHandler {
   /** Bytes of the body that were received. */
   readonly bodyBytes: number;
+  /** Id of the request; empty if it has none. */
+  readonly requestId: string;
+  /** Returns the id of the request that a response with such headers is for. */
+  readResponseId(headers: FramedHeaders): string | undefined;
+  /** Called when a response to another request begins to be dropped. */
+  onForeign(responseId: string): void;
+  /** Called when it turns out that the end of a dropped response is not known. */
+  onLost(reason: string): void;
   /** Called when `bytes`, all that is not of the body, are too many. */
   onFramingExceeded(bytes: number): void;
 }
@@ -23,7 +33,10 @@
 export class EndpointConnection {
   private readonly client: Client;
 
-  private socket: Socket | undefined;
+  private socket: ResetAwareSocket | undefined;
+
+  /** Filter of the response to the last request. */
+  private filter: ForeignResponseFilter | undefined;
 
   /** Handler of the last request. */
   private handler: FramedHandler | undefined;
@@ -56,6 +69,7 @@
         connectTimeoutMs,
         (socket) => {
           this.socket = socket;
+          Object.assign(socket, { inputFilter: this.filter });
           socket.once('connect', () => {
             onConnect();
             socket.on('readable', () => this.checkFraming());
@@ -73,9 +87,15 @@
     return this.requestCount > 1;
   }
 
+  /** Whether a response to another request was dropped, so that it is not to carry another request. */
+  get hasDropped(): boolean {
+    return this.filter?.hasDropped ?? false;
+  }
+
   dispatch(options: Dispatcher.DispatchOptions, handler: FramedHandler): void {
     this.requestCount += 1;
     this.handler = handler;
+    this.startFilter(handler);
     this.bytesBefore = this.parsedBytes;
     this.client.dispatch(options, handler);
   }
@@ -90,7 +110,21 @@
 
   /** Bytes that the client has taken from the socket. */
   private get parsedBytes(): number {
-    return this.socket ? this.socket.bytesRead - this.socket.readableLength : 0;
+    if (!this.socket) return 0;
+    const { bytesRead, readableLength } = this.socket;
+    return bytesRead - readableLength - (this.filter?.withheldBytes ?? 0);
+  }
+
+  /** Starts to drop responses to other requests, unless the client may have read a part of one. */
+  private startFilter(handler: FramedHandler): void {
+    const { socket } = this;
+    const { requestId } = handler;
+    const isAtStart = !socket || socket.readableLength === 0;
+    const isFiltered = isAtStart && requestId !== '';
+    this.filter = isFiltered
+      ? new ForeignResponseFilter(requestId, (headers) => handler.readResponseId(headers), handler)
+      : undefined;
+    if (socket) Object.assign(socket, { inputFilter: this.filter });
   }
 
   /** The client does not bound status lines, interim responses, empty lines and sizes of chunks. */
--- a/packages/forwarding/src/requestAttempts.ts
+++ b/packages/forwarding/src/requestAttempts.ts
@@ -40,6 +40,9 @@
 
 /** Time within which the loss of an endpoint is known, in milliseconds: three missed heartbeats and more. */
 const lossNoticeMs = 4_000;
+/** Longest part of an id in an endpoint's response that is logged, in characters. */
+const maxLoggedIdLength = 64;
+
 /** Interval of checks whether it is known, in milliseconds. */
 const lossPollMs = 20;
 
@@ -317,6 +320,17 @@
     this.services.onNamedLimit(handle, maxRequestsPerSecond);
   }
 
+  /** Records that an endpoint sent a response to another request, which was dropped. */
+  private recordForeign(handle: EndpointHandle, responseId: string): void {
+    const { metrics, log } = this.services;
+    metrics.count('responses_foreign');
+    log.info('Response to another request dropped.', {
+      id: this.exchange.head.id,
+      endpoint: handle.id,
+      responseId: responseId.slice(0, maxLoggedIdLength),
+    });
+  }
+
   /** Sends the request to an endpoint. */
   send(
     { target: handle }: Placement<EndpointHandle>,
@@ -351,6 +365,7 @@
         if (maySend) use.recordSend();
         return maySend;
       },
+      (responseId) => this.recordForeign(handle, responseId),
     );
     const prefillMs = handle.model?.prefillMs(head.promptTokens ?? 0) ?? 0;
     let isPrefilled = false;
--- a/packages/runtime/src/connector.ts
+++ b/packages/runtime/src/connector.ts
@@ -30,7 +30,7 @@
  */
 export function createConnector(
   timeoutMs = defaultTimeoutMs,
-  onConnecting: (socket: Socket) => void = () => undefined,
+  onConnecting: (socket: ResetAwareSocket) => void = () => undefined,
   resetsWhenDestroyed = false,
 ): Connector {
   return ({ protocol, hostname, port }, callback) => {
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -14,6 +14,7 @@
 export * from './notifier.js';
 export * from './processAbort.js';
 export * from './progressTimeout.js';
+export * from './resetAwareSocket.js';
 export * from './settings.js';
 export * from './shutdown.js';
 export * from './systemClock.js';
--- a/packages/runtime/src/resetAwareSocket.ts
+++ b/packages/runtime/src/resetAwareSocket.ts
@@ -13,6 +13,14 @@
   return (error as { code?: string } | undefined)?.code ?? '';
 }
 
+/** Takes what a socket receives before the socket's reader gets it. */
+export interface InputFilter {
+  /** Returns the bytes that the reader gets now. */
+  push(bytes: Buffer): Buffer;
+  /** Returns the bytes that the reader gets before the connection's end. */
+  end(): Buffer;
+}
+
 /**
  * A socket that emits `end` only if the peer has really closed the connection. Node reports a reset
  * that arrives together with data as an end, and undici treats the error code of a reset as the end of
@@ -21,6 +29,9 @@
  * only when the reader reads past the last bytes, since undici fails if `end` arrives while it is paused.
  */
 export class ResetAwareSocket extends Socket {
+  /** Filter of the bytes that arrive from now on; undefined for none. */
+  inputFilter: InputFilter | undefined;
+
   /** Whether the peer has closed its side but `end` has not been emitted yet. */
   private isEndPending = false;
 
@@ -36,7 +47,9 @@
   }
 
   override push(chunk: unknown, encoding?: BufferEncoding): boolean {
-    if (chunk !== null) return super.push(chunk, encoding);
+    if (chunk !== null) return this.pushBytes(chunk, encoding);
+    const rest = this.inputFilter?.end();
+    if (rest?.length) super.push(rest);
     const timer = setTimeout(() => this.destroy(new ConnectionReset()), probeTimeoutMs);
     this.write(probe, (error) => {
       clearTimeout(timer);
@@ -60,6 +73,13 @@
     return this.resetAndDestroy();
   }
 
+  private pushBytes(chunk: unknown, encoding?: BufferEncoding): boolean {
+    if (!this.inputFilter || !Buffer.isBuffer(chunk)) return super.push(chunk, encoding);
+    const bytes = this.inputFilter.push(chunk);
+    // Without bytes for its reader the socket goes on receiving.
+    return bytes.length === 0 || super.push(bytes);
+  }
+
   private scheduleEnd(): void {
     this.isEndPending = true;
     if (this.readableFlowing) this.emitEnd();
