Order the sources of a chunk by hashes alone, so that members with other lists form no circle

Seen: with lists that differ by one member, first sources of 40 members formed circles for some of 200 chunks; a circle costs 10 s, after which another source is asked. Cause: the ring was turned by a share of its length, so the cut at which first and last meet depended on each member's list. Now which of two members comes first depends on the chunk and their names alone: a hash of four consecutive chunks and the name, cut at one of two fixed hashes, forwards or backwards. Following earlier members never leads back, whatever the lists; chunks in opposite directions keep the load even.

The origin is asked once more first.

Tests: 'members with different lists', 'members with lists that differ at random' and 'corrupt chunk from the origin' fail on the code before and pass; 'dying members and corrupt chunks' and 'schemes on the same work' pass.

--- a/features/steps/weightTransfer.steps.ts
+++ b/features/steps/weightTransfer.steps.ts
@@ -42,6 +42,8 @@
 const secondMs = 1_000;
 const pastDeadlineMs = 100_000;
 const seed = 1;
+/** Share of the members that another one does not know. */
+const unknownShare = 0.1;
 
 function createMembers(count: number): WeightMember[] {
   return Array.from({ length: count }, (_, index) => ({
@@ -61,6 +63,28 @@
   },
 );
 
+Given(
+  'a weight transfer of one chunk at its first member beside {int} others',
+  function prepare(this: WeightTransferWorld, others: number) {
+    const topology = new Topology(digest, createMembers(others + 1), region);
+    const first = topology.memberAt(0, 0, 0)!;
+    this.weightTransfer = new Transfer(1, first, topology, sourceOrders.trees);
+    [this.firstFetch] = this.weightTransfer.startFetches(0) as [ChunkFetch];
+  },
+);
+
+Then('the origin is asked once more for it', function check(this: WeightTransferWorld) {
+  assert.deepEqual(
+    [this.firstFetch, ...this.weightFetches].map(({ source }) => source),
+    [origin, origin],
+  );
+});
+
+When('the origin sends a corrupt chunk again', function fail(this: WeightTransferWorld) {
+  this.weightTransfer.fetchFailed(this.weightFetches[0]!, FetchFault.corrupt, 1);
+  this.weightFetches = this.weightTransfer.startFetches(1);
+});
+
 When(
   'the first two sources stay silent past the deadline',
   function hedge(this: WeightTransferWorld) {
@@ -240,6 +264,21 @@
   );
 });
 
+When(
+  'each does not know a tenth of the others, by seed {int}',
+  function differ(this: WeightTransferWorld, viewSeed: number) {
+    const random = new SeededRandom(viewSeed);
+    this.weightViews = new Map(
+      this.weightMembers.map((self) => {
+        const known = this.weightMembers.filter(
+          (member) => member === self || random.next() >= unknownShare,
+        );
+        return [self.name, new Topology(digest, known, region)];
+      }),
+    );
+  },
+);
+
 /** Whether following the first sources of a chunk leads from a member back to itself. */
 function isInCycle(
   { weightMembers, weightViews }: WeightTransferWorld,
--- a/features/weightTransfer.feature
+++ b/features/weightTransfer.feature
@@ -50,6 +50,20 @@
     When half of them do not know the last member yet
     Then over 200 chunks no first sources form a circle
 
+  # Guards against members that wait for each other because each knows others than the next one does.
+  Scenario: members with lists that differ at random
+    Given a weight topology of 40 members in one data centre
+    When each does not know a tenth of the others, by seed 1
+    Then over 200 chunks no first sources form a circle
+
+  # Guards against a first member that turns to those that wait for it when one transfer from the origin was corrupt.
+  Scenario: corrupt chunk from the origin
+    Given a weight transfer of one chunk at its first member beside 7 others
+    When the first source sends a corrupt chunk
+    Then the origin is asked once more for it
+    When the origin sends a corrupt chunk again
+    Then another source is asked for it
+
   Scenario: waiting for a slot
     Given a roll-out slot with a lease of 4000 ms
     When another endpoint asks for the slot 10 times
--- a/packages/decisions/src/weights/topology.ts
+++ b/packages/decisions/src/weights/topology.ts
@@ -1,4 +1,5 @@
 import { hash32 } from '@laburnumstream/common';
+import { MemberOrder } from './memberOrder.js';
 
 /** An instance that holds or receives weights. */
 export interface WeightMember {
@@ -12,19 +13,8 @@
   readonly dataCentre: string;
   readonly region: string;
   readonly members: readonly WeightMember[];
-}
-
-/** Fractional part of the golden ratio: the step of a low-discrepancy sequence. */
-const goldenRatioFraction = 0.618_033_988_749_894_9;
-
-/** Maps an index to [0, 1) such that any run of consecutive indexes covers the interval evenly. */
-function lowDiscrepancyFraction(index: number): number {
-  return (index * goldenRatioFraction) % 1;
-}
-
-/** Number of positions by which a data centre's ring is rotated for a chunk. */
-function ringRotation(chunk: number, length: number): number {
-  return Math.floor(lowDiscrepancyFraction(chunk) * length);
+  /** Their order for each chunk. */
+  readonly order: MemberOrder;
 }
 
 function compareByHash(key: string): (a: string, b: string) => number {
@@ -32,14 +22,11 @@
 }
 
 /**
- * One member's view of the participants in the transfer of a version. Built once per member list;
- * lookups per chunk allocate nothing except the short list of data centres.
+ * One member's view of the participants in the transfer of a version. Built once per member list.
  */
 export class Topology {
   readonly groups: readonly DataCentreGroup[];
 
-  private readonly ranks = new Map<string, number>();
-
   private readonly groupIndexes = new Map<string, number>();
 
   private readonly regions: readonly string[];
@@ -59,13 +46,11 @@
     const names = [...byDataCentre.keys()].sort(compare);
     this.groups = names.map((dataCentre) => {
       const sorted = Topology.sortMembers(digest, byDataCentre.get(dataCentre)!);
-      return { dataCentre, region: sorted[0]!.region, members: sorted };
+      const order = new MemberOrder(digest, sorted);
+      return { dataCentre, region: sorted[0]!.region, members: sorted, order };
     });
     this.groups.forEach((group, index) => {
-      group.members.forEach(({ name }, rank) => {
-        this.ranks.set(name, rank);
-        this.groupIndexes.set(name, index);
-      });
+      group.members.forEach(({ name }) => this.groupIndexes.set(name, index));
     });
     const others = [...new Set(this.groups.map(({ region }) => region))]
       .filter((region) => region !== originRegion)
@@ -78,20 +63,14 @@
     return this.groupIndexes.get(name) ?? -1;
   }
 
-  /**
-   * Position of a member in its data centre's order for a chunk. The order is a ring that is
-   * rotated per chunk, so that each member takes each position equally often.
-   */
+  /** Position of a member in its data centre's order for a chunk. */
   getPosition(name: string, chunk: number): number {
-    const { length } = this.groups[this.getGroupIndex(name)]!.members;
-    return (this.ranks.get(name)! - ringRotation(chunk, length) + length) % length;
+    return this.groups[this.getGroupIndex(name)]!.order.getPosition(name, chunk);
   }
 
   /** The member at a position in a group's order for a chunk; undefined past the end. */
   memberAt(group: number, position: number, chunk: number): WeightMember | undefined {
-    const { members } = this.groups[group]!;
-    if (position >= members.length) return undefined;
-    return members[(position + ringRotation(chunk, members.length)) % members.length];
+    return this.groups[group]!.order.memberAt(position, chunk);
   }
 
   /** Indexes of `groups` in the order in which a chunk reaches them, the origin's region first. */
--- a/packages/decisions/src/weights/transfer.ts
+++ b/packages/decisions/src/weights/transfer.ts
@@ -51,6 +51,8 @@
   /** Names of the sources that failed for this chunk. */
   readonly failedSources: Set<string>;
   firstRequestedAt: number;
+  /** Whether the origin has been asked again after it sent a corrupt chunk. */
+  isOriginRepeated: boolean;
 }
 
 /** Responsiveness of a source. */
@@ -95,7 +97,12 @@
 const faultHandlers: Readonly<Record<FetchFault, FaultHandler>> = {
   notYet: (transfer, { source }, state, now) => transfer.recordNotYet(source, state, now),
   unreachable: (transfer, fetch, state, now) => transfer.recordFailure(fetch, state, now),
-  corrupt: (_transfer, { source }, state) => state.failedSources.add(sourceName(source)),
+  corrupt: (_transfer, { source }, state) => {
+    // The origin is asked once more: all other sources may be waiting for this member.
+    if (source === origin && !state.isOriginRepeated)
+      Object.assign(state, { isOriginRepeated: true });
+    else state.failedSources.add(sourceName(source));
+  },
   superseded: () => undefined,
 };
 
@@ -182,7 +189,12 @@
       const chunk = this.nextChunk;
       this.nextChunk += 1;
       if (!this.held[chunk]) {
-        const state = { active: [], failedSources: new Set<string>(), firstRequestedAt: now };
+        const state = {
+          active: [],
+          failedSources: new Set<string>(),
+          firstRequestedAt: now,
+          isOriginRepeated: false,
+        };
         this.pending.set(chunk, state);
         this.startFetch(chunk, state, now, fetches);
       }
