A turned-away entry takes the date of a version that others have proven

The store turned one entry away (429) for 2.5 s while a version was named: the entry took that for an outage and dated the version 1 s before its return, so that requests began on the outdated version up to 0.6 s after its time.

Agents now report since when their engine's version is outdated, as far as an entry has proven it (EndpointReport.outdated_ms_ago). An entry takes the earlier date if its own one is a guess, also before it has read the version itself; a proven date of its own stays, as that of another entry may be early by its suspension. Entries pass on only what they know themselves.

The entry of VersionFleet reads the store through a relay now.

--- a/features/sidecar.feature
+++ b/features/sidecar.feature
@@ -58,3 +58,15 @@
     When an entry tells it that version 1 is wanted
     Then the engine is ordered to load version 1 with every piece right
     And the origin is asked for 3 pieces
+
+  # Guards against reports that leave out since when the engine's version is outdated, or pass on what an entry guesses.
+  Scenario Outline: report of an engine whose version is outdated, as an entry <knows>
+    Given an agent beside an empty engine and an origin with version 1
+    When an entry tells it that version 1 is wanted
+    And an entry tells it that version 2 was named 1000 ms ago, <unseen> ms of it unseen
+    Then its reports on version 1 tell that it is outdated for <ms>
+
+    Examples:
+      | knows   | unseen | ms                |
+      | knows   | 0      | 1000 ms or longer |
+      | guesses | 5500   | no time           |
--- a/features/steps/sidecar.steps.ts
+++ b/features/steps/sidecar.steps.ts
@@ -4,6 +4,7 @@
 import { After, Given, Then, When } from '@cucumber/cucumber';
 import { SeededRandom } from '@laburnumstream/common';
 import { FleetDatagrams } from '@laburnumstream/links';
+import type { EndpointReport } from '@laburnumstream/protocol';
 import { HistogramMetrics, SystemClock, readChart } from '@laburnumstream/runtime';
 import { Sidecar } from '@laburnumstream/sidecar';
 import { eventually } from '../support/assertions.js';
@@ -30,6 +31,8 @@
   sidecarOrigin: FaultyPieceOrigin;
   sidecarPort: number;
   sidecarEntry: FleetDatagrams;
+  /** Reports that the entry has received. */
+  sidecarReports: EndpointReport[];
   sidecarTimer: NodeJS.Timeout;
   sidecarMetrics: HistogramMetrics;
   sidecarMember: Server;
@@ -59,7 +62,9 @@
       log: () => silentLog,
     });
     await sidecar.start(this.sidecarAbort.signal);
-    this.sidecarEntry = new FleetDatagrams('front-1', {}, clock, metrics, silentLog);
+    this.sidecarReports = [];
+    const handlers = { report: (report: EndpointReport) => this.sidecarReports.push(report) };
+    this.sidecarEntry = new FleetDatagrams('front-1', handlers, clock, metrics, silentLog);
     await this.sidecarEntry.bind('127.0.0.2', settings.firstPort, this.sidecarAbort.signal);
   },
 );
--- a/features/support/versionFleet.ts
+++ b/features/support/versionFleet.ts
@@ -4,6 +4,7 @@
 import { FleetDatagrams } from '@laburnumstream/links';
 import { StoreClient, platformHeaders, storeCodec } from '@laburnumstream/platform';
 import { HistogramMetrics, SystemClock } from '@laburnumstream/runtime';
+import { Relay } from '@laburnumstream/standins';
 import { eventually } from './assertions.js';
 import { noopLog } from './largeFleet.js';
 import { sendRequest } from './platformCaller.js';
@@ -49,6 +50,9 @@
   /** Version of the engine's weights, as its agent reports it. */
   reportedVersion = 1;
 
+  /** Returns for how long version 1 has been outdated, as the agent reports it, in milliseconds. */
+  reportedOutdatedMs: () => number | undefined = () => undefined;
+
   /** Called with each line that the entry logs. */
   onLine: (message: string) => void = () => undefined;
 
@@ -60,13 +64,16 @@
   private constructor(
     readonly platform: PlatformFleet,
     readonly engine: QueueingEngine,
+    /** Between the entry and the store. */
+    readonly storeRelay: Relay,
   ) {}
 
   static async start(): Promise<VersionFleet> {
     const platform = await PlatformFleet.start([]);
     const { settings, store } = platform;
     Object.assign(settings, { bounds: { ...settings.bounds, versionMs } });
-    const fleet = new VersionFleet(platform, await QueueingEngine.start('e0'));
+    const storeRelay = await new Relay(Number(store.address.split(':')[1])).start();
+    const fleet = new VersionFleet(platform, await QueueingEngine.start('e0'), storeRelay);
     store.write('op/config', createConfiguration());
     fleet.nameVersion(1);
     store.write('servers/e0', {
@@ -131,6 +138,7 @@
   async close(): Promise<void> {
     this.abort.abort();
     this.engine.close();
+    await this.storeRelay.stop();
     await this.platform.close();
   }
 
@@ -139,14 +147,14 @@
   }
 
   private async startEntry(): Promise<void> {
-    const { settings, store, metrics } = this.platform;
+    const { settings, metrics } = this.platform;
     const line =
       (part: string) =>
       (message: string): void =>
         this.onLine(`${part}: ${message}`);
     const entry = new ForwardingEntry({
       settings,
-      store: new StoreClient(store.address),
+      store: new StoreClient(this.storeRelay.address),
       fleetCodec: storeCodec,
       headerCodec: platformHeaders,
       clock: this.clock,
@@ -174,7 +182,9 @@
       isAnswering: true,
     };
     while (!this.abort.signal.aborted) {
-      const value = { ...report, version: this.reportedVersion };
+      const outdatedMsAgo = this.reportedOutdatedMs();
+      const outdated = outdatedMsAgo === undefined ? {} : { outdatedMsAgo };
+      const value = { ...report, ...outdated, version: this.reportedVersion };
       if (!this.engine.isStill) agent.send({ case: 'report', value }, host);
       await sleep(reportIntervalMs);
     }
--- a/features/versionBounds.feature
+++ b/features/versionBounds.feature
@@ -39,6 +39,32 @@
       | after  | 300 |
       | while  | 0   |
 
+  # Guards against an entry that alone is turned away by the store and dates a version by its own return.
+  Scenario: version that is named while the store turns one entry away
+    Given an entry and an engine on version 1
+    And an agent that gets the updates of the entry
+    And another entry
+    And reports of what the agent knows
+    When the store turns the entry away for 2500 ms, and version 2 is named 100 ms after it began to
+    And a stream request is sent each 100 ms for 2500 ms
+    Then the engine begins nothing after the time of version 1
+
+  # Guards against a late date of a version that others know, and against an early one of theirs where the own is proven.
+  Scenario Outline: outdated since <own> for an entry, since <reports> in reports
+    Given an entry that takes version 1 for outdated since <own>
+    When reports on the engine tell that it is since <reports>
+    Then version 1 is outdated for the entry since <at>
+
+    Examples:
+      | own             | reports    | at    |
+      | 2000 as a guess | 500        | 500   |
+      | 2000 as a guess | 500, 900   | 500   |
+      | 2000 as a guess | 2500       | 2000  |
+      | 2000 as a guess | 500, never | 2000  |
+      | 2000            | 500        | 2000  |
+      | never           | 500        | 500   |
+      | never           | never      | never |
+
   # Guards against a request that is sent late because its entry stood still after its placement.
   Scenario: entry that stands still before its connection is there
     Given an entry and an engine on version 1
--- a/packages/decisions/src/forwarding/namedVersions.ts
+++ b/packages/decisions/src/forwarding/namedVersions.ts
@@ -10,6 +10,21 @@
 
 type DateDetails = Partial<Omit<VersionDate, 'at'>>;
 
+function findEarliest(dates: readonly VersionDate[]): VersionDate | undefined {
+  const [first, ...others] = dates;
+  return first && others.reduce((least, date) => (date.at < least.at ? date : least), first);
+}
+
+/**
+ * Returns since when a version counts as outdated, from this process's own date and the time that another one has
+ * proven, infinite for none. The latter counts only where the own date is not proven: such a date is never late, but that
+ * of a process that was suspended may be much too early.
+ */
+export function combineOutdated(own: VersionDate | undefined, reportedAt: number): number {
+  if (own?.unseenMs === 0) return own.at;
+  return Math.min(own?.at ?? Infinity, reportedAt);
+}
+
 /** Weight versions of one model that operators named, and when. */
 export class NamedVersions {
   private readonly dates = new Map<number, VersionDate>();
@@ -54,7 +69,20 @@
    * newer version counts, so that further ones don't extend the use of an outdated version.
    */
   outdatedAt(served: number): number {
-    const newer = [...this.dates].filter(([version]) => version > served);
-    return Math.min(Infinity, ...newer.map(([, { at }]) => at));
+    return this.outdatedDate(served)?.at ?? Infinity;
+  }
+
+  /** Returns when `served` ceased to be the newest version; undefined while it is the newest. */
+  outdatedDate(served: number): VersionDate | undefined {
+    return findEarliest(this.newerDates(served));
+  }
+
+  /** Returns the same of those dates that are proven. */
+  provenOutdatedDate(served: number): VersionDate | undefined {
+    return findEarliest(this.newerDates(served).filter(({ unseenMs }) => unseenMs === 0));
+  }
+
+  private newerDates(served: number): VersionDate[] {
+    return [...this.dates].filter(([version]) => version > served).map(([, date]) => date);
   }
 }
--- a/packages/forwarding/src/endpointHandle.ts
+++ b/packages/forwarding/src/endpointHandle.ts
@@ -71,6 +71,9 @@
 
   model: EngineModel | undefined;
 
+  /** The version that its agent reports as outdated, and since when. */
+  private reportedOutdated: { readonly version: number; readonly at: number } | undefined;
+
   /** Monotonic time since when it is to get no requests, in milliseconds. */
   private retirementAt: number | undefined;
 
@@ -148,6 +151,19 @@
     return isComplete ? layers.version : undefined;
   }
 
+  /** Time since when its agent reports a version as outdated, in milliseconds of the caller's clock; infinite if not. */
+  reportedOutdatedAt(version: number): number {
+    return this.reportedOutdated?.version === version ? this.reportedOutdated.at : Infinity;
+  }
+
+  /** Records since when its agent reports a version as outdated; infinite if it does not. */
+  recordOutdated(version: number, at: number): void {
+    const isReported = at < Infinity;
+    // Of several reports the earliest counts, as a report may lie in the socket while this instance is suspended.
+    const earliestAt = Math.min(at, this.reportedOutdatedAt(version));
+    this.reportedOutdated = isReported ? { version, at: earliestAt } : undefined;
+  }
+
   /** Adds a stream that was sent to the endpoint. */
   addStream(stream: MovableStream, now: number): void {
     if (this.streams.size === 0) this.lastActivityAt = now;
--- a/packages/forwarding/src/forwardingEntry.ts
+++ b/packages/forwarding/src/forwardingEntry.ts
@@ -152,7 +152,10 @@
       random,
       metrics,
       log('sidecars'),
-      (handle) => this.queue.dispatch(handle.endpoint.service, handle),
+      (handle) => {
+        this.waitingCalls.refreshAt(handle);
+        this.queue.dispatch(handle.endpoint.service, handle);
+      },
     );
     this.registration = new EntryRegistration(
       store,
--- a/packages/forwarding/src/startBounds.ts
+++ b/packages/forwarding/src/startBounds.ts
@@ -1,5 +1,5 @@
 import type { Clock, FleetSettings } from '@laburnumstream/common';
-import { mayStartOnVersion } from '@laburnumstream/decisions';
+import { combineOutdated, mayStartOnVersion } from '@laburnumstream/decisions';
 import type { EndpointHandle } from './endpointHandle.js';
 import type { FleetState } from './fleetState.js';
 
@@ -27,11 +27,17 @@
    * Time since a version of an endpoint's weights, by default the one that it serves, is outdated, in
    * milliseconds; negative infinity while it is not.
    */
-  outdatedMs({ profile, version: served }: EndpointHandle, version = served): number {
+  outdatedMs(handle: EndpointHandle, version = handle.version): number {
+    const { profile } = handle;
     const model = profile?.engine?.models[0]?.name;
     if (version === undefined || model === undefined) return -Infinity;
-    const outdatedAt = this.state.namedVersions(model)?.outdatedAt(version) ?? Infinity;
-    return this.versionClock.now() - outdatedAt;
+    const own = this.state.namedVersions(model)?.outdatedDate(version);
+    return this.versionClock.now() - combineOutdated(own, handle.reportedOutdatedAt(version));
+  }
+
+  /** Records since when a version is outdated as an endpoint's agent reports it, by default that it does not. */
+  recordOutdated(handle: EndpointHandle, version: number, msAgo = -Infinity): void {
+    handle.recordOutdated(version, this.versionClock.now() - msAgo);
   }
 
   /** Whether a time is set from which no request may start at an endpoint. */
--- a/packages/forwarding/src/waitingCalls.ts
+++ b/packages/forwarding/src/waitingCalls.ts
@@ -32,6 +32,11 @@
     if ([...handles].some((handle) => this.bounds.hasBound(handle))) this.scheduleCheck();
   }
 
+  /** To be called after a report of an endpoint's agent, with which its version may have become outdated. */
+  refreshAt(handle: EndpointHandle): void {
+    if (this.handles.size > 0 && this.bounds.hasBound(handle)) this.scheduleCheck();
+  }
+
   private scheduleCheck(): void {
     this.timer ??= setTimeout(() => this.check(), checkIntervalMs).unref();
   }
--- a/packages/sidecar/src/engineReporter.ts
+++ b/packages/sidecar/src/engineReporter.ts
@@ -22,6 +22,8 @@
   readonly isSwitching: boolean;
   /** Time until the engine unloads its weights, in milliseconds; undefined while no switch is due. */
   readonly switchInMs: number | undefined;
+  /** Time since its version is outdated, as an entry has proven; undefined if none has. */
+  readonly outdatedMs: number | undefined;
 }
 
 /** Time without a datagram after which an entry receives no more reports: three updates, in milliseconds. */
@@ -58,7 +60,7 @@
     if (!state) return;
     const now = this.clock.now();
     const { isAnswering } = this.monitor;
-    const { version, isSwitching, switchInMs } = this.getWeightState();
+    const { version, isSwitching, switchInMs, outdatedMs } = this.getWeightState();
     const urgentState = `${isAnswering} ${isSwitching} ${version} ${state.bornAt}`;
     const isUrgent = urgentState !== this.lastUrgentState;
     this.lastUrgentState = urgentState;
@@ -73,6 +75,7 @@
       isAnswering,
       answeredMsAgo: toDatagramNumber(this.monitor.answeredMsAgo),
       ...(switchInMs === undefined ? {} : { switchInMs: toDatagramNumber(switchInMs) }),
+      ...(outdatedMs === undefined ? {} : { outdatedMsAgo: toDatagramNumber(outdatedMs) }),
     };
     const hosts: string[] = [];
     this.subscribers.forEach((subscriber, name) => {
--- a/packages/sidecar/src/fleetView.ts
+++ b/packages/sidecar/src/fleetView.ts
@@ -67,6 +67,12 @@
     return this.clock.now() - this.namedVersions.outdatedAt(served);
   }
 
+  /** The same as far as an entry has proven it; undefined if none has. */
+  provenOutdatedMs(served: number): number | undefined {
+    const date = this.namedVersions.provenOutdatedDate(served);
+    return date && this.clock.now() - date.at;
+  }
+
   /** This instance as a member. */
   get self(): WeightMember {
     return this.toMember(this.host, this.dataCentre);
--- a/packages/sidecar/src/weightUpdater.ts
+++ b/packages/sidecar/src/weightUpdater.ts
@@ -67,7 +67,8 @@
     const newest = this.versions.newestComplete()?.version ?? 0;
     const next = newest > version ? newest : view.version;
     const switchInMs = isOutdated ? this.switchDelayMs(next) : undefined;
-    return { version, isSwitching, switchInMs };
+    const outdatedMs = isOutdated ? view.provenOutdatedMs(version) : undefined;
+    return { version, isSwitching, switchInMs, outdatedMs };
   }
 
   /** Version of which the engine holds all layers; 0 for none. */
