Read what has arrived before a stop closes connections or the listener

The entry had not had the processor: on its next turn the timers of the stop ran first, and closing idle connections and the listener reset what had not been accepted or read.

Change: before idle connections are closed, before the stop counts all requests as answered and before the listener is closed, the event loop takes turns until nothing arrives in three of them.

Test, failing before: an entry program that is suspended from 1 s after the signal to 1.8, 2.5 and 3.2 s while 8 requests arrive: 4, 8 and 8 without an answer; now 0, 0 and 0. A fleet of a seeded stop that does not start is ended, and lines are kept for refused requests that ran.

--- a/features/plannedStops.feature
+++ b/features/plannedStops.feature
@@ -55,6 +55,18 @@
     Then no request that ran is without an answer, and no refused one ran
     And no request is without an answer but those that crossed the close of their connection
 
+  # Requests that arrived while a stopping entry got no processor time were reset unread when it closed its listener.
+  Scenario Outline: requests that arrive while the entry gets no processor time
+    Given an entry program with 4 seconds of grace
+    When it is stopped and stands still from 1 to <end> seconds after the signal while requests arrive
+    Then each of them has an answer
+
+    Examples:
+      | end |
+      | 1.8 |
+      | 2.5 |
+      | 3.2 |
+
   Scenario: rolling restart of all entries
     Given 3 entry programs behind a load balancer
     When they are restarted one after the other under 30 callers
--- a/features/steps/plannedStops.steps.ts
+++ b/features/steps/plannedStops.steps.ts
@@ -72,16 +72,16 @@
   return `${id}: ${seconds(sentAt)} to ${seconds(endedAt)} s, ${status} ${error}`;
 }
 
-/** Describes a request of a seeded stop that got no response, with what the entry has logged. */
-function describeUnanswered(played: PlayedStop, outcome: StopOutcome): string {
-  const { seed, stoppedAt, exitedAt = 0, unansweredLines, stopLines } = played;
+/** Describes a request of a seeded stop with what the entry has logged of it. */
+function describeTraced(played: PlayedStop, outcome: StopOutcome): string {
+  const { seed, stoppedAt, exitedAt = 0, lines, stopLines } = played;
   const seconds = (at: number | undefined): string =>
     at === undefined ? 'never' : ((at - stoppedAt) / msPerSecond).toFixed(2);
   const { connectedAt, writtenAt } = outcome;
   return [
     `seed ${seed}, ${describeOutcome(outcome, stoppedAt)}`,
     `connected ${seconds(connectedAt)}, written ${seconds(writtenAt)}, exit ${seconds(exitedAt)}`,
-    ...unansweredLines.get(outcome.id)!,
+    ...(lines.get(outcome.id) ?? []),
     ...stopLines,
   ].join('\n');
 }
@@ -318,6 +318,35 @@
   assert.equal(answers.length, this.stopFleet.ranIds.size);
 });
 
+When(
+  /^it is stopped and stands still from ([\d.]+) to ([\d.]+) seconds after the signal while requests arrive$/,
+  async function stall(this: PlannedStopsWorld, start: string, end: string) {
+    const { stopFleet: fleet } = this;
+    const agent = new Agent({ keepAlive: true });
+    const request = { route: 'unsafe', workMs: 0, deadlineMs: 3_000 } as const;
+    // These connections are idle when the stop begins.
+    const send = (): Promise<StopOutcome> => sendStopRequest(fleet, { ...request, agent });
+    await Promise.all(Array.from({ length: keptCallers }, send));
+    fleet.stop();
+    await sleep(Number(start) * msPerSecond);
+    fleet.program.signal('SIGSTOP');
+    await sleep(signalSlackMs);
+    const sent = Array.from({ length: keptCallers }, () => [
+      send(),
+      sendStopRequest(fleet, request),
+    ]).flat();
+    await sleep((Number(end) - Number(start)) * msPerSecond - signalSlackMs);
+    fleet.program.signal('SIGCONT');
+    this.outcomes = await Promise.all(sent);
+    agent.destroy();
+  },
+);
+
+Then('each of them has an answer', function answered(this: PlannedStopsWorld) {
+  const lost = this.outcomes.filter(({ status, isWhole }) => status === 0 || !isWhole);
+  assertNone(this, lost, 'have no answer');
+});
+
 When(
   /^(\d+) entry programs with (\d+) seconds of grace are stopped at seeded moments of mixed traffic$/,
   async function seeded(this: PlannedStopsWorld, count: string, graceS: string) {
@@ -328,15 +357,18 @@
 Then(
   'no request that ran is without an answer, and no refused one ran',
   function kept(this: PlannedStopsWorld) {
-    const wrong = this.played.flatMap(({ seed, outcomes, ranIds, stoppedAt, latestEndAt }) =>
-      outcomes
-        // A begun stream may be cut at its deadline, and by the end of the stop.
-        .filter(({ status, endedAt, deadlineAt }) =>
-          status === 200 ? endedAt < Math.min(deadlineAt, latestEndAt) : true,
-        )
-        .filter(({ id, status, isWhole }) => ranIds.has(id) && (!isWhole || status === 503))
-        .map((outcome) => `seed ${seed}, ${describeOutcome(outcome, stoppedAt)}`),
-    );
+    const wrong = this.played.flatMap((played) => {
+      const { outcomes, ranIds, latestEndAt } = played;
+      return (
+        outcomes
+          // A begun stream may be cut at its deadline, and by the end of the stop.
+          .filter(({ status, endedAt, deadlineAt }) =>
+            status === 200 ? endedAt < Math.min(deadlineAt, latestEndAt) : true,
+          )
+          .filter(({ id, status, isWhole }) => ranIds.has(id) && (!isWhole || status === 503))
+          .map((outcome) => describeTraced(played, outcome))
+      );
+    });
     assert.equal(wrong.length, 0, wrong.join('\n'));
   },
 );
@@ -351,9 +383,9 @@
         .filter(
           ({ id, sentAt, endedAt }) =>
             // A request that the entry has logged was read.
-            endedAt - sentAt > crossingMs || played.unansweredLines.get(id)!.length > 0,
+            endedAt - sentAt > crossingMs || played.lines.get(id)!.length > 0,
         )
-        .map((outcome) => describeUnanswered(played, outcome)),
+        .map((outcome) => describeTraced(played, outcome)),
     );
     assert.equal(wrong.length, 0, wrong.join('\n'));
   },
--- a/features/support/seededStops.ts
+++ b/features/support/seededStops.ts
@@ -15,8 +15,8 @@
   readonly outcomes: readonly StopOutcome[];
   /** Ids of the requests that engines have begun to execute. */
   readonly ranIds: ReadonlySet<string>;
-  /** Log lines of the entry on each request that got no response; none for one that was not read. */
-  readonly unansweredLines: ReadonlyMap<string, readonly string[]>;
+  /** Log lines of the entry on requests that got no response or a refusal; none for one that was not read. */
+  readonly lines: ReadonlyMap<string, readonly string[]>;
   /** Log lines of the entry on its stop. */
   readonly stopLines: readonly string[];
   /** Monotonic time at which its exit was noticed, in milliseconds. */
@@ -60,15 +60,18 @@
     const outcomes = (await Promise.all(sent)).flat();
     const stoppedAt = fleet.stoppedAt!;
     const { latestEndAt } = new PlannedStop(stoppedAt, graceS * msPerSecond);
-    const unanswered = outcomes.filter(({ status }) => status === 0);
+    const { ranIds } = fleet;
+    const doubtful = outcomes.filter(
+      ({ id, status }) => status === 0 || (status === 503 && ranIds.has(id)),
+    );
     return {
       seed,
       stoppedAt,
       latestEndAt,
       outcomes,
-      ranIds: fleet.ranIds,
+      ranIds,
       // The quote after the id keeps lines of longer ids out.
-      unansweredLines: new Map(unanswered.map(({ id }) => [id, fleet.findLines(`"${id}"`)])),
+      lines: new Map(doubtful.map(({ id }) => [id, fleet.findLines(`"${id}"`)])),
       stopLines: fleet.findLines('"process: '),
       exitedAt: fleet.exitedAt,
     };
@@ -77,10 +80,15 @@
   }
 }
 
-/** Starts fleets one after the other, as each takes adjacent ports. */
+/** Starts fleets one after the other, as each takes adjacent ports; ends them if one does not start. */
 async function startFleets(count: number, graceS: number): Promise<StopFleet[]> {
   const fleets: StopFleet[] = [];
-  while (fleets.length < count) fleets.push(await StopFleet.start({ ...roomyShape, graceS }));
+  try {
+    while (fleets.length < count) fleets.push(await StopFleet.start({ ...roomyShape, graceS }));
+  } catch (error) {
+    fleets.forEach((fleet) => fleet.close());
+    throw error;
+  }
   return fleets;
 }
 
--- a/features/support/stopFleet.ts
+++ b/features/support/stopFleet.ts
@@ -94,7 +94,12 @@
       const registration = { Service: 'desk', Address: address, Zone: 'a', Slots: slots };
       store.write(`servers/${id}`, { ...registration, State: 'ready', born: firstStart });
     });
-    await fleet.startProgram();
+    try {
+      await fleet.startProgram();
+    } catch (error) {
+      fleet.close();
+      throw error;
+    }
     return fleet;
   }
 
--- a/packages/forwarding/src/callerConnections.ts
+++ b/packages/forwarding/src/callerConnections.ts
@@ -23,6 +23,9 @@
 
   private handling = 0;
 
+  /** Connections and requests that have arrived so far. */
+  private arrivals = 0;
+
   /** Whether the last response on each connection says that it closes. */
   private isDraining = false;
 
@@ -35,7 +38,13 @@
     return open.reduce((sum, { unsent }) => sum + unsent.size, this.handling);
   }
 
+  /** Number of connections and requests that have arrived so far. */
+  get arrivalCount(): number {
+    return this.arrivals;
+  }
+
   add(socket: Socket): void {
+    this.arrivals += 1;
     this.connections.set(socket, {
       handling: 0,
       unsent: new Set(),
@@ -65,6 +74,7 @@
    */
   begin(socket: Socket, response: ServerResponse): (() => void) | undefined {
     const connection = this.connections.get(socket);
+    this.arrivals += 1;
     if (connection?.isEnding) return undefined;
     this.handling += 1;
     if (connection) {
--- a/packages/forwarding/src/callerServer.ts
+++ b/packages/forwarding/src/callerServer.ts
@@ -1,6 +1,7 @@
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import { createServer as createListener } from 'node:net';
+import { setImmediate as nextTurn } from 'node:timers/promises';
 import type { Server as Listener } from 'node:net';
 import { NotFound, RouteKind, Unauthenticated, toFailure } from '@laburnumstream/common';
 import type {
@@ -46,6 +47,10 @@
 /** Time beyond the configured idle timeout after which connections are closed, in milliseconds. */
 const idleSlackMs = 5_000;
 const minIdleTimeoutMs = 60_000;
+/** Turns of the event loop in which a connection is accepted and its request is read. */
+const readTurns = 3;
+/** Turns of the event loop after which what arrives is not waited for any longer. */
+const maxReadTurns = 100;
 
 function getPath(url: string): string {
   const query = url.indexOf('?');
@@ -131,6 +136,19 @@
       .forEach(([, controller]) => controller.abort(processStopping));
   }
 
+  /**
+   * Accepts and reads what has arrived. After a time without the processor, timers run before that, and
+   * what closes a connection or the listener then would reset requests unread.
+   */
+  async readArrived(): Promise<void> {
+    let { arrivalCount } = this.connections;
+    for (let quiet = 0, turns = 0; quiet < readTurns && turns < maxReadTurns; turns += 1) {
+      await nextTurn();
+      quiet = this.connections.arrivalCount === arrivalCount ? quiet + 1 : 0;
+      ({ arrivalCount } = this.connections);
+    }
+  }
+
   /** Stops accepting connections. */
   close(): void {
     this.listener.close();
--- a/packages/forwarding/src/forwardingEntry.ts
+++ b/packages/forwarding/src/forwardingEntry.ts
@@ -238,20 +238,31 @@
     this.callers.startDraining();
     this.queue.dispatchAll();
     await this.waitUntil(plan.idleClosedAt);
+    await this.callers.readArrived();
     this.callers.closeIdle();
     await this.waitUntil(plan.earliestEndAt);
-    await this.waitUntil(plan.answersBy, () => this.callers.active === 0);
+    await this.waitUntilAnswered(plan.answersBy);
     this.callers.abortUnanswered();
-    await this.waitUntil(plan.latestEndAt, () => this.callers.active === 0);
+    await this.waitUntilAnswered(plan.latestEndAt);
     this.callers.close();
     // Requests that have arrived and were not read yet are answered, too.
     await this.dependencies.clock.sleep(drainPollMs);
-    await this.waitUntil(plan.latestEndAt, () => this.callers.active === 0);
+    await this.waitUntilAnswered(plan.latestEndAt);
     const { active } = this.callers;
     if (active > 0)
       this.dependencies.log('process').warn('Responses cut by the end of the stop.', { active });
   }
 
+  /** Waits until all requests that have arrived are answered, and no longer than until `at`. */
+  private async waitUntilAnswered(at: number): Promise<void> {
+    const { callers } = this;
+    await callers.readArrived();
+    while (callers.active > 0 && this.dependencies.clock.now() < at) {
+      await this.waitUntil(at, () => callers.active === 0);
+      await callers.readArrived();
+    }
+  }
+
   private async waitUntil(at: number, isDone: () => boolean = () => false): Promise<void> {
     const { clock } = this.dependencies;
     while (clock.now() < at && !isDone())
