--- a/packages/forwarding/src/requestAttempts.ts
+++ b/packages/forwarding/src/requestAttempts.ts
@@ -1,12 +1,6 @@
 import { Execution, OutcomeUnknown } from '@laburnumstream/common';
-import type { Clock, Failure, Log, Metrics } from '@laburnumstream/common';
-import {
-  AttemptHistory,
-  RequestStage,
-  RetryPurpose,
-  mayRetry,
-  misdirectedStatus,
-} from '@laburnumstream/decisions';
+import type { Clock, Failure } from '@laburnumstream/common';
+import { AttemptHistory, RequestStage, RetryPurpose, mayRetry } from '@laburnumstream/decisions';
 import type { Placement, SharedRetryBudget } from '@laburnumstream/decisions';
 import type { Attempt, FailedAttempt } from './attempt.js';
 import type { CrashGuard } from './crashGuard.js';
@@ -19,9 +13,9 @@
 import type { Exchange } from './exchange.js';
 import type { HeaderCodec } from './headerCodec.js';
 import { OutdatedUse } from './outdatedUse.js';
-import type { ResponseHead } from './heads.js';
 import { Refusal, RefusalReason } from './refusal.js';
-import type { StatementRecorder } from './statementRecorder.js';
+import { recordForeignResponse, recordHead } from './responseRecorder.js';
+import type { ResponseServices } from './responseRecorder.js';
 import type { WaitingCalls } from './waitingCalls.js';
 
 /**
@@ -40,9 +34,6 @@
 
 /** Time within which the loss of an endpoint is known, in milliseconds: three missed heartbeats and more. */
 const lossNoticeMs = 4_000;
-/** Longest part of an id in an endpoint's response that is logged, in characters. */
-const maxLoggedIdLength = 64;
-
 /** Interval of checks whether it is known, in milliseconds. */
 const lossPollMs = 20;
 
@@ -50,21 +41,16 @@
 const breakingFaults: ReadonlySet<CallFault> = new Set([CallFault.broken, CallFault.truncated]);
 
 /** Services that all requests share. */
-export interface AttemptServices {
+export interface AttemptServices extends ResponseServices {
   readonly queue: DispatchQueue;
   readonly directory: EndpointDirectory;
   readonly guard: CrashGuard;
   readonly budget: SharedRetryBudget;
   /** Called when this entry's load at an endpoint has changed. */
   readonly onLoadChange: (endpoint: EndpointHandle) => void;
-  /** Called with the requests per second that a response names as the endpoint's limit, if any. */
-  readonly onNamedLimit: (endpoint: EndpointHandle, perSecond: number | undefined) => void;
-  readonly statements: StatementRecorder;
   readonly waitingCalls: WaitingCalls;
   readonly codec: HeaderCodec;
   readonly clock: Clock;
-  readonly metrics: Metrics;
-  readonly log: Log;
 }
 
 /** The attempts of one request: the endpoints that were tried, and whether it may be retried. */
@@ -314,28 +300,6 @@
     );
   }
 
-  /** Records what an endpoint says of itself with a response. */
-  private recordHead(handle: EndpointHandle, status: number, head: ResponseHead): void {
-    // Another endpoint at the address responds so.
-    if (status === misdirectedStatus) return;
-    this.services.statements.record(handle, status, head);
-    const { maxRequestsPerSecond } = head;
-    // A refusal without a limit does not tell that the limit has ended.
-    if (maxRequestsPerSecond === undefined && !isSuccess(status)) return;
-    this.services.onNamedLimit(handle, maxRequestsPerSecond);
-  }
-
-  /** Records that an endpoint sent a response to another request, which was dropped. */
-  private recordForeign(handle: EndpointHandle, responseId: string): void {
-    const { metrics, log } = this.services;
-    metrics.count('responses_foreign');
-    log.info('Response to another request dropped.', {
-      id: this.exchange.head.id,
-      endpoint: handle.id,
-      responseId: responseId.slice(0, maxLoggedIdLength),
-    });
-  }
-
   /** Sends the request to an endpoint. */
   send(
     { target: handle }: Placement<EndpointHandle>,
@@ -371,14 +335,14 @@
         isTaken = isSuccess(status) && !wasNotRun;
         if (isBegun && (isTaken || wasNotRun))
           handle.begunAdmission.recordResult(isTaken, clock.now());
-        this.recordHead(handle, status, responseHead);
+        recordHead(services, handle, status, responseHead);
       },
       () => {
         const maySend = directory.maySend(handle);
         if (maySend) use.recordSend();
         return maySend;
       },
-      (responseId) => this.recordForeign(handle, responseId),
+      (responseId) => recordForeignResponse(services, handle, head.id, responseId),
     );
     const prefillMs = handle.model?.prefillMs(head.promptTokens ?? 0) ?? 0;
     let isPrefilled = false;
