Do not refuse a request after an earlier attempt was sent

When the deadline, or the end of a stop, aborted the last attempt, only that one was asked whether it had been sent; with a second attempt that was still connecting, the first one was forgotten.

Change: the abort asks for all attempts, so the answer is 504, or 502 at the end of a stop.

--- a/features/timeouts.feature
+++ b/features/timeouts.feature
@@ -14,3 +14,14 @@
   Scenario: call to a store that is silent
     Given a server that takes connections and never answers
     Then a call to it as the store fails within 3 seconds although memory is collected
+
+  # Guards against a refusal, which says that a request has not run, after an earlier attempt was sent.
+  Scenario Outline: deadline while the second attempt of a <kind> request connects
+    Given an entry with an engine that gives no answer and one that accepts no connections
+    When 8 <kind> requests with a deadline of <ms> ms are sent
+    Then some of them have run, and none of these is refused
+
+    Examples:
+      | kind   | ms    |
+      | safe   | 500   |
+      | stream | 1100 |
--- a/packages/forwarding/src/bufferedForwarder.ts
+++ b/packages/forwarding/src/bufferedForwarder.ts
@@ -37,10 +37,12 @@
       const collector = new ResponseCollector(this.memory);
       const attempt = attempts.send(placement, collector, exchange.head.lastEventId);
       const timer = this.startAttemptTimer(attempts, attempt, collector, placement.expectedMs);
-      const outcome = await this.waitForOutcome(attempt, collector, exchange).finally(() => {
-        clearTimeout(timer);
-        collector.release();
-      });
+      const outcome = await this.waitForOutcome(attempts, attempt, collector, exchange).finally(
+        () => {
+          clearTimeout(timer);
+          collector.release();
+        },
+      );
       attempt.markEnded();
       const isDone =
         outcome.kind === 'response'
@@ -67,14 +69,18 @@
   }
 
   /** Resolves with the outcome of an attempt; rejects with `Timeout` if the request is aborted first. */
-  private waitForOutcome(attempt: Attempt, collector: ResponseCollector, { signal }: Exchange) {
+  private waitForOutcome(
+    attempts: RequestAttempts,
+    attempt: Attempt,
+    collector: ResponseCollector,
+    { signal }: Exchange,
+  ) {
     return new Promise<CallOutcome>((resolve, reject) => {
       const stop = (): void => {
-        const { wasSent } = attempt.call;
+        const execution = attempts.executionAfterAbort(attempt);
         if (signal.reason === deadlineExceeded) this.recordHealth(attempt, AttemptOutcome.failed);
         attempt.call.abort();
         attempt.markEnded();
-        const execution = wasSent ? Execution.unknown : Execution.notRun;
         reject(new Timeout('The endpoint did not respond in time.', execution));
       };
       if (signal.aborted) stop();
--- a/packages/forwarding/src/eventRelay.ts
+++ b/packages/forwarding/src/eventRelay.ts
@@ -82,11 +82,6 @@
     this.move = move;
   }
 
-  /** Whether any byte of the request may have reached the endpoint. */
-  get wasSent(): boolean {
-    return this.attempt?.call.wasSent ?? false;
-  }
-
   /** Attaches the attempt with which the request has been sent. */
   attach(attempt: Attempt): void {
     this.attempt = attempt;
--- a/packages/forwarding/src/requestAttempts.ts
+++ b/packages/forwarding/src/requestAttempts.ts
@@ -220,6 +220,11 @@
     this.isMoving = false;
   }
 
+  /** Returns whether an endpoint may have executed the request, whose last attempt was aborted. */
+  executionAfterAbort({ call }: Attempt): Execution {
+    return call.wasSent || this.history.executions > 0 ? Execution.unknown : Execution.notRun;
+  }
+
   /** Returns the failure of a request that was not executed by its last attempt and is not retried. */
   createRefusal(): Failure {
     if (this.history.executions > 0)
--- a/packages/forwarding/src/streamSession.ts
+++ b/packages/forwarding/src/streamSession.ts
@@ -173,15 +173,16 @@
     });
   }
 
-  private waitForOutcome({ handle }: Attempt, relay: EventRelay): Promise<StreamOutcome> {
+  private waitForOutcome(attempt: Attempt, relay: EventRelay): Promise<StreamOutcome> {
+    const { handle } = attempt;
     const { signal } = this.exchange;
     return new Promise((resolve, reject) => {
       const stop = (): void => {
-        const { wasSent, hasEvents } = relay;
+        const { hasEvents } = relay;
+        const execution = this.attempts.executionAfterAbort(attempt);
         if (signal.reason === deadlineExceeded && !hasEvents)
           this.recordHealth(handle, AttemptOutcome.failed);
         relay.abort();
-        const execution = wasSent ? Execution.unknown : Execution.notRun;
         reject(new Timeout('The stream did not end in time.', execution));
       };
       if (signal.aborted) stop();
