A begun request gets an endpoint again that refused it while it was to leave

An endpoint that a running stream is to leave is excluded until the stream has left. A refusal now ends it. Before: 'begun request that was to leave an endpoint' fails; after: 12 of 12 scenarios of attemptHistory pass.

--- a/features/attemptHistory.feature
+++ b/features/attemptHistory.feature
@@ -19,6 +19,10 @@
   Scenario: begun request that was refused three times
     Then it may be sent after 400 milliseconds, and after 100 to an endpoint that has a place
 
+  # Guards against a begun request that never gets an endpoint again which refused it while it was to move elsewhere.
+  Scenario: begun request that was to leave an endpoint
+    Then it may be sent there again 400 milliseconds after the endpoint has refused it
+
   # Guards against begun streams that are cut because requests wait, or because the goal of a new one has passed.
   Scenario Outline: stages in the queue
     Given a full endpoint and 3 requests that wait for it
--- a/features/steps/attemptHistory.steps.ts
+++ b/features/steps/attemptHistory.steps.ts
@@ -170,6 +170,18 @@
   },
 );
 
+Then(
+  /^it may be sent there again (\d+) milliseconds after the endpoint has refused it$/,
+  (ms: string) => {
+    const history = new AttemptHistory(maxEndpoints, () => true);
+    const endpoint = { id: 'e0' };
+    history.excludeCurrent(endpoint);
+    assert.ok(history.isExcluded(endpoint.id, true, Number(ms)));
+    history.recordRefusal(endpoint, 0);
+    assert.ok(!history.isExcluded(endpoint.id, true, Number(ms)));
+  },
+);
+
 function createRequest(id: string, request: Partial<PlacementRequest> = {}): PlacementRequest {
   return {
     id,
--- a/packages/decisions/src/forwarding/attemptHistory.ts
+++ b/packages/decisions/src/forwarding/attemptHistory.ts
@@ -69,7 +69,9 @@
    * alone depends on what all of them have met there.
    */
   recordRefusal({ id }: Endpoint, now: number): void {
-    this.exclusions.set(id, this.exclusions.get(id) ?? { failures: 0, until: now });
+    const { failures = 0, until = now } = this.exclusions.get(id) ?? {};
+    // A request that was to leave the endpoint has left it.
+    this.exclusions.set(id, { failures, until: until === Infinity ? now : until });
     this.refusedAt = now;
     this.refusals += 1;
   }
