A 421 counts as a refusal for all begun streams

A response 421 says that the request has not run, as the mark of a refusal does, but only the latter made an endpoint rest for begun streams since; before, each stream left it alone for 0.2 s and longer. Each such arrival is missing in the retry budget.

--- a/features/begunStreams.feature
+++ b/features/begunStreams.feature
@@ -36,6 +36,13 @@
       | each of 6 endpoints is full for 700 ms of 1050 |
       | all of 6 endpoints are full for 450 ms of 2500 |
 
+  # Guards against retries that many begun streams spend on an address that has another endpoint.
+  Scenario: begun streams beside an endpoint that says that they are meant for another one
+    Given an entry and 2 endpoints
+    When 8 streams are broken off, and then one endpoint is full and the other responds 421 for 1500 ms
+    Then the other one turns away at most 6 of them
+    And its caller gets all events once each
+
   # Guards against a begun stream that is given up although its caller still waits.
   Scenario: begun stream that waits as long as its caller
     Given an entry and 3 endpoints
--- a/features/steps/begunStreams.steps.ts
+++ b/features/steps/begunStreams.steps.ts
@@ -33,6 +33,7 @@
 /** Time after a caller has left in which its request may still reach an endpoint, in milliseconds. */
 const leaveSlackMs = 500;
 const alwaysFullMs = 4_000;
+const misdirectedStatus = 421;
 /** Requests that are sent while all endpoints are occupied. */
 const newRequests = 5;
 const newRequestIntervalMs = 20;
@@ -211,6 +212,42 @@
   },
 );
 
+When(
+  /^(\d+) streams are broken off, and then one endpoint is full and the other responds 421 for (\d+) ms$/,
+  { timeout: 20_000 },
+  async function misdirect(this: BegunWorld, count: string, ms: string) {
+    const { begunFleet: fleet } = this;
+    const refuse = fleet.turnAway;
+    let brokenAt: number | undefined;
+    Object.assign(fleet, {
+      refuses: (_endpoint, { headers }) =>
+        headers['last-event-id'] !== undefined && performance.now() < brokenAt! + Number(ms),
+      turnAway: (endpoint, response, request) => {
+        if (endpoint.index === 0) refuse(endpoint, response, request);
+        else response.writeHead(misdirectedStatus).end();
+      },
+      interrupt: async (_endpoint, request) => {
+        brokenAt ??= performance.now();
+        await breakOff(request);
+      },
+    } satisfies Partial<BegunFleet>);
+    const sending = Array.from({ length: Number(count) }, () => fleet.sendStream());
+    this.streams = await Promise.all(sending);
+  },
+);
+
+Then(
+  /^the other one turns away at most (\d+) of them$/,
+  function few(this: BegunWorld, most: string) {
+    const { arrivals } = this.begunFleet;
+    const again = arrivals.filter((arrival, index) => index !== indexOfFirst(arrivals, arrival));
+    const count = again.filter(({ endpoint, isRun }) => endpoint === 1 && !isRun).length;
+    const seen = `${count} of ${again.length} repeats`;
+    this.log(seen);
+    assert.ok(count <= Number(most), seen);
+  },
+);
+
 When(
   'a stream waits for an endpoint and new requests come',
   { timeout: 10_000 },
--- a/features/support/begunFleet.ts
+++ b/features/support/begunFleet.ts
@@ -77,6 +77,10 @@
   /** Whether an endpoint turns a request away. */
   refuses: (endpoint: BegunEndpoint, request: IncomingMessage) => boolean = ({ isFull }) => isFull;
 
+  /** How an endpoint turns a request away. */
+  turnAway: (endpoint: BegunEndpoint, response: ServerResponse, request: IncomingMessage) => void =
+    (_endpoint, response, request) => Behaviours.refuses(request, response);
+
   private readonly agentAbort = new AbortController();
 
   private readonly otherAbort = new AbortController();
@@ -255,7 +259,7 @@
     const isFull = this.refuses(endpoint, request);
     const id = String(request.headers['laburnumstream-request-id']);
     this.arrivals.push({ at: performance.now(), id, endpoint: index, isRun: !isFull });
-    if (isFull) Behaviours.refuses(request, response);
+    if (isFull) this.turnAway(endpoint, response, request);
     else if (request.url!.startsWith('/safe')) await Behaviours.answers(request, response, engine);
     else await this.stream(endpoint, request, response);
   }
--- a/packages/forwarding/src/requestAttempts.ts
+++ b/packages/forwarding/src/requestAttempts.ts
@@ -4,6 +4,7 @@
   AttemptHistory,
   RequestStage,
   RetryPurpose,
+  classifyResponse,
   mayRetry,
   misdirectedStatus,
 } from '@laburnumstream/decisions';
@@ -353,9 +354,9 @@
       codec,
       observer,
       (status, responseHead) => {
-        const { wasNotRun } = responseHead;
-        isTaken = isSuccess(status) && !wasNotRun;
-        if (isBegun && (isTaken || wasNotRun))
+        const { execution } = classifyResponse({ status, ...responseHead });
+        isTaken = isSuccess(status) && execution !== Execution.notRun;
+        if (isBegun && (isTaken || execution === Execution.notRun))
           handle.begunAdmission.recordResult(isTaken, clock.now());
         this.recordHead(handle, status, responseHead);
       },
