Entries of other regions share an engine whose agent has ended

An entry of another region took itself for the only one at an engine of a region without entries: from 4 s after the last report of the engine's agent each entry filled all slots. Before: the examples with 2 and 5 entries of other regions fail (more than 24 requests at 16 slots); after: they pass.

--- a/packages/forwarding/src/endpointDirectory.ts
+++ b/packages/forwarding/src/endpointDirectory.ts
@@ -236,6 +236,13 @@
     return { local, remote, isLocal };
   }
 
+  /** Number of other entries that fill the endpoints of a region: those of the region, or all others if it has none. */
+  private countPeers(region: string): number {
+    const { local, remote, isLocal } = this.getCapacitySharers(region);
+    if (isLocal) return local - 1;
+    return local > 0 ? local : remote - 1;
+  }
+
   private addOrUpdate(endpoint: Endpoint, profile: ServiceProfile | undefined): void {
     const known = this.handles.get(endpoint.id);
     if (known) {
@@ -247,8 +254,7 @@
     const region = this.settings.regions.get(endpoint.dataCentre) ?? '';
     const isLocal = region === this.settings.region;
     const { clock, metrics } = this;
-    const peers = (): number =>
-      Math.max(0, this.getCapacitySharers(region).local - (isLocal ? 1 : 0));
+    const peers = (): number => this.countPeers(region);
     const phase = this.random.next();
     const handle = new EndpointHandle(
       endpoint,
