A drained endpoint keeps its bound when its data centre is evacuated

Requests that wait at a retired endpoint without a sign of life are withdrawn before its bound is over. Of an endpoint that drains, or has left, in an evacuated data centre the longer bound of the evacuation counted. Now the shorter does. Before: both examples of 'endpoint that ..., and is evacuated after' fail; after: they pass, and an endpoint that is only evacuated keeps its time.

--- a/packages/forwarding/src/startBounds.ts
+++ b/packages/forwarding/src/startBounds.ts
@@ -1,4 +1,4 @@
-import type { Clock, FleetSettings } from '@laburnumstream/common';
+import type { Clock, Endpoint, FleetSettings } from '@laburnumstream/common';
 import { mayStartOnVersion } from '@laburnumstream/decisions';
 import type { EndpointHandle } from './endpointHandle.js';
 import type { FleetState } from './fleetState.js';
@@ -60,9 +60,15 @@
   private mayStandStill({ retiredAt, lastSignOfLifeAt, endpoint }: EndpointHandle): boolean {
     if (retiredAt === undefined) return false;
     const now = this.clock.now();
-    const { drainMs, evacuationMs } = this.settings.bounds;
-    const boundMs = this.state.isEvacuated(endpoint.dataCentre) ? evacuationMs : drainMs;
-    const isOver = now - retiredAt >= boundMs - retirementNoticeMs;
+    const isOver = now - retiredAt >= this.getRetirementMs(endpoint) - retirementNoticeMs;
     return isOver && now - lastSignOfLifeAt > standstillMs;
   }
+
+  /** Time that a retired endpoint has, in milliseconds; one that also drains or has left has the shorter one. */
+  private getRetirementMs({ id, startedAt, dataCentre, isDraining }: Endpoint): number {
+    const { drainMs, evacuationMs } = this.settings.bounds;
+    if (!this.state.isEvacuated(dataCentre)) return drainMs;
+    const hasLeft = this.state.endpoints.get(id)?.startedAt !== startedAt;
+    return isDraining || hasLeft ? Math.min(drainMs, evacuationMs) : evacuationMs;
+  }
 }
