--- a/packages/forwarding/src/requestAttempts.ts
+++ b/packages/forwarding/src/requestAttempts.ts
@@ -1,6 +1,12 @@
 import { Execution, OutcomeUnknown } from '@laburnumstream/common';
 import type { Clock, Failure } from '@laburnumstream/common';
-import { AttemptHistory, RequestStage, RetryPurpose, mayRetry } from '@laburnumstream/decisions';
+import {
+  AttemptHistory,
+  RequestStage,
+  RetryPurpose,
+  classifyResponse,
+  mayRetry,
+} from '@laburnumstream/decisions';
 import type { Placement, SharedRetryBudget } from '@laburnumstream/decisions';
 import type { Attempt, FailedAttempt } from './attempt.js';
 import type { CrashGuard } from './crashGuard.js';
@@ -336,9 +342,9 @@
       codec,
       observer,
       (status, responseHead) => {
-        const { wasNotRun } = responseHead;
-        isTaken = isSuccess(status) && !wasNotRun;
-        if (isBegun && (isTaken || wasNotRun))
+        const { execution } = classifyResponse({ status, ...responseHead });
+        isTaken = isSuccess(status) && execution !== Execution.notRun;
+        if (isBegun && (isTaken || execution === Execution.notRun))
           handle.begunAdmission.recordResult(isTaken, clock.now());
         recordHead(services, handle, status, responseHead);
       },
