--- a/bench/src/mutations/mutations.ts
+++ b/bench/src/mutations/mutations.ts
@@ -158,4 +158,25 @@
     replace: 'this.registered',
     test: 'Bounds that all entries share: cold engine and entries that die and are cut off',
   },
+  {
+    name: 'one dropped response to another request',
+    file: 'packages/decisions/dist/forwarding/foreignResponseFilter.js',
+    find: 'if (this.hasDropped || head.length > maxHeadBytes)',
+    replace: 'if (head.length > maxHeadBytes)',
+    test: 'Answers to other requests: responses whose ends are not proven',
+  },
+  {
+    name: 'placements count before their requests are sent',
+    file: 'packages/forwarding/dist/dispatchQueue.js',
+    find: 'countPlacement(target, request);',
+    replace: '',
+    test: 'Engines that several entries fill: requests that wait for the same endpoint',
+  },
+  {
+    name: 'rest of an endpoint that refused a begun request',
+    file: 'packages/decisions/dist/forwarding/begunAdmission.js',
+    find: 'return now >= this.restsUntil;',
+    replace: 'return true;',
+    test: 'Begun streams: begun streams beside an endpoint that says that they are meant for another one',
+  },
 ];
