Do not send requests whose callers have left before they were read

The entry had not had the processor: a request with 319 ms left was read some 0.9 s after it was sent, and at once sent on, though the end of its connection had arrived, too, and was read right after.

Now a request waits for two turns of the event loop before it is forwarded, in which that end is read.

Test, failing before (4 of 8 requests of each kind reached the engine): 'request that arrives together with the end of its connection'.

--- a/features/timeouts.feature
+++ b/features/timeouts.feature
@@ -25,3 +25,16 @@
       | kind   | ms    |
       | safe   | 500   |
       | stream | 1100 |
+
+  # Guards against requests that an entry without processor time sends on although their callers have left: it reads
+  # a request before the end of its connection, which has arrived too.
+  Scenario Outline: <kind> request that arrives together with the end of its connection
+    Given an entry with an engine that answers at once
+    When 8 <kind> requests arrive together with the ends of their connections
+    Then none of them reaches the engine
+
+    Examples:
+      | kind   |
+      | safe   |
+      | unsafe |
+      | stream |
--- a/packages/forwarding/src/callerServer.ts
+++ b/packages/forwarding/src/callerServer.ts
@@ -2,8 +2,8 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import { createServer as createListener } from 'node:net';
 import { setImmediate as nextTurn } from 'node:timers/promises';
-import type { Server as Listener } from 'node:net';
-import { NotFound, RouteKind, Unauthenticated, toFailure } from '@laburnumstream/common';
+import type { Server as Listener, Socket } from 'node:net';
+import { Aborted, NotFound, RouteKind, Unauthenticated, toFailure } from '@laburnumstream/common';
 import type {
   Clock,
   Failure,
@@ -49,9 +49,21 @@
 const minIdleTimeoutMs = 60_000;
 /** Turns of the event loop in which a connection is accepted and its request is read. */
 const readTurns = 3;
+/** Turns of the event loop in which the end of a connection is read that has arrived with a request. */
+const disconnectTurns = 2;
 /** Turns of the event loop after which what arrives is not waited for any longer. */
 const maxReadTurns = 100;
 
+/**
+ * Aborts a request whose caller has left, and throws. After a time without the processor a request is read
+ * before the end of its connection, although both have arrived.
+ */
+async function checkConnected(socket: Socket, controller: AbortController): Promise<void> {
+  for (let turn = 0; turn < disconnectTurns; turn += 1) await nextTurn();
+  if (socket.destroyed || socket.readableEnded) controller.abort(callerDisconnected);
+  if (controller.signal.reason === callerDisconnected) throw new Aborted();
+}
+
 function getPath(url: string): string {
   const query = url.indexOf('?');
   return query < 0 ? url : url.slice(0, query);
@@ -195,6 +207,7 @@
       if (refusal) throw refusal;
       const { signal } = controller;
       const body = await readBody(request, routes.configuration.limits.maxBodyBytes, signal);
+      await checkConnected(request.socket, controller);
       const service = pickService(route, this.random);
       if (service === undefined) throw new NotFound('The route has no service.');
       const exchange = {
