--- a/features/steps/attemptHistory.steps.ts
+++ b/features/steps/attemptHistory.steps.ts
@@ -7,13 +7,8 @@
 import type { EndpointHandle, PlacementRequest } from '@laburnumstream/forwarding';
 import type { VirtualClock } from '@laburnumstream/standins';
 import { AdmissionSimulation, admissionSteps } from '../support/admissionHistory.js';
-import {
-  LargeFleet,
-  anyEndpoint,
-  noopLog,
-  noopMetrics,
-  testService,
-} from '../support/largeFleet.js';
+import { LargeFleet, noopLog, noopMetrics } from '../support/largeFleet.js';
+import { createPlacementRequest } from '../support/placementRequest.js';
 
 interface AttemptWorld {
   clock: VirtualClock;
@@ -182,27 +177,6 @@
   },
 );
 
-function createRequest(id: string, request: Partial<PlacementRequest> = {}): PlacementRequest {
-  return {
-    id,
-    service: testService,
-    workspace: 'w',
-    priority: 1,
-    stage: RequestStage.fresh,
-    configurationVersion: 1,
-    configurationAgeMs: 0,
-    isRetryable: true,
-    arrivedAt: 0,
-    startBy: 5_000,
-    demand: { promptTokens: 10, answerTokens: 10 },
-    fairnessGroups: ['r'],
-    eligibility: anyEndpoint,
-    goalAt: 6_000,
-    deadlineAt: 7_000,
-    ...request,
-  };
-}
-
 function createQueue(world: AttemptWorld, isFree: boolean): EndpointHandle {
   const fleet = new LargeFleet(1, 1);
   const handle = [...fleet.directory.all][0]!;
@@ -237,13 +211,16 @@
 
 Given('a full endpoint and 3 requests that wait for it', function full(this: AttemptWorld) {
   createQueue(this, false);
-  for (let index = 0; index < 3; index += 1) void place(this, createRequest(`r${index}`));
+  for (let index = 0; index < 3; index += 1) void place(this, createPlacementRequest(`r${index}`));
 });
 
 When(
   /^a request that is (\w+) comes and a slot is free after (\d+) ms$/,
   async function come(this: AttemptWorld, stage: RequestStage, ms: string) {
-    this.subject = place(this, createRequest('subject', { stage, startBy: 100, goalAt: 150 }));
+    this.subject = place(
+      this,
+      createPlacementRequest('subject', { stage, startBy: 100, goalAt: 150 }),
+    );
     await this.clock.runUntil(Number(ms));
     this.room.isFree = true;
     this.queue.dispatchAll();
@@ -268,8 +245,8 @@
 Then(
   'a request that is moving is not placed and one that is begun is',
   async function choose(this: AttemptWorld) {
-    void place(this, createRequest('moving', { stage: RequestStage.moving }));
-    await place(this, createRequest('begun', { stage: RequestStage.begun }));
+    void place(this, createPlacementRequest('moving', { stage: RequestStage.moving }));
+    await place(this, createPlacementRequest('begun', { stage: RequestStage.begun }));
     assert.deepEqual(
       this.placed.map(({ id }) => id),
       ['begun'],
@@ -288,7 +265,10 @@
 When('a request that is begun comes', async function come(this: AttemptWorld) {
   const acquireRetry = (): boolean => this.clock.now() >= this.retryAllowedAt;
   const { begun: stage } = RequestStage;
-  void place(this, createRequest('subject', { stage, startBy: 100, goalAt: 150, acquireRetry }));
+  void place(
+    this,
+    createPlacementRequest('subject', { stage, startBy: 100, goalAt: 150, acquireRetry }),
+  );
   await this.clock.runUntil(2_000);
 });
 
--- a/features/steps/growth.steps.ts
+++ b/features/steps/growth.steps.ts
@@ -3,9 +3,9 @@
 import fc from 'fast-check';
 import { freePorts } from '@laburnumstream/bench';
 import { SeededRandom, Unavailable } from '@laburnumstream/common';
-import { EndpointLoad, PeerLoads, RequestStage, bestPlacement } from '@laburnumstream/decisions';
+import { EndpointLoad, PeerLoads, bestPlacement } from '@laburnumstream/decisions';
 import { DispatchQueue, FleetState } from '@laburnumstream/forwarding';
-import type { EndpointSource, EndpointHandle, PlacementRequest } from '@laburnumstream/forwarding';
+import type { EndpointSource, EndpointHandle } from '@laburnumstream/forwarding';
 import { FleetDatagrams } from '@laburnumstream/links';
 import { SystemClock } from '@laburnumstream/runtime';
 import { VirtualClock } from '@laburnumstream/standins';
@@ -18,6 +18,7 @@
   noopLog,
 } from '../support/largeFleet.js';
 import { countStoreCalls, createStaticStore, createWatcher } from '../support/changingStore.js';
+import { createPlacementRequest } from '../support/placementRequest.js';
 import { countVisits } from '../support/visits.js';
 
 /**
@@ -134,26 +135,6 @@
   );
 });
 
-function createRequest(id: string): PlacementRequest {
-  return {
-    id,
-    service: testService,
-    workspace: 'w',
-    priority: 1,
-    stage: RequestStage.fresh,
-    configurationVersion: 1,
-    configurationAgeMs: 0,
-    isRetryable: true,
-    arrivedAt: 0,
-    startBy: 5_000,
-    demand,
-    fairnessGroups: ['r'],
-    eligibility: anyEndpoint,
-    goalAt: 6_000,
-    deadlineAt: 7_000,
-  };
-}
-
 /** Creates an endpoint source that records how many endpoints each check considers. */
 function createCountingSource(
   handles: readonly EndpointHandle[],
@@ -178,7 +159,7 @@
   const { directory, clock } = new LargeFleet(7, largestSize);
   const source = createCountingSource([...directory.all], () => false, this.offeredCounts);
   const queue = new DispatchQueue(source, clock, new SeededRandom(3), noopMetrics, noopLog);
-  const late = { ...createRequest('late'), startBy: -1 };
+  const late = createPlacementRequest('late', { demand, startBy: -1 });
   await assert.rejects(queue.place(late, new AbortController().signal), Unavailable);
 });
 
@@ -197,7 +178,7 @@
     const queue = new DispatchQueue(source, clock, new SeededRandom(3), noopMetrics, noopLog);
     for (let index = 0; index < 20; index += 1) {
       void queue
-        .place(createRequest(`r${index}`), new AbortController().signal)
+        .place(createPlacementRequest(`r${index}`, { demand }), new AbortController().signal)
         .then(({ target }) => {
           this.placedOn.push(target.id);
           open.delete(target);
--- a/features/steps/sharedEngines.steps.ts
+++ b/features/steps/sharedEngines.steps.ts
@@ -2,21 +2,11 @@
 import { setImmediate as nextImmediate } from 'node:timers/promises';
 import { Given, Then, When } from '@cucumber/cucumber';
 import { SeededRandom } from '@laburnumstream/common';
-import {
-  AttemptOutcome,
-  EndpointLoad,
-  RequestStage,
-  capacityShare,
-} from '@laburnumstream/decisions';
+import { AttemptOutcome, EndpointLoad, capacityShare } from '@laburnumstream/decisions';
 import { DispatchQueue } from '@laburnumstream/forwarding';
-import type { EndpointHandle, PlacementRequest } from '@laburnumstream/forwarding';
-import {
-  LargeFleet,
-  anyEndpoint,
-  noopLog,
-  noopMetrics,
-  testService,
-} from '../support/largeFleet.js';
+import type { EndpointHandle } from '@laburnumstream/forwarding';
+import { LargeFleet, noopLog, noopMetrics, testService } from '../support/largeFleet.js';
+import { createPlacementRequest } from '../support/placementRequest.js';
 
 interface SharedEnginesWorld {
   largeFleet: LargeFleet;
@@ -38,31 +28,14 @@
 const placedByMs = 2_000;
 const recheckMs = 20;
 
-function createRequest(id: string): PlacementRequest {
-  return {
-    id,
-    service: testService,
-    workspace: 'w',
-    priority: 1,
-    stage: RequestStage.fresh,
-    configurationVersion: 1,
-    configurationAgeMs: 0,
-    isRetryable: true,
-    arrivedAt: 0,
-    startBy: 5_000,
-    demand: { promptTokens: 10, answerTokens: 10 },
-    fairnessGroups: ['r'],
-    eligibility: anyEndpoint,
-    goalAt: 6_000,
-    deadlineAt: 7_000,
-  };
-}
-
 /** Places requests that wait, and counts those that are placed. */
 function placeAll(world: SharedEnginesWorld, count: number): void {
   Object.assign(world, { placed: 0 });
   for (let index = 0; index < count; index += 1) {
-    const place = world.queue.place(createRequest(`r${index}`), new AbortController().signal);
+    const place = world.queue.place(
+      createPlacementRequest(`r${index}`),
+      new AbortController().signal,
+    );
     void place.then(() => {
       Object.assign(world, { placed: world.placed + 1 });
     });
