--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -1,34 +1,33 @@
-// Entries go on with the configuration from before a drill of the store: the store has given out the
-// revision that they know once more before they ask again.
+// A key that the operator takes away after a drill of the store goes on to be accepted by an entry
+// that reads the store's content from another entry.
 import { ask, configuration, hasTrouble, now, route, runCase, sleep } from '../lib/case.mjs';
 import { Program } from '../lib/programs.mjs';
 import { ServiceServer } from '../lib/server.mjs';
 import { Store } from '../lib/store.mjs';
 
-const boundMs = 2_000;
-const awayMs = 700;
+const revokeMs = 5_000;
+const awayMs = 250;
 const host = 'nony93.example';
-const tenants = [{ Name: 'bozi300', ApiKeys: ['key-one'], Priority: 1, HomeRegions: [] }];
-const writeConfiguration = (store, version, service) =>
+const routes = (timeoutMs) => [
+  route('r-order-status', host, '/cubo964/', 'order-desk', { TimeoutMs: timeoutMs }),
+];
+const tenants = (keys) => [{ Name: 'bozi300', ApiKeys: keys, Priority: 1, HomeRegions: [] }];
+const writeConfiguration = (store, version, keys) =>
   store.write(
     'op/config',
-    configuration(
-      version,
-      [route('r-order-status', host, '/cubo964/', service, { TimeoutMs: 1000 + version })],
-      ['order-desk', 'order-desk-new'],
-      tenants,
-    ),
+    configuration(version, routes(1000 + version), ['order-desk'], tenants(keys)),
   );
 
 await runCase(new URL('./', import.meta.url), async (record) => {
   const store = new Store(record);
   await store.start('127.0.0.1');
-  writeConfiguration(store, 10, 'order-desk');
-  const servers = ['order-desk', 'order-desk', 'order-desk-new'].map(
-    (service) => new ServiceServer(service, 'lubbock-a', store, record),
+  const both = ['key-taken', 'key-kept'];
+  writeConfiguration(store, 10, both);
+  const servers = ['lubbock-a', 'sanangelo-a'].map(
+    (zone) => new ServiceServer('order-desk', zone, store, record),
   );
   await Promise.all(servers.map((server) => server.start()));
-  const entries = [1, 2].map(
+  const entries = [1, 2, 3].map(
     (number) => new Program('entry', `front-lubbock-a-${number}`, 'lubbock-a', store.address),
   );
   await Promise.all(entries.map((entry) => entry.start()));
@@ -38,50 +37,55 @@
 
   const asked = [];
   const traffic = setInterval(() => {
-    entries.forEach(({ front }) =>
-      asked.push(ask(record, front, { path: '/cubo964/1', host, key: 'key-one' })),
-    );
+    entries.forEach(({ front }) => {
+      const { key } = { key: asked.length % 2 === 0 ? 'key-taken' : 'key-kept' };
+      asked.push(
+        ask(record, front, { path: '/cubo964/1', host, key }).then((answer) => ({
+          ...answer,
+          key,
+        })),
+      );
+    });
   }, 101);
   await sleep(1_000);
 
   const copy = store.copy();
   record('operator', `a copy of the store is taken at revision ${copy.revision}`);
-  writeConfiguration(store, 11, 'order-desk');
-  const added = new ServiceServer('order-desk-new', 'lubbock-a', store, record);
-  await added.start();
-  record(added.id, `added, at revision ${store.revision}`);
-  await sleep(3_000);
+  for (const version of [11, 12, 13]) {
+    const revision = writeConfiguration(store, version, both);
+    record('operator', `configuration ${version} acknowledged at revision ${revision}`);
+    await sleep(1_000);
+  }
   if (hasTrouble) {
     record('store', `away, at revision ${store.revision}`);
     await store.goAway();
     await sleep(awayMs);
     await store.comeBackFrom(copy);
     record('store', `back from the copy, at revision ${store.revision}, era ${store.era}`);
-  } else {
-    await sleep(awayMs);
+    const revision = writeConfiguration(store, 13, both);
+    record('operator', `configuration 13 written again at revision ${revision}`);
   }
-  // The operator's newest configuration and what the engine had written are written again.
-  const revision = writeConfiguration(store, 12, 'order-desk-new');
-  const movedAt = now();
-  record('operator', `configuration 12 moves the route; acknowledged at revision ${revision}`);
-  if (hasTrouble) {
-    added.register();
-    record(added.id, `written again, at revision ${store.revision}`);
-  }
-  // Machines are in touch, and the core is stable, ContactMs after the end of the drill.
-  await sleep(12_000);
+  await sleep(5_000);
+
+  const revision = writeConfiguration(store, 14, ['key-kept']);
+  const takenAt = now();
+  record('operator', `configuration 14 without key-taken acknowledged at revision ${revision}`);
+  await sleep(revokeMs + 6_000);
   clearInterval(traffic);
   const answers = await Promise.all(asked);
-  [...servers, added].forEach((server) => server.stop());
+  servers.forEach((server) => server.stop());
   await store.stop();
 
-  const ranAt = new Map(record.entries.map(({ ran, service }) => [ran, service]));
-  const late = answers.filter(({ sentAt }) => sentAt > movedAt + boundMs + 3_000);
-  record('check', `${late.length} requests were sent over ${boundMs} + 3000 ms after the move`);
-  return late
-    .filter(({ id }) => ranAt.get(id) === 'order-desk')
+  const ran = new Set(record.entries.map(({ ran: id }) => id));
+  const kept = answers.filter(({ key, sentAt }) => key === 'key-kept' && sentAt > takenAt);
+  const served = kept.filter(({ status }) => status === 200);
+  record('check', `${served.length} of ${kept.length} requests with the other key were served`);
+  return answers
+    .filter(
+      ({ key, sentAt, id }) => key === 'key-taken' && sentAt > takenAt + revokeMs && ran.has(id),
+    )
     .map(
       ({ id, front, sentAt, status }) =>
-        `${id}, sent to ${front} ${Math.round(sentAt - movedAt)} ms after the acknowledgement, was run by the old service (${status})`,
+        `${id}, sent to ${front} ${Math.round(sentAt - takenAt)} ms after the acknowledgement, ran (${status})`,
     );
 });
--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -1,99 +1,87 @@
-// Engines end some streams within an event; their callers get them as complete.
-import { ask, configuration, hasTrouble, route, runCase, sleep } from '../lib/case.mjs';
-import { ModelServer, modelService, originService } from '../lib/model.mjs';
-import { Origin } from '../lib/origin.mjs';
+// Entries go on with the configuration from before a drill of the store: the store has given out the
+// revision that they know once more before they ask again.
+import { ask, configuration, hasTrouble, now, route, runCase, sleep } from '../lib/case.mjs';
 import { Program } from '../lib/programs.mjs';
+import { ServiceServer } from '../lib/server.mjs';
 import { Store } from '../lib/store.mjs';
 
-const host = 'jepu9.example';
-const seconds = 30;
-const perSecond = 20;
-/** `garble`: share (.5) break off or spoil x (.02) of their answers. */
-const brokenShare = 0.02;
+const boundMs = 2_000;
+const awayMs = 700;
+const host = 'nony93.example';
+const tenants = [{ Name: 'bozi300', ApiKeys: ['key-one'], Priority: 1, HomeRegions: [] }];
+const writeConfiguration = (store, version, service) =>
+  store.write(
+    'op/config',
+    configuration(
+      version,
+      [route('r-order-status', host, '/cubo964/', service, { TimeoutMs: 1000 + version })],
+      ['order-desk', 'order-desk-new'],
+      tenants,
+    ),
+  );
 
 await runCase(new URL('./', import.meta.url), async (record) => {
   const store = new Store(record);
   await store.start('127.0.0.1');
-  const origin = new Origin();
-  await origin.start();
-  const streams = route('r-clerk-question', host, '/lepu270/', 'tag-assistant', {
-    Kind: 'stream',
-    TimeoutMs: 6000,
-    GoalMs: 302,
-    Priority: 1,
-    Sticky: true,
-    Resumable: true,
-    GapTargetMs: 300,
-  });
-  const tenants = [{ Name: 'bozi300', ApiKeys: ['key-one'], Priority: 1, HomeRegions: [] }];
-  const document = configuration(10, [streams], [], tenants);
-  document.Services.push(
-    modelService('tag-assistant'),
-    originService('store-portal', origin.address),
-  );
-  store.write('op/config', document);
-  const engines = ['lubbock-a', 'lubbock-a', 'sanangelo-a', 'alpine-a'].map(
-    (zone) => new ModelServer('tag-assistant', zone, store, record),
+  writeConfiguration(store, 10, 'order-desk');
+  const servers = ['order-desk', 'order-desk', 'order-desk-new'].map(
+    (service) => new ServiceServer(service, 'lubbock-a', store, record),
   );
-  await Promise.all(engines.map((engine) => engine.start()));
-  const agents = engines.map(
-    ({ host: Ip, zone, address }, at) =>
-      new Program('agent', `side-${zone}-${at + 1}`, zone, store.address, {
-        Ip,
-        app: address,
-        Service: 'tag-assistant',
-      }),
+  await Promise.all(servers.map((server) => server.start()));
+  const entries = [1, 2].map(
+    (number) => new Program('entry', `front-lubbock-a-${number}`, 'lubbock-a', store.address),
   );
-  const entry = new Program('entry', 'front-lubbock-a-1', 'lubbock-a', store.address);
-  await Promise.all([entry, ...agents].map((program) => program.start()));
-  if (!(await entry.waitUntilReady()))
-    return Promise.reject(new TypeError('The entry is not ready.'));
+  await Promise.all(entries.map((entry) => entry.start()));
+  const ready = await Promise.all(entries.map((entry) => entry.waitUntilReady()));
+  if (!ready.every(Boolean)) return Promise.reject(new TypeError('An entry is not ready.'));
   await sleep(4_000);
 
-  // Half of the engines stop one of each fifty of their answers within its twelfth event.
-  if (hasTrouble)
-    engines.slice(0, engines.length / 2).forEach((engine) => {
-      let middles = 0;
-      Object.assign(engine, {
-        cutAt: (_id, at) => {
-          if (at !== 12) return false;
-          middles += 1;
-          return middles % Math.round(1 / brokenShare) === 0;
-        },
-      });
-    });
   const asked = [];
-  for (let at = 0; at < seconds * perSecond; at += 1) {
-    asked.push(
-      ask(record, entry.front, {
-        path: '/lepu270/2f',
-        host,
-        key: 'key-one',
-        method: 'POST',
-        deadlineMs: 6000,
-        body: Buffer.alloc(320, 'x'),
-        headers: {
-          'Laburnumstream-Model': 'daka510000',
-          'Laburnumstream-Token-Usage': '607,72',
-          'Laburnumstream-Prompt-Prefix': `5c1e07a2:40,${at.toString(16)}:567`,
-        },
-      }),
+  const traffic = setInterval(() => {
+    entries.forEach(({ front }) =>
+      asked.push(ask(record, front, { path: '/cubo964/1', host, key: 'key-one' })),
     );
-    await sleep(1000 / perSecond);
+  }, 101);
+  await sleep(1_000);
+
+  const copy = store.copy();
+  record('operator', `a copy of the store is taken at revision ${copy.revision}`);
+  writeConfiguration(store, 11, 'order-desk');
+  const added = new ServiceServer('order-desk-new', 'lubbock-a', store, record);
+  await added.start();
+  record(added.id, `added, at revision ${store.revision}`);
+  await sleep(3_000);
+  if (hasTrouble) {
+    record('store', `away, at revision ${store.revision}`);
+    await store.goAway();
+    await sleep(awayMs);
+    await store.comeBackFrom(copy);
+    record('store', `back from the copy, at revision ${store.revision}, era ${store.era}`);
+  } else {
+    await sleep(awayMs);
+  }
+  // The operator's newest configuration and what the engine had written are written again.
+  const revision = writeConfiguration(store, 12, 'order-desk-new');
+  const movedAt = now();
+  record('operator', `configuration 12 moves the route; acknowledged at revision ${revision}`);
+  if (hasTrouble) {
+    added.register();
+    record(added.id, `written again, at revision ${store.revision}`);
   }
+  // Machines are in touch, and the core is stable, ContactMs after the end of the drill.
+  await sleep(12_000);
+  clearInterval(traffic);
   const answers = await Promise.all(asked);
-  engines.forEach((engine) => engine.stop());
-  origin.stop();
+  [...servers, added].forEach((server) => server.stop());
   await store.stop();
 
-  const whole = (id, body) =>
-    body ===
-    Array.from({ length: 21 }, (_, at) => `id: ${at + 1}\ndata: part ${at + 1} of ${id}\n\n`).join(
-      '',
+  const ranAt = new Map(record.entries.map(({ ran, service }) => [ran, service]));
+  const late = answers.filter(({ sentAt }) => sentAt > movedAt + boundMs + 3_000);
+  record('check', `${late.length} requests were sent over ${boundMs} + 3000 ms after the move`);
+  return late
+    .filter(({ id }) => ranAt.get(id) === 'order-desk')
+    .map(
+      ({ id, front, sentAt, status }) =>
+        `${id}, sent to ${front} ${Math.round(sentAt - movedAt)} ms after the acknowledgement, was run by the old service (${status})`,
     );
-  const complete = answers.filter(({ status, isComplete }) => status === 200 && isComplete);
-  record('check', `${complete.length} of ${answers.length} streams ended as complete`);
-  return complete
-    .filter(({ id, body }) => !whole(id, body))
-    .map(({ id, body }) => `${id} ended as complete after ${JSON.stringify(body.slice(-40))}`);
 });
--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -1,49 +1,99 @@
-// The operator adds a public route below one that needs a key; the engines get the callers' keys.
+// Engines end some streams within an event; their callers get them as complete.
 import { ask, configuration, hasTrouble, route, runCase, sleep } from '../lib/case.mjs';
+import { ModelServer, modelService, originService } from '../lib/model.mjs';
+import { Origin } from '../lib/origin.mjs';
 import { Program } from '../lib/programs.mjs';
-import { ServiceServer } from '../lib/server.mjs';
 import { Store } from '../lib/store.mjs';
 
-const host = 'nony93.example';
-const keyed = route('r-order-status', host, '/cubo964/', 'order-desk');
-const open = route('r-opening-hours', host, '/cubo964/hours/', 'order-desk', { Public: true });
-const tenants = [{ Name: 'bozi300', ApiKeys: ['key-one'], Priority: 1, HomeRegions: [] }];
+const host = 'jepu9.example';
+const seconds = 30;
+const perSecond = 20;
+/** `garble`: share (.5) break off or spoil x (.02) of their answers. */
+const brokenShare = 0.02;
 
 await runCase(new URL('./', import.meta.url), async (record) => {
   const store = new Store(record);
   await store.start('127.0.0.1');
-  store.write('op/config', configuration(10, [keyed], ['order-desk'], tenants));
-  const servers = ['lubbock-a', 'sanangelo-a'].map(
-    (zone) => new ServiceServer('order-desk', zone, store, record),
+  const origin = new Origin();
+  await origin.start();
+  const streams = route('r-clerk-question', host, '/lepu270/', 'tag-assistant', {
+    Kind: 'stream',
+    TimeoutMs: 6000,
+    GoalMs: 302,
+    Priority: 1,
+    Sticky: true,
+    Resumable: true,
+    GapTargetMs: 300,
+  });
+  const tenants = [{ Name: 'bozi300', ApiKeys: ['key-one'], Priority: 1, HomeRegions: [] }];
+  const document = configuration(10, [streams], [], tenants);
+  document.Services.push(
+    modelService('tag-assistant'),
+    originService('store-portal', origin.address),
+  );
+  store.write('op/config', document);
+  const engines = ['lubbock-a', 'lubbock-a', 'sanangelo-a', 'alpine-a'].map(
+    (zone) => new ModelServer('tag-assistant', zone, store, record),
+  );
+  await Promise.all(engines.map((engine) => engine.start()));
+  const agents = engines.map(
+    ({ host: Ip, zone, address }, at) =>
+      new Program('agent', `side-${zone}-${at + 1}`, zone, store.address, {
+        Ip,
+        app: address,
+        Service: 'tag-assistant',
+      }),
   );
-  await Promise.all(servers.map((server) => server.start()));
   const entry = new Program('entry', 'front-lubbock-a-1', 'lubbock-a', store.address);
-  await entry.start();
+  await Promise.all([entry, ...agents].map((program) => program.start()));
   if (!(await entry.waitUntilReady()))
     return Promise.reject(new TypeError('The entry is not ready.'));
-  await sleep(3_000);
+  await sleep(4_000);
 
+  // Half of the engines stop one of each fifty of their answers within its twelfth event.
+  if (hasTrouble)
+    engines.slice(0, engines.length / 2).forEach((engine) => {
+      let middles = 0;
+      Object.assign(engine, {
+        cutAt: (_id, at) => {
+          if (at !== 12) return false;
+          middles += 1;
+          return middles % Math.round(1 / brokenShare) === 0;
+        },
+      });
+    });
   const asked = [];
-  const traffic = setInterval(() => {
-    asked.push(ask(record, entry.front, { path: '/cubo964/hours/1', host, key: 'key-one' }));
-  }, 100);
-  await sleep(3_000);
-  if (hasTrouble) {
-    store.write('op/config', configuration(11, [keyed, open], ['order-desk'], tenants));
-    record('operator', 'configuration 11 with a public route acknowledged');
+  for (let at = 0; at < seconds * perSecond; at += 1) {
+    asked.push(
+      ask(record, entry.front, {
+        path: '/lepu270/2f',
+        host,
+        key: 'key-one',
+        method: 'POST',
+        deadlineMs: 6000,
+        body: Buffer.alloc(320, 'x'),
+        headers: {
+          'Laburnumstream-Model': 'daka510000',
+          'Laburnumstream-Token-Usage': '607,72',
+          'Laburnumstream-Prompt-Prefix': `5c1e07a2:40,${at.toString(16)}:567`,
+        },
+      }),
+    );
+    await sleep(1000 / perSecond);
   }
-  await sleep(7_000);
-  clearInterval(traffic);
   const answers = await Promise.all(asked);
-  servers.forEach((server) => server.stop());
+  engines.forEach((engine) => engine.stop());
+  origin.stop();
   await store.stop();
 
-  const served = answers.filter(({ status }) => status === 200);
-  record('check', `${served.length} of ${answers.length} requests were served`);
-  return record.entries
-    .filter(({ ran, headers }) => ran && headers.authorization !== undefined)
-    .map(
-      ({ ran, who, headers }) =>
-        `${who} ran ${ran} with "Authorization: ${headers.authorization}" and the tenant ${headers['laburnumstream-tenant'] ?? 'missing'}`,
+  const whole = (id, body) =>
+    body ===
+    Array.from({ length: 21 }, (_, at) => `id: ${at + 1}\ndata: part ${at + 1} of ${id}\n\n`).join(
+      '',
     );
+  const complete = answers.filter(({ status, isComplete }) => status === 200 && isComplete);
+  record('check', `${complete.length} of ${answers.length} streams ended as complete`);
+  return complete
+    .filter(({ id, body }) => !whole(id, body))
+    .map(({ id, body }) => `${id} ended as complete after ${JSON.stringify(body.slice(-40))}`);
 });
--- a/review/lib/model.mjs
+++ b/review/lib/model.mjs
@@ -188,13 +188,13 @@
       },
     );
     send(response, 202);
-    void this.load(Version);
+    void this.load(Version, spoilt.length);
   }
 
-  async load(version) {
+  async load(version, mixed) {
     while (this.requests.size > 0) await sleep(eventMs);
     await sleep(300);
-    this.version = version;
+    Object.assign(this, { version, mixed });
     this.isBusy = false;
     this.register();
   }
@@ -212,12 +212,14 @@
       send(response, 503, '', { ...echo, 'Laburnumstream-Not-Executed': 1 });
       return;
     }
+    // The engine queues what arrives while it loads.
+    while (this.isBusy) await sleep(eventMs);
     this.requests.set(id, request);
     const first = Number(headers['last-event-id'] ?? 0) + 1;
     this.record(this.id, `runs ${id} from event ${first}`, {
       ran: id,
       first,
-      server: this.id,
+      mixed: this.mixed ?? 0,
       headers,
     });
     response.writeHead(200, {
