--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -5,7 +5,9 @@
 import { ServiceServer } from '../lib/server.mjs';
 import { Store } from '../lib/store.mjs';
 
+/** `ConfigApplyMs`, and all that may stretch it: `ContactMs` and `MaxSkewMs`. */
 const boundMs = 2_000;
+const excusedMs = 3_000 + 5_000;
 const awayMs = 700;
 const host = 'nony93.example';
 const tenants = [{ Name: 'bozi300', ApiKeys: ['key-one'], Priority: 1, HomeRegions: [] }];
@@ -69,15 +71,18 @@
     record(added.id, `written again, at revision ${store.revision}`);
   }
   // Machines are in touch, and the core is stable, ContactMs after the end of the drill.
-  await sleep(12_000);
+  await sleep(16_000);
   clearInterval(traffic);
   const answers = await Promise.all(asked);
   [...servers, added].forEach((server) => server.stop());
   await store.stop();
 
   const ranAt = new Map(record.entries.map(({ ran, service }) => [ran, service]));
-  const late = answers.filter(({ sentAt }) => sentAt > movedAt + boundMs + 3_000);
-  record('check', `${late.length} requests were sent over ${boundMs} + 3000 ms after the move`);
+  const late = answers.filter(({ sentAt }) => sentAt > movedAt + boundMs + excusedMs);
+  record(
+    'check',
+    `${late.length} requests were sent over ${boundMs + excusedMs} ms after the move`,
+  );
   return late
     .filter(({ id }) => ranAt.get(id) === 'order-desk')
     .map(
--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -1,13 +1,16 @@
 // Engines end some streams within an event; their callers get them as complete.
-import { ask, configuration, hasTrouble, route, runCase, sleep } from '../lib/case.mjs';
+import { ask, configuration, hasTrouble, now, route, runCase, sleep } from '../lib/case.mjs';
 import { ModelServer, modelService, originService } from '../lib/model.mjs';
 import { Origin } from '../lib/origin.mjs';
 import { Program } from '../lib/programs.mjs';
 import { Store } from '../lib/store.mjs';
 
 const host = 'jepu9.example';
-const seconds = 30;
-const perSecond = 20;
+const perSecond = 25;
+/** Lengths of an episode and of the pause after it; the kinds have 5 s, the sheet up to 6.86 s. */
+const episodes = 5;
+const episodeMs = 5_500;
+const pauseMs = 3_000;
 /** `garble`: share (.5) break off or spoil x (.02) of their answers. */
 const brokenShare = 0.02;
 
@@ -50,20 +53,22 @@
     return Promise.reject(new TypeError('The entry is not ready.'));
   await sleep(4_000);
 
-  // Half of the engines stop one of each fifty of their answers within its twelfth event.
-  if (hasTrouble)
-    engines.slice(0, engines.length / 2).forEach((engine) => {
-      let middles = 0;
-      Object.assign(engine, {
-        cutAt: (_id, at) => {
-          if (at !== 12) return false;
-          middles += 1;
-          return middles % Math.round(1 / brokenShare) === 0;
-        },
-      });
-    });
+  // In an episode half of the engines stop one of each fifty of their answers within its twelfth event.
+  let isTroubled = false;
+  let middles = 0;
+  engines.slice(0, engines.length / 2).forEach((engine) =>
+    Object.assign(engine, {
+      cutAt: (_id, at) => {
+        if (at !== 12 || !isTroubled) return false;
+        middles += 1;
+        return middles % Math.round(1 / brokenShare) === 0;
+      },
+    }),
+  );
+  const startedAt = now();
   const asked = [];
-  for (let at = 0; at < seconds * perSecond; at += 1) {
+  for (let at = 0; now() - startedAt < episodes * (episodeMs + pauseMs); at += 1) {
+    isTroubled = hasTrouble && (now() - startedAt) % (episodeMs + pauseMs) < episodeMs;
     asked.push(
       ask(record, entry.front, {
         path: '/lepu270/2f',
