--- /dev/null
+++ b/features/restoredStore.feature
@@ -0,0 +1,10 @@
+Feature: Store that comes back from an older copy
+
+  # Guards against entries that read from others and never learn what has a revision that was given out before.
+  Scenario: key taken away after the store lost three configurations
+    Given 5 entries behind a link that is narrow for them
+    And 3 configurations are in force that a copy of the store does not have
+    When the store comes back from the copy and gets the last configuration again
+    And 2 seconds have passed
+    And operators take the key of the region away
+    Then 2 seconds later no entry runs a request with that key
--- a/features/steps/clockSteps.steps.ts
+++ b/features/steps/clockSteps.steps.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { After, Given, Then, When, World } from '@cucumber/cucumber';
 import { SleepAwareClock, StoreUnavailable } from '@laburnumstream/common';
-import type { Log, StoreChanges, StoreFeed } from '@laburnumstream/common';
+import type { Log, StoreChanges, StoreFeed, StorePosition } from '@laburnumstream/common';
 import { ConfigurationFreshness } from '@laburnumstream/decisions';
 import { DatedStore, FleetState, FleetWatcher } from '@laburnumstream/forwarding';
 import { storeCodec } from '@laburnumstream/platform';
@@ -46,7 +46,7 @@
 
   async changes(
     _prefix: string,
-    after: number,
+    { revision: after }: StorePosition,
     waitMs: number,
     signal?: AbortSignal,
   ): Promise<StoreChanges> {
--- a/features/steps/feedFailures.steps.ts
+++ b/features/steps/feedFailures.steps.ts
@@ -118,7 +118,11 @@
   /^a follower that calls at (\d+) ms learns a proof of (\d+) ms before its call$/,
   function proof(this: FeedWorld, calledAt: string, ageMs: string) {
     const now = Number(calledAt) + 500;
-    const { proofAgeMs } = this.mirror.readAfter(50, Number(calledAt), now)!.provenance;
+    const { proofAgeMs } = this.mirror.readAfter(
+      { revision: 50 },
+      Number(calledAt),
+      now,
+    )!.provenance;
     assert.equal(proofAgeMs, Number(ageMs));
   },
 );
@@ -144,7 +148,7 @@
 Then(
   /^a follower of revision (\d+) learns of the removal$/,
   function learns(this: FeedWorld, revision: string) {
-    const changes = this.mirror.readAfter(Number(revision), 0, 0)?.changes;
+    const changes = this.mirror.readAfter({ revision: Number(revision) }, 0, 0)?.changes;
     assert.deepEqual(changes, [{ key: 'servers/e1', value: undefined, revision: 60 }]);
   },
 );
@@ -152,7 +156,7 @@
 Then(
   /^a follower of revision (\d+) has to take a snapshot, without the key$/,
   function snapshot(this: FeedWorld, revision: string) {
-    assert.equal(this.mirror.readAfter(Number(revision), 0, 0), undefined);
-    assert.deepEqual(this.mirror.readAfter(0, 0, 0)!.changes, []);
+    assert.equal(this.mirror.readAfter({ revision: Number(revision) }, 0, 0), undefined);
+    assert.deepEqual(this.mirror.readAfter({ revision: 0 }, 0, 0)!.changes, []);
   },
 );
--- a/features/steps/feedReview.steps.ts
+++ b/features/steps/feedReview.steps.ts
@@ -83,8 +83,10 @@
   function missed(this: FeedReviewWorld) {
     const { mirror } = this;
     const read = new Map<string, StoreChange>();
-    const readAfter = (after: number): number => {
-      mirror.readAfter(after, 0, 0)!.changes.forEach((change) => read.set(change.key, change));
+    const readAfter = (revision: number): number => {
+      mirror
+        .readAfter({ revision }, 0, 0)!
+        .changes.forEach((change) => read.set(change.key, change));
       return mirror.revision!;
     };
     const known = readAfter(0);
@@ -102,7 +104,7 @@
     const { clock } = this;
     this.store = {
       snapshot: () => Promise.resolve({ values: [], revision: firstRevision }),
-      changes: async (_prefix, after, waitMs, signal): Promise<StoreChanges> => {
+      changes: async (_prefix, { revision: after }, waitMs, signal): Promise<StoreChanges> => {
         if (after >= lastRevision) {
           await clock.sleep(waitMs, signal);
           return { changes: [], revision: after };
@@ -129,7 +131,7 @@
     ];
     this.store = {
       snapshot: () => Promise.resolve({ values: [], revision: firstRevision }),
-      changes: async (_prefix, after, waitMs, signal): Promise<StoreChanges> => {
+      changes: async (_prefix, { revision: after }, waitMs, signal): Promise<StoreChanges> => {
         const change = changes.find(({ revision }) => revision > after);
         await clock.sleep(change ? Number(ms) : waitMs, signal);
         if (!change) return { changes: [], revision: after };
--- a/features/steps/oddInputs.steps.ts
+++ b/features/steps/oddInputs.steps.ts
@@ -133,7 +133,7 @@
   },
   'changes of the store': {
     sound: { events: [soundItem, { Key: 'servers/e1', Revision: 4, Removed: true }], AsOf: 4 },
-    read: (address) => new StoreClient(address).changes('', 1, 100),
+    read: (address) => new StoreClient(address).changes('', { revision: 1 }, 100),
   },
   'feeds of entries': {
     sound: {
@@ -146,7 +146,7 @@
     read: async (address) => {
       const client = new FeedClient();
       try {
-        return await client.read(address, 1, 100);
+        return await client.read(address, { revision: 1 }, 100);
       } finally {
         client.close();
       }
@@ -272,7 +272,7 @@
   const body = JSON.stringify({ Items: items, events: items, Truncated: false, AsOf: 4 });
   const store = new StoreClient(await listen(this, () => body));
   this.oddSnapshot = (await store.snapshot('')).values.map(({ key }) => key);
-  this.oddChanges = (await store.changes('', 1, 100)).changes.map(({ key }) => key);
+  this.oddChanges = (await store.changes('', { revision: 1 }, 100)).changes.map(({ key }) => key);
 });
 
 Then('both sound ones are read from its list and its changes', function both(this: OddInputsWorld) {
--- /dev/null
+++ b/features/steps/restoredStore.steps.ts
@@ -0,0 +1,46 @@
+import assert from 'node:assert/strict';
+import { setTimeout as sleep } from 'node:timers/promises';
+import { Given, Then, When } from '@cucumber/cucumber';
+import type { StoreCopy } from '@laburnumstream/standins';
+import type { RemoteRegion } from '../support/remoteRegion.js';
+
+const msPerSecond = 1_000;
+const inForceMs = 3_000;
+
+interface RestoredWorld {
+  region: RemoteRegion;
+  copy: StoreCopy;
+}
+
+Given(
+  /^(\d+) configurations are in force that a copy of the store does not have$/,
+  { timeout: 20_000 },
+  async function configure(this: RestoredWorld, count: string) {
+    const { region } = this;
+    this.copy = region.store.copy();
+    for (let written = 0; written < Number(count); written += 1) {
+      const version = region.writeConfiguration(0);
+      await region.waitForVersion(version, performance.now(), inForceMs);
+    }
+  },
+);
+
+When(
+  'the store comes back from the copy and gets the last configuration again',
+  function restore(this: RestoredWorld) {
+    this.region.store.restore(this.copy);
+    this.region.rewriteConfiguration();
+  },
+);
+
+Then(
+  /^(\d+) seconds later no entry runs a request with that key$/,
+  async function refused(this: RestoredWorld, seconds: string) {
+    await sleep(Number(seconds) * msPerSecond);
+    const responses = await this.region.sendToAll('/safe/x');
+    assert.deepEqual(
+      responses.map(({ status }) => status),
+      responses.map(() => 401),
+    );
+  },
+);
--- a/features/steps/reviewedBounds.steps.ts
+++ b/features/steps/reviewedBounds.steps.ts
@@ -327,7 +327,7 @@
           revision,
           provenance: { proofAgeMs: 0, changeAgeMs: 0, unseenMs: 0, outage: undefined },
         }),
-      changes: async (_prefix, after, waitMs, signal): Promise<DatedChanges> => {
+      changes: async (_prefix, { revision: after }, waitMs, signal): Promise<DatedChanges> => {
         if (!isRemoved || after > revision) await clock.sleep(Math.min(waitMs, 500), signal);
         const outage =
           outageEndedAt === undefined
--- a/features/steps/versionDates.steps.ts
+++ b/features/steps/versionDates.steps.ts
@@ -109,11 +109,11 @@
     this.mirror = new StoreMirror();
     const { mirror } = this;
     mirror.applySnapshot({ values: [], revision: firstRevision }, { changedAt: 0, unseenMs: 0 });
-    const read = (after: number) => mirror.readAfter(after, clock.now(), clock.now())!;
+    const read = (revision: number) => mirror.readAfter({ revision }, clock.now(), clock.now())!;
     const feed: DatedFeed = {
       snapshot: () =>
         Promise.resolve({ values: [], revision: firstRevision, provenance: read(0).provenance }),
-      changes: async (_prefix, after, waitMs, signal): Promise<DatedChanges> => {
+      changes: async (_prefix, { revision: after }, waitMs, signal): Promise<DatedChanges> => {
         if (clock.now() < Number(ms)) throw new StoreUnavailable('The source does not respond.');
         const revision = mirror.revision!;
         if (after >= revision) await clock.sleep(waitMs, signal);
@@ -164,7 +164,7 @@
 function createStore(clock: Clock, getChanges: () => StoreChanges): StoreFeed {
   return {
     snapshot: () => Promise.resolve({ values: [], revision: firstRevision }),
-    changes: async (_prefix, after, waitMs, signal): Promise<StoreChanges> => {
+    changes: async (_prefix, { revision: after }, waitMs, signal): Promise<StoreChanges> => {
       const endAt = clock.now() + waitMs;
       while (getChanges().revision <= after && clock.now() < endAt)
         await clock.sleep(pollMs, signal);
--- a/features/support/changingStore.ts
+++ b/features/support/changingStore.ts
@@ -61,7 +61,7 @@
   let calls = 0;
   const changing: StoreFeed = {
     snapshot: (prefix, signal) => store.snapshot(prefix, signal),
-    async changes(_prefix, after) {
+    async changes(_prefix, { revision: after }) {
       calls += 1;
       await clock.sleep(20);
       return { changes: [{ key: '0', value: '', revision: after + 1 }], revision: after + 1 };
--- a/features/support/remoteRegion.ts
+++ b/features/support/remoteRegion.ts
@@ -101,6 +101,9 @@
 
   private lastVersion = firstVersion - 1;
 
+  /** The configuration that was written last. */
+  private lastConfiguration: object = {};
+
   private constructor(
     readonly store: PlatformStore,
     readonly link: NarrowLink,
@@ -152,10 +155,16 @@
     const base = createConfiguration(this.lastVersion, keys) as { Routes: object[] };
     const addedRoutes = Array.from({ length: added }, (_, index) => createAddedRoute(index));
     const Routes = [...base.Routes, openRoute, ...(added > 0 ? [homeRoute] : []), ...addedRoutes];
-    this.store.write('op/config', { ...base, Routes });
+    this.lastConfiguration = { ...base, Routes };
+    this.rewriteConfiguration();
     return this.lastVersion;
   }
 
+  /** Writes the last configuration once more, as operators do after the store has lost it. */
+  rewriteConfiguration(): void {
+    this.store.write('op/config', this.lastConfiguration);
+  }
+
   /** Waits until entries have a version; returns the longest time that one took, in milliseconds. */
   async waitForVersion(
     wanted: number,
--- a/features/support/versionStore.ts
+++ b/features/support/versionStore.ts
@@ -1,5 +1,11 @@
 import { HistoryLost, StoreUnavailable } from '@laburnumstream/common';
-import type { Clock, StoreChange, StoreChanges, StoreFeed } from '@laburnumstream/common';
+import type {
+  Clock,
+  StoreChange,
+  StoreChanges,
+  StoreFeed,
+  StorePosition,
+} from '@laburnumstream/common';
 
 /** The model whose versions are named. */
 export const model = 'm';
@@ -96,7 +102,7 @@
 
   async changes(
     _prefix: string,
-    after: number,
+    { revision: after }: StorePosition,
     waitMs: number,
     signal?: AbortSignal,
   ): Promise<StoreChanges> {
--- a/features/support/watchHistory.ts
+++ b/features/support/watchHistory.ts
@@ -1,5 +1,10 @@
 import { HistoryLost, SleepAwareClock, StoreUnavailable } from '@laburnumstream/common';
-import type { StoreChange, StoreChanges, StoreSnapshot } from '@laburnumstream/common';
+import type {
+  StoreChange,
+  StoreChanges,
+  StorePosition,
+  StoreSnapshot,
+} from '@laburnumstream/common';
 import { ConfigurationFreshness } from '@laburnumstream/decisions';
 import { DatedStore, FleetWatcher, FleetState } from '@laburnumstream/forwarding';
 import type { FleetChange } from '@laburnumstream/forwarding';
@@ -112,7 +117,7 @@
 
   async changes(
     _prefix: string,
-    after: number,
+    { revision: after }: StorePosition,
     waitMs: number,
     signal?: AbortSignal,
   ): Promise<StoreChanges> {
--- a/packages/common/src/services.ts
+++ b/packages/common/src/services.ts
@@ -249,10 +249,19 @@
   readonly outage: StoreOutage | undefined;
 }
 
-/** All values under a prefix as of a revision of the store. */
-export interface StoreSnapshot {
-  readonly values: readonly StoredValue[];
+/**
+ * A revision of the store, and the epoch in which it was given out. A store that is restored from an older copy begins
+ * a new epoch, in which it gives revisions out again.
+ */
+export interface StorePosition {
   readonly revision: number;
+  /** Increases with each restoration; undefined where the store does not tell. */
+  readonly epoch?: number | undefined;
+}
+
+/** All values under a prefix as of a position of the store. */
+export interface StoreSnapshot extends StorePosition {
+  readonly values: readonly StoredValue[];
 }
 
 /** A snapshot of which it is known how old it is. */
@@ -269,10 +278,9 @@
   readonly laterMs?: number;
 }
 
-/** Changes in order of their revisions, and the revision after which to continue watching. */
-export interface StoreChanges {
+/** Changes in order of their revisions, and the position after which to continue watching. */
+export interface StoreChanges extends StorePosition {
   readonly changes: readonly StoreChange[];
-  readonly revision: number;
 }
 
 /** Changes of which it is known how old they are. */
@@ -287,12 +295,12 @@
 export interface StoreFeed {
   snapshot(prefix: string, signal?: AbortSignal, onProgress?: () => void): Promise<StoreSnapshot>;
   /**
-   * Waits up to `waitMs` for changes after revision `after`; returns an empty list if there are none.
-   * Throws `HistoryLost` if the store no longer has the history since that revision.
+   * Waits up to `waitMs` for changes after a position; returns an empty list if there are none.
+   * Throws `HistoryLost` if the store no longer has the history since that position.
    */
   changes(
     prefix: string,
-    after: number,
+    after: StorePosition,
     waitMs: number,
     signal?: AbortSignal,
     onProgress?: () => void,
@@ -304,7 +312,7 @@
   snapshot(prefix: string, signal?: AbortSignal, onProgress?: () => void): Promise<DatedSnapshot>;
   changes(
     prefix: string,
-    after: number,
+    after: StorePosition,
     waitMs: number,
     signal?: AbortSignal,
     onProgress?: () => void,
--- a/packages/forwarding/src/datedStore.ts
+++ b/packages/forwarding/src/datedStore.ts
@@ -7,6 +7,7 @@
   FleetBounds,
   Provenance,
   StoreFeed,
+  StorePosition,
 } from '@laburnumstream/common';
 import { ChangeDating, confirmedUntil } from '@laburnumstream/decisions';
 import type { ChangeDate } from '@laburnumstream/decisions';
@@ -51,7 +52,7 @@
 
   async changes(
     prefix: string,
-    after: number,
+    after: StorePosition,
     waitMs: number,
     signal?: AbortSignal,
     onProgress?: () => void,
--- a/packages/forwarding/src/feedClient.ts
+++ b/packages/forwarding/src/feedClient.ts
@@ -1,7 +1,7 @@
 import { promisify } from 'node:util';
 import { gunzip } from 'node:zlib';
 import { HistoryLost, InvalidInput, Unavailable } from '@laburnumstream/common';
-import type { DatedChanges, Provenance, StoreChange } from '@laburnumstream/common';
+import type { DatedChanges, Provenance, StoreChange, StorePosition } from '@laburnumstream/common';
 import { createConnector } from '@laburnumstream/runtime';
 import { Client } from 'undici';
 import { FeedHeader, FeedSource, FeedStatus, feedPath } from './feedProtocol.js';
@@ -17,6 +17,8 @@
 /** Time in which a response must be complete, in milliseconds: it may make little progress for ever. */
 const totalMs = 60_000;
 const maxBytes = 64_000_000;
+/** Largest epoch that a feed can state. */
+const maxEpoch = 1e15;
 /** Longest time that a feed can state, in milliseconds: a year. */
 const maxAgeMs = 31_536_000_000;
 /** Largest part of a reason that is kept, in characters. */
@@ -74,6 +76,15 @@
   return { proofAgeMs, changeAgeMs, unseenMs, outage };
 }
 
+/** Returns the epoch of the content; undefined where the feed tells none. */
+function readEpoch({ headers }: TransferredResponse): number | undefined {
+  const text = headers[FeedHeader.epoch];
+  if (text === undefined) return undefined;
+  const epoch = Number(text);
+  if (Number.isInteger(epoch) && epoch >= 0 && epoch <= maxEpoch) return epoch;
+  throw new InvalidInput('The feed tells no epoch that can be right.');
+}
+
 async function parseBody({ headers, body }: TransferredResponse): Promise<unknown> {
   const isCompressed = headers['content-encoding'] === 'gzip';
   try {
@@ -97,15 +108,17 @@
   /** IP:PORT that `client` is connected to. */
   private address = '';
 
-  /** Returns the changes after a revision, or all values after 0. Throws a typed failure. */
+  /** Returns the changes after a position, or all values after revision 0. Throws a typed failure. */
   async read(
     address: string,
-    after: number,
+    after: StorePosition,
     waitMs: number,
     signal?: AbortSignal,
   ): Promise<RelayedChanges> {
     const client = this.connect(address);
-    const path = `${feedPath}?after=${after}&waitMs=${waitMs}`;
+    const query = new URLSearchParams({ after: String(after.revision), waitMs: String(waitMs) });
+    if (after.epoch !== undefined) query.set('epoch', String(after.epoch));
+    const path = `${feedPath}?${query}`;
     const limits = { firstMs: waitMs + responseGraceMs, stallMs, totalMs, maxBytes };
     try {
       const response = await transfer(client, { method: 'GET', path }, limits, signal);
@@ -114,7 +127,8 @@
         throw new Unavailable(`${address} responded with ${response.status}.`, retryDelayMs);
       const { revision, changes } = await readBody(response);
       const isFromReader = response.headers[FeedHeader.source] === FeedSource.store;
-      return { revision, changes, provenance: readProvenance(response), isFromReader };
+      const epoch = readEpoch(response);
+      return { revision, epoch, changes, provenance: readProvenance(response), isFromReader };
     } catch (error) {
       if (!(error instanceof HistoryLost)) this.close();
       throw error;
--- a/packages/forwarding/src/feedProtocol.ts
+++ b/packages/forwarding/src/feedProtocol.ts
@@ -1,6 +1,6 @@
 import type { StoreChange } from '@laburnumstream/common';
 
-/** Path at which an entry serves the store's content to others, with the queries `after` and `waitMs`. */
+/** Path at which an entry serves the store's content to others, with the queries `after`, `epoch` and `waitMs`. */
 export const feedPath = '/feed';
 
 /** Statuses of responses with the store's content. */
@@ -8,7 +8,7 @@
   ok: 200,
   invalid: 400,
   historyLost: 410,
-  /** The entry has read nothing from the store yet, or the store has fallen silent for it. */
+  /** The entry has read nothing of this epoch from the store yet, or the store has fallen silent for it. */
   notReady: 503,
 } as const;
 
@@ -22,6 +22,8 @@
 export const FeedHeader = {
   /** A `FeedSource`. */
   source: 'laburnumstream-feed-source',
+  /** Epoch of the store; absent where it tells none. */
+  epoch: 'laburnumstream-feed-epoch',
   proofAge: 'laburnumstream-feed-proof-age',
   changeAge: 'laburnumstream-feed-changed-before',
   /** Absent if it is 0. */
--- a/packages/forwarding/src/feedServer.ts
+++ b/packages/forwarding/src/feedServer.ts
@@ -2,13 +2,21 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { promisify } from 'node:util';
 import { gzip } from 'node:zlib';
-import type { DatedChanges, Log, SleepAwareClock } from '@laburnumstream/common';
+import type {
+  DatedChanges,
+  Log,
+  SleepAwareClock,
+  StoreChanges,
+  StorePosition,
+} from '@laburnumstream/common';
 import { Notifier } from '@laburnumstream/runtime';
 import { FeedHeader, FeedStatus, feedPath } from './feedProtocol.js';
 import type { FeedBody, FeedSource } from './feedProtocol.js';
 import type { StoreMirror } from './storeMirror.js';
 
 const compress = promisify(gzip);
+/** Whole numbers without a sign. */
+const wholeNumber = /^\d{1,15}$/;
 /** Size of a response from which it is compressed, in bytes. */
 const minCompressedBytes = 8_192;
 const compressionLevel = 1;
@@ -28,6 +36,14 @@
   return { bytes: await compress(bytes, { level: compressionLevel }), isCompressed: true };
 }
 
+/** Returns the position that a follower asks from; undefined if there is none that can be right. */
+function readPosition(query: URLSearchParams): StorePosition | undefined {
+  const revision = Number(query.get('after'));
+  const epoch = query.get('epoch');
+  if (!Number.isInteger(revision) || (epoch !== null && !wholeNumber.test(epoch))) return undefined;
+  return { revision, epoch: epoch === null ? undefined : Number(epoch) };
+}
+
 /** Serves the mirror of the store to its followers: other entries of the region. */
 export class FeedServer {
   private readonly changed = new Notifier();
@@ -78,28 +94,28 @@
   private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const calledAt = this.proofClock.now();
     const { pathname, searchParams } = new URL(request.url ?? '/', 'http://feed');
-    const after = Number(searchParams.get('after'));
+    const after = readPosition(searchParams);
     const waitMs = Math.min(maxWaitMs, Number(searchParams.get('waitMs')));
-    if (pathname !== feedPath || !Number.isInteger(after) || !(waitMs >= 0)) {
+    if (pathname !== feedPath || !after || !(waitMs >= 0)) {
       FeedServer.sendEmpty(response, FeedStatus.invalid);
       return;
     }
     await this.waitForChange(after, waitMs, response);
     const content = this.mirror.readAfter(after, calledAt, this.proofClock.now());
     const isSilent = this.getSilenceMs() > maxSilenceMs;
-    if (isSilent || this.mirror.revision === undefined)
+    if (isSilent || this.mirror.position === undefined || this.mirror.isBehind(after))
       FeedServer.sendEmpty(response, FeedStatus.notReady);
     else if (!content) FeedServer.sendEmpty(response, FeedStatus.historyLost);
-    else await this.send(response, after, content);
+    else await this.send(response, after.revision, content);
   }
 
   private async waitForChange(
-    after: number,
+    after: StorePosition,
     waitMs: number,
     response: ServerResponse,
   ): Promise<void> {
-    const { revision } = this.mirror;
-    if (revision === undefined || after === 0 || this.mirror.hasChangesAfter(after)) return;
+    const { position } = this.mirror;
+    if (!position || after.revision === 0 || this.mirror.hasChangesAfter(after)) return;
     const closed = new AbortController();
     response.once('close', () => closed.abort());
     const endAt = this.proofClock.now() + waitMs;
@@ -115,13 +131,14 @@
   private async send(
     response: ServerResponse,
     after: number,
-    { changes, revision, provenance }: DatedChanges,
+    { changes, revision, epoch, provenance }: DatedChanges,
   ): Promise<void> {
     const { proofAgeMs, changeAgeMs, unseenMs, outage } = provenance;
-    const { bytes, isCompressed } = await this.encode(after, { revision, changes });
+    const { bytes, isCompressed } = await this.encode(after, { revision, epoch, changes });
     response.writeHead(FeedStatus.ok, {
       'content-length': bytes.length,
       [FeedHeader.source]: this.getSource(),
+      ...(epoch !== undefined && { [FeedHeader.epoch]: epoch }),
       [FeedHeader.proofAge]: Math.ceil(proofAgeMs),
       [FeedHeader.changeAge]: Math.ceil(changeAgeMs),
       ...(unseenMs > 0 && { [FeedHeader.unseen]: Math.ceil(unseenMs) }),
@@ -134,8 +151,8 @@
     response.end(bytes);
   }
 
-  private encode(after: number, body: FeedBody): Promise<EncodedBody> {
-    const key = `${after} ${body.revision}`;
+  private encode(after: number, { epoch, ...body }: StoreChanges): Promise<EncodedBody> {
+    const key = `${after} ${body.revision} ${epoch}`;
     if (this.lastEncoded?.key !== key) this.lastEncoded = { key, body: encodeBody(body) };
     return this.lastEncoded.body;
   }
--- a/packages/forwarding/src/fleetWatcher.ts
+++ b/packages/forwarding/src/fleetWatcher.ts
@@ -8,6 +8,7 @@
   Provenance,
   StoreChange,
   StoreOutage,
+  StorePosition,
 } from '@laburnumstream/common';
 import { DeferredRemovals, changeBatchWindowMs } from '@laburnumstream/decisions';
 import type { FleetChange, FleetDecoder } from './fleetChange.js';
@@ -65,7 +66,8 @@
 
 /** Keeps the fleet state in sync with the store and records how recent it is. */
 export class FleetWatcher {
-  private revision: number | undefined;
+  /** Position of the content; undefined if a snapshot is due. */
+  private position: StorePosition | undefined;
 
   private backoffMs = initialBackoffMs;
 
@@ -109,12 +111,12 @@
   async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       const calledAt = this.proofClock.now();
-      const call = this.revision === undefined ? StoreCall.list : StoreCall.watch;
+      const call = this.position === undefined ? StoreCall.list : StoreCall.watch;
       try {
         const proofAgeMs =
-          this.revision === undefined
+          this.position === undefined
             ? await this.loadSnapshot(signal)
-            : await this.watchChanges(this.revision, signal);
+            : await this.watchChanges(this.position, signal);
         this.proof.confirm(calledAt - proofAgeMs);
         this.isConfirming = false;
         this.callCounter.countSuccess(call);
@@ -171,7 +173,8 @@
   /** Returns the time before the call at which the store confirmed the content, in milliseconds. */
   private async loadSnapshot(signal: AbortSignal): Promise<number> {
     const calledAt = this.proofClock.now();
-    const { values, revision, provenance } = await this.store.snapshot(this.codec.prefix, signal);
+    const snapshot = await this.store.snapshot(this.codec.prefix, signal);
+    const { values, revision, epoch, provenance } = snapshot;
     const changes = values.flatMap((value) => this.decode(value));
     const changedAt = calledAt - provenance.changeAgeMs;
     this.logVersions(changes, changedAt, { call: StoreCall.list, calledAt, provenance });
@@ -179,12 +182,12 @@
     const removals = this.state.getRemovals(changes.map(({ change }) => change));
     const removed = removals.map((change) => ({ change, laterMs: 0 }));
     this.applyAll([...removed, ...changes], changedAt, provenance);
-    this.revision = revision;
+    this.position = { revision, epoch };
     return provenance.proofAgeMs;
   }
 
   /** Returns the time before the call at which the store confirmed the content, in milliseconds. */
-  private async watchChanges(after: number, signal: AbortSignal): Promise<number> {
+  private async watchChanges(after: StorePosition, signal: AbortSignal): Promise<number> {
     const { prefix } = this.codec;
     const waitMs = this.nextWatchTimeoutMs;
     const calledAt = this.proofClock.now();
@@ -200,7 +203,7 @@
     this.logVersions(decoded, changedAt, { call: StoreCall.watch, calledAt, provenance });
     this.recordResponse(provenance);
     this.applyAll(decoded, changedAt, provenance);
-    this.revision = Math.max(after, revision);
+    this.position = { ...after, revision: Math.max(after.revision, revision) };
     this.isPauseDue = changes.length > 0;
     return provenance.proofAgeMs;
   }
@@ -321,7 +324,7 @@
   private async handleFailure(error: unknown, signal: AbortSignal): Promise<void> {
     const failure = toFailure(error);
     if (failure instanceof HistoryLost) {
-      this.revision = undefined;
+      this.position = undefined;
       this.log.warn('Watch history lost; reloading the snapshot.');
       return;
     }
--- a/packages/forwarding/src/regionalFeed.ts
+++ b/packages/forwarding/src/regionalFeed.ts
@@ -10,6 +10,7 @@
   SleepAwareClock,
   StoreChange,
   StoreFeed,
+  StorePosition,
   StoredValue,
 } from '@laburnumstream/common';
 import { FeedReaders } from '@laburnumstream/decisions';
@@ -39,6 +40,13 @@
 /** Revision after which a read returns the whole content. */
 const wholeContent = 0;
 
+/** Whether a position of the store is before another one. */
+function isBefore(one: StorePosition, other: StorePosition | undefined): boolean {
+  const epoch = one.epoch ?? 0;
+  const otherEpoch = other?.epoch ?? 0;
+  return epoch < otherEpoch || (epoch === otherEpoch && one.revision < (other?.revision ?? 0));
+}
+
 function toStoredValue({ key, value, revision }: StoreChange): StoredValue[] {
   return value === undefined ? [] : [{ key, value, revision }];
 }
@@ -109,7 +117,8 @@
 
   async snapshot(prefix: string, signal?: AbortSignal): Promise<DatedSnapshot> {
     const startedAt = this.proofClock.now();
-    const relayed = await this.readFromEntries(wholeContent, 0, startedAt, signal);
+    const after = { revision: wholeContent, epoch: this.mirror.position?.epoch };
+    const relayed = await this.readFromEntries(after, 0, startedAt, signal);
     if (relayed) return { ...relayed, values: relayed.changes.flatMap(toStoredValue) };
     return this.readStore(
       startedAt,
@@ -121,7 +130,7 @@
 
   async changes(
     prefix: string,
-    after: number,
+    after: StorePosition,
     waitMs: number,
     signal?: AbortSignal,
   ): Promise<DatedChanges> {
@@ -152,7 +161,7 @@
 
   /** Tries other entries for up to `maxAttemptsMs`; returns undefined if none can be read from. */
   private async readFromEntries(
-    after: number,
+    after: StorePosition,
     waitMs: number,
     startedAt: number,
     signal?: AbortSignal,
@@ -184,7 +193,7 @@
    */
   private async readEntry(
     source: string,
-    after: number,
+    after: StorePosition,
     waitMs: number,
     startedAt: number,
     signal?: AbortSignal,
@@ -194,10 +203,11 @@
       const address = this.getFeedAddress(source);
       const relayed = await this.client.read(address, after, waitMs, signal);
       const { proofAgeMs } = relayed.provenance;
-      const isOlder = relayed.revision < (this.mirror.revision ?? 0);
+      const isWhole = after.revision === wholeContent;
+      if (!isWhole && relayed.epoch !== after.epoch) throw new HistoryLost(address);
       if (
         (!relayed.isFromReader && proofAgeMs > maxProofAgeMs) ||
-        (isOlder && after === wholeContent)
+        (isWhole && isBefore(relayed, this.mirror.position))
       )
         throw new OldProof(address, proofAgeMs);
       const { changedAt, unseenMs } = this.dateRelayed(after, relayed, calledAt);
@@ -223,18 +233,23 @@
    * Returns the date of the oldest relayed change. A snapshot tells nothing of the changes before it, so that one is
    * dated by what this entry has read before.
    */
-  private dateRelayed(after: number, { provenance }: RelayedChanges, calledAt: number): ChangeDate {
-    if (after === wholeContent) return this.store.dating.dateChanges(this.proofClock.now());
+  private dateRelayed(
+    after: StorePosition,
+    { provenance }: RelayedChanges,
+    calledAt: number,
+  ): ChangeDate {
+    if (after.revision === wholeContent)
+      return this.store.dating.dateChanges(this.proofClock.now());
     return readDate(provenance, calledAt);
   }
 
-  private applyRelayed(after: number, relayed: RelayedChanges, calledAt: number): void {
-    const { changes, revision, provenance } = relayed;
+  private applyRelayed(after: StorePosition, relayed: RelayedChanges, calledAt: number): void {
+    const { changes, provenance } = relayed;
     const now = this.proofClock.now();
     const date = readDate(provenance, calledAt);
-    if (after === wholeContent) {
+    if (after.revision === wholeContent) {
       const values = changes.flatMap(toStoredValue);
-      this.mirror.applySnapshot({ values, revision }, date);
+      this.mirror.applySnapshot({ ...relayed, values }, date);
     } else {
       this.mirror.applyChanges(relayed, date);
     }
--- a/packages/forwarding/src/storeMirror.ts
+++ b/packages/forwarding/src/storeMirror.ts
@@ -3,6 +3,7 @@
   StoreChange,
   StoreChanges,
   StoreOutage,
+  StorePosition,
   StoreSnapshot,
 } from '@laburnumstream/common';
 
@@ -46,28 +47,35 @@
   /** Revision up to which removals and dates may be unknown. */
   private forgottenRevision = 0;
 
-  private revisionKnown: number | undefined;
+  private positionKnown: StorePosition | undefined;
 
   private confirmedAt = -Infinity;
 
   private outage: MirroredOutage | undefined;
 
+  /** Position of the content; undefined before the first snapshot. */
+  get position(): StorePosition | undefined {
+    return this.positionKnown;
+  }
+
   /** Revision of the content; undefined before the first snapshot. */
   get revision(): number | undefined {
-    return this.revisionKnown;
+    return this.positionKnown?.revision;
   }
 
   /** Replaces the content. What was removed before is unknown, so followers need a snapshot too. */
-  applySnapshot({ values, revision }: StoreSnapshot, date: ChangeDate): void {
+  applySnapshot({ values, revision, epoch }: StoreSnapshot, date: ChangeDate): void {
     this.changesByKey = new Map();
     this.batches = [];
     this.forgottenRevision = revision;
-    // What was confirmed before may be newer than the snapshot.
-    if (revision < (this.revisionKnown ?? 0)) this.confirmedAt = -Infinity;
-    this.revisionKnown = revision;
-    this.applyChanges({ changes: values, revision }, date);
+    // What was confirmed before may be newer than the snapshot, or of another epoch.
+    if (epoch !== this.positionKnown?.epoch || revision < (this.revision ?? 0))
+      this.confirmedAt = -Infinity;
+    this.positionKnown = { revision, epoch };
+    this.applyChanges({ changes: values, revision, epoch }, date);
   }
 
+  /** Applies changes of the epoch of the content. */
   applyChanges({ changes, revision }: StoreChanges, date: ChangeDate): void {
     changes.forEach(({ laterMs = 0, ...change }) => {
       const known = this.changesByKey.get(change.key);
@@ -75,7 +83,8 @@
       this.changesByKey.delete(change.key);
       this.changesByKey.set(change.key, { ...change, changedAt: date.changedAt + laterMs });
     });
-    this.revisionKnown = Math.max(this.revisionKnown ?? 0, revision);
+    const newest = Math.max(this.revision ?? 0, revision);
+    this.positionKnown = { ...this.positionKnown, revision: newest };
     this.recordBatch(changes, date);
     this.forgetRemovals();
   }
@@ -90,17 +99,23 @@
     this.outage = { durationMs, endedAt };
   }
 
-  /** Whether there are values or removals after a revision, or some may have been forgotten. */
-  hasChangesAfter(revision: number): boolean {
-    return this.hasForgotten(revision) || this.selectAfter(revision).length > 0;
+  /** Whether there are values or removals after a position, or some may have been forgotten. */
+  hasChangesAfter(after: StorePosition): boolean {
+    return this.hasForgotten(after) || this.selectAfter(after.revision).length > 0;
+  }
+
+  /** Whether a position is of an epoch that this mirror has not read yet. */
+  isBehind({ epoch = 0 }: StorePosition): boolean {
+    return epoch > (this.positionKnown?.epoch ?? 0);
   }
 
   /**
-   * Returns the values and removals after a revision for a follower that called at `calledAt`; undefined if some may
+   * Returns the values and removals after a position for a follower that called at `calledAt`; undefined if some may
    * have been forgotten.
    */
-  readAfter(revision: number, calledAt: number, now: number): DatedChanges | undefined {
-    if (this.hasForgotten(revision)) return undefined;
+  readAfter(after: StorePosition, calledAt: number, now: number): DatedChanges | undefined {
+    if (this.hasForgotten(after)) return undefined;
+    const { revision } = after;
     const { changedAt: oldestAt, unseenMs } = this.dateAfter(revision);
     const changes = this.selectAfter(revision)
       .map(({ changedAt, ...change }) =>
@@ -113,11 +128,13 @@
       unseenMs,
       outage: this.describeOutage(now),
     };
-    return { changes, revision: this.revisionKnown ?? 0, provenance };
+    return { revision: 0, ...this.positionKnown, changes, provenance };
   }
 
-  private hasForgotten(revision: number): boolean {
-    return revision !== 0 && revision < this.forgottenRevision;
+  /** Revisions of another epoch say nothing of what has changed in this one. */
+  private hasForgotten({ revision, epoch }: StorePosition): boolean {
+    if (revision === 0) return false;
+    return epoch !== this.positionKnown?.epoch || revision < this.forgottenRevision;
   }
 
   private describeOutage(now: number): StoreOutage | undefined {
--- a/packages/standins/src/platformStore.ts
+++ b/packages/standins/src/platformStore.ts
@@ -34,6 +34,14 @@
   return Buffer.concat(parts).toString('utf8');
 }
 
+/** What a store held at a time. */
+export interface StoreCopy {
+  readonly items: readonly Item[];
+  readonly events: readonly ChangeEvent[];
+  readonly revision: number;
+  readonly lastLease: number;
+}
+
 function send(response: ServerResponse, status: number, body: unknown): void {
   response.writeHead(status, { 'content-type': 'application/json' });
   response.end(JSON.stringify(body));
@@ -63,9 +71,9 @@
 
   private readonly changed = new EventEmitter().setMaxListeners(0);
 
-  private readonly items = new Map<string, Item>();
+  private items = new Map<string, Item>();
 
-  private readonly events: ChangeEvent[] = [];
+  private events: ChangeEvent[] = [];
 
   private revision = 1;
 
@@ -74,6 +82,9 @@
 
   private lastLease = 0;
 
+  /** Rises by one each time when the store comes back from a copy. */
+  private epoch = 1;
+
   private readonly handlers: Readonly<Record<string, Handler>> = {
     '/-/kv-range': (query, _body, response) => {
       const prefix = query.get('PathPrefix') ?? '';
@@ -157,6 +168,22 @@
     this.compactedRevision = this.revision;
   }
 
+  /** Returns a copy from which the store may come back later. */
+  copy(): StoreCopy {
+    const { items, events, revision, lastLease } = this;
+    return { items: [...items.values()], events: [...events], revision, lastLease };
+  }
+
+  /** Loses all that came after a copy; all calls in progress end without a response. */
+  restore({ items, events, revision, lastLease }: StoreCopy): void {
+    this.server.closeAllConnections();
+    this.items = new Map(items.map((item) => [item.Key, item]));
+    this.events = [...events];
+    this.revision = revision;
+    this.lastLease = lastLease;
+    this.epoch += 1;
+  }
+
   close(): void {
     this.server.close();
     this.server.closeAllConnections();
@@ -173,6 +200,7 @@
   private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const body = await readBody(request);
     if (this.isSilent) return;
+    response.setHeader('Store-Era', this.epoch);
     if (this.forcedStatus !== undefined) {
       send(response, this.forcedStatus, {});
       return;
@@ -188,7 +216,7 @@
   private watch(query: URLSearchParams, response: ServerResponse): void {
     const prefix = query.get('PathPrefix') ?? '';
     const after = Number(query.get('After'));
-    if (after < this.compactedRevision) {
+    if (after < this.compactedRevision || after > this.revision) {
       send(response, 410, {});
       return;
     }
