--- a/features/wholeAnswers.feature
+++ b/features/wholeAnswers.feature
@@ -74,19 +74,23 @@
     When an endpoint refuses the second request on a connection without an id
     Then that request has a refusal
 
-  # A stream whose engine fails within an event must not end towards the caller as if complete.
+  # A stream whose engine fails within an event must not end towards the caller as if complete, whatever its framing.
   Scenario Outline: stream that is cut
     Given an entry on the platform with engines that <engines>
     When a caller sends a request to <route>
     Then its stream is <outcome>
 
     Examples:
-      | engines                   | route  | outcome |
-      | resetsStream              | single | cut     |
-      | resetsStream, streams     | stream | whole   |
-      | endsWithinEvent           | single | cut     |
-      | endsWithinEvent, streams  | stream | whole   |
-      | endsUnframed              | single | whole   |
+      | engines                         | route  | outcome |
+      | resetsStream                    | single | cut     |
+      | resetsStream, streams           | stream | whole   |
+      | endsWithinEvent                 | single | cut     |
+      | endsWithinEvent, streams        | stream | whole   |
+      | endsChunksWithinEvent           | single | cut     |
+      | endsChunksWithinEvent, streams  | stream | whole   |
+      | endsLengthWithinEvent           | single | cut     |
+      | endsLengthWithinEvent, streams  | stream | whole   |
+      | endsUnframed                    | single | whole   |
 
   # An answer with neither a length nor chunks ends with its connection, also with one that was kept.
   Scenario Outline: answer without a length on a kept connection
--- a/packages/forwarding/src/eventDelivery.ts
+++ b/packages/forwarding/src/eventDelivery.ts
@@ -49,10 +49,9 @@
     return isWritable;
   }
 
-  /** Ends the response after the last event; `rest` are bytes after it. */
-  finish(status: number, rawHeaders: readonly string[], rest: Buffer): void {
+  /** Ends the response after the last event. */
+  finish(status: number, rawHeaders: readonly string[]): void {
     this.writeHead(status, rawHeaders);
-    if (rest.length > 0) this.exchange.response.write(rest);
     this.exchange.response.end();
   }
 
--- a/packages/forwarding/src/eventRelay.ts
+++ b/packages/forwarding/src/eventRelay.ts
@@ -124,12 +124,13 @@
   onEnd(): void {
     this.detach();
     if (this.isStream && this.isTruncated) {
-      const reason = this.hasEvents ? 'ended within an event' : 'ended without an event';
+      const reason =
+        this.splitter.partialBytes > 0 ? 'ended within an event' : 'ended without an event';
       this.settle({ kind: 'fault', fault: CallFault.truncated, reason });
       return;
     }
     if (this.isStream) {
-      this.delivery.finish(this.status, this.rawHeaders, this.splitter.partial);
+      this.delivery.finish(this.status, this.rawHeaders);
       this.settle({ kind: 'complete' });
       return;
     }
@@ -151,12 +152,15 @@
     this.settle({ kind: 'fault', fault: CallFault.aborted, reason: 'aborted' });
   }
 
-  /** A stream framed only by its connection is truncated if it ended within an event or without any. */
+  /**
+   * A stream that ends within an event is truncated whatever its framing says, as a faulty endpoint may end its framing
+   * properly. One that is framed only by its connection is truncated also if it ends without any event.
+   */
   private get isTruncated(): boolean {
+    if (this.splitter.partialBytes > 0) return true;
     const { framing } = this.attempt?.call.stats ?? {};
     if (framing !== Framing.connection) return false;
-    const hasStarted = this.hasEvents || this.delivery.lastEventId !== undefined;
-    return !hasStarted || this.splitter.partial.length > 0;
+    return !this.hasEvents && this.delivery.lastEventId === undefined;
   }
 
   private detach(): void {
--- a/packages/standins/src/platformEngine.ts
+++ b/packages/standins/src/platformEngine.ts
@@ -53,17 +53,28 @@
   request.socket.write(`HTTP/1.1 200 OK\r\n${lines.join('')}Connection: close\r\n\r\n`);
 }
 
+/** Five events and part of the sixth. */
+const truncatedEvents = [1, 2, 3, 4, 5].map(formatEvent).join('') + formatEvent(6).slice(0, 8);
+
 /** Streams five events and part of the sixth in an unframed response, then ends the connection. */
 function truncateStream(end: (socket: Socket) => void): Behaviour {
   return (request, _response, engine) => {
     const { socket } = request;
     writeUnframedHead(request, engine, 'text/event-stream');
-    const completeEvents = [1, 2, 3, 4, 5].map(formatEvent).join('');
-    socket.write(`${completeEvents}${formatEvent(6).slice(0, 8)}`);
+    socket.write(truncatedEvents);
     end(socket);
   };
 }
 
+/** Sends a response that is complete by its framing and ends within an event. */
+function endWithinEvent(framing: Readonly<Record<string, string | number>>): Behaviour {
+  return (request, response, engine) => {
+    const headers = { ...buildHeaders(request, engine), 'content-type': 'text/event-stream' };
+    response.writeHead(200, { ...headers, ...framing });
+    response.end(truncatedEvents);
+  };
+}
+
 /** Responds with a body. */
 export function respondWith(body: string): Behaviour {
   return (request, response, engine) => {
@@ -137,6 +148,10 @@
   resetsStream: truncateStream((socket) => socket.resetAndDestroy()),
   /** Closes the connection within an event of an unframed stream. */
   endsWithinEvent: truncateStream((socket) => socket.end()),
+  /** Ends a stream in chunks within an event, with the last chunk. */
+  endsChunksWithinEvent: endWithinEvent({ 'transfer-encoding': 'chunked' }),
+  /** Ends a stream of a stated length within an event, with all its bytes. */
+  endsLengthWithinEvent: endWithinEvent({ 'content-length': truncatedEvents.length }),
   /** Sends a complete unframed stream. */
   endsUnframed: (request, _response, engine) => {
     writeUnframedHead(request, engine, 'text/event-stream');
