--- a/features/restoredStore.feature
+++ b/features/restoredStore.feature
@@ -15,3 +15,9 @@
     And 2 configurations are in force that a copy of the store does not have
     When the store comes back from the copy and gets 2 newer configurations at once
     Then all entries have the newest one within 2 seconds
+
+  # Guards against an entry that goes on to renew a lease whose number a restored store has given to another entry.
+  Scenario: registrations that the store has lost
+    Given 3 entries behind a link that is narrow for them
+    When the store comes back from a copy without the registrations of entries, and knows each lease
+    Then all 3 entries are registered again within 5 seconds
--- a/features/steps/restoredStore.steps.ts
+++ b/features/steps/restoredStore.steps.ts
@@ -2,6 +2,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { Given, Then, When } from '@cucumber/cucumber';
 import type { StoreCopy } from '@laburnumstream/standins';
+import { eventually } from '../support/assertions.js';
 import type { RemoteRegion } from '../support/remoteRegion.js';
 
 const msPerSecond = 1_000;
@@ -44,6 +45,28 @@
   },
 );
 
+When(
+  'the store comes back from a copy without the registrations of entries, and knows each lease',
+  function forget(this: RestoredWorld) {
+    const { store } = this.region;
+    const copy = store.copy();
+    const items = copy.items.filter(({ Key }) => !Key.startsWith('laburnumstream/entries/'));
+    store.restore({ ...copy, items });
+  },
+);
+
+Then(
+  /^all (\d+) entries are registered again within (\d+) seconds$/,
+  { timeout: 20_000 },
+  async function registered(this: RestoredWorld, count: string, seconds: string) {
+    await eventually(
+      () => this.region.registrations === Number(count),
+      'all entries are registered',
+      Number(seconds) * msPerSecond,
+    );
+  },
+);
+
 Then(
   /^all entries have the newest one within (\d+) seconds$/,
   async function inForce(this: RestoredWorld, seconds: string) {
--- a/features/support/remoteRegion.ts
+++ b/features/support/remoteRegion.ts
@@ -248,6 +248,11 @@
     return this.store.read('op/config')!.length;
   }
 
+  /** Number of entries that are registered in the store. */
+  get registrations(): number {
+    return this.store.keys('laburnumstream/entries/').length;
+  }
+
   close(): void {
     this.entries.forEach(({ abort, storeRelay }) => {
       abort.abort();
@@ -266,11 +271,6 @@
     return readers.pickSource(0) === undefined;
   }
 
-  /** Number of entries that are registered in the store. */
-  private get registrations(): number {
-    return this.store.keys('laburnumstream/entries/').length;
-  }
-
   private registerEngine({ id, address }: PlatformEngine, dataCentre: string): void {
     this.store.write(`servers/${id}`, {
       Service: 'desk',
