Bounds of drains, evacuations and departures count from the earliest date of the change

A request that waits at an endpoint which stands still was withdrawn by the time at which its entry learned that the endpoint drains, is evacuated or has left; with news that are late it could start after the bound (DRAIN, EVAC).

Cause: the change's date, which is known with each response of the store or of another entry, was dropped for all changes but versions.

Fix: the fleet state keeps the earliest monotonic time of each of the three, and an endpoint is retired from it. The margin for late news is replaced by one for the way of a withdrawal, 250 ms.

--- a/features/steps/agentUpdates.steps.ts
+++ b/features/steps/agentUpdates.steps.ts
@@ -44,7 +44,7 @@
 ): void {
   const layers = { from: 0, to: 16, version: 1 };
   const endpoint = { ...createEndpoint(index), service: 'model', coldRemainingMs: cold, layers };
-  state.setEndpoint(endpoint);
+  state.setEndpoint(endpoint, 0);
   directory.refresh();
 }
 
@@ -135,7 +135,7 @@
 
 When('an engine leaves', function leave(this: UpdateWorld) {
   this.sent = [];
-  this.largeFleet.state.removeEndpoint('e7');
+  this.largeFleet.state.removeEndpoint('e7', 0);
   this.largeFleet.directory.refresh();
   this.updates.sendChanges();
 });
@@ -232,7 +232,7 @@
 
 When(/^its load at (.+) changes$/, function change(this: UpdateWorld, endpoint: string) {
   const { settings, state, directory, clock } = this.largeFleet;
-  state.setEndpoint(createEndpoint(plainIndex));
+  state.setEndpoint(createEndpoint(plainIndex), 0);
   directory.refresh();
   this.loads = 0;
   const datagrams = {
--- a/features/steps/growth.steps.ts
+++ b/features/steps/growth.steps.ts
@@ -209,7 +209,7 @@
   function leave(this: GrowthWorld) {
     const { directory, state } = new LargeFleet(7, 40);
     const left = [...directory.all][5]!;
-    state.removeEndpoint(left.id);
+    state.removeEndpoint(left.id, 0);
     directory.refresh();
     this.placedOn = directory.available(testService, anyEndpoint, [left]).map(({ id }) => id);
   },
--- a/features/steps/misleadingEndpoints.steps.ts
+++ b/features/steps/misleadingEndpoints.steps.ts
@@ -98,7 +98,7 @@
 
 /** Registers an endpoint with a new start time; returns whether it is eligible for requests. */
 function restart({ state, directory }: LargeFleet, index: number, startedAt: number): boolean {
-  state.setEndpoint({ ...createEndpoint(index), startedAt });
+  state.setEndpoint({ ...createEndpoint(index), startedAt }, 0);
   directory.refresh();
   return isUsable(directory, index);
 }
--- a/features/steps/reviewedBounds.steps.ts
+++ b/features/steps/reviewedBounds.steps.ts
@@ -284,11 +284,11 @@
 });
 
 const endpointEvents: Readonly<Record<string, (fleet: LargeFleet) => void>> = {
-  'is no longer registered': ({ state }) => state.removeEndpoint('e0'),
-  'has started again': ({ state }) => state.setEndpoint({ ...createEndpoint(0), startedAt: 2 }),
+  'is no longer registered': ({ state }) => state.removeEndpoint('e0', 0),
+  'has started again': ({ state }) => state.setEndpoint({ ...createEndpoint(0), startedAt: 2 }, 0),
   'is registered as drained': ({ state }) =>
-    state.setEndpoint({ ...createEndpoint(0), isDraining: true }),
-  'is evacuated': ({ state }) => state.setEvacuation('a', true),
+    state.setEndpoint({ ...createEndpoint(0), isDraining: true }, 0),
+  'is evacuated': ({ state }) => state.setEvacuation('a', true, 0),
 };
 
 When(
--- a/features/steps/reviewedLoads.steps.ts
+++ b/features/steps/reviewedLoads.steps.ts
@@ -25,7 +25,7 @@
 
 function register({ largeFleet: { state, directory } }: ReviewedLoadsWorld, version: number): void {
   const endpoint = createEndpoint(remoteIndex);
-  state.setEndpoint({ ...endpoint, service, slots: 16, layers: { ...layers, version } });
+  state.setEndpoint({ ...endpoint, service, slots: 16, layers: { ...layers, version } }, 0);
   directory.refresh();
 }
 
--- a/features/support/largeFleet.ts
+++ b/features/support/largeFleet.ts
@@ -87,7 +87,7 @@
       this.state.setEntry(`front-${index}`, { host, dataCentre: getDataCentre(index) });
     }
     for (let index = 0; index < endpoints; index += 1) {
-      this.state.setEndpoint(createEndpoint(index));
+      this.state.setEndpoint(createEndpoint(index), 0);
     }
     const random = new SeededRandom(1);
     const sharing = new EntryCounts(this.state, settings, this.clock);
--- a/packages/forwarding/src/endpointDirectory.ts
+++ b/packages/forwarding/src/endpointDirectory.ts
@@ -95,6 +95,7 @@
   refresh(): void {
     const { endpoints, routes } = this.state;
     const services = routes?.configuration.services;
+    const departures = this.state.takeDepartures();
     this.handles.forEach((handle, id) => {
       const endpoint = endpoints.get(id);
       if (
@@ -103,7 +104,7 @@
       )
         return;
       handle.pool.closeIdle();
-      handle.retire(this.clock.now());
+      handle.retire(departures.get(id) ?? this.clock.now());
       this.handles.delete(id);
       this.formerHealth.set(id, handle.health);
     });
--- a/packages/forwarding/src/endpointHandle.ts
+++ b/packages/forwarding/src/endpointHandle.ts
@@ -117,9 +117,9 @@
     return this.retirementAt;
   }
 
-  /** Records that it is to get no requests, since the first time at which this was recorded. */
-  retire(now: number): void {
-    this.retirementAt ??= now;
+  /** Records that it is to get no requests since a monotonic time, in milliseconds; the earliest one counts. */
+  retire(at: number): void {
+    this.retirementAt = Math.min(at, this.retirementAt ?? at);
   }
 
   /** Records that it may get requests again. */
--- a/packages/forwarding/src/fleetState.ts
+++ b/packages/forwarding/src/fleetState.ts
@@ -28,12 +28,20 @@
 
 type Handler = (state: FleetState, change: FleetChange, times: ChangeTimes) => void;
 
+/** Returns the earliest monotonic time at which a change may have been made, in milliseconds. */
+function monotonicTime({ changedAt, suspendedMs }: ChangeTimes): number {
+  return changedAt - suspendedMs;
+}
+
 const handlers: Handlers = {
   configuration: (state, { configuration }) =>
     state.setConfiguration(new RouteTable(configuration)),
-  endpoint: (state, { id, endpoint }) =>
-    endpoint ? state.setEndpoint(endpoint) : state.removeEndpoint(id),
-  evacuation: (state, { dataCentre, isActive }) => state.setEvacuation(dataCentre, isActive),
+  endpoint: (state, { id, endpoint }, times) =>
+    endpoint
+      ? state.setEndpoint(endpoint, monotonicTime(times))
+      : state.removeEndpoint(id, monotonicTime(times)),
+  evacuation: (state, { dataCentre, isActive }, times) =>
+    state.setEvacuation(dataCentre, isActive, monotonicTime(times)),
   version: (state, { named }, times) => state.addNamedVersion(named.model, named.version, times),
   entry: (state, { name, location }) => state.setEntry(name, location),
   crashes: (state, change) => state.applyCrashChange(change),
@@ -46,7 +54,14 @@
 
   private readonly endpointsById = new Map<string, Endpoint>();
 
-  private readonly evacuated = new Set<string>();
+  /** Monotonic times since when data centres are evacuated, in milliseconds. */
+  private readonly evacuatedSince = new Map<string, number>();
+
+  /** Monotonic times since when registered endpoints drain, by id, in milliseconds. */
+  private readonly drainingSince = new Map<string, number>();
+
+  /** Monotonic times of departures that the endpoint directory has not taken up yet, by id, in milliseconds. */
+  private readonly departedAt = new Map<string, number>();
 
   /** Versions of the weights that operators named, by model. */
   private readonly namedVersionsByModel = new Map<string, NamedVersions>();
@@ -108,7 +123,24 @@
   }
 
   isEvacuated(dataCentre: string): boolean {
-    return this.evacuated.has(dataCentre);
+    return this.evacuatedSince.has(dataCentre);
+  }
+
+  /**
+   * Returns the earliest monotonic time since when a registered endpoint may be to get no requests, in milliseconds:
+   * it drains, or its data centre is evacuated. Undefined while it may get requests.
+   */
+  retiredSince({ id, dataCentre }: Endpoint): number | undefined {
+    const times = [this.drainingSince.get(id), this.evacuatedSince.get(dataCentre)];
+    const known = times.filter((time) => time !== undefined);
+    return known.length > 0 ? Math.min(...known) : undefined;
+  }
+
+  /** Returns the times of the departures since the last call, in milliseconds by endpoint id. */
+  takeDepartures(): ReadonlyMap<string, number> {
+    const departures = new Map(this.departedAt);
+    this.departedAt.clear();
+    return departures;
   }
 
   /** Returns the versions of a model that operators named; undefined if there are none. */
@@ -158,7 +190,7 @@
     const endpoints = [...this.endpointsById.keys()]
       .filter((id) => !ids.has(id))
       .map((id) => ({ kind: 'endpoint', id, endpoint: undefined }) as const);
-    const evacuations = [...this.evacuated]
+    const evacuations = [...this.evacuatedSince.keys()]
       .filter((dataCentre) => !dataCentres.has(dataCentre))
       .map((dataCentre) => ({ kind: 'evacuation', dataCentre, isActive: false }) as const);
     const entries = [...this.locationsByEntry.keys()]
@@ -180,10 +212,13 @@
     this.notifyChange();
   }
 
-  setEndpoint(endpoint: Endpoint): void {
+  setEndpoint(endpoint: Endpoint, changedAt: number): void {
     const known = this.endpointsById.get(endpoint.id);
     this.endpointsById.set(endpoint.id, endpoint);
     const { id, service, dataCentre, isDraining, layers } = endpoint;
+    if (!isDraining) this.drainingSince.delete(id);
+    else if (!known?.isDraining || known.startedAt !== endpoint.startedAt)
+      this.drainingSince.set(id, changedAt);
     this.log.info('Endpoint registered.', {
       endpoint: id,
       service,
@@ -196,16 +231,18 @@
     this.notifyChange();
   }
 
-  removeEndpoint(id: string): void {
+  removeEndpoint(id: string, changedAt: number): void {
     if (!this.endpointsById.delete(id)) return;
+    this.departedAt.set(id, changedAt);
+    this.drainingSince.delete(id);
     this.log.info('Endpoint gone.', { endpoint: id });
     this.notifyChange();
   }
 
-  setEvacuation(dataCentre: string, isActive: boolean): void {
-    if (isActive === this.evacuated.has(dataCentre)) return;
-    if (isActive) this.evacuated.add(dataCentre);
-    else this.evacuated.delete(dataCentre);
+  setEvacuation(dataCentre: string, isActive: boolean, changedAt: number): void {
+    if (isActive === this.evacuatedSince.has(dataCentre)) return;
+    if (isActive) this.evacuatedSince.set(dataCentre, changedAt);
+    else this.evacuatedSince.delete(dataCentre);
     this.log.info(isActive ? 'Data centre evacuated.' : 'Data centre no longer evacuated.', {
       dataCentre,
     });
--- a/packages/forwarding/src/startBounds.ts
+++ b/packages/forwarding/src/startBounds.ts
@@ -3,8 +3,8 @@
 import type { EndpointHandle } from './endpointHandle.js';
 import type { FleetState } from './fleetState.js';
 
-/** Time in which a change that retires an endpoint comes to be known here, in milliseconds. */
-const retirementNoticeMs = 1_250;
+/** Time in which a withdrawn request is off its way to its endpoint, in milliseconds. */
+const withdrawalMs = 250;
 /** Time without a sign of life after which an endpoint may stand still, in milliseconds. */
 const standstillMs = 700;
 
@@ -54,9 +54,9 @@
 
   /** Records whether a registered endpoint is to get no requests any more. */
   updateRetirement(handle: EndpointHandle): void {
-    const { isDraining, dataCentre } = handle.endpoint;
-    if (isDraining || this.state.isEvacuated(dataCentre)) handle.retire(this.clock.now());
-    else handle.resume();
+    const retiredAt = this.state.retiredSince(handle.endpoint);
+    if (retiredAt === undefined) handle.resume();
+    else handle.retire(retiredAt);
   }
 
   /**
@@ -66,7 +66,7 @@
   private mayStandStill({ retiredAt, lastSignOfLifeAt, endpoint }: EndpointHandle): boolean {
     if (retiredAt === undefined) return false;
     const now = this.clock.now();
-    const isOver = now - retiredAt >= this.getRetirementMs(endpoint) - retirementNoticeMs;
+    const isOver = now - retiredAt >= this.getRetirementMs(endpoint) - withdrawalMs;
     return isOver && now - lastSignOfLifeAt > standstillMs;
   }
 
