One memory for the answers of all kinds of requests, by the instance's memory

Cause here: each kind of route had 64 MiB of its own for answers that are not complete, whatever the memory of the instance.

--- a/features/endlessAnswers.feature
+++ b/features/endlessAnswers.feature
@@ -114,3 +114,10 @@
     When a caller leaves within such an answer, and two get 502
     And an engine with an answer of 30 MB takes its place
     Then a caller of unsafe gets this answer whole
+
+  # Guards against an instance that runs out of memory, as each kind of route had a memory of its own for such answers.
+  Scenario: memory of answers without end on routes of all kinds
+    Given an entry on the platform with an engine that sends a body with a length without end
+    And 5 more engines that send a body with a length without end
+    When 8 callers of each kind of route send a request at the same moment
+    Then the entry has held at least 32 MB of answers and at most 67
--- a/features/steps/endlessAnswers.steps.ts
+++ b/features/steps/endlessAnswers.steps.ts
@@ -7,6 +7,7 @@
 import { Behaviours, PlatformEngine, respondWith } from '@laburnumstream/standins';
 import { eventually } from '../support/assertions.js';
 import { EndlessEndpoint, bodyBeforeMore } from '../support/endlessEndpoint.js';
+import { parseMetrics } from '../support/metricsText.js';
 import { sendRequest } from '../support/platformCaller.js';
 import type { CallerResponse } from '../support/platformCaller.js';
 import { PlatformFleet } from '../support/platformFleet.js';
@@ -16,11 +17,15 @@
 
 interface EndlessWorld {
   endless: EndlessEndpoint;
+  /** Further endpoints that answer without end. */
+  moreEndless: EndlessEndpoint[];
   other: PlatformEngine;
   endlessFleet: PlatformFleet;
   /** Body that a reader returned, or its failure. */
   outcome: string;
   answers: CallerResponse[];
+  /** Largest number of bytes of answers that the entry has held. */
+  mostHeldBytes: number;
 }
 
 /** Timeout of clients that have one, in milliseconds: the size of an answer ends the call before. */
@@ -34,6 +39,7 @@
 /** Bytes by which answers grow in turn. */
 const stepBytes = 1_000;
 const maxRequests = 100;
+const samplingMs = 2;
 /** Bytes that an engine sends before an entry gives up, beside those in buffers of sockets. */
 const maxPathMegabytes = 48;
 
@@ -64,6 +70,7 @@
 
 After(async function close(this: Partial<EndlessWorld>) {
   this.endless?.close();
+  this.moreEndless?.forEach((endpoint) => endpoint.close());
   this.other?.close();
   await this.endlessFleet?.close();
 });
@@ -200,6 +207,48 @@
   },
 );
 
+Given(
+  /^(\d+) more engines that send (.+) without end$/,
+  async function more(this: EndlessWorld, count: string, bytes: string) {
+    const ids = Array.from({ length: Number(count) }, (_, index) => `more-${index}`);
+    this.moreEndless = await Promise.all(ids.map(() => EndlessEndpoint.start(bytes)));
+    this.moreEndless.forEach(({ address }, index) =>
+      this.endlessFleet.registerEngine({ id: ids[index]!, address }, 'ready'),
+    );
+    await waitForEngines(this, 1 + Number(count));
+  },
+);
+
+/** Returns the bytes of answers that an entry holds. */
+function readHeldBytes({ metrics }: PlatformFleet): number {
+  const samples = parseMetrics(metrics.render());
+  return samples.find(({ name }) => name.endsWith('response_memory_bytes'))!.value;
+}
+
+When(
+  /^(\d+) callers of each kind of route send a request at the same moment$/,
+  async function crowd(this: EndlessWorld, count: string) {
+    const callers = ['safe', 'unsafe', 'single'].flatMap((route) =>
+      Array.from({ length: Number(count) }, () => sendRequest(this.endlessFleet, `/${route}/x`)),
+    );
+    this.mostHeldBytes = 0;
+    const sampling = setInterval(() => {
+      this.mostHeldBytes = Math.max(this.mostHeldBytes, readHeldBytes(this.endlessFleet));
+    }, samplingMs);
+    await Promise.allSettled(callers);
+    clearInterval(sampling);
+  },
+);
+
+Then(
+  /^the entry has held at least (\d+) MB of answers and at most (\d+)$/,
+  function held(this: EndlessWorld, least: string, most: string) {
+    const megabytes = this.mostHeldBytes / megabyte;
+    assert.ok(megabytes >= Number(least), `${megabytes} MB`);
+    assert.ok(megabytes <= Number(most), `${megabytes} MB`);
+  },
+);
+
 When(/^one caller sends a request to (\w+)$/, async function one(this: EndlessWorld, name: string) {
   this.answers.push(await sendRequest(this.endlessFleet, `/${name}/x`));
 });
--- a/features/support/largeFleet.ts
+++ b/features/support/largeFleet.ts
@@ -77,6 +77,7 @@
       heartbeatMs: 1_200,
       callerAddress: '10.0.0.0:1',
       readinessAddress: '10.0.0.0:2',
+      memoryBytes: 350_000_000,
       isFirstStart: true,
       bounds: platformBounds,
     };
--- a/features/support/platformFleet.ts
+++ b/features/support/platformFleet.ts
@@ -99,6 +99,7 @@
     linkBitsPerSecond: 1e9,
     store: { address: store, minLeaseMs: 1_000 },
     heartbeatMs: 1_200,
+    memoryBytes: 350_000_000,
     isFirstStart: true,
     callerAddress: `127.0.0.1:${callers}`,
     readinessAddress: `127.0.0.1:${readiness}`,
--- a/features/support/remoteRegion.ts
+++ b/features/support/remoteRegion.ts
@@ -296,6 +296,7 @@
       linkBitsPerSecond: 1e9,
       store: { address: storeRelay.address, minLeaseMs: 1_000 },
       heartbeatMs: 1_200,
+      memoryBytes: 350_000_000,
       isFirstStart: true,
       callerAddress: `127.0.0.1:${callers}`,
       readinessAddress: `127.0.0.1:${readiness}`,
--- a/packages/forwarding/src/bufferedForwarder.ts
+++ b/packages/forwarding/src/bufferedForwarder.ts
@@ -1,14 +1,8 @@
 import { Execution, OutcomeUnknown, Timeout } from '@laburnumstream/common';
-import {
-  ResponseAction,
-  AttemptOutcome,
-  ResponseMemory,
-  classifyResponse,
-} from '@laburnumstream/decisions';
+import { ResponseAction, AttemptOutcome, classifyResponse } from '@laburnumstream/decisions';
 import type { Attempt } from './attempt.js';
 import { RequestAttempts } from './requestAttempts.js';
 import type { AttemptServices } from './requestAttempts.js';
-import { responseMemoryBytes } from './responseBounds.js';
 import { ResponseCollector } from './responseCollector.js';
 import type { CallOutcome, BufferedResponse } from './responseCollector.js';
 import { CallFault, executionOf, isEndpointFault } from './endpointCall.js';
@@ -22,8 +16,6 @@
 
 /** Forwards requests whose responses are buffered and delivered when they are complete. */
 export class BufferedForwarder {
-  private readonly memory = new ResponseMemory(responseMemoryBytes);
-
   constructor(
     private readonly services: AttemptServices,
     private readonly isIdempotent: boolean,
@@ -34,7 +26,7 @@
     const attempts = new RequestAttempts(exchange, this.services, this.isIdempotent);
     for (;;) {
       const placement = await attempts.place(exchange.signal);
-      const collector = new ResponseCollector(this.memory);
+      const collector = new ResponseCollector(this.services.memory);
       const attempt = attempts.send(placement, collector, exchange.head.lastEventId);
       const timer = this.startAttemptTimer(attempts, attempt, collector, placement.expectedMs);
       const outcome = await this.waitForOutcome(attempts, attempt, collector, exchange).finally(
--- a/packages/forwarding/src/entryGauges.ts
+++ b/packages/forwarding/src/entryGauges.ts
@@ -1,5 +1,5 @@
 import type { Clock, Gauge } from '@laburnumstream/common';
-import type { SharedRetryBudget } from '@laburnumstream/decisions';
+import type { ResponseMemory, SharedRetryBudget } from '@laburnumstream/decisions';
 import type { CallerServer, FreshnessChecks } from './callerServer.js';
 import type { CrashGuard } from './crashGuard.js';
 import type { DispatchQueue } from './dispatchQueue.js';
@@ -13,6 +13,7 @@
   readonly directory: EndpointDirectory;
   readonly queue: DispatchQueue;
   readonly budget: SharedRetryBudget;
+  readonly memory: ResponseMemory;
   readonly callers: CallerServer;
   readonly freshness: FreshnessChecks;
   readonly guard: CrashGuard;
@@ -37,7 +38,7 @@
 
 /** Returns gauges of an entry's current requests, configuration, endpoints and retry budgets. */
 export function entryGauges(parts: EntryParts): Gauge[] {
-  const { state, directory, queue, budget, callers, freshness, guard, clock } = parts;
+  const { state, directory, queue, budget, memory, callers, freshness, guard, clock } = parts;
   const endpoints = [...directory.all].flatMap((handle) => endpointGauges(handle, directory));
   const versions = [...state.newestVersions].map(([model, value]) => ({
     name: 'version_named',
@@ -51,6 +52,7 @@
   }));
   return [
     { name: 'requests_running', value: callers.active },
+    { name: 'response_memory_bytes', value: memory.usedBytes },
     { name: 'configuration_proof_age_ms', value: Math.round(freshness.ageMs()) },
     { name: 'endpoint_crashes_known', value: guard.crashCount },
     { name: 'crash_suspects', value: guard.crashingRequestCount },
--- a/packages/forwarding/src/forwardingEntry.ts
+++ b/packages/forwarding/src/forwardingEntry.ts
@@ -8,7 +8,11 @@
   Random,
   StoreFeed,
 } from '@laburnumstream/common';
-import { ConfigurationFreshness, SharedRetryBudget } from '@laburnumstream/decisions';
+import {
+  ConfigurationFreshness,
+  ResponseMemory,
+  SharedRetryBudget,
+} from '@laburnumstream/decisions';
 import { CallerServer } from './callerServer.js';
 import { CrashGuard } from './crashGuard.js';
 import { CrashRecords } from './crashRecords.js';
@@ -27,6 +31,7 @@
 import { EntryCounts } from './entryCounts.js';
 import { AgentLinks } from './agentLinks.js';
 import { RegionalFeed } from './regionalFeed.js';
+import { responseMemoryWithin } from './responseBounds.js';
 import { BufferedForwarder } from './bufferedForwarder.js';
 import { StatementRecorder } from './statementRecorder.js';
 import { WaitingCalls } from './waitingCalls.js';
@@ -181,6 +186,7 @@
         this.agents.recordNamedLimit(handle, perSecond),
       statements: new StatementRecorder(this.directory.statements, clock, metrics, log('sidecars')),
       waitingCalls: this.waitingCalls,
+      memory: new ResponseMemory(responseMemoryWithin(settings.memoryBytes)),
       codec: headerCodec,
       clock,
       metrics,
@@ -212,8 +218,8 @@
       log('callers'),
     );
     const { state, directory, queue, callers } = this;
-    const { budget } = services;
-    const parts = { state, directory, queue, callers, budget, freshness, guard, clock };
+    const { budget, memory } = services;
+    const parts = { state, directory, queue, callers, budget, memory, freshness, guard, clock };
     metrics.registerGauges(() => entryGauges(parts));
   }
 
--- a/packages/forwarding/src/requestAttempts.ts
+++ b/packages/forwarding/src/requestAttempts.ts
@@ -7,7 +7,7 @@
   classifyResponse,
   mayRetry,
 } from '@laburnumstream/decisions';
-import type { Placement, SharedRetryBudget } from '@laburnumstream/decisions';
+import type { Placement, ResponseMemory, SharedRetryBudget } from '@laburnumstream/decisions';
 import type { Attempt, FailedAttempt } from './attempt.js';
 import type { CrashGuard } from './crashGuard.js';
 import { RetryDenial } from './cutCause.js';
@@ -55,6 +55,8 @@
   /** Called when this entry's load at an endpoint has changed. */
   readonly onLoadChange: (endpoint: EndpointHandle) => void;
   readonly waitingCalls: WaitingCalls;
+  /** Memory for responses that are not complete yet, of requests of all kinds. */
+  readonly memory: ResponseMemory;
   readonly codec: HeaderCodec;
   readonly clock: Clock;
 }
--- a/packages/forwarding/src/streamForwarder.ts
+++ b/packages/forwarding/src/streamForwarder.ts
@@ -1,9 +1,7 @@
 import { VersionUnsupported } from '@laburnumstream/common';
-import { ResponseMemory } from '@laburnumstream/decisions';
 import type { AttemptServices } from './requestAttempts.js';
 import { callerDisconnected } from './exchange.js';
 import type { Exchange } from './exchange.js';
-import { responseMemoryBytes } from './responseBounds.js';
 import { StreamSession } from './streamSession.js';
 
 function supportsChunked({ request }: Exchange): boolean {
@@ -12,15 +10,13 @@
 
 /** Forwards event streams; resumable ones are resumed at another endpoint after a fault. */
 export class StreamForwarder {
-  private readonly memory = new ResponseMemory(responseMemoryBytes);
-
   constructor(private readonly services: AttemptServices) {}
 
   /** Resolves when the stream has ended; rejects if nothing was delivered or the caller disconnected. */
   async forward(exchange: Exchange): Promise<void> {
     // Without chunked encoding the caller could not tell a truncated stream from a complete one.
     if (!supportsChunked(exchange)) throw new VersionUnsupported();
-    const session = new StreamSession(exchange, this.services, this.memory);
+    const session = new StreamSession(exchange, this.services);
     try {
       await session.run();
     } catch (error) {
--- a/packages/forwarding/src/streamSession.ts
+++ b/packages/forwarding/src/streamSession.ts
@@ -1,6 +1,6 @@
 import { Execution, LinkedAbort, OutcomeUnknown, Timeout } from '@laburnumstream/common';
 import { ResponseAction, AttemptOutcome, classifyResponse } from '@laburnumstream/decisions';
-import type { Placement, ResponseMemory } from '@laburnumstream/decisions';
+import type { Placement } from '@laburnumstream/decisions';
 import type { Attempt } from './attempt.js';
 import { RequestAttempts } from './requestAttempts.js';
 import type { AttemptServices } from './requestAttempts.js';
@@ -37,7 +37,6 @@
   constructor(
     private readonly exchange: Exchange,
     private readonly services: AttemptServices,
-    private readonly memory: ResponseMemory,
   ) {
     this.attempts = new RequestAttempts(exchange, services, exchange.route.isResumable);
     this.delivery = new EventDelivery(exchange, services.codec, services.clock);
@@ -89,8 +88,8 @@
   private start(placement: Placement<EndpointHandle>): RunningAttempt {
     const { exchange, delivery, attempts } = this;
     const couldResume = (): boolean => attempts.couldRetry(placement.target);
-    const { clock } = this.services;
-    const relay = new EventRelay(exchange, delivery, clock, couldResume, this.memory);
+    const { clock, memory } = this.services;
+    const relay = new EventRelay(exchange, delivery, clock, couldResume, memory);
     const attempt = attempts.send(placement, relay, delivery.lastEventId);
     relay.attach(attempt);
     return { attempt, relay, outcome: this.waitForOutcome(attempt, relay) };
