--- a/features/platformPath.feature
+++ b/features/platformPath.feature
@@ -22,6 +22,21 @@
     When a caller sends a request to unsafe
     Then the engine learned the workspace and the time left and not the key
 
+  # Guards against keys that reach an engine, as only a request with a workspace was rid of its key.
+  Scenario Outline: key on a route
+    Given an entry on the platform with engines that <engines>
+    When a caller sends a request to <route> with its key in 3 ways of writing
+    Then no engine has seen the key
+
+    Examples:
+      | engines       | route      |
+      | answers       | safe       |
+      | answers       | unsafe     |
+      | answers       | open       |
+      | breaks        | open       |
+      | stops, stops  | openStream |
+      | stops, stops  | stream     |
+
   Scenario: unknown keys and routes
     Given an entry on the platform with engines that answers
     Then a request with another key gets 401 and one to another path gets 404
--- a/features/steps/platformPath.steps.ts
+++ b/features/steps/platformPath.steps.ts
@@ -88,6 +88,24 @@
   },
 );
 
+When(
+  /^a caller sends a request to (\w+) with its key in 3 ways of writing$/,
+  async function sendKeys(this: PlatformWorld, route: string) {
+    const names = ['authorization', 'Authorization', 'AUTHORIZATION'];
+    await Promise.all(
+      names.map((name) =>
+        sendRequest(this.platform, `/${route}/x`, { headers: { [name]: 'Bearer key-1' } }),
+      ),
+    );
+  },
+);
+
+Then('no engine has seen the key', function unseen(this: PlatformWorld) {
+  const received = this.platform.engines.flatMap(({ receivedHeaders }) => receivedHeaders);
+  assert.ok(received.length > 0, 'no engine got a request');
+  received.forEach((headers) => assert.ok(!JSON.stringify(headers).includes('key-1')));
+});
+
 Then(
   'a request with another key gets 401 and one to another path gets 404',
   async function unknown(this: PlatformWorld) {
--- a/features/support/platformFleet.ts
+++ b/features/support/platformFleet.ts
@@ -54,6 +54,8 @@
       createRoute('single', 'stream', 1),
       createRoute('lasting', 'stream', 2, lastingTimeoutMs),
       createRoute('lastingSingle', 'stream', 1, lastingTimeoutMs),
+      { ...createRoute('open', 'safe', 2), Public: true },
+      { ...createRoute('openStream', 'stream', 2), Public: true },
     ],
     Services: [{ Name: 'desk', MaxConns: 100 }],
     Limits: {
--- a/packages/forwarding/src/callerServer.ts
+++ b/packages/forwarding/src/callerServer.ts
@@ -217,6 +217,7 @@
         route,
         service,
         workspace,
+        hasKeys: routes.configuration.requiresKeys,
         body,
         configurationVersion: routes.configuration.version,
         configurationAgeMs,
--- a/packages/forwarding/src/exchange.ts
+++ b/packages/forwarding/src/exchange.ts
@@ -11,6 +11,8 @@
   readonly service: string;
   /** The workspace that the caller's key belongs to; undefined if no key is required. */
   readonly workspace: Workspace | undefined;
+  /** Whether callers have keys of this system, which endpoints must not see; also on routes that require none. */
+  readonly hasKeys: boolean;
   readonly body: Buffer;
   /** Version of the configuration that `route` and `workspace` are from. */
   readonly configurationVersion: number;
--- a/packages/forwarding/src/requestAttempts.ts
+++ b/packages/forwarding/src/requestAttempts.ts
@@ -326,7 +326,7 @@
     const headers = codec.encodeRequestHeaders(request.rawHeaders, {
       timeLeftMs: deadlineAt - clock.now(),
       endpointId: handle.id,
-      stripsKey: workspace !== undefined,
+      stripsKey: exchange.hasKeys,
       workspace: workspace?.name,
       lastEventId,
       priority: workspace?.priority ?? route.priority,
