--- a/features/sidecar.feature
+++ b/features/sidecar.feature
@@ -70,3 +70,16 @@
       | knows   | unseen | ms                |
       | knows   | 0      | 1000 ms or longer |
       | guesses | 5500   | no time           |
+
+  # Guards against mixed weights: an order without a response was accepted after pieces of the next version had been staged.
+  Scenario Outline: order that is accepted <ms> ms late
+    Given an agent beside an empty engine and an origin with version 1
+    And the engine accepts orders <ms> ms after their senders have given them up
+    When an entry tells it that version 1 is wanted, and version 2 as soon as it has ordered version 1
+    Then the engine comes to hold version 2, and took each version with every piece right
+
+    Examples:
+      | ms   |
+      | 400  |
+      | 900  |
+      | 2500 |
--- a/features/steps/sidecar.steps.ts
+++ b/features/steps/sidecar.steps.ts
@@ -85,14 +85,14 @@
 });
 
 /** Sends the wanted version and the members at regular intervals; each call replaces the last. */
-function announce(world: SidecarWorld, others: readonly string[]): void {
+function announce(world: SidecarWorld, others: readonly string[], version = 1): void {
   const ownMember = { host: '127.0.0.1', dataCentre: 'a', version: 0 };
   const members = others.map((host) => ({ host, dataCentre: 'a', version: 1 }));
   const value = {
     reportEveryMs: 300,
     weights: {
       model,
-      version: 1,
+      version,
       namedMsAgo: 20_000,
       origin: '127.0.0.1:9',
       originDataCentre: 'a',
@@ -115,6 +115,49 @@
   await eventually(() => this.sidecarEngine.orders.length > 0, 'a load is ordered');
 });
 
+Given(
+  /^the engine accepts orders (\d+) ms after their senders have given them up$/,
+  function late(this: SidecarWorld, ms: string) {
+    const { sidecarEngine } = this;
+    sidecarEngine.lateOrderMs = Number(ms);
+  },
+);
+
+When(
+  /^an entry tells it that version 1 is wanted, and version 2 as soon as it has ordered version 1$/,
+  { timeout: 10_000 },
+  async function supersede(this: SidecarWorld) {
+    const { sidecarEngine } = this;
+    const order = sidecarEngine.orderLoad.bind(sidecarEngine);
+    const isOrdered = new Promise<void>((resolve) => {
+      sidecarEngine.orderLoad = (...request): Promise<void> => {
+        resolve();
+        return order(...request);
+      };
+    });
+    announce(this, []);
+    await isOrdered;
+    announce(this, [], 2);
+  },
+);
+
+Then(
+  'the engine comes to hold version 2, and took each version with every piece right',
+  { timeout: 20_000 },
+  async function right(this: SidecarWorld) {
+    const { orders } = this.sidecarEngine;
+    await eventually(
+      () => orders.some(({ version }) => version === 2),
+      'version 2 is loaded',
+      15 * msPerSecond,
+    );
+    assert.ok(
+      orders.every(({ isRight }) => isRight),
+      JSON.stringify(orders),
+    );
+  },
+);
+
 When('the engine restarts and two staged pieces have rotted', function damage(this: SidecarWorld) {
   this.sidecarEngine.staged.set(3, Buffer.from('rotten'));
   this.sidecarEngine.staged.delete(8);
--- a/features/support/rottingEngine.ts
+++ b/features/support/rottingEngine.ts
@@ -54,8 +54,8 @@
     await super.stagePiece(model, piece, bytes);
   }
 
-  override async orderLoad(model: string, version: number): Promise<void> {
-    await super.orderLoad(model, version);
+  override async orderLoad(model: string, version: number, expected: number): Promise<void> {
+    await super.orderLoad(model, version, expected);
     const { isRight } = this.orders.at(-1)!;
     this.badMs.push(isRight ? 0 : performance.now() - this.badSince!);
   }
--- a/features/support/stagingEngine.ts
+++ b/features/support/stagingEngine.ts
@@ -1,5 +1,5 @@
 import { createHash } from 'node:crypto';
-import { NotFound } from '@laburnumstream/common';
+import { NotFound, OrderRefused, Unavailable } from '@laburnumstream/common';
 import type { EngineState, LocalEngine } from '@laburnumstream/sidecar';
 
 /** Number of pieces and layers of each version in tests. */
@@ -27,6 +27,9 @@
   /** Each staged piece whose number is a multiple of this is corrupted. */
   corruptEvery = Infinity;
 
+  /** Time after which orders without a response are accepted, in milliseconds; undefined if all get one. */
+  lateOrderMs: number | undefined;
+
   private version = 0;
 
   private stageCalls = 0;
@@ -66,7 +69,18 @@
     return Promise.resolve();
   }
 
-  orderLoad(_model: string, version: number): Promise<void> {
+  orderLoad(_model: string, version: number, expected: number): Promise<void> {
+    if (this.lateOrderMs === undefined) return this.acceptOrder(version, expected);
+    setTimeout(
+      () => void this.acceptOrder(version, expected).catch(() => undefined),
+      this.lateOrderMs,
+    );
+    return Promise.reject(new Unavailable('The order got no response.', 0));
+  }
+
+  private acceptOrder(version: number, expected: number): Promise<void> {
+    if (expected !== this.orders.length)
+      return Promise.reject(new OrderRefused('Another order came first.'));
     const isRight = Array.from({ length: testVersion.pieces }, (_, piece) => piece).every(
       (piece) => {
         const bytes = this.staged.get(piece);
--- a/packages/sidecar/src/weightUpdater.ts
+++ b/packages/sidecar/src/weightUpdater.ts
@@ -4,6 +4,7 @@
 import { Lifecycle } from '@laburnumstream/runtime';
 import type { Notifier } from '@laburnumstream/runtime';
 import { EngineStaging } from './engineStaging.js';
+import { OpenOrder } from './openOrder.js';
 import type { EngineMonitor } from './engineMonitor.js';
 import type { FleetView } from './fleetView.js';
 import type { HeldVersion } from './heldVersion.js';
@@ -43,6 +44,8 @@
 
   private readonly staging: EngineStaging;
 
+  private readonly openOrder = new OpenOrder();
+
   constructor(
     private readonly view: FleetView,
     private readonly monitor: EngineMonitor,
@@ -251,8 +254,10 @@
   }
 
   private async switchVersion(signal: AbortSignal): Promise<UpdaterEvent> {
-    const target = this.target!;
+    await this.settleOrder(signal);
+    const target = this.openOrder.target ?? this.target!;
     const { model, version } = target.manifest;
+    if (this.servedVersion === version) return 'LOADED';
     await this.staging.stage(target, signal);
     this.isSwitching = true;
     this.onSwitchingChanged();
@@ -263,7 +268,9 @@
       if (!state || !this.monitor.isAnswering)
         throw new Unavailable('The engine does not respond.', retryDelayMs);
       this.staging.requireRecentCheck();
-      await this.engine.orderLoad(model, version, state.acceptedOrders, signal);
+      await this.openOrder.send(target, state, () =>
+        this.engine.orderLoad(model, version, state.acceptedOrders, signal),
+      );
       this.log.info('Load ordered.', {
         version,
         running: state.running,
@@ -277,6 +284,16 @@
     }
   }
 
+  /** Finds out whether an order without a response was accepted, and waits until its version is loaded. */
+  private async settleOrder(signal: AbortSignal): Promise<void> {
+    if (!this.openOrder.target) return;
+    await this.monitor.poll(signal);
+    const { state } = this.monitor;
+    if (!state || !this.monitor.isAnswering) return;
+    const accepted = this.openOrder.settle(state);
+    if (accepted) await this.awaitLoaded(accepted.version, state.bornAt, signal);
+  }
+
   private async awaitLoaded(version: number, bornAt: number, signal: AbortSignal): Promise<void> {
     const deadline = this.clock.now() + loadTimeoutMs;
     while (this.servedVersion !== version) {
