--- a/packages/common/src/fleetSettings.ts
+++ b/packages/common/src/fleetSettings.ts
@@ -63,7 +63,7 @@
   readonly callerAddress: string;
   /** IP:PORT on which the load balancer checks readiness. */
   readonly readinessAddress: string;
-  /** Memory that the process may use, in bytes. */
+  /** Memory that the process may use, in bytes; may be infinite. */
   readonly memoryBytes: number;
   /** Whether no process with this instance name has run before. */
   readonly isFirstStart: boolean;
