An older copy of the store takes back no drain, evacuation or registration at once

Callers could be hurt: requests to engines that drain, or in a data centre that is evacuated, and a moment without endpoints, until operators and engines have written again what a restored store has lost.

Fix: after a change of epoch such reversals wait for two seconds, as removals do after an outage; what is still missing then is gone.

--- a/features/restoredStore.feature
+++ b/features/restoredStore.feature
@@ -21,3 +21,28 @@
     Given 3 entries behind a link that is narrow for them
     When the store comes back from a copy without the registrations of entries, and knows each lease
     Then all 3 entries are registered again within 5 seconds
+
+  # Guards against what an older copy of the store takes back for a moment: drains, evacuations and registrations.
+  Scenario Outline: <what> that the store has lost
+    Given an entry's watcher of a store with <what>
+    When the store comes back from a copy without it at 5000 ms and gets it again at 6500 ms
+    Then it was in force until 10000 ms
+
+    Examples:
+      | what                   |
+      | an endpoint            |
+      | a draining endpoint    |
+      | an evacuation          |
+
+  # Guards against keeping what an older copy of the store does not have, and does not get again.
+  Scenario Outline: <what> that the store has lost for good
+    Given an entry's watcher of a store with <what>
+    When the store comes back from a copy without it at 5000 ms
+    Then it was in force until 6900 ms
+    And it is no longer in force at 8500 ms
+
+    Examples:
+      | what                   |
+      | an endpoint            |
+      | a draining endpoint    |
+      | an evacuation          |
--- a/features/steps/restoredStore.steps.ts
+++ b/features/steps/restoredStore.steps.ts
@@ -3,11 +3,16 @@
 import { Given, Then, When } from '@cucumber/cucumber';
 import type { StoreCopy } from '@laburnumstream/standins';
 import { eventually } from '../support/assertions.js';
+import { RestoredContent, lostContents } from '../support/restoredContent.js';
 import type { RemoteRegion } from '../support/remoteRegion.js';
 
 const msPerSecond = 1_000;
 const inForceMs = 3_000;
 
+interface ContentWorld {
+  content: RestoredContent;
+}
+
 interface RestoredWorld {
   region: RemoteRegion;
   /** Version of the newest configuration. */
@@ -85,3 +90,27 @@
     );
   },
 );
+
+Given(
+  /^an entry's watcher of a store with (an endpoint|a draining endpoint|an evacuation)$/,
+  function hold(this: ContentWorld, what: string) {
+    this.content = new RestoredContent(lostContents[what]!);
+  },
+);
+
+When(
+  /^the store comes back from a copy without it at (\d+) ms(?: and gets it again at (\d+) ms)?$/,
+  async function lose(this: ContentWorld, at: string, againAt: string | null) {
+    await this.content.lose(Number(at), againAt === null ? Infinity : Number(againAt));
+    assert.ok(this.content.isInForce, 'in force before');
+  },
+);
+
+Then(/^it was in force until (\d+) ms$/, async function kept(this: ContentWorld, until: string) {
+  assert.equal(await this.content.findGap(Number(until)), undefined);
+});
+
+Then(/^it is no longer in force at (\d+) ms$/, async function gone(this: ContentWorld, at: string) {
+  await this.content.findGap(Number(at));
+  assert.equal(this.content.isInForce, false);
+});
--- a/packages/cli/src/requestTimeline.ts
+++ b/packages/cli/src/requestTimeline.ts
@@ -43,7 +43,7 @@
   'fleet: Version named.': () => 'version',
   'fleet: Endpoint registered.': getEndpoint,
   'fleet: Endpoint gone.': getEndpoint,
-  'store: Not registered; it may come back.': ({ key }) => String(key),
+  'store: Not in the store; it may come back.': ({ key }) => String(key),
   'sidecars: Engine changed.': getEndpoint,
   [limitMessage]: getEndpoint,
   [leavingMessage]: getEndpoint,
--- a/packages/decisions/src/forwarding/deferredRemovals.ts
+++ b/packages/decisions/src/forwarding/deferredRemovals.ts
@@ -5,7 +5,7 @@
 
 /**
  * Defers removals shortly after a store outage, since registrations may have expired only because they
- * couldn't be renewed. Live members register again within a short time; the others are removed then.
+ * couldn't be renewed, or been lost. Live members register again within a short time; the others are removed then.
  */
 export class DeferredRemovals<Removal> {
   private deferredUntil = -Infinity;
@@ -22,6 +22,11 @@
     this.deferredUntil = Math.max(this.deferredUntil, endedAt + reregistrationMs);
   }
 
+  /** Records that the store came back from an older copy, to which its writers write again what it has lost. */
+  storeRestored(now: number): void {
+    this.deferredUntil = Math.max(this.deferredUntil, now + reregistrationMs);
+  }
+
   /** Defers the removal of an expired registration; returns false when it is to be removed at once. */
   defer(key: string, removal: Removal, now: number): boolean {
     if (now >= this.deferredUntil) return false;
--- a/packages/forwarding/src/fleetState.ts
+++ b/packages/forwarding/src/fleetState.ts
@@ -202,6 +202,16 @@
     return [...endpoints, ...evacuations, ...entries, ...lostQuarantines];
   }
 
+  /** Whether a change takes back a drain or an evacuation that is in force. */
+  isReversal(change: FleetChange): boolean {
+    if (change.kind === 'evacuation')
+      return !change.isActive && this.isEvacuated(change.dataCentre);
+    if (change.kind !== 'endpoint' || !change.endpoint) return false;
+    const known = this.endpointsById.get(change.id);
+    const { isDraining, startedAt } = change.endpoint;
+    return known !== undefined && known.isDraining && !isDraining && known.startedAt === startedAt;
+  }
+
   setConfiguration(table: RouteTable): void {
     const { version } = table.configuration;
     const known = this.routeTable?.configuration.version ?? -1;
--- a/packages/forwarding/src/fleetWatcher.ts
+++ b/packages/forwarding/src/fleetWatcher.ts
@@ -26,7 +26,7 @@
 const initialBackoffMs = 100;
 const maxBackoffMs = 300;
 
-/** The registration that a change concerns; without a key for changes of other kinds. */
+/** The registration or evacuation that a change concerns; without a key for changes of other kinds. */
 interface Registration {
   readonly key?: string;
   /** Whether the registration was removed. */
@@ -40,6 +40,7 @@
   if (change.kind === 'entry') {
     return { key: `entry ${change.name}`, isGone: change.location === undefined };
   }
+  if (change.kind === 'evacuation') return { key: `evacuation ${change.dataCentre}` };
   return {};
 }
 
@@ -48,6 +49,8 @@
   readonly change: FleetChange;
   /** Time that it was made after the oldest change of the response, in milliseconds. */
   readonly laterMs: number;
+  /** Whether it takes back what a restored store may have lost, and may get again. */
+  readonly isReversal?: boolean;
 }
 
 /** The call whose response brought changes. */
@@ -69,6 +72,9 @@
   /** Position of the content; undefined if a snapshot is due. */
   private position: StorePosition | undefined;
 
+  /** Epoch of the store in the last response. */
+  private epoch: number | undefined;
+
   private backoffMs = initialBackoffMs;
 
   /** Monotonic time of the last response, or of the start before the first one, in milliseconds. */
@@ -181,7 +187,16 @@
     this.recordResponse(provenance);
     const removals = this.state.getRemovals(changes.map(({ change }) => change));
     const removed = removals.map((change) => ({ change, laterMs: 0 }));
-    this.applyAll([...removed, ...changes], changedAt, provenance);
+    const isRestored = this.epoch !== undefined && epoch !== this.epoch;
+    if (isRestored) this.deferredRemovals.storeRestored(this.clock.now());
+    const isReversal = (change: FleetChange): boolean =>
+      isRestored && this.state.isReversal(change);
+    this.applyAll(
+      [...removed, ...changes].map((dated) => ({ ...dated, isReversal: isReversal(dated.change) })),
+      changedAt,
+      provenance,
+    );
+    this.epoch = epoch;
     this.position = { revision, epoch };
     return provenance.proofAgeMs;
   }
@@ -267,13 +282,14 @@
   }
 
   private applyOrDefer(
-    { change, laterMs }: DatedChange,
+    { change, laterMs, isReversal = false }: DatedChange,
     times: Omit<ChangeTimes, 'changedAt'>,
   ): void {
     const { key, isGone } = getRegistration(change);
     if (key && !isGone) this.deferredRemovals.cancel(key);
-    if (key && isGone && this.deferredRemovals.defer(key, change, this.clock.now())) {
-      this.log.info('Not registered; it may come back.', { key });
+    const mayReturn = isGone || isReversal;
+    if (key && mayReturn && this.deferredRemovals.defer(key, change, this.clock.now())) {
+      this.log.info('Not in the store; it may come back.', { key });
       return;
     }
     this.state.apply(change, times.unseenSince + laterMs, times);
