--- a/packages/forwarding/src/attempt.ts
+++ b/packages/forwarding/src/attempts/attempt.ts
@@ -1,6 +1,6 @@
 import type { Execution } from '@laburnumstream/common';
-import type { CallFault, EndpointCall } from './endpointCall.js';
-import type { EndpointHandle } from './endpointHandle.js';
+import type { CallFault, EndpointCall } from '../endpoints/endpointCall.js';
+import type { EndpointHandle } from '../endpoints/endpointHandle.js';
 
 /** One send of a request, from its placement to its end. */
 export interface Attempt {
--- a/packages/forwarding/src/bufferedForwarder.ts
+++ b/packages/forwarding/src/attempts/bufferedForwarder.ts
@@ -5,9 +5,9 @@
 import type { AttemptServices } from './requestAttempts.js';
 import { ResponseCollector } from './responseCollector.js';
 import type { CallOutcome, BufferedResponse } from './responseCollector.js';
-import { CallFault, executionOf, isEndpointFault } from './endpointCall.js';
-import { deadlineExceeded } from './exchange.js';
-import type { Exchange } from './exchange.js';
+import { CallFault, executionOf, isEndpointFault } from '../endpoints/endpointCall.js';
+import { deadlineExceeded } from '../callers/exchange.js';
+import type { Exchange } from '../callers/exchange.js';
 
 /** Minimum timeout of an attempt that can be retried elsewhere, in milliseconds. */
 const minAttemptTimeoutMs = 250;
--- a/packages/forwarding/src/cutCause.ts
+++ b/packages/forwarding/src/attempts/cutCause.ts
@@ -1,6 +1,6 @@
 import { Timeout } from '@laburnumstream/common';
-import { Refusal, RefusalReason } from './refusal.js';
-import type { WaitEnd } from './waitEnd.js';
+import { Refusal, RefusalReason } from '../callers/refusal.js';
+import type { WaitEnd } from '../callers/waitEnd.js';
 
 /** Why a request is not sent again after a failed attempt. */
 export const RetryDenial = {
--- a/packages/forwarding/src/eventDelivery.ts
+++ b/packages/forwarding/src/attempts/eventDelivery.ts
@@ -1,7 +1,7 @@
 import type { Clock } from '@laburnumstream/common';
 import type { StreamEvent } from '@laburnumstream/decisions';
-import type { Exchange } from './exchange.js';
-import type { HeaderCodec } from './headerCodec.js';
+import type { Exchange } from '../callers/exchange.js';
+import type { HeaderCodec } from '../callers/headerCodec.js';
 
 /** Delivers one stream to its caller, across all attempts. */
 export class EventDelivery {
--- a/packages/forwarding/src/eventRelay.ts
+++ b/packages/forwarding/src/attempts/eventRelay.ts
@@ -3,13 +3,13 @@
 import { ResponseAction, EventSplitter, classifyResponse } from '@laburnumstream/decisions';
 import type { ResponseMemory, StreamEvent } from '@laburnumstream/decisions';
 import type { Attempt } from './attempt.js';
-import { CallFault, Framing, isSuccess } from './endpointCall.js';
-import type { CallObserver } from './endpointCall.js';
-import type { MovableStream } from './endpointHandle.js';
+import { CallFault, Framing, isSuccess } from '../endpoints/endpointCall.js';
+import type { CallObserver } from '../endpoints/endpointCall.js';
+import type { MovableStream } from '../endpoints/endpointHandle.js';
 import type { EventDelivery } from './eventDelivery.js';
-import type { Exchange } from './exchange.js';
-import type { ResponseHead } from './heads.js';
-import { maxEventBytes } from './responseBounds.js';
+import type { Exchange } from '../callers/exchange.js';
+import type { ResponseHead } from '../callers/heads.js';
+import { maxEventBytes } from '../endpoints/responseBounds.js';
 import { ResponseHold } from './responseHold.js';
 
 /** Outcome of one attempt at a stream. */
--- a/packages/forwarding/src/outdatedUse.ts
+++ b/packages/forwarding/src/attempts/outdatedUse.ts
@@ -1,6 +1,6 @@
 import type { Clock, Log, Metrics } from '@laburnumstream/common';
-import type { EndpointHandle } from './endpointHandle.js';
-import type { StartBounds } from './startBounds.js';
+import type { EndpointHandle } from '../endpoints/endpointHandle.js';
+import type { StartBounds } from '../endpoints/startBounds.js';
 
 /** Time before the end of an outdated version's use from which each request on it is logged, in milliseconds. */
 const loggedBeforeEndMs = 2_000;
--- a/packages/forwarding/src/responseCollector.ts
+++ b/packages/forwarding/src/attempts/responseCollector.ts
@@ -1,8 +1,8 @@
 import { ByteCollector } from '@laburnumstream/common';
 import { ResponseMemory } from '@laburnumstream/decisions';
-import type { CallFault, CallObserver } from './endpointCall.js';
-import type { ResponseHead } from './heads.js';
-import { responseMemoryBytes } from './responseBounds.js';
+import type { CallFault, CallObserver } from '../endpoints/endpointCall.js';
+import type { ResponseHead } from '../callers/heads.js';
+import { responseMemoryBytes } from '../endpoints/responseBounds.js';
 import { ResponseHold } from './responseHold.js';
 
 /** An endpoint's response with its complete body. */
--- a/packages/forwarding/src/responseRecorder.ts
+++ b/packages/forwarding/src/attempts/responseRecorder.ts
@@ -1,9 +1,9 @@
 import type { Log, Metrics } from '@laburnumstream/common';
 import { misdirectedStatus } from '@laburnumstream/decisions';
-import { isSuccess } from './endpointCall.js';
-import type { EndpointHandle } from './endpointHandle.js';
-import type { ResponseHead } from './heads.js';
-import type { StatementRecorder } from './statementRecorder.js';
+import { isSuccess } from '../endpoints/endpointCall.js';
+import type { EndpointHandle } from '../endpoints/endpointHandle.js';
+import type { ResponseHead } from '../callers/heads.js';
+import type { StatementRecorder } from '../endpoints/statementRecorder.js';
 
 /** Longest part of an id in an endpoint's response that is logged, in characters. */
 const maxLoggedIdLength = 64;
--- a/packages/forwarding/src/streamForwarder.ts
+++ b/packages/forwarding/src/attempts/streamForwarder.ts
@@ -1,7 +1,7 @@
 import { VersionUnsupported } from '@laburnumstream/common';
 import type { AttemptServices } from './requestAttempts.js';
-import { callerDisconnected } from './exchange.js';
-import type { Exchange } from './exchange.js';
+import { callerDisconnected } from '../callers/exchange.js';
+import type { Exchange } from '../callers/exchange.js';
 import { StreamSession } from './streamSession.js';
 
 function supportsChunked({ request }: Exchange): boolean {
--- a/packages/forwarding/src/streamSession.ts
+++ b/packages/forwarding/src/attempts/streamSession.ts
@@ -5,13 +5,13 @@
 import { RequestAttempts } from './requestAttempts.js';
 import type { AttemptServices } from './requestAttempts.js';
 import { findCutCause } from './cutCause.js';
-import { executionOf, isEndpointFault } from './endpointCall.js';
-import type { EndpointHandle } from './endpointHandle.js';
+import { executionOf, isEndpointFault } from '../endpoints/endpointCall.js';
+import type { EndpointHandle } from '../endpoints/endpointHandle.js';
 import { EventDelivery } from './eventDelivery.js';
 import { EventRelay } from './eventRelay.js';
 import type { StreamOutcome } from './eventRelay.js';
-import { deadlineExceeded } from './exchange.js';
-import type { Exchange } from './exchange.js';
+import { deadlineExceeded } from '../callers/exchange.js';
+import type { Exchange } from '../callers/exchange.js';
 
 /** A running attempt at a stream. */
 interface RunningAttempt {
--- a/packages/forwarding/src/waitingCalls.ts
+++ b/packages/forwarding/src/attempts/waitingCalls.ts
@@ -1,6 +1,6 @@
-import type { EndpointCall } from './endpointCall.js';
-import type { EndpointHandle } from './endpointHandle.js';
-import type { StartBounds } from './startBounds.js';
+import type { EndpointCall } from '../endpoints/endpointCall.js';
+import type { EndpointHandle } from '../endpoints/endpointHandle.js';
+import type { StartBounds } from '../endpoints/startBounds.js';
 
 /** Interval of checks while calls wait at endpoints at which they may not start for ever, in milliseconds. */
 const checkIntervalMs = 20;
--- a/packages/forwarding/src/callerServer.ts
+++ b/packages/forwarding/src/callers/callerServer.ts
@@ -18,7 +18,7 @@
 import { CallerConnections } from './callerConnections.js';
 import { callerDisconnected, deadlineExceeded, processStopping } from './exchange.js';
 import type { Exchange } from './exchange.js';
-import type { FleetState } from './fleetState.js';
+import type { FleetState } from '../fleet/fleetState.js';
 import type { HeaderCodec } from './headerCodec.js';
 import type { RequestHead } from './heads.js';
 import { Refusal, RefusalReason, toDeadlineFailure } from './refusal.js';
--- a/packages/forwarding/src/crashExchange.ts
+++ b/packages/forwarding/src/crashes/crashExchange.ts
@@ -2,7 +2,7 @@
 import type { FleetDatagrams } from '@laburnumstream/links';
 import type { CrashNews as CrashMessage } from '@laburnumstream/protocol';
 import type { CrashGuard, CrashListener } from './crashGuard.js';
-import type { EntryPeers } from './entryPeers.js';
+import type { EntryPeers } from '../peers/entryPeers.js';
 
 /** Maximum number of traits in one datagram, so that it fits a packet. */
 const maxTraitsPerDatagram = 40;
--- a/packages/forwarding/src/crashGuard.ts
+++ b/packages/forwarding/src/crashes/crashGuard.ts
@@ -1,11 +1,11 @@
 import type { Clock, Log, Metrics } from '@laburnumstream/common';
 import { CrashEvidence } from '@laburnumstream/decisions';
 import type { Quarantine, CrashUpdate, SurvivalReport } from '@laburnumstream/decisions';
-import { Framing } from './endpointCall.js';
-import type { EndpointHandle } from './endpointHandle.js';
-import type { Exchange } from './exchange.js';
+import { Framing } from '../endpoints/endpointCall.js';
+import type { EndpointHandle } from '../endpoints/endpointHandle.js';
+import type { Exchange } from '../callers/exchange.js';
 import { OpenEnds } from './openEnds.js';
-import { Refusal, RefusalReason } from './refusal.js';
+import { Refusal, RefusalReason } from '../callers/refusal.js';
 import { getDigest, getPartTraits, getTraits, isDigest } from './requestTraits.js';
 
 /** Passes on what this entry has seen. */
--- a/packages/forwarding/src/crashRecords.ts
+++ b/packages/forwarding/src/crashes/crashRecords.ts
@@ -3,8 +3,8 @@
 import { quarantineKey } from '@laburnumstream/decisions';
 import type { Quarantine, CrashUpdate } from '@laburnumstream/decisions';
 import type { CrashGuard, CrashListener } from './crashGuard.js';
-import type { FleetChange, FleetCodec, StoredQuarantine } from './fleetChange.js';
-import { StoreCall, StoreCallCounter } from './storeCallCounter.js';
+import type { FleetChange, FleetCodec, StoredQuarantine } from '../fleet/fleetChange.js';
+import { StoreCall, StoreCallCounter } from '../fleet/storeCallCounter.js';
 
 /** Time to live of an entry's record of crashes: others read it at once, or when they start. */
 const recordLeaseMs = 60_000;
--- a/packages/forwarding/src/requestTraits.ts
+++ b/packages/forwarding/src/crashes/requestTraits.ts
@@ -1,6 +1,6 @@
 import { toPartTrait } from '@laburnumstream/decisions';
 import { sha256 } from '@laburnumstream/runtime';
-import type { Exchange } from './exchange.js';
+import type { Exchange } from '../callers/exchange.js';
 
 const digestPrefix = 'request:';
 /** Digits of the digest that tell requests apart. */
--- a/packages/forwarding/src/endpointCall.ts
+++ b/packages/forwarding/src/endpoints/endpointCall.ts
@@ -5,8 +5,8 @@
 import type { Dispatcher } from 'undici';
 import type { ConnectionPool } from './connectionPool.js';
 import type { EndpointConnection, FramedHandler } from './endpointConnection.js';
-import type { ResponseHead } from './heads.js';
-import type { HeaderCodec } from './headerCodec.js';
+import type { ResponseHead } from '../callers/heads.js';
+import type { HeaderCodec } from '../callers/headerCodec.js';
 import { maxHeaderBytes } from './responseBounds.js';
 
 /** Why a call to an endpoint failed. */
--- a/packages/forwarding/src/endpointDirectory.ts
+++ b/packages/forwarding/src/endpoints/endpointDirectory.ts
@@ -14,11 +14,11 @@
   isVersionEligible,
 } from '@laburnumstream/decisions';
 import type { CapacitySharers } from '@laburnumstream/decisions';
-import type { EndpointSource, ServiceStatements } from './dispatchQueue.js';
+import type { EndpointSource, ServiceStatements } from '../placement/dispatchQueue.js';
 import { EndpointHandle, engineQueueLimits } from './endpointHandle.js';
 import { EndpointState } from './endpointState.js';
-import type { FleetState } from './fleetState.js';
-import type { EntryCounts } from './entryCounts.js';
+import type { FleetState } from '../fleet/fleetState.js';
+import type { EntryCounts } from '../fleet/entryCounts.js';
 import { StartBounds } from './startBounds.js';
 
 /** What makes an endpoint eligible for a request, apart from free capacity. */
--- a/packages/forwarding/src/startBounds.ts
+++ b/packages/forwarding/src/endpoints/startBounds.ts
@@ -1,7 +1,7 @@
 import type { Clock, Endpoint, FleetSettings } from '@laburnumstream/common';
 import { combineOutdated, mayStartOnVersion } from '@laburnumstream/decisions';
 import type { EndpointHandle } from './endpointHandle.js';
-import type { FleetState } from './fleetState.js';
+import type { FleetState } from '../fleet/fleetState.js';
 
 /** Time in which a withdrawn request is off its way to its endpoint, in milliseconds. */
 const withdrawalMs = 250;
--- a/packages/forwarding/src/statementRecorder.ts
+++ b/packages/forwarding/src/endpoints/statementRecorder.ts
@@ -1,8 +1,8 @@
 import type { Clock, Log, Metrics } from '@laburnumstream/common';
 import type { EndpointStatements } from '@laburnumstream/decisions';
 import type { EndpointHandle } from './endpointHandle.js';
-import { StatementKind } from './heads.js';
-import type { ResponseHead } from './heads.js';
+import { StatementKind } from '../callers/heads.js';
+import type { ResponseHead } from '../callers/heads.js';
 
 /** Status of a refusal with which an endpoint may ask for a pause. */
 const refusalStatus = 503;
--- a/packages/forwarding/src/entryGauges.ts
+++ b/packages/forwarding/src/entryGauges.ts
@@ -1,11 +1,11 @@
 import type { Clock, Gauge } from '@laburnumstream/common';
 import type { ResponseMemory, SharedRetryBudget } from '@laburnumstream/decisions';
-import type { CallerServer, FreshnessChecks } from './callerServer.js';
-import type { CrashGuard } from './crashGuard.js';
-import type { DispatchQueue } from './dispatchQueue.js';
-import type { EndpointDirectory } from './endpointDirectory.js';
-import type { EndpointHandle } from './endpointHandle.js';
-import type { FleetState } from './fleetState.js';
+import type { CallerServer, FreshnessChecks } from './callers/callerServer.js';
+import type { CrashGuard } from './crashes/crashGuard.js';
+import type { DispatchQueue } from './placement/dispatchQueue.js';
+import type { EndpointDirectory } from './endpoints/endpointDirectory.js';
+import type { EndpointHandle } from './endpoints/endpointHandle.js';
+import type { FleetState } from './fleet/fleetState.js';
 
 /** The parts of an entry whose state is exported. */
 export interface EntryParts {
--- a/packages/forwarding/src/regionalFeed.ts
+++ b/packages/forwarding/src/feed/regionalFeed.ts
@@ -20,8 +20,8 @@
 import { FeedClient } from './feedClient.js';
 import type { RelayedChanges } from './feedClient.js';
 import { FeedServer } from './feedServer.js';
-import { EntryPeers } from './entryPeers.js';
-import type { FleetState } from './fleetState.js';
+import { EntryPeers } from '../peers/entryPeers.js';
+import type { FleetState } from '../fleet/fleetState.js';
 import { StoreMirror } from './storeMirror.js';
 
 /** Longest wait for a change at the store of an entry that others read from, in milliseconds. */
--- a/packages/forwarding/src/forwardingEntry.ts
+++ b/packages/forwarding/src/forwardingEntry.ts
@@ -13,28 +13,28 @@
   ResponseMemory,
   SharedRetryBudget,
 } from '@laburnumstream/decisions';
-import { CallerServer } from './callerServer.js';
-import { CrashGuard } from './crashGuard.js';
-import { CrashRecords } from './crashRecords.js';
-import { DispatchQueue } from './dispatchQueue.js';
+import { CallerServer } from './callers/callerServer.js';
+import { CrashGuard } from './crashes/crashGuard.js';
+import { CrashRecords } from './crashes/crashRecords.js';
+import { DispatchQueue } from './placement/dispatchQueue.js';
 import { entryGauges } from './entryGauges.js';
-import { EndpointDirectory } from './endpointDirectory.js';
-import type { EndpointHandle } from './endpointHandle.js';
-import { StopGate } from './stopGate.js';
-import { StreamForwarder } from './streamForwarder.js';
-import { EntryRegistration } from './entryRegistration.js';
-import type { FleetCodec } from './fleetChange.js';
-import { FleetWatcher } from './fleetWatcher.js';
-import { FleetState } from './fleetState.js';
-import type { HeaderCodec } from './headerCodec.js';
-import { serveReadiness } from './readiness.js';
-import { EntryCounts } from './entryCounts.js';
-import { AgentLinks } from './agentLinks.js';
-import { RegionalFeed } from './regionalFeed.js';
-import { responseMemoryWithin } from './responseBounds.js';
-import { BufferedForwarder } from './bufferedForwarder.js';
-import { StatementRecorder } from './statementRecorder.js';
-import { WaitingCalls } from './waitingCalls.js';
+import { EndpointDirectory } from './endpoints/endpointDirectory.js';
+import type { EndpointHandle } from './endpoints/endpointHandle.js';
+import { StopGate } from './callers/stopGate.js';
+import { StreamForwarder } from './attempts/streamForwarder.js';
+import { EntryRegistration } from './fleet/entryRegistration.js';
+import type { FleetCodec } from './fleet/fleetChange.js';
+import { FleetWatcher } from './fleet/fleetWatcher.js';
+import { FleetState } from './fleet/fleetState.js';
+import type { HeaderCodec } from './callers/headerCodec.js';
+import { serveReadiness } from './callers/readiness.js';
+import { EntryCounts } from './fleet/entryCounts.js';
+import { AgentLinks } from './peers/agentLinks.js';
+import { RegionalFeed } from './feed/regionalFeed.js';
+import { responseMemoryWithin } from './endpoints/responseBounds.js';
+import { BufferedForwarder } from './attempts/bufferedForwarder.js';
+import { StatementRecorder } from './endpoints/statementRecorder.js';
+import { WaitingCalls } from './attempts/waitingCalls.js';
 
 /** Dependencies of an entry. */
 export interface EntryDependencies {
--- a/packages/forwarding/src/agentLinks.ts
+++ b/packages/forwarding/src/peers/agentLinks.ts
@@ -3,12 +3,12 @@
 import type { DatagramHandlers } from '@laburnumstream/links';
 import type { EndpointReport } from '@laburnumstream/protocol';
 import { AgentUpdates } from './agentUpdates.js';
-import { CrashExchange } from './crashExchange.js';
-import type { CrashGuard } from './crashGuard.js';
-import type { EndpointDirectory } from './endpointDirectory.js';
-import type { EndpointHandle } from './endpointHandle.js';
+import { CrashExchange } from '../crashes/crashExchange.js';
+import type { CrashGuard } from '../crashes/crashGuard.js';
+import type { EndpointDirectory } from '../endpoints/endpointDirectory.js';
+import type { EndpointHandle } from '../endpoints/endpointHandle.js';
 import { EntryPeers } from './entryPeers.js';
-import type { FleetState } from './fleetState.js';
+import type { FleetState } from '../fleet/fleetState.js';
 import { LimitExchange } from './limitExchange.js';
 import { LoadBroadcast } from './loadBroadcast.js';
 
--- a/packages/forwarding/src/agentUpdates.ts
+++ b/packages/forwarding/src/peers/agentUpdates.ts
@@ -2,10 +2,10 @@
 import { NotifierSelection, reportIntervalMs } from '@laburnumstream/decisions';
 import { toDatagramNumber } from '@laburnumstream/links';
 import type { DatagramContent, FleetDatagrams } from '@laburnumstream/links';
-import type { EndpointDirectory } from './endpointDirectory.js';
-import type { EndpointHandle } from './endpointHandle.js';
+import type { EndpointDirectory } from '../endpoints/endpointDirectory.js';
+import type { EndpointHandle } from '../endpoints/endpointHandle.js';
 import type { EntryPeers } from './entryPeers.js';
-import type { FleetState } from './fleetState.js';
+import type { FleetState } from '../fleet/fleetState.js';
 
 /** Entries of a region that send weight updates to an agent, in the agent's region and in each other one. */
 const notifiersPerAgent = { local: 4, remote: 1 } as const;
--- a/packages/forwarding/src/entryPeers.ts
+++ b/packages/forwarding/src/peers/entryPeers.ts
@@ -1,5 +1,5 @@
 import type { FleetSettings } from '@laburnumstream/common';
-import type { FleetState } from './fleetState.js';
+import type { FleetState } from '../fleet/fleetState.js';
 
 /** The registered entries, as seen from this one. */
 export class EntryPeers {
--- a/packages/forwarding/src/limitExchange.ts
+++ b/packages/forwarding/src/peers/limitExchange.ts
@@ -2,8 +2,8 @@
 import { toDatagramNumber } from '@laburnumstream/links';
 import type { FleetDatagrams } from '@laburnumstream/links';
 import type { EndpointLimits } from '@laburnumstream/protocol';
-import type { EndpointDirectory } from './endpointDirectory.js';
-import type { EndpointHandle } from './endpointHandle.js';
+import type { EndpointDirectory } from '../endpoints/endpointDirectory.js';
+import type { EndpointHandle } from '../endpoints/endpointHandle.js';
 import type { EntryPeers } from './entryPeers.js';
 
 /** Time for which this entry repeats what an endpoint has said of its limit, in milliseconds. */
--- a/packages/forwarding/src/loadBroadcast.ts
+++ b/packages/forwarding/src/peers/loadBroadcast.ts
@@ -2,8 +2,8 @@
 import { toDatagramNumber } from '@laburnumstream/links';
 import type { FleetDatagrams } from '@laburnumstream/links';
 import type { EntryLoad } from '@laburnumstream/protocol';
-import type { EndpointDirectory } from './endpointDirectory.js';
-import type { EndpointHandle } from './endpointHandle.js';
+import type { EndpointDirectory } from '../endpoints/endpointDirectory.js';
+import type { EndpointHandle } from '../endpoints/endpointHandle.js';
 import type { EntryPeers } from './entryPeers.js';
 
 /** Time in which changes are batched, for each group of peers, in milliseconds. */
--- a/packages/forwarding/src/dispatchQueue.ts
+++ b/packages/forwarding/src/placement/dispatchQueue.ts
@@ -7,11 +7,11 @@
   pauseRetryDelayMs,
 } from '@laburnumstream/decisions';
 import type { Demand, Placement, QueuedRequest } from '@laburnumstream/decisions';
-import type { Eligibility } from './endpointDirectory.js';
-import type { EndpointHandle } from './endpointHandle.js';
-import { Refusal, RefusalReason } from './refusal.js';
+import type { Eligibility } from '../endpoints/endpointDirectory.js';
+import type { EndpointHandle } from '../endpoints/endpointHandle.js';
+import { Refusal, RefusalReason } from '../callers/refusal.js';
 import { stagePolicies } from './stagePolicy.js';
-import type { WaitEnd } from './waitEnd.js';
+import type { WaitEnd } from '../callers/waitEnd.js';
 
 /** A request for an endpoint. */
 export interface PlacementRequest extends QueuedRequest {
--- a/packages/forwarding/src/stagePolicy.ts
+++ b/packages/forwarding/src/placement/stagePolicy.ts
@@ -1,8 +1,8 @@
 import { RequestStage } from '@laburnumstream/decisions';
 import type { Placement } from '@laburnumstream/decisions';
 import type { PlacementRequest } from './dispatchQueue.js';
-import type { EndpointHandle } from './endpointHandle.js';
-import { WaitEnd } from './waitEnd.js';
+import type { EndpointHandle } from '../endpoints/endpointHandle.js';
+import { WaitEnd } from '../callers/waitEnd.js';
 
 /** What a request may use, and how long it may wait, at one stage. */
 interface StagePolicy {
