Split what the attempts of a request, capacity and placement share into modules

The send of an attempt and its count in the endpoint's load are modules of their own, and so is the free capacity of an endpoint. Types that the queue, the directory and the stage policies imported from each other stand in modules of their own, as does WeightMember, so that these import circles are gone. No change of behaviour.

--- a/packages/decisions/src/weights/chunkAssignment.ts
+++ b/packages/decisions/src/weights/chunkAssignment.ts
@@ -1,5 +1,5 @@
 import { rendezvousOrder } from '@laburnumstream/common';
-import type { WeightMember } from './topology.js';
+import type { WeightMember } from './weightMember.js';
 
 /** Step of a low-discrepancy sequence that spreads consecutive chunks evenly over the regions. */
 const goldenRatioFraction = 0.618_033_988_749_894_9;
--- a/packages/decisions/src/weights/holderTransfer.ts
+++ b/packages/decisions/src/weights/holderTransfer.ts
@@ -2,7 +2,7 @@
 import { ChunkAssignment } from './chunkAssignment.js';
 import { origin } from './sources.js';
 import type { WeightSource } from './sources.js';
-import type { WeightMember } from './topology.js';
+import type { WeightMember } from './weightMember.js';
 import { FetchFault, sourceName } from './transfer.js';
 import type { ChunkFetch, ChunkTransfer } from './transfer.js';
 
--- a/packages/decisions/src/weights/index.ts
+++ b/packages/decisions/src/weights/index.ts
@@ -5,4 +5,5 @@
 export * from './switchSchedule.js';
 export * from './topology.js';
 export * from './transfer.js';
+export * from './weightMember.js';
 export * from './rollOut.js';
--- a/packages/decisions/src/weights/memberOrder.ts
+++ b/packages/decisions/src/weights/memberOrder.ts
@@ -1,5 +1,5 @@
 import { hash32 } from '@laburnumstream/common';
-import type { WeightMember } from './topology.js';
+import type { WeightMember } from './weightMember.js';
 
 /** Number of values of a hash. */
 const hashRange = 2 ** 32;
--- a/packages/decisions/src/weights/sources.ts
+++ b/packages/decisions/src/weights/sources.ts
@@ -1,5 +1,6 @@
 import { rendezvousOrder } from '@laburnumstream/common';
-import type { Topology, WeightMember } from './topology.js';
+import type { Topology } from './topology.js';
+import type { WeightMember } from './weightMember.js';
 
 /** The member that a chunk is fetched from, or `origin`, the platform's weight store. */
 export type WeightSource = WeightMember | typeof origin;
--- a/packages/decisions/src/weights/switchSchedule.ts
+++ b/packages/decisions/src/weights/switchSchedule.ts
@@ -1,5 +1,5 @@
 import { rendezvousOrder } from '@laburnumstream/common';
-import type { WeightMember } from './topology.js';
+import type { WeightMember } from './weightMember.js';
 
 /** Inputs that determine when one engine switches to a newer version. */
 export interface SwitchTiming {
--- a/packages/decisions/src/weights/topology.ts
+++ b/packages/decisions/src/weights/topology.ts
@@ -1,12 +1,6 @@
 import { hash32 } from '@laburnumstream/common';
 import { MemberOrder } from './memberOrder.js';
-
-/** An instance that holds or receives weights. */
-export interface WeightMember {
-  readonly name: string;
-  readonly region: string;
-  readonly dataCentre: string;
-}
+import type { WeightMember } from './weightMember.js';
 
 /** Members of one data centre, ordered by a hash of the version's digest and the member's name. */
 export interface DataCentreGroup {
--- a/packages/decisions/src/weights/transfer.ts
+++ b/packages/decisions/src/weights/transfer.ts
@@ -1,4 +1,5 @@
-import type { Topology, WeightMember } from './topology.js';
+import type { Topology } from './topology.js';
+import type { WeightMember } from './weightMember.js';
 import { origin } from './sources.js';
 import type { SourceOrder, WeightSource } from './sources.js';
 
--- /dev/null
+++ b/packages/forwarding/src/attempts/attemptLoad.ts
@@ -0,0 +1,42 @@
+import type { EndpointHandle } from '../endpoints/endpointHandle.js';
+
+/** Counts one attempt in the load of its endpoint, from its start to its end. */
+export class AttemptLoad {
+  private isPrefilled = false;
+
+  private hasEnded = false;
+
+  constructor(
+    private readonly handle: EndpointHandle,
+    /** Time that the endpoint needs to process the prompt, in milliseconds. */
+    private readonly prefillMs: number,
+    private readonly onChange: (handle: EndpointHandle) => void,
+  ) {}
+
+  /** Whether the endpoint has processed the prompt. */
+  get hasPrefilled(): boolean {
+    return this.isPrefilled;
+  }
+
+  start(): void {
+    this.handle.load.recordStart(this.prefillMs);
+    this.onChange(this.handle);
+  }
+
+  markPrefilled(): void {
+    if (this.isPrefilled) return;
+    this.isPrefilled = true;
+    this.handle.load.recordPrefill(this.prefillMs);
+    this.onChange(this.handle);
+  }
+
+  /** Ends the attempt; returns false if it had ended before. */
+  end(): boolean {
+    if (this.hasEnded) return false;
+    this.hasEnded = true;
+    this.markPrefilled();
+    this.handle.load.recordEnd();
+    this.onChange(this.handle);
+    return true;
+  }
+}
--- a/packages/forwarding/src/attempts/bufferedForwarder.ts
+++ b/packages/forwarding/src/attempts/bufferedForwarder.ts
@@ -2,7 +2,7 @@
 import { ResponseAction, AttemptOutcome, classifyResponse } from '@laburnumstream/decisions';
 import type { Attempt } from './attempt.js';
 import { RequestAttempts } from './requestAttempts.js';
-import type { AttemptServices } from './requestAttempts.js';
+import type { AttemptServices } from './attemptServices.js';
 import { ResponseCollector } from './responseCollector.js';
 import type { CallOutcome, BufferedResponse } from './responseCollector.js';
 import { CallFault, executionOf, isEndpointFault } from '../endpoints/endpointCall.js';
--- a/packages/forwarding/src/attempts/requestAttempts.ts
+++ b/packages/forwarding/src/attempts/requestAttempts.ts
@@ -1,28 +1,18 @@
 import { Execution, OutcomeUnknown } from '@laburnumstream/common';
-import type { Clock, Failure } from '@laburnumstream/common';
-import {
-  AttemptHistory,
-  RequestStage,
-  RetryPurpose,
-  classifyResponse,
-  mayRetry,
-} from '@laburnumstream/decisions';
-import type { Placement, ResponseMemory, SharedRetryBudget } from '@laburnumstream/decisions';
-import type { Attempt, FailedAttempt } from './attempt.js';
-import type { CrashGuard } from '../crashes/crashGuard.js';
-import { RetryDenial } from './cutCause.js';
-import type { DispatchQueue, PlacementRequest } from '../placement/dispatchQueue.js';
-import { CallFault, EndpointCall, isSuccess } from '../endpoints/endpointCall.js';
-import type { CallObserver } from '../endpoints/endpointCall.js';
-import type { Eligibility, EndpointDirectory } from '../endpoints/endpointDirectory.js';
-import type { EndpointHandle } from '../endpoints/endpointHandle.js';
+import type { Failure } from '@laburnumstream/common';
+import { AttemptHistory, RequestStage, RetryPurpose, mayRetry } from '@laburnumstream/decisions';
+import type { Placement } from '@laburnumstream/decisions';
 import type { Exchange } from '../callers/exchange.js';
-import type { HeaderCodec } from '../callers/headerCodec.js';
-import { OutdatedUse } from './outdatedUse.js';
 import { Refusal, RefusalReason } from '../callers/refusal.js';
-import { recordForeignResponse, recordHead } from './responseRecorder.js';
-import type { ResponseServices } from './responseRecorder.js';
-import type { WaitingCalls } from './waitingCalls.js';
+import type { Eligibility } from '../endpoints/eligibility.js';
+import { CallFault } from '../endpoints/endpointCall.js';
+import type { CallObserver } from '../endpoints/endpointCall.js';
+import type { EndpointHandle } from '../endpoints/endpointHandle.js';
+import type { PlacementRequest } from '../placement/placementRequest.js';
+import type { Attempt, FailedAttempt } from './attempt.js';
+import type { AttemptServices } from './attemptServices.js';
+import { RetryDenial } from './cutCause.js';
+import { sendAttempt } from './sendAttempt.js';
 
 /**
  * Longest idle time of a connection on which a non-retryable request is sent, in milliseconds: the
@@ -46,21 +36,6 @@
 /** Faults that an endpoint causes when it ends. */
 const breakingFaults: ReadonlySet<CallFault> = new Set([CallFault.broken, CallFault.truncated]);
 
-/** Services that all requests share. */
-export interface AttemptServices extends ResponseServices {
-  readonly queue: DispatchQueue;
-  readonly directory: EndpointDirectory;
-  readonly guard: CrashGuard;
-  readonly budget: SharedRetryBudget;
-  /** Called when this entry's load at an endpoint has changed. */
-  readonly onLoadChange: (endpoint: EndpointHandle) => void;
-  readonly waitingCalls: WaitingCalls;
-  /** Memory for responses that are not complete yet, of requests of all kinds. */
-  readonly memory: ResponseMemory;
-  readonly codec: HeaderCodec;
-  readonly clock: Clock;
-}
-
 /** The attempts of one request: the endpoints that were tried, and whether it may be retried. */
 export class RequestAttempts {
   private readonly history: AttemptHistory<EndpointHandle>;
@@ -319,73 +294,9 @@
     observer: CallObserver,
     lastEventId: number | undefined,
   ): Attempt {
-    const { exchange, services } = this;
-    const { request, head, route, workspace, body, deadlineAt } = exchange;
-    const { codec, clock, queue, guard, onLoadChange, directory, metrics, log } = services;
-    const use = new OutdatedUse(head.id, handle, directory.startBounds, clock, metrics, log);
-    const headers = codec.encodeRequestHeaders(request.rawHeaders, {
-      timeLeftMs: deadlineAt - clock.now(),
-      endpointId: handle.id,
-      stripsKey: exchange.hasKeys,
-      workspace: workspace?.name,
-      lastEventId,
-      priority: workspace?.priority ?? route.priority,
-      weightsVersion: undefined,
-    });
-    const { method = 'GET', url = '/' } = request;
-    const callRequest = { method, path: url, id: head.id, headers, body };
-    const maxIdleMs = this.isRetryable ? Infinity : maxNonRetryableIdleMs;
-    const { isBegun } = this;
-    let isTaken = false;
-    const call = new EndpointCall(
-      handle.pool,
-      callRequest,
-      maxIdleMs,
-      codec,
-      observer,
-      (status, responseHead) => {
-        const { execution } = classifyResponse({ status, ...responseHead });
-        isTaken = isSuccess(status) && execution !== Execution.notRun;
-        if (isBegun && (isTaken || execution === Execution.notRun))
-          handle.begunAdmission.recordResult(isTaken, clock.now());
-        recordHead(services, handle, status, responseHead);
-      },
-      () => {
-        const maySend = directory.maySend(handle);
-        if (maySend) use.recordSend();
-        return maySend;
-      },
-      (responseId) => recordForeignResponse(services, handle, head.id, responseId),
-    );
-    const prefillMs = handle.model?.prefillMs(head.promptTokens ?? 0) ?? 0;
-    let isPrefilled = false;
-    let hasEnded = false;
-    const markPrefilled = (): void => {
-      if (isPrefilled) return;
-      isPrefilled = true;
-      handle.load.recordPrefill(prefillMs);
-      onLoadChange(handle);
-    };
-    const markEnded = (): void => {
-      if (hasEnded) return;
-      hasEnded = true;
-      services.waitingCalls.remove(call);
-      markPrefilled();
-      if (isTaken) handle.begunAdmission.recordDeparture();
-      handle.load.recordEnd();
-      onLoadChange(handle);
-      queue.dispatch(exchange.service, handle);
-    };
-    const markFirstEvent = (): void => {
-      if (!isPrefilled) use.recordFirstEvent();
-      markPrefilled();
-    };
     this.sendCount += 1;
-    guard.recordSend(exchange);
-    handle.load.recordStart(prefillMs);
-    onLoadChange(handle);
-    call.start();
-    services.waitingCalls.add(call, handle);
-    return { handle, call, markPrefilled: markFirstEvent, markEnded };
+    const maxIdleMs = this.isRetryable ? Infinity : maxNonRetryableIdleMs;
+    const options = { observer, lastEventId, maxIdleMs, isBegun: this.isBegun };
+    return sendAttempt(this.exchange, this.services, handle, options);
   }
 }
--- a/packages/forwarding/src/attempts/streamForwarder.ts
+++ b/packages/forwarding/src/attempts/streamForwarder.ts
@@ -1,5 +1,5 @@
 import { VersionUnsupported } from '@laburnumstream/common';
-import type { AttemptServices } from './requestAttempts.js';
+import type { AttemptServices } from './attemptServices.js';
 import { callerDisconnected } from '../callers/exchange.js';
 import type { Exchange } from '../callers/exchange.js';
 import { StreamSession } from './streamSession.js';
--- a/packages/forwarding/src/attempts/streamSession.ts
+++ b/packages/forwarding/src/attempts/streamSession.ts
@@ -3,7 +3,7 @@
 import type { Placement } from '@laburnumstream/decisions';
 import type { Attempt } from './attempt.js';
 import { RequestAttempts } from './requestAttempts.js';
-import type { AttemptServices } from './requestAttempts.js';
+import type { AttemptServices } from './attemptServices.js';
 import { findCutCause } from './cutCause.js';
 import { executionOf, isEndpointFault } from '../endpoints/endpointCall.js';
 import type { EndpointHandle } from '../endpoints/endpointHandle.js';
--- /dev/null
+++ b/packages/forwarding/src/endpoints/endpointCapacity.ts
@@ -0,0 +1,52 @@
+import type { EndpointStatements } from '@laburnumstream/decisions';
+import { engineQueueLimits } from './endpointHandle.js';
+import type { EndpointHandle } from './endpointHandle.js';
+import type { EntryCounts } from '../fleet/entryCounts.js';
+
+/** Share of an endpoint's connection limit that all entries together use. */
+const connectionShare = 0.9;
+
+/** Whether endpoints have room for one more request of this entry, within what all entries share. */
+export class EndpointCapacity {
+  constructor(
+    private readonly statements: EndpointStatements,
+    private readonly entryCounts: Pick<EntryCounts, 'forConnections' | 'forColdEndpoints'>,
+  ) {}
+
+  /** Whether an endpoint is neither ejected after failures nor silent. */
+  static isHealthy(handle: EndpointHandle, now: number): boolean {
+    return handle.health.isAvailable(handle.load.ownRequests, now) && !handle.isSilent(now);
+  }
+
+  /** Whether an endpoint can take one more request now. */
+  hasRoom(handle: EndpointHandle, now: number): boolean {
+    const { incarnation, load, model, slots } = handle;
+    const share = slots / this.entryCounts.forConnections;
+    if (!this.statements.allowsPlacement(incarnation, share, now)) return false;
+    if (!this.hasConnection(handle)) return false;
+    if (model && !load.hasCapacity({ ...engineQueueLimits, slots }, now)) return false;
+    return this.allowsColdStart(handle, now);
+  }
+
+  /** Counts a request that has been placed on an endpoint against the rate of its cold start. */
+  recordPlacement(handle: EndpointHandle, now: number): void {
+    if (now < handle.coldUntil) handle.coldRate.record(this.getColdRateShare(handle), now);
+  }
+
+  private hasConnection({ profile, pool, load }: EndpointHandle): boolean {
+    const share = (profile?.maxConnections ?? 0) * connectionShare;
+    const maxConnections = Math.max(1, Math.floor(share / this.entryCounts.forConnections));
+    return pool.hasCapacity(maxConnections, load.unsentPlacements);
+  }
+
+  private allowsColdStart(handle: EndpointHandle, now: number): boolean {
+    const { profile, coldRate, coldUntil } = handle;
+    if (now >= coldUntil || !profile || profile.coldRequestsPerSecond <= 0) return true;
+    return coldRate.allows(this.getColdRateShare(handle), now);
+  }
+
+  /** Returns the requests per second that this entry may send to an endpoint during its cold start. */
+  private getColdRateShare({ profile }: EndpointHandle): number {
+    return (profile?.coldRequestsPerSecond ?? 0) / this.entryCounts.forColdEndpoints;
+  }
+}
--- a/packages/forwarding/src/endpoints/endpointDirectory.ts
+++ b/packages/forwarding/src/endpoints/endpointDirectory.ts
@@ -14,23 +14,15 @@
   isVersionEligible,
 } from '@laburnumstream/decisions';
 import type { CapacitySharers } from '@laburnumstream/decisions';
-import type { EndpointSource, ServiceStatements } from '../placement/dispatchQueue.js';
-import { EndpointHandle, engineQueueLimits } from './endpointHandle.js';
+import type { Eligibility } from './eligibility.js';
+import { EndpointCapacity } from './endpointCapacity.js';
+import { EndpointHandle } from './endpointHandle.js';
+import type { EndpointSource, ServiceStatements } from './endpointSource.js';
 import { EndpointState } from './endpointState.js';
 import type { FleetState } from '../fleet/fleetState.js';
 import type { EntryCounts } from '../fleet/entryCounts.js';
 import { StartBounds } from './startBounds.js';
 
-/** What makes an endpoint eligible for a request, apart from free capacity. */
-export interface Eligibility {
-  /** Lists of regions that may serve it; an empty list allows all. */
-  readonly homeRegions: readonly (readonly string[])[];
-  /** Ids of endpoints that must not get it now, as they were tried before. */
-  readonly tried: Pick<ReadonlySet<string>, 'has' | 'size'>;
-}
-
-/** Share of an endpoint's connection limit that all entries together use. */
-const connectionShare = 0.9;
 /** Share of an engine's slots up to which a request starts at once, whatever other entries send meanwhile. */
 const freeSlotShare = 0.75;
 
@@ -54,6 +46,8 @@
   /** Until when requests that were sent to an endpoint may start there. */
   readonly startBounds: StartBounds;
 
+  private readonly capacity: EndpointCapacity;
+
   /** Health of endpoints that have left, by id: some come back and fail again. */
   private readonly formerHealth = new Map<string, EndpointHealth>();
 
@@ -70,6 +64,7 @@
     this.startBounds = new StartBounds(settings, state, clock, versionClock);
     this.senders = new NotifierSelection(settings.instance);
     this.statements = new EndpointStatements(random.next());
+    this.capacity = new EndpointCapacity(this.statements, entryCounts);
   }
 
   get all(): Iterable<EndpointHandle> {
@@ -214,7 +209,7 @@
     if (handle.model && handle.version === undefined) return EndpointState.empty;
     if (!this.hasUsableWeights(handle, now)) return EndpointState.outdated;
     if (!this.statements.allows(handle.incarnation, now)) return EndpointState.paused;
-    if (!EndpointDirectory.isHealthy(handle, now)) return EndpointState.resting;
+    if (!EndpointCapacity.isHealthy(handle, now)) return EndpointState.resting;
     if (!this.isWithinLimit(handle, now)) return EndpointState.limited;
     return this.hasCapacity(handle, now) ? EndpointState.free : EndpointState.full;
   }
@@ -224,7 +219,7 @@
     const now = this.clock.now();
     handle.namedLimit.recordSend(now);
     this.statements.recordPlacement(handle.incarnation, now);
-    if (now < handle.coldUntil) handle.coldRate.record(this.getColdRateShare(handle), now);
+    this.capacity.recordPlacement(handle, now);
   }
 
   /** Returns the entries that share the capacity of the endpoints of a region. */
@@ -350,33 +345,11 @@
     });
   }
 
-  /** Whether an endpoint is neither ejected after failures nor silent. */
-  private static isHealthy(handle: EndpointHandle, now: number): boolean {
-    return handle.health.isAvailable(handle.load.ownRequests, now) && !handle.isSilent(now);
-  }
-
   private hasCapacity(handle: EndpointHandle, now: number): boolean {
-    if (!EndpointDirectory.isHealthy(handle, now) || !this.isWithinLimit(handle, now)) return false;
-    const entries = this.entryCounts.forConnections;
-    if (!this.statements.allowsPlacement(handle.incarnation, handle.slots / entries, now))
-      return false;
-    const { profile, pool, coldRate, coldUntil } = handle;
-    const maxConnections = Math.max(
-      1,
-      Math.floor(((profile?.maxConnections ?? 0) * connectionShare) / entries),
+    return (
+      EndpointCapacity.isHealthy(handle, now) &&
+      this.isWithinLimit(handle, now) &&
+      this.capacity.hasRoom(handle, now)
     );
-    if (!pool.hasCapacity(maxConnections, handle.load.unsentPlacements)) return false;
-    if (
-      handle.model &&
-      !handle.load.hasCapacity({ ...engineQueueLimits, slots: handle.slots }, now)
-    )
-      return false;
-    if (now >= coldUntil || !profile || profile.coldRequestsPerSecond <= 0) return true;
-    return coldRate.allows(this.getColdRateShare(handle), now);
-  }
-
-  /** Returns the requests per second that this entry may send to an endpoint during its cold start. */
-  private getColdRateShare({ profile }: EndpointHandle): number {
-    return (profile?.coldRequestsPerSecond ?? 0) / this.entryCounts.forColdEndpoints;
   }
 }
--- a/packages/forwarding/src/placement/dispatchQueue.ts
+++ b/packages/forwarding/src/placement/dispatchQueue.ts
@@ -6,65 +6,14 @@
   bestPlacement,
   pauseRetryDelayMs,
 } from '@laburnumstream/decisions';
-import type { Demand, Placement, QueuedRequest } from '@laburnumstream/decisions';
-import type { Eligibility } from '../endpoints/endpointDirectory.js';
+import type { Placement } from '@laburnumstream/decisions';
 import type { EndpointHandle } from '../endpoints/endpointHandle.js';
+import type { EndpointSource } from '../endpoints/endpointSource.js';
 import { Refusal, RefusalReason } from '../callers/refusal.js';
+import type { PlacementRequest } from './placementRequest.js';
 import { stagePolicies } from './stagePolicy.js';
 import type { WaitEnd } from '../callers/waitEnd.js';
 
-/** A request for an endpoint. */
-export interface PlacementRequest extends QueuedRequest {
-  readonly id: string;
-  readonly service: string;
-  /** Version of the configuration that the request is placed by. */
-  readonly configurationVersion: number;
-  /** Age of that configuration at the request's arrival, in milliseconds. */
-  readonly configurationAgeMs: number;
-  readonly demand: Demand;
-  /** Groups of requests that fairness is kept between: its route and its size class. */
-  readonly fairnessGroups: readonly string[];
-  readonly eligibility: Eligibility;
-  /** Whether it may be executed more than once. */
-  readonly isRetryable: boolean;
-  /** Monotonic time by which its first event should arrive, in milliseconds. */
-  readonly goalAt: number;
-  /** Monotonic time by which its response must be complete, in milliseconds. */
-  readonly deadlineAt: number;
-  /** Takes a retry from the budget when it is placed; returns false while the budget is exhausted. */
-  readonly acquireRetry?: () => boolean;
-}
-
-/** What the endpoints of a service have said of themselves. */
-export interface ServiceStatements {
-  /** Number of endpoints that have said that they leave. */
-  readonly leaving: number;
-  /** Number of endpoints that have asked for a pause that is not over. */
-  readonly paused: number;
-  /** Time until the first pause ends if all that could serve a request pause, or 0, in milliseconds. */
-  readonly pauseLeftMs: number;
-}
-
-/** Provides the endpoints to which requests are dispatched. */
-export interface EndpointSource {
-  /** Returns the endpoints of a service. */
-  forService(service: string): readonly EndpointHandle[];
-  /** Returns those of some endpoints, by default all of a service, that can get a request now. */
-  available(
-    service: string,
-    eligibility: Eligibility,
-    among?: readonly EndpointHandle[],
-  ): EndpointHandle[];
-  /** Number of endpoints of a service whose named limits leave no room for this entry. */
-  countLimited(service: string): number;
-  /** Counts a request that has been placed on an endpoint, before the next one is placed. */
-  recordPlacement(target: EndpointHandle): void;
-  /** Whether any endpoint of a service could serve a request by `by` if it had free capacity. */
-  canServe(service: string, eligibility: Eligibility, by?: number): boolean;
-  /** Returns what the endpoints of a service have said, for requests of an eligibility. */
-  summarizeStatements(service: string, eligibility: Eligibility): ServiceStatements;
-}
-
 /** A request for which an endpoint is sought. */
 interface Candidate extends PlacementRequest {
   /** Number of available endpoints when all were last checked; undefined before that. */
--- a/packages/forwarding/src/placement/stagePolicy.ts
+++ b/packages/forwarding/src/placement/stagePolicy.ts
@@ -1,6 +1,6 @@
 import { RequestStage } from '@laburnumstream/decisions';
 import type { Placement } from '@laburnumstream/decisions';
-import type { PlacementRequest } from './dispatchQueue.js';
+import type { PlacementRequest } from './placementRequest.js';
 import type { EndpointHandle } from '../endpoints/endpointHandle.js';
 import { WaitEnd } from '../callers/waitEnd.js';
 
