--- a/packages/decisions/src/forwarding/index.ts
+++ b/packages/decisions/src/forwarding/index.ts
@@ -12,6 +12,7 @@
 export * from './engineModel.js';
 export * from './entryCount.js';
 export * from './eventSplitter.js';
+export * from './expectedTime.js';
 export * from './feedReaders.js';
 export * from './foreignResponseFilter.js';
 export * from './framedHead.js';
--- a/packages/forwarding/src/attempts/attemptServices.ts
+++ b/packages/forwarding/src/attempts/attemptServices.ts
@@ -3,6 +3,7 @@
 import type { CrashGuard } from '../crashes/crashGuard.js';
 import type { EndpointDirectory } from '../endpoints/endpointDirectory.js';
 import type { EndpointHandle } from '../endpoints/endpointHandle.js';
+import type { AdaptiveServices } from '../placement/adaptiveServices.js';
 import type { DispatchQueue } from '../placement/dispatchQueue.js';
 import type { HeaderCodec } from '../callers/headerCodec.js';
 import type { ResponseServices } from './responseRecorder.js';
@@ -17,6 +18,8 @@
   /** Called when this entry's load at an endpoint has changed. */
   readonly onLoadChange: (endpoint: EndpointHandle) => void;
   readonly waitingCalls: WaitingCalls;
+  /** The services to which adaptive admission applies. */
+  readonly adaptive: AdaptiveServices;
   /** Memory for responses that are not complete yet, of requests of all kinds. */
   readonly memory: ResponseMemory;
   readonly codec: HeaderCodec;
--- a/packages/forwarding/src/forwardingEntry.ts
+++ b/packages/forwarding/src/forwardingEntry.ts
@@ -16,6 +16,7 @@
 import { CallerServer } from './callers/callerServer.js';
 import { CrashGuard } from './crashes/crashGuard.js';
 import { CrashRecords } from './crashes/crashRecords.js';
+import { AdaptiveServices } from './placement/adaptiveServices.js';
 import { DispatchQueue } from './placement/dispatchQueue.js';
 import { entryGauges } from './entryGauges.js';
 import { EndpointDirectory } from './endpoints/endpointDirectory.js';
@@ -86,6 +87,8 @@
 
   private readonly gate: StopGate;
 
+  private readonly adaptive = new AdaptiveServices();
+
   constructor(private readonly dependencies: EntryDependencies) {
     const { settings, store, fleetCodec, headerCodec, clock, random, metrics, log } = dependencies;
     const { bounds } = settings;
@@ -146,7 +149,10 @@
       random,
       metrics,
       log('line'),
-      (deadlineAt) => this.gate.findRefusal(deadlineAt),
+      {
+        findStopRefusal: (deadlineAt) => this.gate.findRefusal(deadlineAt),
+        isAdaptive: (service) => this.adaptive.has(service),
+      },
     );
     this.agents = new AgentLinks(
       settings,
@@ -186,6 +192,7 @@
         this.agents.recordNamedLimit(handle, perSecond),
       statements: new StatementRecorder(this.directory.statements, clock, metrics, log('sidecars')),
       waitingCalls: this.waitingCalls,
+      adaptive: this.adaptive,
       memory: new ResponseMemory(responseMemoryWithin(settings.memoryBytes)),
       codec: headerCodec,
       clock,
@@ -282,6 +289,8 @@
   }
 
   private handleFleetChange(): void {
+    const { routes } = this.state;
+    if (routes) this.adaptive.update(routes.configuration);
     this.callers.applyLimits();
     this.directory.refresh();
     this.agents.scheduleUpdate();
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -3,6 +3,8 @@
 export * from './attempts/responseCollector.js';
 export * from './endpoints/connectionPool.js';
 export * from './feed/datedStore.js';
+export * from './placement/adaptiveServices.js';
+export * from './placement/dispatchPolicies.js';
 export * from './placement/dispatchQueue.js';
 export * from './placement/placementRequest.js';
 export * from './endpoints/eligibility.js';
--- a/packages/forwarding/src/placement/dispatchQueue.ts
+++ b/packages/forwarding/src/placement/dispatchQueue.ts
@@ -10,6 +10,8 @@
 import type { EndpointHandle } from '../endpoints/endpointHandle.js';
 import type { EndpointSource } from '../endpoints/endpointSource.js';
 import { Refusal, RefusalReason } from '../callers/refusal.js';
+import { openPolicies } from './dispatchPolicies.js';
+import type { DispatchPolicies } from './dispatchPolicies.js';
 import type { PlacementRequest } from './placementRequest.js';
 import { stagePolicies } from './stagePolicy.js';
 import type { WaitEnd } from '../callers/waitEnd.js';
@@ -54,6 +56,8 @@
 
   private readonly shares = new Map<string, ServedRatios>();
 
+  private readonly policies: DispatchPolicies;
+
   private isRecheckScheduled = false;
 
   constructor(
@@ -62,9 +66,10 @@
     private readonly random: Random,
     private readonly metrics: Metrics,
     private readonly log: Log,
-    /** Returns the refusal of a request that may not be sent any more because this process stops. */
-    private readonly findStopRefusal: (deadlineAt: number) => Refusal | undefined = () => undefined,
-  ) {}
+    policies: Partial<DispatchPolicies> = {},
+  ) {
+    this.policies = { ...openPolicies, ...policies };
+  }
 
   /** Resolves with an endpoint; rejects with a `Refusal` if the request can't be served in time. */
   place(request: PlacementRequest, signal: AbortSignal): Promise<Placement<EndpointHandle>> {
@@ -72,6 +77,7 @@
     const queue = this.getQueue(request.service);
     if (request.stage !== RequestStage.callerRetry)
       this.getShares(request.service).recordArrival(request.fairnessGroups, now);
+    this.policies.demand.recordArrival(request, now);
     const candidate: Candidate = { ...request, availableCount: undefined };
     const refusal = this.findStopRefusalOf(request);
     if (refusal) return Promise.reject(refusal);
@@ -166,12 +172,13 @@
     const availableMs =
       (request.goalAt - now - responseTransitMs) * this.getGoalShare(request, now);
     const isInTime = best.expectedMs <= availableMs;
-    return stagePolicies[request.stage].accepts(request, best, isInTime, now) ? best : undefined;
+    if (!stagePolicies[request.stage].accepts(request, best, isInTime, now)) return undefined;
+    return this.policies.reserve.admits(request, best.target, now) ? best : undefined;
   }
 
   /** Returns why a request may not be sent; a begun one is sent on for as long as this process runs. */
   private findStopRefusalOf({ stage, deadlineAt }: PlacementRequest): Refusal | undefined {
-    return begunStages.has(stage) ? undefined : this.findStopRefusal(deadlineAt);
+    return begunStages.has(stage) ? undefined : this.policies.findStopRefusal(deadlineAt);
   }
 
   private getGoalShare({ service, fairnessGroups }: PlacementRequest, now: number): number {
@@ -203,6 +210,7 @@
     this.getQueue(request.service).recordServed(request.workspace, now);
     if (request.stage !== RequestStage.callerRetry)
       this.getShares(request.service).recordServed(request.fairnessGroups, now);
+    this.policies.demand.recordPlacement(request, now + expectedMs <= request.goalAt, now);
     this.metrics.observe('request_wait', now - request.arrivedAt);
     this.log.info('Request placed.', {
       id: request.id,
@@ -225,6 +233,7 @@
   private createRefusal(request: Candidate, end: WaitEnd, now: number, startAt: number): Refusal {
     const { id, service, isRetryable } = request;
     this.metrics.count('waits_ended', { cause: end });
+    this.policies.demand.recordRefusal(request, now);
     const remainingMs = Math.max(0, request.deadlineAt - now);
     const delayMs = retryDelayMs.min + this.random.next() * retryDelayMs.spread;
     const maxDelayMs = remainingMs * maxRetryDelayShare;
--- a/packages/links/src/fleetDatagrams.ts
+++ b/packages/links/src/fleetDatagrams.ts
@@ -8,6 +8,7 @@
 import type {
   CrashNews,
   Datagram,
+  DemandReport,
   EndpointLimits,
   EndpointReport,
   EntryLoad,
@@ -40,6 +41,7 @@
   load?(load: EntryLoad, from: DatagramSource): void;
   crashes?(news: CrashNews, from: DatagramSource): void;
   limits?(limits: EndpointLimits, from: DatagramSource): void;
+  demand?(report: DemandReport, from: DatagramSource): void;
 }
 
 function getReason(error: unknown): string {
@@ -165,5 +167,6 @@
     else if (content.case === 'load') this.handlers.load?.(content.value, from);
     else if (content.case === 'crashes') this.handlers.crashes?.(content.value, from);
     else if (content.case === 'limits') this.handlers.limits?.(content.value, from);
+    else if (content.case === 'demand') this.handlers.demand?.(content.value, from);
   }
 }
