Registration: renew at once when the store responds again

A renewal that failed during a partition waited for a call without a response (1 s) and a pause (1 s), and an expired lease for another pause. handleStoreResponse() ends the call or the pause once; the call that follows has its whole time, so that a slow store does not lose it. An expired lease is replaced in the same round.

--- a/packages/forwarding/src/fleet/entryRegistration.ts
+++ b/packages/forwarding/src/fleet/entryRegistration.ts
@@ -6,6 +6,10 @@
 const renewalsPerLease = 3;
 /** Delay before a failed call is retried, in milliseconds. */
 const retryDelayMs = 1_000;
+/** Time in which a call is answered whose connection is not dead, in milliseconds. */
+const overdueMs = 300;
+/** Minimum time between the starts of two calls, in milliseconds. */
+const minIntervalMs = 100;
 
 /** Keeps this entry registered in the store, so that entries know how many share fleet-wide limits. */
 export class EntryRegistration {
@@ -13,6 +17,15 @@
 
   private isWithdrawn = false;
 
+  /** Whether the last call has failed. */
+  private isFailing = false;
+
+  /** Monotonic time at which the call in progress began, in milliseconds; undefined between calls. */
+  private calledAt: number | undefined;
+
+  /** Ends the call in progress or the pause after a failed one; each once. */
+  private hastening = new AbortController();
+
   private readonly callCounter: StoreCallCounter;
 
   constructor(
@@ -29,12 +42,30 @@
 
   /** Maintains the registration until the signal is aborted. */
   async run(signal: AbortSignal): Promise<void> {
+    let wasHastened = false;
     while (!signal.aborted && !this.isWithdrawn) {
-      const delayMs = await this.renew(signal);
-      await this.clock.sleep(delayMs, signal).catch(() => undefined);
+      const hastening = new AbortController();
+      this.hastening = hastening;
+      const ended = AbortSignal.any([signal, hastening.signal]);
+      // A call that replaces another one has its whole time, as the store may be slow.
+      const callEnd: AbortSignal = wasHastened ? signal : ended;
+      const delayMs = await this.renew(callEnd);
+      wasHastened = callEnd.aborted;
+      await this.clock.sleep(minIntervalMs, signal).catch(() => undefined);
+      const pauseEnd = this.isFailing ? ended : signal;
+      await this.clock.sleep(delayMs - minIntervalMs, pauseEnd).catch(() => undefined);
     }
   }
 
+  /**
+   * Learns that the store responds, to this entry or another one. A call that has failed, or that has no response yet, is
+   * made again at once: its connection may be dead, and the lease may end before the next one is due.
+   */
+  handleStoreResponse(): void {
+    const inProgressMs = this.calledAt === undefined ? 0 : this.clock.now() - this.calledAt;
+    if (this.isFailing || inProgressMs > overdueMs) this.hastening.abort();
+  }
+
   /** Removes the registration when this entry stops taking requests. */
   async withdraw(): Promise<void> {
     const { lease } = this;
@@ -51,17 +82,32 @@
 
   /** Renews the lease, or registers again; returns the delay until the next call, in milliseconds. */
   private async renew(signal: AbortSignal): Promise<number> {
+    this.calledAt = this.clock.now();
     try {
-      if (this.lease) await this.store.renewLease(this.lease, signal);
-      else await this.register(signal);
+      if (this.lease) await this.renewLease(this.lease, signal);
+      if (!this.lease) await this.register(signal);
       this.callCounter.countSuccess(StoreCall.lease);
+      this.isFailing = false;
       return this.leaseMs / renewalsPerLease;
     } catch (error) {
+      this.isFailing = true;
+      if (signal.aborted) return minIntervalMs;
       const failure = toFailure(error);
-      if (failure instanceof NotFound) this.lease = undefined;
-      if (!signal.aborted) this.log.info('Registration not renewed.', { type: failure.type });
+      this.log.info('Registration not renewed.', { type: failure.type });
       this.callCounter.countFailure(StoreCall.lease, error);
       return retryDelayMs;
+    } finally {
+      this.calledAt = undefined;
+    }
+  }
+
+  /** Renews the lease, or forgets one that has ended. */
+  private async renewLease(lease: string, signal: AbortSignal): Promise<void> {
+    try {
+      await this.store.renewLease(lease, signal);
+    } catch (error) {
+      if (!(toFailure(error) instanceof NotFound)) throw error;
+      this.lease = undefined;
     }
   }
 
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -25,6 +25,7 @@
 export * from './feed/regionalFeed.js';
 export * from './callers/requestCounter.js';
 export * from './fleet/entryCounts.js';
+export * from './fleet/entryRegistration.js';
 export * from './peers/entryPeers.js';
 export * from './feed/transfer.js';
 export * from './feed/storeMirror.js';
