Feed server: a follower may wait for a proof

During an outage a follower got 503 at once and had to ask again, and avoided the source for 5 s. With the query provenMs the server holds the call until its content is proved no longer ago than that, and responds at once then. A call that waits for a change ends too when the proof had become old and is renewed. Calls without provenMs get the same responses as before.

--- a/packages/forwarding/src/feed/feedProtocol.ts
+++ b/packages/forwarding/src/feed/feedProtocol.ts
@@ -1,6 +1,9 @@
 import type { StoreChange } from '@laburnumstream/common';
 
-/** Path at which an entry serves the store's content to others, with the queries `after`, `epoch` and `waitMs`. */
+/**
+ * Path at which an entry serves the store's content to others, with the queries `after`, `epoch` and `waitMs`. With
+ * `provenMs` the entry waits for a proof that is no older than this at the call, in place of a change.
+ */
 export const feedPath = '/feed';
 
 /** Statuses of responses with the store's content. */
--- a/packages/forwarding/src/feed/feedServer.ts
+++ b/packages/forwarding/src/feed/feedServer.ts
@@ -96,19 +96,43 @@
     const { pathname, searchParams } = new URL(request.url ?? '/', 'http://feed');
     const after = readPosition(searchParams);
     const waitMs = Math.min(maxWaitMs, Number(searchParams.get('waitMs')));
-    if (pathname !== feedPath || !after || !(waitMs >= 0)) {
+    const provenMs = Number(searchParams.get('provenMs') ?? Infinity);
+    if (pathname !== feedPath || !after || !(waitMs >= 0) || !(provenMs >= 0)) {
       FeedServer.sendEmpty(response, FeedStatus.invalid);
       return;
     }
-    await this.waitForChange(after, waitMs, response);
+    const provenSince = calledAt - provenMs;
+    if (provenMs < Infinity) await this.waitForProof(provenSince, waitMs, response);
+    else await this.waitForChange(after, waitMs, response);
     const content = this.mirror.readAfter(after, calledAt, this.proofClock.now());
-    const isSilent = this.getSilenceMs() > maxSilenceMs;
-    if (isSilent || this.mirror.position === undefined || this.mirror.isBehind(after))
+    if (!this.isReady(provenSince) || this.mirror.isBehind(after))
       FeedServer.sendEmpty(response, FeedStatus.notReady);
     else if (!content) FeedServer.sendEmpty(response, FeedStatus.historyLost);
     else await this.send(response, after.revision, content);
   }
 
+  /** Whether others may read here: a proof that a follower has asked for counts more than the silence since. */
+  private isReady(provenSince: number): boolean {
+    if (this.mirror.position === undefined) return false;
+    if (provenSince > -Infinity) return this.mirror.isConfirmedSince(provenSince);
+    return this.getSilenceMs() <= maxSilenceMs;
+  }
+
+  /** Waits for the end of an outage: a follower that has no proof needs one more than a change. */
+  private async waitForProof(
+    provenSince: number,
+    waitMs: number,
+    response: ServerResponse,
+  ): Promise<void> {
+    const closed = new AbortController();
+    response.once('close', () => closed.abort());
+    const endAt = this.proofClock.now() + waitMs;
+    for (let leftMs = waitMs; leftMs > 0; leftMs = endAt - this.proofClock.now()) {
+      if (this.mirror.isConfirmedSince(provenSince)) return;
+      await this.changed.wait(leftMs, closed.signal);
+    }
+  }
+
   private async waitForChange(
     after: StorePosition,
     waitMs: number,
@@ -118,13 +142,17 @@
     if (!position || after.revision === 0 || this.mirror.hasChangesAfter(after)) return;
     const closed = new AbortController();
     response.once('close', () => closed.abort());
-    const endAt = this.proofClock.now() + waitMs;
-    // The wait ends when the store falls silent, so that followers find another source soon.
+    const calledAt = this.proofClock.now();
+    const endAt = calledAt + waitMs;
+    const isOld = !this.mirror.isConfirmedSince(calledAt - maxSilenceMs);
+    // The wait ends when the store falls silent, so that followers find another source soon, and with a proof that they
+    // could not have before.
     for (let leftMs = waitMs; leftMs > 0; leftMs = endAt - this.proofClock.now()) {
       const untilSilentMs = maxSilenceMs - this.getSilenceMs();
       if (untilSilentMs < 0) return;
       await this.changed.wait(Math.min(leftMs, untilSilentMs + 1), closed.signal);
-      if (this.mirror.hasChangesAfter(after)) return;
+      const isProven = isOld && this.mirror.isConfirmedSince(calledAt - maxSilenceMs);
+      if (isProven || this.mirror.hasChangesAfter(after)) return;
     }
   }
 
--- a/packages/forwarding/src/feed/storeMirror.ts
+++ b/packages/forwarding/src/feed/storeMirror.ts
@@ -94,6 +94,11 @@
     this.confirmedAt = Math.max(this.confirmedAt, calledAt);
   }
 
+  /** Whether the store has confirmed the content at a time or later. */
+  isConfirmedSince(at: number): boolean {
+    return this.confirmedAt >= at;
+  }
+
   /** Records that the store responds again after an outage. */
   recordOutage(durationMs: number, endedAt: number): void {
     this.outage = { durationMs, endedAt };
