--- a/features/support/remoteRegion.ts
+++ b/features/support/remoteRegion.ts
@@ -8,7 +8,7 @@
 import { FeedReaders } from '@laburnumstream/decisions';
 import { ForwardingEntry } from '@laburnumstream/forwarding';
 import { StoreClient, platformHeaders, storeCodec } from '@laburnumstream/platform';
-import { HistogramMetrics, SystemClock } from '@laburnumstream/runtime';
+import { SystemClock } from '@laburnumstream/runtime';
 import {
   Behaviours,
   NarrowLink,
@@ -18,6 +18,8 @@
   RelayMode,
 } from '@laburnumstream/standins';
 import { eventually } from './assertions.js';
+import { ReadableMetrics, recordEntry } from './recordedEntry.js';
+import type { EntryRecord } from './recordedEntry.js';
 import { sendRequest } from './platformCaller.js';
 import type { CallerResponse } from './platformCaller.js';
 import { platformBounds } from './platformBounds.js';
@@ -84,6 +86,7 @@
   readonly storeRelay: Relay;
   /** Monotonic times at which configurations came into force, by version. */
   readonly inForceAt: Map<number, number>;
+  readonly record: EntryRecord;
   readonly abort: AbortController;
 }
 
@@ -303,23 +306,26 @@
       bounds,
     };
     const inForceAt = new Map<number, number>();
-    const record = (message: string, fields: Readonly<Record<string, unknown>> = {}): void => {
+    const logged = (message: string, fields: Readonly<Record<string, unknown>> = {}): void => {
       if (message === 'Configuration in force.')
         inForceAt.set(Number(fields.version), performance.now());
     };
     const ignore = (): void => undefined;
     const abort = new AbortController();
+    const store = new StoreClient(settings.store.address);
+    const metrics = new ReadableMetrics();
+    const record = recordEntry(store, metrics);
     const entry = new ForwardingEntry({
       settings,
-      store: new StoreClient(settings.store.address),
+      store,
       fleetCodec: storeCodec,
       headerCodec: platformHeaders,
       clock: new SystemClock(),
       random: new SeededRandom(index),
-      metrics: new HistogramMetrics(),
-      log: () => ({ debug: ignore, info: record, warn: ignore, error: ignore }),
+      metrics,
+      log: () => ({ debug: ignore, info: logged, warn: ignore, error: ignore }),
     });
     await entry.start(abort.signal);
-    this.entries.push({ settings, storeRelay, inForceAt, abort });
+    this.entries.push({ settings, storeRelay, inForceAt, record, abort });
   }
 }
--- a/packages/decisions/src/forwarding/feedReaders.ts
+++ b/packages/decisions/src/forwarding/feedReaders.ts
@@ -6,6 +6,8 @@
 const maxReaders = 6;
 /** Time for which an entry that failed as a source is avoided, in milliseconds. */
 const avoidanceMs = 5_000;
+/** Calls without a response in a row after which an entry is avoided: one may be lost to a short stall. */
+const maxMisses = 2;
 const orderKey = 'store feed';
 
 /**
@@ -21,6 +23,9 @@
   /** Time until which an entry is avoided, by name. */
   private readonly avoidedUntil = new Map<string, number>();
 
+  /** Calls in a row that an entry has not responded to, by name. */
+  private readonly misses = new Map<string, number>();
+
   constructor(
     /** Name of this entry. */
     private readonly self: string,
@@ -37,6 +42,7 @@
     this.avoidedUntil.forEach((_until, name) => {
       if (!names.includes(name)) this.avoidedUntil.delete(name);
     });
+    this.misses.clear();
   }
 
   /** Avoids an entry that has failed as a source, so that the next in order takes its place. */
@@ -44,6 +50,36 @@
     this.avoidedUntil.set(name, now + avoidanceMs);
   }
 
+  /** Tries all entries again: what they failed by may concern this entry, too. */
+  forgetFailures(): void {
+    this.avoidedUntil.clear();
+    this.misses.clear();
+  }
+
+  /** Records whether an entry has responded to a call, if only that it has no content. */
+  recordCall(name: string, hasResponded: boolean, now: number): void {
+    const misses = hasResponded ? 0 : (this.misses.get(name) ?? 0) + 1;
+    this.misses.set(name, misses);
+    if (misses >= maxMisses) this.recordFailure(name, now);
+  }
+
+  /** Whether the entries of the region are known. */
+  get isKnown(): boolean {
+    return this.order.length > 0;
+  }
+
+  /** Whether this entry is one of those that read the store. */
+  isReader(now: number): boolean {
+    return this.isKnown && this.pickSource(now) === undefined;
+  }
+
+  /** Returns the entries that are the first to have the store's content again after an outage, without this one. */
+  pickForerunners(now: number): readonly string[] {
+    return this.getUsable(now)
+      .filter((name) => name !== this.self)
+      .slice(0, maxReadersPerRegion);
+  }
+
   /** Whether there are entries that read from others. */
   get hasFollowers(): boolean {
     return this.order.length > this.readersPerRegion;
@@ -51,9 +87,12 @@
 
   /** Returns the entry to read from, or undefined if this entry is to read the store itself. */
   pickSource(now: number): string | undefined {
-    const usable = this.order.filter((name) => (this.avoidedUntil.get(name) ?? -Infinity) <= now);
-    const readers = usable.slice(0, this.readersPerRegion);
+    const readers = this.getUsable(now).slice(0, this.readersPerRegion);
     if (readers.includes(this.self)) return undefined;
     return rendezvousOrder(this.self, readers, (name) => name)[0];
   }
+
+  private getUsable(now: number): readonly string[] {
+    return this.order.filter((name) => (this.avoidedUntil.get(name) ?? -Infinity) <= now);
+  }
 }
--- a/packages/forwarding/src/feed/feedClient.ts
+++ b/packages/forwarding/src/feed/feedClient.ts
@@ -101,6 +101,17 @@
   throw new InvalidInput('The feed is invalid.');
 }
 
+/** How another entry is read from. */
+export interface FeedQuery {
+  /** Longest wait for a change, or for a proof, in milliseconds. */
+  readonly waitMs: number;
+  /**
+   * Age of the oldest proof that is accepted, in milliseconds before the call. The other entry waits until it has one
+   * and responds at once then.
+   */
+  readonly provenMs?: number;
+}
+
 /** Reads the store's content from another entry, over one connection. */
 export class FeedClient {
   private client: Client | undefined;
@@ -109,15 +120,26 @@
   private address = '';
 
   /** Returns the changes after a position, or all values after revision 0. Throws a typed failure. */
-  async read(
+  read(
     address: string,
     after: StorePosition,
     waitMs: number,
     signal?: AbortSignal,
+  ): Promise<RelayedChanges> {
+    return this.ask(address, after, { waitMs }, signal);
+  }
+
+  /** The same with more to choose; throws `Unavailable` if the other entry has responded that it is not ready. */
+  async ask(
+    address: string,
+    after: StorePosition,
+    { waitMs, provenMs }: FeedQuery,
+    signal?: AbortSignal,
   ): Promise<RelayedChanges> {
     const client = this.connect(address);
     const query = new URLSearchParams({ after: String(after.revision), waitMs: String(waitMs) });
     if (after.epoch !== undefined) query.set('epoch', String(after.epoch));
+    if (provenMs !== undefined) query.set('provenMs', String(Math.floor(provenMs)));
     const path = `${feedPath}?${query}`;
     const limits = { firstMs: waitMs + responseGraceMs, stallMs, totalMs, maxBytes };
     try {
--- a/packages/forwarding/src/feed/regionalFeed.ts
+++ b/packages/forwarding/src/feed/regionalFeed.ts
@@ -1,4 +1,4 @@
-import { HistoryLost, NotFound, OldProof, toFailure } from '@laburnumstream/common';
+import { HistoryLost, NotFound, OldProof, Unavailable, toFailure } from '@laburnumstream/common';
 import type {
   DatedChanges,
   DatedFeed,
@@ -6,22 +6,30 @@
   FleetSettings,
   Log,
   Metrics,
-  Provenance,
   SleepAwareClock,
-  StoreChange,
   StoreFeed,
   StorePosition,
-  StoredValue,
 } from '@laburnumstream/common';
 import { FeedReaders } from '@laburnumstream/decisions';
 import type { ChangeDate } from '@laburnumstream/decisions';
+import { CallRace } from './callRace.js';
+import type { CallSeries, CallStart, RacingCall } from './callRace.js';
 import { DatedStore } from './datedStore.js';
 import { FeedSource } from './feedProtocol.js';
 import { FeedClient } from './feedClient.js';
 import type { RelayedChanges } from './feedClient.js';
+import {
+  checkRelayed,
+  maxProofAgeMs,
+  readDate,
+  toStoredValue,
+  wholeContent,
+} from './feedRequest.js';
+import type { DatedContent, FeedRead, FeedRequest } from './feedRequest.js';
 import { FeedServer } from './feedServer.js';
 import { EntryPeers } from '../peers/entryPeers.js';
 import type { FleetState } from '../fleet/fleetState.js';
+import { probeIntervalMs } from './probeInterval.js';
 import { StoreMirror } from './storeMirror.js';
 
 /** Longest wait for a change at the store of an entry that others read from, in milliseconds. */
@@ -32,30 +40,17 @@
 const fallbackWaitMs = 50;
 /** Time after which no further entry is tried, in milliseconds: one silent entry is waited for. */
 const maxAttemptsMs = 1_300;
-/** Age from which the proof of an entry that reads from others is too old, in milliseconds. */
-const maxProofAgeMs = 2_600;
+/** Wait for a change of a call that finds out whether the store responds again, in milliseconds. */
+const probeWaitMs = 10;
+/** Longest wait for another entry's proof during an outage, in milliseconds: its silence shows only after it. */
+const proofWaitMs = 250;
+/** Time between two calls to an entry that has no proof, in milliseconds. */
+const proofIntervalMs = 100;
+/** Number of other entries that are asked for a proof during an outage. */
+const forerunners = 2;
 /** Offset of the port at which the feed is served from the first port of an instance. */
 const feedPortOffset = 1;
 
-/** Revision after which a read returns the whole content. */
-const wholeContent = 0;
-
-/** Whether a position of the store is before another one. */
-function isBefore(one: StorePosition, other: StorePosition | undefined): boolean {
-  const epoch = one.epoch ?? 0;
-  const otherEpoch = other?.epoch ?? 0;
-  return epoch < otherEpoch || (epoch === otherEpoch && one.revision < (other?.revision ?? 0));
-}
-
-function toStoredValue({ key, value, revision }: StoreChange): StoredValue[] {
-  return value === undefined ? [] : [{ key, value, revision }];
-}
-
-/** Returns the date of the oldest change in a response to a call at `calledAt`. */
-function readDate({ changeAgeMs, unseenMs }: Provenance, calledAt: number): ChangeDate {
-  return { changedAt: calledAt - changeAgeMs, unseenMs };
-}
-
 /**
  * The store's content for an entry: a few entries of each region read the store, the others read from
  * those. So a link between regions carries a few copies of each change, however many entries there are.
@@ -85,6 +80,12 @@
   /** Whether the last call to the store has failed. */
   private isStoreFailing = false;
 
+  /** Whether the store can't be reached, so that whatever answers first is waited for. */
+  private isStoreAway = false;
+
+  /** Connections to the entries that are asked for a proof during an outage. */
+  private readonly proofClients = Array.from({ length: forerunners }, () => new FeedClient());
+
   /** Time since when the store owes the next part of a response; undefined once it has responded in full. */
   private silentSince: number | undefined;
 
@@ -111,21 +112,26 @@
   /** Serves the content to other entries until the signal fires. */
   listen(signal: AbortSignal): Promise<void> {
     const { host, firstPort } = this.settings;
-    signal.addEventListener('abort', () => this.client.close());
+    const clients = [this.client, ...this.proofClients];
+    signal.addEventListener('abort', () => clients.forEach((client) => client.close()));
     return this.server.listen(host, firstPort + feedPortOffset, signal);
   }
 
   async snapshot(prefix: string, signal?: AbortSignal): Promise<DatedSnapshot> {
     const startedAt = this.proofClock.now();
-    const after = { revision: wholeContent, epoch: this.mirror.position?.epoch };
-    const relayed = await this.readFromEntries(after, 0, startedAt, signal);
-    if (relayed) return { ...relayed, values: relayed.changes.flatMap(toStoredValue) };
-    return this.readStore(
+    const request: FeedRead<DatedSnapshot> = {
+      kind: 'snapshot',
+      after: { revision: wholeContent, epoch: this.mirror.position?.epoch },
+      readStore: (_waitMs, call) =>
+        this.store.snapshot(prefix, call.signal, call.onProgress, call.claim),
+      apply: (content, date) => this.mirror.applySnapshot(content, date),
+      toContent: (relayed) => ({ ...relayed, values: relayed.changes.flatMap(toStoredValue) }),
       startedAt,
-      (onProgress) => this.store.snapshot(prefix, signal, onProgress),
-      (content, date) => this.mirror.applySnapshot(content, date),
       signal,
-    );
+    };
+    if (this.isStoreAway) return this.readFirst(request);
+    const relayed = await this.readFromEntries(request, 0);
+    return relayed ? request.toContent(relayed) : this.readDirectly(request, 0);
   }
 
   async changes(
@@ -135,18 +141,24 @@
     signal?: AbortSignal,
   ): Promise<DatedChanges> {
     const startedAt = this.proofClock.now();
-    const isReader = this.pickSource() === undefined;
-    const entriesWaitMs = Math.min(waitMs, entryWaitMs);
-    const relayed = await this.readFromEntries(after, entriesWaitMs, startedAt, signal);
-    if (relayed) return relayed;
-    const maxWaitMs = isReader ? this.getReaderWaitMs(waitMs) : fallbackWaitMs;
-    const storeWaitMs = Math.min(waitMs, maxWaitMs);
-    return this.readStore(
+    const request: FeedRead<DatedChanges> = {
+      kind: 'changes',
+      after,
+      readStore: (ms, call) =>
+        this.store.changes(prefix, after, ms, call.signal, call.onProgress, call.claim),
+      apply: (content, date) => this.mirror.applyChanges(content, date),
+      toContent: (relayed) => relayed,
       startedAt,
-      (onProgress) => this.store.changes(prefix, after, storeWaitMs, signal, onProgress),
-      (content, date) => this.mirror.applyChanges(content, date),
       signal,
-    );
+    };
+    if (this.isStoreAway) return this.readFirst(request);
+    const isReader = this.pickSource() === undefined;
+    const relayed = await this.readFromEntries(request, Math.min(waitMs, entryWaitMs));
+    if (relayed) return relayed;
+    if (isReader) return this.readDirectly(request, this.getReaderWaitMs(waitMs));
+    // While the store does not respond, others may hear from it first.
+    const fallbackMs = Math.min(waitMs, fallbackWaitMs);
+    return this.readDirectly(request, fallbackMs, this.createProofSeries(request));
   }
 
   /** Time for which the store owes the next part of a response, in milliseconds. */
@@ -161,15 +173,13 @@
 
   /** Tries other entries for up to `maxAttemptsMs`; returns undefined if none can be read from. */
   private async readFromEntries(
-    after: StorePosition,
+    request: FeedRequest,
     waitMs: number,
-    startedAt: number,
-    signal?: AbortSignal,
   ): Promise<RelayedChanges | undefined> {
     let source = this.pickSource();
     let sourceWaitMs = waitMs;
-    while (source !== undefined && this.proofClock.now() - startedAt < maxAttemptsMs) {
-      const relayed = await this.readEntry(source, after, sourceWaitMs, startedAt, signal);
+    while (source !== undefined && this.proofClock.now() - request.startedAt < maxAttemptsMs) {
+      const relayed = await this.readEntry(source, request, sourceWaitMs);
       if (relayed) return relayed;
       source = this.pickSource();
       sourceWaitMs = Math.min(waitMs, fallbackWaitMs);
@@ -187,33 +197,19 @@
     return this.readers.pickSource(this.proofClock.now());
   }
 
-  /**
-   * Reads from another entry; returns undefined if it can't be reached or has nothing recent. The age of the changes
-   * is that at `startedAt`, as other entries may have been tried before.
-   */
+  /** Reads from another entry; returns undefined if it can't be reached or has nothing recent. */
   private async readEntry(
     source: string,
-    after: StorePosition,
+    request: FeedRequest,
     waitMs: number,
-    startedAt: number,
-    signal?: AbortSignal,
   ): Promise<RelayedChanges | undefined> {
+    const { after, signal } = request;
     const calledAt = this.proofClock.now();
     try {
       const address = this.getFeedAddress(source);
       const relayed = await this.client.read(address, after, waitMs, signal);
-      const { proofAgeMs } = relayed.provenance;
-      const isWhole = after.revision === wholeContent;
-      if (!isWhole && relayed.epoch !== after.epoch) throw new HistoryLost(address);
-      if (
-        (!relayed.isFromReader && proofAgeMs > maxProofAgeMs) ||
-        (isWhole && isBefore(relayed, this.mirror.position))
-      )
-        throw new OldProof(address, proofAgeMs);
-      const { changedAt, unseenMs } = this.dateRelayed(after, relayed, calledAt);
-      this.applyRelayed(after, relayed, calledAt);
-      const changeAgeMs = startedAt - changedAt;
-      return { ...relayed, provenance: { ...relayed.provenance, changeAgeMs, unseenMs } };
+      checkRelayed(relayed, after, this.mirror.position, address);
+      return this.takeRelayed(relayed, request, calledAt);
     } catch (error) {
       if (signal?.aborted || error instanceof HistoryLost) throw error;
       this.readers.recordFailure(source, this.proofClock.now());
@@ -223,6 +219,50 @@
     }
   }
 
+  /** Applies the response to a call at `calledAt`; returns it with ages at the start of the request. */
+  private takeRelayed(
+    relayed: RelayedChanges,
+    { after, startedAt }: FeedRequest,
+    calledAt: number,
+  ): RelayedChanges {
+    const { changedAt, unseenMs } = this.dateRelayed(after, relayed, calledAt);
+    this.applyRelayed(after, relayed, calledAt);
+    const { provenance } = relayed;
+    const changeAgeMs = startedAt - changedAt;
+    const proofAgeMs = startedAt - (calledAt - provenance.proofAgeMs);
+    return { ...relayed, provenance: { ...provenance, proofAgeMs, changeAgeMs, unseenMs } };
+  }
+
+  /** Asks an entry that is one of the first to read the store again for a proof newer than the last response. */
+  private async readProof<Content>(
+    index: number,
+    request: FeedRead<Content>,
+    call: RacingCall,
+  ): Promise<Content> {
+    const calledAt = this.proofClock.now();
+    const source = this.readers.pickForerunners(calledAt)[index];
+    if (source === undefined) throw new NotFound('No other entry can be asked.');
+    const provenMs = Math.min(maxProofAgeMs, calledAt - (this.respondedAt ?? -Infinity));
+    try {
+      const address = this.getFeedAddress(source);
+      const { after } = request;
+      const query = { waitMs: proofWaitMs, provenMs };
+      const relayed = await this.proofClients[index]!.ask(address, after, query, call.signal);
+      checkRelayed(relayed, after, this.mirror.position, address);
+      const { proofAgeMs } = relayed.provenance;
+      if (proofAgeMs > provenMs) throw new OldProof(address, proofAgeMs);
+      call.claim();
+      return request.toContent(this.takeRelayed(relayed, request, calledAt));
+    } catch (error) {
+      const hasResponded = [Unavailable, OldProof, HistoryLost].some(
+        (type) => error instanceof type,
+      );
+      if (!call.signal.aborted)
+        this.readers.recordCall(source, hasResponded, this.proofClock.now());
+      throw error;
+    }
+  }
+
   private getFeedAddress(source: string): string {
     const location = this.state.entryLocations.get(source);
     if (!location) throw new NotFound(`The entry ${source} is not registered.`);
@@ -260,41 +300,99 @@
     this.handleResponse(FeedSource.entry, now);
   }
 
-  /** Reads from the store and passes the date of the oldest change to `apply`; the ages are those at `startedAt`. */
-  private async readStore<Content extends DatedSnapshot | DatedChanges>(
-    startedAt: number,
-    read: (onProgress: () => void) => Promise<Content>,
-    apply: (content: Content, date: ChangeDate) => void,
-    signal?: AbortSignal,
+  /** Reads from the store, or from what responds first. */
+  private readDirectly<Content extends DatedContent>(
+    request: FeedRead<Content>,
+    waitMs: number,
+    others: readonly CallSeries<Content>[] = [],
   ): Promise<Content> {
-    const calledAt = this.proofClock.now();
-    const recordProgress = (): void => {
-      this.silentSince = this.proofClock.now();
+    return this.race(request, others, (call) => this.readStore(request, waitMs, call));
+  }
+
+  /** Returns what comes first after the store has failed: its response, or that of an entry that has read from it. */
+  private readFirst<Content extends DatedContent>(request: FeedRead<Content>): Promise<Content> {
+    const fromStore: CallSeries<Content> = {
+      getIntervalMs: () => {
+        const isCutOff = this.source === FeedSource.entry;
+        return probeIntervalMs(this.readers, request.kind, isCutOff, this.proofClock.now());
+      },
+      overlaps: true,
+      start: async (call) => {
+        await this.store.ping(call.signal);
+        // The other calls end: of a large response only one copy may be on its way.
+        call.onProgress();
+        return this.readStore(request, probeWaitMs, call);
+      },
     };
+    return this.race(request, [fromStore, ...this.createProofSeries(request)]);
+  }
+
+  /** Returns calls to the entries that are the first to have the content again. */
+  private createProofSeries<Content>(request: FeedRead<Content>): CallSeries<Content>[] {
+    return this.proofClients.map((_client, index) => ({
+      getIntervalMs: () => proofIntervalMs,
+      overlaps: false,
+      start: (call: RacingCall) => this.readProof(index, request, call),
+    }));
+  }
+
+  private async race<Content extends DatedContent>(
+    { signal }: FeedRead<Content>,
+    series: readonly CallSeries<Content>[],
+    first?: CallStart<Content>,
+  ): Promise<Content> {
     try {
-      this.silentSince ??= calledAt;
-      const content = await read(recordProgress);
-      const now = this.proofClock.now();
-      const { provenance } = content;
-      const date = readDate(provenance, calledAt);
-      apply(content, date);
-      this.mirror.confirm(calledAt);
-      if (this.isStoreFailing) this.mirror.recordOutage(now - (this.respondedAt ?? now), now);
-      this.handleResponse(FeedSource.store, now);
-      return { ...content, provenance: { ...provenance, changeAgeMs: startedAt - date.changedAt } };
+      return await new CallRace<Content>(signal).run(series, first);
     } catch (error) {
       if (signal?.aborted) this.silentSince = undefined;
-      else this.isStoreFailing = true;
+      else this.handleFailure(error);
       throw error;
     }
   }
 
+  /** Reads from the store and applies the response; its ages are those at the start of the request. */
+  private async readStore<Content extends DatedContent>(
+    { readStore, apply, startedAt }: FeedRead<Content>,
+    waitMs: number,
+    call: RacingCall,
+  ): Promise<Content> {
+    const calledAt = this.proofClock.now();
+    const onProgress = (): void => {
+      this.silentSince = this.proofClock.now();
+      call.onProgress();
+    };
+    this.silentSince ??= calledAt;
+    const content = await readStore(waitMs, { ...call, onProgress });
+    const now = this.proofClock.now();
+    const date = readDate(content.provenance, calledAt);
+    apply(content, date);
+    this.mirror.confirm(calledAt);
+    if (this.isStoreFailing) this.mirror.recordOutage(now - (this.respondedAt ?? now), now);
+    this.handleResponse(FeedSource.store, now);
+    const ages = { proofAgeMs: startedAt - calledAt, changeAgeMs: startedAt - date.changedAt };
+    return { ...content, provenance: { ...content.provenance, ...ages } };
+  }
+
+  private handleFailure(error: unknown): void {
+    this.isStoreFailing = true;
+    const isAway = !(error instanceof HistoryLost);
+    // What failed when the store did is tried again, as it may have failed for the same reason.
+    if (isAway && !this.isStoreAway) this.readers.forgetFailures();
+    this.isStoreAway = isAway;
+  }
+
   private handleResponse(source: FeedSource, now: number): void {
     this.source = source;
     this.respondedAt = now;
     this.isStoreFailing = false;
-    this.silentSince = undefined;
     this.metrics.count('feed_reads', { source });
+    // A reader that the store does not respond to is no source for others, which may be those that it reads from.
+    const isCutOff = source === FeedSource.entry && this.isStoreAway && this.readers.isReader(now);
+    if (!isCutOff) {
+      this.isStoreAway = false;
+      this.silentSince = undefined;
+      this.proofClients.forEach((client) => client.close());
+    }
     this.server.notifyChange();
   }
 }
--- a/packages/forwarding/src/fleet/fleetWatcher.ts
+++ b/packages/forwarding/src/fleet/fleetWatcher.ts
@@ -228,7 +228,7 @@
     const now = this.clock.now();
     if (!this.isReachable) this.deferredRemovals.storeRecovered(now - this.lastResponseAt, now);
     if (outage) this.recordOutage(outage, now);
-    this.lastResponseAt = now - proofAgeMs;
+    this.lastResponseAt = now - Math.max(0, proofAgeMs);
   }
 
   /**
