--- a/packages/decisions/src/forwarding/reportInterval.ts
+++ b/packages/decisions/src/forwarding/reportInterval.ts
@@ -3,6 +3,8 @@
   readonly entries: number;
   /** Whether it is the agent's own region. */
   readonly isLocal: boolean;
+  /** Whether the region lacks places of its own and depends on those of other regions. */
+  readonly isReliant?: boolean;
 }
 
 interface IntervalScale {
@@ -14,11 +16,14 @@
 
 const local: IntervalScale = { minMs: 150, perEntryMs: 10 };
 const remote: IntervalScale = { minMs: 450, perEntryMs: 12 };
+/** Only a region without enough places of its own is worth more bytes between regions. */
+const reliant: IntervalScale = { minMs: 200, perEntryMs: 12 };
 /** Maximum time between two reports: with a longer one, reports would become stale. */
 const maxMs = 700;
 
 /** Interval of an agent's reports to each entry of a region, in milliseconds. */
-export function reportIntervalMs({ entries, isLocal }: ReportReceivers): number {
-  const { minMs, perEntryMs } = isLocal ? local : remote;
+export function reportIntervalMs({ entries, isLocal, isReliant }: ReportReceivers): number {
+  const ofOthers = isReliant ? reliant : remote;
+  const { minMs, perEntryMs } = isLocal ? local : ofOthers;
   return Math.min(maxMs, Math.max(minMs, entries * perEntryMs));
 }
