Exchange windows, held tokens and lost weights of engines

The load datagram of an entry carries the window and the held tokens of its own load where these are known, and engines that a response has shown to hold no weights. A receiver applies the latter at once, and a repetition only if the agent of the engine has not reported since it was said first. The broadcast also keeps the number of requests of the region by engine, for the division between regions.

--- a/packages/decisions/src/forwarding/peerLoads.ts
+++ b/packages/decisions/src/forwarding/peerLoads.ts
@@ -3,6 +3,10 @@
   readonly requests: number;
   /** Prefill time of its unprocessed prompts, in milliseconds. */
   readonly unreadMs: number;
+  /** Tokens of its key-value cache that they hold and may still need. */
+  readonly heldTokens?: number | undefined;
+  /** Concurrent requests that the endpoint can take as the entry has found; undefined without a limit. */
+  readonly window?: number | undefined;
 }
 
 interface ReceivedLoad extends PeerLoad {
--- a/packages/forwarding/src/peers/loadBroadcast.ts
+++ b/packages/forwarding/src/peers/loadBroadcast.ts
@@ -1,15 +1,31 @@
 import type { Clock } from '@laburnumstream/common';
+import { PeerLoads } from '@laburnumstream/decisions';
+import type { PeerLoad } from '@laburnumstream/decisions';
 import { toDatagramNumber } from '@laburnumstream/links';
-import type { FleetDatagrams } from '@laburnumstream/links';
+import type { DatagramContent, FleetDatagrams } from '@laburnumstream/links';
 import type { EntryLoad } from '@laburnumstream/protocol';
 import type { EndpointDirectory } from '../endpoints/endpointDirectory.js';
 import type { EndpointHandle } from '../endpoints/endpointHandle.js';
 import type { EntryPeers } from './entryPeers.js';
+import { WeightLossReports } from './weightLossReports.js';
+
+type Share = NonNullable<Extract<DatagramContent, { case: 'load' }>['value']['shares']>[number];
+
+/** An engine of which a response may have shown that it holds no weights. */
+interface WeightLoss {
+  /** Monotonic time since when that is known, in milliseconds. */
+  readonly missingWeightsSince?: number | undefined;
+}
 
 /** Time in which changes are batched, for each group of peers, in milliseconds. */
 const batchMsPerGroup = 5;
 const peersPerGroup = 4;
 
+/** Whether a response of the engine has shown that it holds no weights, and no report has said otherwise. */
+function lacksWeights(handle: EndpointHandle & WeightLoss): boolean {
+  return handle.reportedVersion === 0 && handle.missingWeightsSince !== undefined;
+}
+
 /**
  * Broadcasts this entry's load at the region's engines to the other entries of the region and receives
  * theirs. Reports of the engines are too old to keep entries from filling the same slots.
@@ -17,6 +33,11 @@
 export class LoadBroadcast {
   private timer: NodeJS.Timeout | undefined;
 
+  private readonly weightLosses = new WeightLossReports();
+
+  /** Loads of the other entries by engine, for as long as it is registered. */
+  private readonly peerLoads = new WeakMap<EndpointHandle, PeerLoads>();
+
   constructor(
     private readonly peers: EntryPeers,
     private readonly directory: EndpointDirectory,
@@ -29,6 +50,12 @@
     if (LoadBroadcast.isShared(handle)) this.schedule();
   }
 
+  /** Requests of this entry and of those of its region at an engine of the region. */
+  countRequests(handle: EndpointHandle): number {
+    const others = this.peerLoads.get(handle)?.requests(this.clock.now()) ?? 0;
+    return handle.load.ownRequests + others;
+  }
+
   /**
    * Schedules a broadcast that batches further changes. The delay grows with the number of peers, so that
    * the rate of datagrams does not.
@@ -47,11 +74,8 @@
     const { regionHosts } = this.peers;
     if (regionHosts.length === 0) return;
     const shares = this.engines
-      .filter(({ load }) => load.ownRequests > 0)
-      .map(({ endpoint, load }) => {
-        const { requests, unreadMs } = load.ownLoad;
-        return { address: endpoint.address, requests, unreadMs: toDatagramNumber(unreadMs) };
-      });
+      .filter((handle) => handle.load.ownRequests > 0 || lacksWeights(handle))
+      .map((handle) => LoadBroadcast.createShare(handle));
     this.datagrams.sendAll({ case: 'load', value: { shares } }, regionHosts);
   }
 
@@ -59,10 +83,32 @@
   receive({ shares }: EntryLoad, sender: string): void {
     const now = this.clock.now();
     const reported = new Map(shares.map((share) => [share.address, share]));
-    this.engines.forEach(({ endpoint, load }) => {
-      const { requests = 0, unreadMs = 0 } = reported.get(endpoint.address) ?? {};
-      load.updatePeer(sender, { requests, unreadMs }, now);
+    const { engines } = this;
+    engines.forEach((handle) => {
+      const share = reported.get(handle.endpoint.address);
+      const { requests = 0, unreadMs = 0, heldTokens = 0, window } = share ?? {};
+      const load: PeerLoad = { requests, unreadMs, heldTokens, window };
+      handle.load.updatePeer(sender, load, now);
+      const peerLoads = this.peerLoads.get(handle) ?? new PeerLoads();
+      peerLoads.update(sender, load, now);
+      this.peerLoads.set(handle, peerLoads);
     });
+    const empty = engines.filter(
+      ({ endpoint }) => reported.get(endpoint.address)?.lacksWeights ?? false,
+    );
+    this.weightLosses.receive(sender, empty, now);
+  }
+
+  private static createShare(handle: EndpointHandle): Share {
+    const { requests, unreadMs, heldTokens = 0, window } = handle.load.ownLoad;
+    const share = {
+      address: handle.endpoint.address,
+      requests,
+      unreadMs: toDatagramNumber(unreadMs),
+      heldTokens: toDatagramNumber(heldTokens),
+      lacksWeights: lacksWeights(handle),
+    };
+    return window === undefined ? share : { ...share, window: toDatagramNumber(window) };
   }
 
   /** Entries tell each other their loads at the engines of their own region. */
--- /dev/null
+++ b/packages/forwarding/src/peers/weightLossReports.ts
@@ -0,0 +1,39 @@
+import type { EndpointHandle } from '../endpoints/endpointHandle.js';
+
+/** Time without a load of a sender after which its reports are forgotten, in milliseconds. */
+const forgetMs = 5_000;
+
+/** What one entry has last said of engines without weights. */
+interface SenderReports {
+  /** Monotonic times of the first of the uninterrupted reports on each engine, by address. */
+  readonly since: ReadonlyMap<string, number>;
+  readonly at: number;
+}
+
+/** Applies what other entries have seen of engines that hold no weights, until the agents say otherwise. */
+export class WeightLossReports {
+  private readonly senders = new Map<string, SenderReports>();
+
+  /** Applies the engines that a sender lists; it repeats them for as long as it knows no better. */
+  receive(sender: string, engines: readonly EndpointHandle[], now: number): void {
+    this.forgetSilent(now);
+    const before = this.senders.get(sender)?.since;
+    const since = new Map(
+      engines.map(({ endpoint: { address } }) => [address, before?.get(address) ?? now]),
+    );
+    if (since.size > 0) this.senders.set(sender, { since, at: now });
+    else this.senders.delete(sender);
+    engines.forEach((handle) => {
+      const firstAt = since.get(handle.endpoint.address)!;
+      const reportedAt = now - handle.load.reportAgeMs(now);
+      // A repetition is out of date if the agent has reported since it was said first.
+      if (firstAt === now || reportedAt < firstAt) Object.assign(handle, { reportedVersion: 0 });
+    });
+  }
+
+  private forgetSilent(now: number): void {
+    this.senders.forEach(({ at }, sender) => {
+      if (now - at >= forgetMs) this.senders.delete(sender);
+    });
+  }
+}
