Exchange demand between entries and adapt reserves and room to it

Reserves and the division of room follow. Agents elsewhere report more often to a region that lacks most of its places.

--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -18,6 +18,8 @@
 export * from './forwardingEntry.js';
 export * from './callers/headerCodec.js';
 export * from './callers/heads.js';
+export * from './peers/demandControl.js';
+export * from './peers/demandExchange.js';
 export * from './peers/loadBroadcast.js';
 export * from './fleet/fleetWatcher.js';
 export * from './fleet/fleetState.js';
--- a/packages/forwarding/src/peers/agentLinks.ts
+++ b/packages/forwarding/src/peers/agentLinks.ts
@@ -3,6 +3,8 @@
 import type { DatagramHandlers } from '@laburnumstream/links';
 import type { EndpointReport } from '@laburnumstream/protocol';
 import { AgentUpdates } from './agentUpdates.js';
+import type { DemandControl } from './demandControl.js';
+import type { DemandExchange } from './demandExchange.js';
 import { CrashExchange } from '../crashes/crashExchange.js';
 import type { CrashGuard } from '../crashes/crashGuard.js';
 import type { EndpointDirectory } from '../endpoints/endpointDirectory.js';
@@ -32,6 +34,8 @@
 
   private readonly limitExchange: LimitExchange;
 
+  private readonly demandExchange: DemandExchange | undefined;
+
   private readonly updates: AgentUpdates;
 
   private timer: NodeJS.Timeout | undefined;
@@ -47,6 +51,7 @@
     private readonly log: Log,
     /** Called after each report, which may have freed capacity at the endpoint. */
     private readonly onReport: (endpoint: EndpointHandle) => void,
+    private readonly demand?: DemandControl,
   ) {
     const handlers: DatagramHandlers = {
       report: (report) => this.handleReport(report),
@@ -54,6 +59,7 @@
       limits: (limits, { sender }) =>
         this.limitExchange.receive(limits, sender).forEach((handle) => this.onReport(handle)),
       crashes: (update, { host }) => this.crashExchange.receive(update, host),
+      demand: (report, from) => this.demandExchange?.receive(report, from),
     };
     this.datagrams = new FleetDatagrams(settings.instance, handlers, clock, metrics, log);
     this.peers = new EntryPeers(settings, state);
@@ -65,7 +71,9 @@
       this.datagrams,
       clock,
       random,
+      (service) => demand?.room.isReliant(service) ?? false,
     );
+    this.demandExchange = demand?.createExchange(this.peers, this.datagrams, metrics);
     this.loadBroadcast = new LoadBroadcast(this.peers, directory, this.datagrams, clock);
     this.limitExchange = new LimitExchange(this.peers, directory, this.datagrams, clock, log);
     this.crashExchange = new CrashExchange(this.peers, guard, this.datagrams);
@@ -73,6 +81,7 @@
 
   async run(signal: AbortSignal): Promise<void> {
     await this.datagrams.bind(this.settings.host, this.settings.firstPort, signal);
+    void this.demandExchange?.run(signal);
     while (!signal.aborted) {
       this.updates.sendRegular();
       this.loadBroadcast.send();
@@ -109,7 +118,9 @@
       return;
     const now = this.clock.now();
     const { running, waiting, pacePermille, version, isSwitching, isAnswering } = report;
-    const sharers = this.directory.getCapacitySharers(handle.region);
+    const sharers =
+      this.demand?.room.getSharers(handle, this.loadBroadcast.countRequests(handle)) ??
+      this.directory.getCapacitySharers(handle.region);
     const load = { running, waiting, slowdown: pacePermille / permille };
     handle.recordSignOfLife(now - report.answeredMsAgo);
     handle.applyLoadReport(load, sharers, this.random, now);
--- a/packages/forwarding/src/peers/agentUpdates.ts
+++ b/packages/forwarding/src/peers/agentUpdates.ts
@@ -59,6 +59,9 @@
   /** Number of rounds of regular updates. */
   private round = 0;
 
+  /** Services whose agents elsewhere have been asked to report more often, as this region depends on them. */
+  private reliantServices: ReadonlySet<string> = new Set();
+
   constructor(
     private readonly settings: FleetSettings,
     private readonly state: FleetState,
@@ -67,6 +70,8 @@
     private readonly datagrams: Pick<FleetDatagrams, 'sendAll'>,
     private readonly clock: Clock,
     private readonly random: Random,
+    /** Whether this entry's region depends on the endpoints of other regions for a service. */
+    private readonly isReliant: (service: string) => boolean = () => false,
   ) {
     this.notifiers = new NotifierSelection(settings.instance);
   }
@@ -74,12 +79,20 @@
   /**
    * Sends the regular update to a part of the agents, so that each gets one every few rounds. A version
    * that was named lately is repeated in each round, as agents must learn of it in time, and so is the
-   * update of an agent that no longer reports.
+   * update of an agent that no longer reports, or that is to report at another interval.
    */
   sendRegular(): void {
     this.round += 1;
     const { versionMs } = this.settings.bounds;
-    this.send((handle, weights) => this.isDue(handle) || getAgeMs(weights) <= versionMs);
+    const before = this.reliantServices;
+    const services = [...this.directory.all].map(({ endpoint }) => endpoint.service);
+    this.reliantServices = new Set(services.filter((service) => this.isReliant(service)));
+    const hasNewInterval = ({ isLocal, endpoint: { service } }: EndpointHandle): boolean =>
+      !isLocal && before.has(service) !== this.reliantServices.has(service);
+    this.send(
+      (handle, weights) =>
+        this.isDue(handle) || hasNewInterval(handle) || getAgeMs(weights) <= versionMs,
+    );
   }
 
   /** Sends updates after a change of the fleet: to new agents, and to others if their weights changed. */
@@ -188,9 +201,10 @@
     this.notifiers.setEntries(this.peers.regionNames);
   }
 
-  private getReportIntervalMs({ isLocal, region }: EndpointHandle): number {
+  private getReportIntervalMs({ isLocal, region, endpoint }: EndpointHandle): number {
     const { local, remote } = this.directory.getCapacitySharers(region);
-    return reportIntervalMs({ entries: isLocal ? local : remote, isLocal });
+    const isReliant = this.reliantServices.has(endpoint.service);
+    return reportIntervalMs({ entries: isLocal ? local : remote, isLocal, isReliant });
   }
 
   /**
