--- a/packages/forwarding/src/forwardingEntry.ts
+++ b/packages/forwarding/src/forwardingEntry.ts
@@ -31,6 +31,7 @@
 import { serveReadiness } from './callers/readiness.js';
 import { EntryCounts } from './fleet/entryCounts.js';
 import { AgentLinks } from './peers/agentLinks.js';
+import { DemandControl } from './peers/demandControl.js';
 import { RegionalFeed } from './feed/regionalFeed.js';
 import { responseMemoryWithin } from './endpoints/responseBounds.js';
 import { BufferedForwarder } from './attempts/bufferedForwarder.js';
@@ -142,18 +143,21 @@
       metrics,
       log('crashes'),
     );
-    this.gate = new StopGate(clock, random);
-    this.queue = new DispatchQueue(
+    const demand = new DemandControl(
+      settings,
+      this.state,
       this.directory,
+      this.adaptive,
       clock,
-      random,
-      metrics,
-      log('line'),
-      {
-        findStopRefusal: (deadlineAt) => this.gate.findRefusal(deadlineAt),
-        isAdaptive: (service) => this.adaptive.has(service),
-      },
+      log('demand'),
     );
+    this.gate = new StopGate(clock, random);
+    this.queue = new DispatchQueue(this.directory, clock, random, metrics, log('line'), {
+      findStopRefusal: (deadlineAt) => this.gate.findRefusal(deadlineAt),
+      isAdaptive: (service) => this.adaptive.has(service),
+      demand: demand.admission,
+      reserve: demand.admission,
+    });
     this.agents = new AgentLinks(
       settings,
       this.state,
@@ -167,6 +171,7 @@
         this.waitingCalls.refreshAt(handle);
         this.queue.dispatch(handle.endpoint.service, handle);
       },
+      demand,
     );
     this.registration = new EntryRegistration(
       store,
@@ -227,7 +232,7 @@
     const { state, directory, queue, callers } = this;
     const { budget, memory } = services;
     const parts = { state, directory, queue, callers, budget, memory, freshness, guard, clock };
-    metrics.registerGauges(() => entryGauges(parts));
+    metrics.registerGauges(() => [...entryGauges(parts), ...demand.gauges()]);
   }
 
   /** Starts serving; resolves when all servers are listening. */
