Decode the pace that an endpoint states with its load

Cause: the fourth figure of Laburnumstream-Engine-Load, the pace of the instance in percent, was dropped where headers are decoded, so a slow endpoint was chosen as if it were fast. Change: it is decoded as a factor on the usual time.

--- a/packages/forwarding/src/callers/heads.ts
+++ b/packages/forwarding/src/callers/heads.ts
@@ -21,6 +21,10 @@
   readonly running: number;
   readonly waiting: number;
   readonly slots: number;
+  /** How long work takes on its instance now, as a factor on the usual time; absent if not stated. */
+  readonly pace?: number;
+  /** Whether it states a pace that is not a valid one. */
+  readonly isPaceUnreadable?: boolean;
 }
 
 /** Kinds of what an endpoint says of itself. */
