Use the pace, the learned service time, a window and the memory of endpoints

Cause: the estimate of an endpoint's time knew only the agent's slowdown and 20 ms for each plain service; an endpoint that had just started or recovered was filled at once; nothing kept requests within an engine's key-value cache; a cold endpoint used a third of its rate, as entries of its region are a third of all. Change: EndpointPace (last statement, aged towards a mean), ServiceTime (learned from answers), ConcurrencyWindow (slow start, AIMD on latency and failures, followed by the entries of a region) affect only adaptive services. EngineMemory counts held tokens of own and peers' requests; the estimate is infinite where a request does not fit. ColdRateShare splits the allowed rate between the entries of the region and the others; it takes effect once EndpointDirectory passes the bounds to EndpointCapacity. SharedRateLimiter sends the fraction of a share only in a short slot of its period, so that a flood after a quiet time is not sent by all at once.

--- a/packages/decisions/src/forwarding/endpointHealth.ts
+++ b/packages/decisions/src/forwarding/endpointHealth.ts
@@ -21,6 +21,9 @@
   [AttemptOutcome.failed]: (health, now) => health.recordFailure(now),
 };
 
+/** Is told of an outcome, and whether the endpoint had been ejected for failures until then. */
+export type OutcomeObserver = (outcome: AttemptOutcome, wasEjected: boolean, now: number) => void;
+
 /** Weight of each outcome in the failure rate. */
 const failureWeights: Readonly<Record<AttemptOutcome, number>> = {
   [AttemptOutcome.responded]: 0,
@@ -71,11 +74,20 @@
 
   private ejectedUntil = -Infinity;
 
+  private observer: OutcomeObserver | undefined;
+
+  /** Tells an observer of each outcome from now on, instead of the one before. */
+  observe(observer: OutcomeObserver): void {
+    this.observer = observer;
+  }
+
   recordAttempt(outcome: AttemptOutcome, now: number): void {
     this.decay(now);
     this.attempts += 1;
     this.failures += failureWeights[outcome];
+    const wasEjected = this.consecutiveFailures >= ejectionThreshold;
     handlers[outcome](this, now);
+    this.observer?.(outcome, wasEjected, now);
   }
 
   recordSuccess(): void {
--- a/packages/decisions/src/forwarding/endpointLoad.ts
+++ b/packages/decisions/src/forwarding/endpointLoad.ts
@@ -1,3 +1,5 @@
+import { ConcurrencyWindow } from './concurrencyWindow.js';
+import { PeerHoldings } from './peerHoldings.js';
 import { PeerLoads } from './peerLoads.js';
 import type { PeerLoad } from './peerLoads.js';
 
@@ -9,6 +11,20 @@
   readonly slowdown: number;
 }
 
+/** Load of an entry at an endpoint, as the entries of a region tell each other. */
+export interface SharedLoad extends PeerLoad {
+  /** Tokens of the key-value cache that its requests hold and may still need. */
+  readonly heldTokens?: number | undefined;
+  /** Concurrent requests that the endpoint can take; undefined while this does not limit the entry. */
+  readonly window?: number | undefined;
+}
+
+/** A placed request that has not been sent yet. */
+interface PlacedRequest {
+  readonly prefillMs: number;
+  readonly heldTokens: number | undefined;
+}
+
 /** Limits on the concurrent requests at an endpoint. */
 export interface LoadLimits {
   readonly slots: number;
@@ -39,8 +55,13 @@
   /** Own requests sent since the last report. */
   private startedSinceReport = 0;
 
-  /** Prefill times of placed requests that have not been sent yet, in milliseconds. */
-  private readonly placed: number[] = [];
+  /** Tokens that own requests hold and may still need. */
+  private ownHeldTokens = 0;
+
+  private readonly placed: PlacedRequest[] = [];
+
+  /** Concurrent requests that the endpoint can take, as entries of the region have found. */
+  readonly window: ConcurrencyWindow;
 
   private allowance = Infinity;
 
@@ -48,12 +69,18 @@
 
   private readonly peerLoads = new PeerLoads();
 
+  private readonly peerHoldings = new PeerHoldings();
+
   constructor(
     /** Number of other entries that send to the endpoint. */
     private readonly peerCount: () => number,
     /** Whether the endpoint is in this entry's region, where entries share their loads. */
     private readonly isLocal: boolean,
-  ) {}
+    /** Most requests that the endpoint can hold. */
+    getMax: () => number = () => Infinity,
+  ) {
+    this.window = new ConcurrencyWindow(getMax);
+  }
 
   /**
    * Applies a report. `ownAtReport` is the number of this entry's requests at the time of the report,
@@ -78,12 +105,13 @@
   /**
    * Requests at the endpoint, running and waiting. Entries see the same reports, so each peer without
    * a known load is assumed to have sent as many requests since then as this entry. Otherwise all
-   * entries would fill the same free slots.
+   * entries would fill the same free slots. `except` of this entry's last requests are left out.
    */
-  outstanding(now: number): number {
-    const known = this.ownRequests + this.peerLoads.requests(now);
+  outstanding(now: number, except = 0): number {
+    const known = this.ownRequests - except + this.peerLoads.requests(now);
     if (this.reportAgeMs(now) >= staleReportMs) return known;
-    return known + this.otherRequests + this.startedSinceReport * this.unknownPeers(now);
+    const started = Math.max(0, this.startedSinceReport - except);
+    return known + this.otherRequests + started * this.unknownPeers(now);
   }
 
   /** Whether this entry may send one more request. */
@@ -99,20 +127,39 @@
 
   /**
    * Prefill time of all unprocessed prompts, in milliseconds. Peers without a known load are assumed
-   * to have as much as this entry.
+   * to have as much as this entry. `exceptMs` of this entry's prompts are left out.
    */
-  unreadMs(now: number): number {
-    return this.ownUnreadMs * (1 + this.unknownPeers(now)) + this.peerLoads.unreadMs(now);
+  unreadMs(now: number, exceptMs = 0): number {
+    const ownMs = Math.max(0, this.ownUnreadMs - exceptMs);
+    return ownMs * (1 + this.unknownPeers(now)) + this.peerLoads.unreadMs(now);
   }
 
   /** This entry's own load, to be sent to its peers. */
-  get ownLoad(): PeerLoad {
-    return { requests: this.ownRequests, unreadMs: this.ownUnreadMs };
+  get ownLoad(): SharedLoad {
+    const { ownRequests, ownUnreadMs, ownHeldTokens, window } = this;
+    const load = { requests: ownRequests, unreadMs: ownUnreadMs, heldTokens: ownHeldTokens };
+    return window.value === undefined ? load : { ...load, window: window.value };
   }
 
   /** Records the load that a peer sent. */
-  updatePeer(name: string, load: PeerLoad, now: number): void {
+  updatePeer(name: string, load: SharedLoad, now: number): void {
     this.peerLoads.update(name, load, now);
+    const { requests, heldTokens, window } = load;
+    const holding = { requests, heldTokens, window, hasRequests: requests > 0 };
+    const before = this.peerHoldings.update(name, holding, now);
+    if (this.window.isEnabled) this.window.followPeer(before, holding, now);
+  }
+
+  /**
+   * Tokens that the requests at the endpoint hold and may still need. Peers without a known load are assumed to
+   * hold as much as this entry, and requests of unknown size `typicalTokens`.
+   */
+  heldTokens(typicalTokens: number, now: number): number {
+    const unknown = this.placed.filter(({ heldTokens }) => heldTokens === undefined).length;
+    const own = this.ownHeldTokens + unknown * typicalTokens;
+    const others = this.reportAgeMs(now) >= staleReportMs ? 0 : this.otherRequests * typicalTokens;
+    const peers = this.peerHoldings.heldTokens(typicalTokens, now);
+    return own * (1 + this.unknownPeers(now)) + peers + others;
   }
 
   reportAgeMs(now: number): number {
@@ -129,22 +176,27 @@
     return this.placed.length;
   }
 
-  /** Counts a request from its placement on, so that the next one is placed with this one in view. */
-  recordPlacement(prefillMs: number): void {
-    this.placed.push(prefillMs);
-    this.add(prefillMs);
+  /**
+   * Counts a request from its placement on, so that the next one is placed with this one in view. `heldTokens`
+   * is undefined if its size is not known yet.
+   */
+  recordPlacement(prefillMs: number, heldTokens?: number): void {
+    this.placed.push({ prefillMs, heldTokens });
+    this.add(prefillMs, heldTokens);
   }
 
   /** Ends the counting of placed requests that were not sent. */
   dropPlacements(): void {
-    this.placed.splice(0).forEach((prefillMs) => this.remove(prefillMs));
+    this.placed
+      .splice(0)
+      .forEach(({ prefillMs, heldTokens }) => this.remove(prefillMs, heldTokens));
   }
 
   /** Records that a request is sent, after its placement if that was recorded. */
-  recordStart(prefillMs: number): void {
-    const placedMs = this.placed.shift();
-    if (placedMs !== undefined) this.remove(placedMs);
-    this.add(prefillMs);
+  recordStart(prefillMs: number, heldTokens = 0): void {
+    const placed = this.placed.shift();
+    if (placed) this.remove(placed.prefillMs, placed.heldTokens);
+    this.add(prefillMs, heldTokens);
   }
 
   /** Records that the prompt of an own request was processed. */
@@ -153,20 +205,23 @@
   }
 
   /** Records the end of an own request, whose slot this entry may fill again. */
-  recordEnd(): void {
+  recordEnd(heldTokens = 0): void {
     this.ownRequests -= 1;
+    this.ownHeldTokens -= heldTokens;
     this.allowance += 1;
   }
 
-  private add(prefillMs: number): void {
+  private add(prefillMs: number, heldTokens = 0): void {
     this.ownRequests += 1;
     this.startedSinceReport += 1;
     this.ownUnreadMs += prefillMs;
+    this.ownHeldTokens += heldTokens;
   }
 
-  private remove(prefillMs: number): void {
+  private remove(prefillMs: number, heldTokens = 0): void {
     this.ownRequests -= 1;
     this.startedSinceReport = Math.max(0, this.startedSinceReport - 1);
     this.ownUnreadMs = Math.max(0, this.ownUnreadMs - prefillMs);
+    this.ownHeldTokens -= heldTokens;
   }
 }
--- a/packages/decisions/src/forwarding/sharedRateLimiter.ts
+++ b/packages/decisions/src/forwarding/sharedRateLimiter.ts
@@ -1,12 +1,15 @@
 const secondMs = 1_000;
+/** Longest part of a period, and longest time in milliseconds, in which the request of the period may be sent. */
+const slot = { part: 1 / 4, maxMs: 250 } as const;
 
 /**
  * One entry's share of a rate limit that all entries keep together, without bursts. Used for endpoints
- * that have just started. A share below one request per second is kept by sending once per longer
- * period; the phase of the periods differs between entries.
+ * that have just started. The whole part of the share is the most in any second. Of the rest, one request is
+ * sent at the start of each longer period; the phase of the periods differs between entries, so that a
+ * flood after a quiet time does not make all of them send at once.
  */
 export class SharedRateLimiter {
-  /** Times of the requests in the last second, oldest first. */
+  /** Times of the requests in the last second that count in the whole part, oldest first. */
   private readonly times: number[] = [];
 
   /** Number of the last used period; the period of the first check counts as used. */
@@ -19,26 +22,27 @@
 
   /** Whether one more request may be sent at `now`, with a share of `perSecond` requests. */
   allows(perSecond: number, now: number): boolean {
-    if (perSecond < 1) {
-      const period = this.periodAt(perSecond, now);
-      this.lastPeriod ??= period;
-      return period > this.lastPeriod;
-    }
-    this.expire(now);
-    return this.times.length + 1 <= Math.floor(perSecond);
+    const rest = perSecond % 1;
+    const period = this.periodAt(rest, now);
+    this.lastPeriod ??= Math.floor(period);
+    if (this.hasWhole(perSecond, now)) return true;
+    if (rest === 0 || Math.floor(period) <= this.lastPeriod) return false;
+    const sinceStart = period % 1;
+    return sinceStart < slot.part && (sinceStart * secondMs) / rest < slot.maxMs;
   }
 
   record(perSecond: number, now: number): void {
-    this.expire(now);
-    this.times.push(now);
-    this.lastPeriod = this.periodAt(Math.min(1, perSecond), now);
+    if (this.hasWhole(perSecond, now)) this.times.push(now);
+    else this.lastPeriod = Math.floor(this.periodAt(perSecond % 1, now));
   }
 
-  private expire(now: number): void {
+  private hasWhole(perSecond: number, now: number): boolean {
     while (this.times.length > 0 && now - this.times[0]! >= secondMs) this.times.shift();
+    return this.times.length + 1 <= Math.floor(perSecond);
   }
 
+  /** Number of periods since the start of the clock, of which each has one request. */
   private periodAt(perSecond: number, now: number): number {
-    return Math.floor((now * perSecond) / secondMs + this.phase);
+    return (now * perSecond) / secondMs + this.phase;
   }
 }
--- a/packages/forwarding/src/attempts/attemptLoad.ts
+++ b/packages/forwarding/src/attempts/attemptLoad.ts
@@ -11,6 +11,8 @@
     /** Time that the endpoint needs to process the prompt, in milliseconds. */
     private readonly prefillMs: number,
     private readonly onChange: (handle: EndpointHandle) => void,
+    /** Tokens of an engine's key-value cache that the request holds at its end, at most. */
+    private readonly heldTokens = 0,
   ) {}
 
   /** Whether the endpoint has processed the prompt. */
@@ -19,7 +21,7 @@
   }
 
   start(): void {
-    this.handle.load.recordStart(this.prefillMs);
+    this.handle.load.recordStart(this.prefillMs, this.heldTokens);
     this.onChange(this.handle);
   }
 
@@ -35,7 +37,7 @@
     if (this.hasEnded) return false;
     this.hasEnded = true;
     this.markPrefilled();
-    this.handle.load.recordEnd();
+    this.handle.load.recordEnd(this.heldTokens);
     this.onChange(this.handle);
     return true;
   }
--- a/packages/forwarding/src/attempts/sendAttempt.ts
+++ b/packages/forwarding/src/attempts/sendAttempt.ts
@@ -1,12 +1,14 @@
 import { Execution } from '@laburnumstream/common';
-import { classifyResponse } from '@laburnumstream/decisions';
+import { classifyResponse, misdirectedStatus } from '@laburnumstream/decisions';
 import type { Exchange } from '../callers/exchange.js';
 import { EndpointCall, isSuccess } from '../endpoints/endpointCall.js';
 import type { CallObserver, CallRequest } from '../endpoints/endpointCall.js';
 import type { EndpointHandle } from '../endpoints/endpointHandle.js';
+import { recordPace, reportWindow } from '../endpoints/paceRecorder.js';
 import type { Attempt } from './attempt.js';
 import { AttemptLoad } from './attemptLoad.js';
 import type { AttemptServices } from './attemptServices.js';
+import { AttemptTiming } from './attemptTiming.js';
 import { OutdatedUse } from './outdatedUse.js';
 import { recordForeignResponse, recordHead } from './responseRecorder.js';
 
@@ -49,13 +51,18 @@
   { observer, lastEventId, maxIdleMs, isBegun }: AttemptOptions,
 ): Attempt {
   const { id, promptTokens = 0 } = exchange.head;
-  const { codec, clock, queue, guard, directory, metrics, log } = services;
+  const { codec, clock, queue, guard, directory, adaptive, metrics, log } = services;
+  const { service } = exchange;
   const use = new OutdatedUse(id, handle, directory.startBounds, clock, metrics, log);
-  const load = new AttemptLoad(
-    handle,
-    handle.model?.prefillMs(promptTokens) ?? 0,
-    services.onLoadChange,
-  );
+  const prefillMs = handle.model?.prefillMs(promptTokens) ?? 0;
+  const heldTokens = handle.memory?.neededTokens(exchange.head);
+  const load = new AttemptLoad(handle, prefillMs, services.onLoadChange, heldTokens);
+  handle.adapt(adaptive.has(service));
+  let timing: AttemptTiming | undefined;
+  const recordAnswer = (): void => {
+    timing?.recordAnswer(directory.forService(service));
+    reportWindow(services, handle, clock.now());
+  };
   let isTaken = false;
   const call = new EndpointCall(
     handle.pool,
@@ -68,6 +75,9 @@
       isTaken = isSuccess(status) && execution !== Execution.notRun;
       if (isBegun && (isTaken || execution === Execution.notRun))
         handle.begunAdmission.recordResult(isTaken, clock.now());
+      if (status !== misdirectedStatus) recordPace(services, handle, head, clock.now());
+      // An engine may send the head of a response long before the first event.
+      if (isTaken && !handle.model) recordAnswer();
       recordHead(services, handle, status, head);
     },
     () => {
@@ -78,17 +88,22 @@
     (responseId) => recordForeignResponse(services, handle, id, responseId),
   );
   const markPrefilled = (): void => {
-    if (!load.hasPrefilled) use.recordFirstEvent();
+    if (!load.hasPrefilled) {
+      use.recordFirstEvent();
+      recordAnswer();
+    }
     load.markPrefilled();
   };
   const markEnded = (): void => {
     services.waitingCalls.remove(call);
     if (!load.end()) return;
     if (isTaken) handle.begunAdmission.recordDeparture();
-    queue.dispatch(exchange.service, handle);
+    reportWindow(services, handle, clock.now());
+    queue.dispatch(service, handle);
   };
   guard.recordSend(exchange);
   load.start();
+  timing = new AttemptTiming(handle, promptTokens, prefillMs, clock);
   call.start();
   services.waitingCalls.add(call, handle);
   return { handle, call, markPrefilled, markEnded };
--- a/packages/forwarding/src/endpoints/endpointCapacity.ts
+++ b/packages/forwarding/src/endpoints/endpointCapacity.ts
@@ -1,16 +1,31 @@
-import type { EndpointStatements } from '@laburnumstream/decisions';
+import { ColdRateShare } from '@laburnumstream/decisions';
+import type { CapacitySharers, EndpointStatements } from '@laburnumstream/decisions';
 import { engineQueueLimits } from './endpointHandle.js';
 import type { EndpointHandle } from './endpointHandle.js';
 import type { EntryCounts } from '../fleet/entryCounts.js';
 
+/** What decides how the entries share the rate of a cold endpoint. */
+export interface ColdSharing {
+  /** Allowed rate, as a multiple of the declared one and requests per second in addition. */
+  readonly bounds: { readonly coldFactor: number; readonly coldSlack: number };
+  /** Region of this entry. */
+  readonly region: string;
+  /** Returns the registered entries that share the endpoints of a region. */
+  readonly getSharers: (region: string) => CapacitySharers;
+}
+
 /** Share of an endpoint's connection limit that all entries together use. */
 const connectionShare = 0.9;
 
 /** Whether endpoints have room for one more request of this entry, within what all entries share. */
 export class EndpointCapacity {
+  private readonly coldRateShare = new ColdRateShare();
+
   constructor(
     private readonly statements: EndpointStatements,
     private readonly entryCounts: Pick<EntryCounts, 'forConnections' | 'forColdEndpoints'>,
+    /** Without it, all entries share the declared rate equally. */
+    private readonly coldSharing?: ColdSharing,
   ) {}
 
   /** Whether an endpoint is neither ejected after failures nor silent. */
@@ -21,16 +36,17 @@
   /** Whether an endpoint can take one more request now. */
   hasRoom(handle: EndpointHandle, now: number): boolean {
     const { incarnation, load, model, slots } = handle;
+    this.observeEntries(now);
     const share = slots / this.entryCounts.forConnections;
     if (!this.statements.allowsPlacement(incarnation, share, now)) return false;
     if (!this.hasConnection(handle)) return false;
     if (model && !load.hasCapacity({ ...engineQueueLimits, slots }, now)) return false;
-    return this.allowsColdStart(handle, now);
+    return load.window.allows(handle.windowedRequests(now)) && this.allowsColdStart(handle, now);
   }
 
   /** Counts a request that has been placed on an endpoint against the rate of its cold start. */
   recordPlacement(handle: EndpointHandle, now: number): void {
-    if (now < handle.coldUntil) handle.coldRate.record(this.getColdRateShare(handle), now);
+    if (now < handle.coldUntil) handle.coldRate.record(this.getColdRateShare(handle, now), now);
   }
 
   private hasConnection({ profile, pool, load }: EndpointHandle): boolean {
@@ -42,11 +58,29 @@
   private allowsColdStart(handle: EndpointHandle, now: number): boolean {
     const { profile, coldRate, coldUntil } = handle;
     if (now >= coldUntil || !profile || profile.coldRequestsPerSecond <= 0) return true;
-    return coldRate.allows(this.getColdRateShare(handle), now);
+    return coldRate.allows(this.getColdRateShare(handle, now), now);
+  }
+
+  /** Follows the numbers of entries at each placement, so that a cold endpoint is shared by settled ones. */
+  private observeEntries(now: number): void {
+    const { coldSharing, entryCounts } = this;
+    if (!coldSharing) return;
+    const { region, getSharers } = coldSharing;
+    const { forConnections, forColdEndpoints } = entryCounts;
+    this.coldRateShare.observe(
+      forConnections,
+      forColdEndpoints,
+      () => getSharers(region).local,
+      now,
+    );
   }
 
   /** Returns the requests per second that this entry may send to an endpoint during its cold start. */
-  private getColdRateShare({ profile }: EndpointHandle): number {
-    return (profile?.coldRequestsPerSecond ?? 0) / this.entryCounts.forColdEndpoints;
+  private getColdRateShare({ profile, region }: EndpointHandle, now: number): number {
+    const perSecond = profile?.coldRequestsPerSecond ?? 0;
+    if (!this.coldSharing) return perSecond / this.entryCounts.forColdEndpoints;
+    const { bounds, getSharers } = this.coldSharing;
+    const rate = { perSecond, factor: bounds.coldFactor, slack: bounds.coldSlack };
+    return this.coldRateShare.perSecond(rate, getSharers(region), now);
   }
 }
--- a/packages/forwarding/src/endpoints/endpointHandle.ts
+++ b/packages/forwarding/src/endpoints/endpointHandle.ts
@@ -1,16 +1,21 @@
 import type { Clock, Endpoint, Metrics, Random, ServiceProfile } from '@laburnumstream/common';
 import {
+  AttemptOutcome,
   BegunAdmission,
   EndpointHealth,
   EndpointLoad,
+  EndpointPace,
+  EngineMemory,
   EngineModel,
   NamedLimit,
+  ServiceTime,
   SharedRateLimiter,
   capacityShare,
 } from '@laburnumstream/decisions';
 import type { PlacementTarget, ReportedLoad, CapacitySharers } from '@laburnumstream/decisions';
 import { ConnectionPool } from './connectionPool.js';
 import { acceptsConnection } from './endpointProbe.js';
+import { WindowChanges } from './windowChanges.js';
 
 /** A stream that can be resumed at another endpoint. */
 export interface MovableStream {
@@ -27,6 +32,9 @@
 /** Concurrent requests to a plain service that does not state how many it runs. */
 const defaultSlots = 8;
 
+/** Longest time for which one response makes an endpoint count as cold, in milliseconds. */
+const maxColdMs = 10_000;
+
 /** Limits of an engine's queue: requests beyond its slots, and the time to process waiting prompts. */
 export const engineQueueLimits = { spare: 1, unreadMs: 200 } as const;
 
@@ -51,11 +59,9 @@
   /** Monotonic time of the last event, or of the first open stream's start, in milliseconds. */
   private lastActivityAt = 0;
 
-  /** Monotonic time at which its cold start ends, in milliseconds. */
-  coldUntil = 0;
+  private coldEndsAt = 0;
 
-  /** Complete version that its agent last reported, 0 for none; undefined before the first report. */
-  reportedVersion: number | undefined;
+  private agentVersion: number | undefined;
 
   /** Whether its agent is about to load another version of the weights. */
   isSwitching = false;
@@ -63,8 +69,7 @@
   /** Monotonic time at which it will unload its weights, in milliseconds; undefined when not planned. */
   switchAt: number | undefined;
 
-  /** Whether the endpoint responds to its agent, according to the last report. */
-  isAnswering = true;
+  private answersAgent = true;
 
   /** Whether it is known to have ended or to be out of reach. */
   isLost = false;
@@ -74,6 +79,20 @@
 
   model: EngineModel | undefined;
 
+  /** Bounds what requests hold in an engine's key-value cache; undefined for a plain service. */
+  memory: EngineMemory | undefined;
+
+  /** Pace of its instance, as it and its agent state it. */
+  readonly statedPace = new EndpointPace();
+
+  /** Service time of a plain service, learned from its answers. */
+  readonly learnedTime = new ServiceTime();
+
+  /** Changes of its window that are still to be logged. */
+  readonly windowChanges = new WindowChanges();
+
+  private hasUnreadablePace = false;
+
   /** The version that its agent reports as outdated, and since when. */
   private reportedOutdated: { readonly version: number; readonly at: number } | undefined;
 
@@ -88,7 +107,7 @@
     public profile: ServiceProfile | undefined,
     readonly isLocal: boolean,
     readonly region: string,
-    clock: Clock,
+    private readonly clock: Clock,
     metrics: Metrics,
     /** Number of other entries that send requests to it. */
     peers: () => number,
@@ -99,7 +118,9 @@
     this.incarnation = `${endpoint.id}@${endpoint.startedAt}`;
     this.coldRate = new SharedRateLimiter(phase);
     this.namedLimit = new NamedLimit(phase * maxAddedMemoryMs);
-    this.load = new EndpointLoad(peers, isLocal);
+    this.load = new EndpointLoad(peers, isLocal, () => this.slots + engineQueueLimits.spare);
+    this.load.window.openForUnknown();
+    this.health.observe((...outcome) => this.adaptToOutcome(...outcome));
     this.pool = new ConnectionPool(endpoint.address, clock, metrics);
     this.updateProfile(profile);
   }
@@ -108,6 +129,73 @@
     return this.endpoint.id;
   }
 
+  /** Whether adaptive admission applies to its service. */
+  get isAdaptive(): boolean {
+    return this.load.window.isEnabled;
+  }
+
+  /** Records whether adaptive admission applies to its service. */
+  adapt(isAdaptive: boolean): void {
+    this.load.window.isEnabled = isAdaptive;
+  }
+
+  get pace(): EndpointPace | undefined {
+    return this.isAdaptive ? this.statedPace : undefined;
+  }
+
+  get serviceTime(): ServiceTime | undefined {
+    return this.isAdaptive ? this.learnedTime : undefined;
+  }
+
+  /** Monotonic time at which its cold start ends, in milliseconds. */
+  get coldUntil(): number {
+    return this.coldEndsAt;
+  }
+
+  set coldUntil(at: number) {
+    const now = this.clock.now();
+    if (at > now && this.coldEndsAt <= now) this.load.window.restart(now);
+    this.coldEndsAt = at;
+  }
+
+  /** Complete version that its agent last reported, 0 for none; undefined before the first report. */
+  get reportedVersion(): number | undefined {
+    return this.agentVersion;
+  }
+
+  set reportedVersion(version: number | undefined) {
+    const isChange = this.agentVersion !== undefined && version !== this.agentVersion;
+    if (isChange && version) this.load.window.restart(this.clock.now());
+    this.agentVersion = version;
+  }
+
+  /** Whether the endpoint responds to its agent, according to the last report. */
+  get isAnswering(): boolean {
+    return this.answersAgent;
+  }
+
+  set isAnswering(isAnswering: boolean) {
+    if (isAnswering && !this.answersAgent) this.load.window.restart(this.clock.now());
+    this.answersAgent = isAnswering;
+  }
+
+  /** Requests that count in its window: those of all entries where they tell each other, else this entry's. */
+  windowedRequests(now: number): number {
+    return this.model && this.isLocal ? this.load.outstanding(now) : this.load.ownRequests;
+  }
+
+  /** Records the remaining time of a cold start that a response states, in milliseconds. */
+  recordColdLeft(ms: number, now: number): void {
+    if (ms > 0) this.coldUntil = Math.max(this.coldUntil, now + Math.min(ms, maxColdMs));
+  }
+
+  /** Records that it states an unreadable pace; returns whether it is the first time. */
+  takeUnreadablePace(): boolean {
+    const isFirst = !this.hasUnreadablePace;
+    this.hasUnreadablePace = true;
+    return isFirst;
+  }
+
   get lastSignOfLifeAt(): number {
     return this.signOfLifeAt;
   }
@@ -179,6 +267,7 @@
 
   /** Records that a stream has delivered an event. */
   recordEvent(now: number): void {
+    if (this.isSilent(now)) this.load.window.restart(now);
     this.lastActivityAt = now;
     this.recordSignOfLife(now);
   }
@@ -190,6 +279,7 @@
 
   /** Applies a load report of the engine's agent; `sharers` are the entries that share its capacity. */
   applyLoadReport(load: ReportedLoad, sharers: CapacitySharers, random: Random, now: number): void {
+    this.statedPace.record(load.slowdown, now);
     const free = this.slots + engineQueueLimits.spare - load.running - load.waiting;
     const capacity = Math.min(free, this.model?.promptsWithin(engineQueueLimits.unreadMs) ?? free);
     this.load.applyReport(
@@ -203,7 +293,17 @@
   updateProfile(profile: ServiceProfile | undefined): void {
     if (profile?.engine && profile.engine !== this.profile?.engine) this.model = undefined;
     this.profile = profile;
-    if (profile?.engine) this.model ??= new EngineModel(profile.engine);
+    if (!profile?.engine) return;
+    this.model ??= new EngineModel(profile.engine);
+    this.memory = new EngineMemory(profile.engine);
+  }
+
+  /** Adapts the window to the outcome of a request. */
+  private adaptToOutcome(outcome: AttemptOutcome, wasEjected: boolean, now: number): void {
+    const { window } = this.load;
+    if (outcome === AttemptOutcome.failed || outcome === AttemptOutcome.refused)
+      window.recordFailure(this.windowedRequests(now), now);
+    else if (wasEjected && outcome === AttemptOutcome.responded) window.restart(now);
   }
 
   /**
