Share windows and cold rates between entries; feature on the pace of endpoints

Cause: entries of a region see the same free room of a window at once, so 12 of them overfilled it in one datagram delay (simulated flood at an endpoint that bears 2: 13 at once instead of 4). Fractions of a cold rate that entries send at random times exceeded the allowed rate in some seconds of the histories. Change: room smaller than the number of entries is taken in turns of 20 ms; an entry refills what it freed itself; one that hears of less than half of the others uses its own part. Cold rates are split into whole requests per second, selected by rendezvous hashing among the registered entries of each side; an entry that has just started uses a small part until its number of entries agrees with the counted one for 1.5 s. Gauges: endpoint_pace_percent, endpoint_window, endpoint_window_cuts, endpoint_held_tokens.

--- a/packages/decisions/src/forwarding/coldRateShare.ts
+++ b/packages/decisions/src/forwarding/coldRateShare.ts
@@ -14,27 +14,30 @@
   readonly local: number;
   /** Whether this entry is in the endpoint's region. */
   readonly isLocal: boolean;
+  /** Whether this entry is one of `count` that are selected among those of its side, the same by all. */
+  readonly isSelected: (count: number) => boolean;
 }
 
+/** Part of the allowed rate that entries use of which all others know. The rest is for entries that have started. */
+const agreedPart = 0.87;
+/** Part for entries that are registered, but that others may not know yet: those that have just started. */
+const startingPart = 0.1;
+/** Part of the agreed rate for the entries of the endpoint's region, if there are any; others send there when theirs are full. */
+const localPart = 0.85;
 /**
- * Part of the allowed rate that entries use of which all others know. The rest is for entries that have just
- * started, or of which others may not know.
+ * Time for which the numbers of entries must agree, in milliseconds: others learn of a new entry within 500 ms, and
+ * what they, or its former process, sent until then counts for a second.
  */
-const agreedPart = 0.9;
-/** Part of that for the entries of the endpoint's region, if there are any; others send there when theirs are full. */
-const localPart = 0.85;
-/** Time for which the numbers of entries must agree, in milliseconds: others learn of an entry, and a second passes. */
-const agreementMs = 1_000;
-/** Part of the entries of a region that may be missing: their shares stay within the rest. */
-const missingPart = 1 / 8;
+const agreementMs = 1_500;
 /** Factor between the counted and the registered entries from which this entry counts as cut off from the store. */
 const silentFactor = 4;
 /** Divisor of the share of an entry that is cut off: others may divide the rate without it. */
-const silentDivisor = 8;
+const silentDivisor = 16;
 
 /**
  * This entry's share of the rate of a cold endpoint. The split is static: it follows from the registered entries
- * alone, so that the sum holds for entries that hear nothing of each other.
+ * alone, so that the sum holds for entries that hear nothing of each other. Entries that agree have whole shares,
+ * since fractions that are sent at random times could add up to more than the rate in some second.
  */
 export class ColdRateShare {
   /** Since when the numbers of entries agree, as monotonic time in milliseconds; undefined while they do not. */
@@ -45,36 +48,50 @@
 
   private registered = 0;
 
-  private counted = 0;
+  private counted = Infinity;
+
+  private isRegistered = false;
 
   /**
-   * Observes the registered entries and those that must be counted with, because they may still send.
-   * `countLocal` returns the registered entries of this entry's region.
+   * Observes the registered entries and those that must be counted with, because they may still send. `local` is
+   * the number of registered entries in this entry's region, 0 while this entry is not registered.
    */
-  observe(registered: number, counted: number, countLocal: () => number, now: number): void {
+  observe(registered: number, counted: number, local: number, now: number): void {
     this.registered = registered;
     this.counted = counted;
-    if (counted > registered) this.agreedSince = undefined;
+    this.isRegistered = local > 0;
+    if (counted > registered || !this.isRegistered) this.agreedSince = undefined;
     else this.agreedSince ??= now;
-    if (this.isAgreed(now)) this.agreedLocal = countLocal();
-    else if (this.missing > this.tolerated && !this.isSilent) this.agreedLocal = undefined;
+    if (!this.isRegistered) this.agreedLocal = undefined;
+    else if (this.isAgreed(now)) this.agreedLocal = local;
   }
 
   /** Returns the requests per second that this entry may send. */
   perSecond({ perSecond, factor, slack }: ColdRate, sharers: ColdSharers, now: number): number {
     const allowed = perSecond * factor + slack;
-    if (this.agreedLocal === undefined) return ((1 - agreedPart) * allowed) / this.counted;
-    const agreed = allowed * agreedPart;
-    const silent = this.isSilent ? silentDivisor : 1;
-    if (!sharers.isLocal) {
-      const part = sharers.local > 0 ? 1 - localPart : 1;
-      return (agreed * part) / (Math.max(1, this.counted - sharers.local) * silent);
+    if (!this.isRegistered) return 0;
+    if (this.agreedLocal === undefined) {
+      const starting = sharers.isLocal ? Math.floor(allowed * startingPart) : 0;
+      return sharers.isSelected(starting) ? 1 : 0;
     }
-    const missing = this.isSilent || this.isAgreed(now) ? 0 : this.missing;
-    const local = this.isAgreed(now)
-      ? sharers.local
-      : Math.max(this.agreedLocal, sharers.local + missing);
-    return (agreed * localPart) / (Math.max(1, local) * silent);
+    const rate = allowed * agreedPart * this.partOf(sharers, now);
+    const members = Math.max(1, this.countMembers(sharers, this.agreedLocal, now));
+    if (this.isSilent) return rate / (members * silentDivisor);
+    const whole = Math.floor(rate);
+    return Math.floor(whole / members) + (sharers.isSelected(whole % members) ? 1 : 0);
+  }
+
+  /** Part of this entry's side; entries of the endpoint's region may still send shortly after they have left. */
+  private partOf({ local, isLocal }: ColdSharers, now: number): number {
+    if (isLocal) return localPart;
+    return local === 0 && this.isAgreed(now) ? 1 : 1 - localPart;
+  }
+
+  /** Number of entries that divide the part of this entry's side. */
+  private countMembers({ local, isLocal }: ColdSharers, agreedLocal: number, now: number): number {
+    if (!isLocal) return this.counted - local;
+    if (this.isAgreed(now)) return local;
+    return Math.max(agreedLocal, local + (this.isSilent ? 0 : this.missing));
   }
 
   private isAgreed(now: number): boolean {
@@ -85,10 +102,6 @@
     return this.counted - this.registered;
   }
 
-  private get tolerated(): number {
-    return (this.agreedLocal ?? 0) * missingPart;
-  }
-
   private get isSilent(): boolean {
     return this.counted >= this.registered * silentFactor;
   }
--- a/packages/decisions/src/forwarding/concurrencyWindow.ts
+++ b/packages/decisions/src/forwarding/concurrencyWindow.ts
@@ -18,6 +18,19 @@
 /** Growth in one round of answers after a cut, in requests. */
 const additiveStep = 2;
 
+/** Time of one turn at free room, in milliseconds: within it, other entries hear that the room is taken. */
+const turnMs = 20;
+
+/** How entries that share a window take turns. */
+export interface WindowTurn {
+  /** Number of entries that share the window. */
+  readonly sharers: number;
+  /** Phase of this entry among them, from 0 to 1. */
+  readonly phase: number;
+}
+
+const unshared: WindowTurn = { sharers: 1, phase: 0 };
+
 /** What an answer of an endpoint tells about its pace. */
 export interface TimedAnswer {
   /** Time to the response of a plain service, or to the first event of an engine, in milliseconds. */
@@ -68,6 +81,14 @@
 
   private cuts = 0;
 
+  /** Whether a request of this entry has ended, of which the others have not heard. */
+  private hasFreed = false;
+
+  /** Turns of the last check and of the last request. */
+  private checkedTurn = 0;
+
+  private usedTurn = -1;
+
   constructor(
     /** Most requests that the endpoint can hold. */
     private readonly getMax: () => number,
@@ -83,9 +104,28 @@
     return this.cuts;
   }
 
-  /** Whether one more request may be sent while `outstanding` are at the endpoint. */
-  allows(outstanding: number): boolean {
-    return outstanding < (this.value ?? Infinity);
+  /**
+   * Whether one more request may be sent while `outstanding` are at the endpoint. Room that is smaller than the
+   * number of entries is taken in turns, as all of them see it at once. An entry fills what it has freed itself.
+   */
+  allows(outstanding: number, now: number, { sharers, phase } = unshared): boolean {
+    const room = (this.value ?? Infinity) - outstanding;
+    const turn = Math.floor(now / turnMs);
+    this.checkedTurn = turn;
+    if (room <= 0 || room >= sharers || this.hasFreed) return room > 0;
+    if (turn === this.usedTurn) return false;
+    return (turn + Math.floor(phase * sharers)) % sharers < room;
+  }
+
+  /** Records that a request has been sent, in the turn of the last check. */
+  recordSend(): void {
+    this.hasFreed = false;
+    this.usedTurn = this.checkedTurn;
+  }
+
+  /** Records that a request of this entry has ended, or that others have heard so. */
+  recordFreed(hasFreed: boolean): void {
+    this.hasFreed = hasFreed;
   }
 
   /** Opens the window for an endpoint that this entry does not know; other entries may. */
--- a/packages/decisions/src/forwarding/endpointLoad.ts
+++ b/packages/decisions/src/forwarding/endpointLoad.ts
@@ -78,6 +78,8 @@
     private readonly isLocal: boolean,
     /** Most requests that the endpoint can hold. */
     getMax: () => number = () => Infinity,
+    /** Phase of this entry among those that share the window, from 0 to 1. */
+    private readonly phase = 0,
   ) {
     this.window = new ConcurrencyWindow(getMax);
   }
@@ -125,6 +127,19 @@
     return fits && (this.peerCount() < manyPeers || this.startedSinceReport < this.allowance);
   }
 
+  /**
+   * Whether the window has room. Entries that tell each other their loads share it; one that hears of less than half
+   * of the others has its own share of it, and at least one request.
+   */
+  hasWindow(isShared: boolean, now: number): boolean {
+    const { phase, window, ownRequests } = this;
+    const peers = this.peerCount();
+    if (!isShared) return window.allows(ownRequests, now);
+    if (this.unknownPeers(now) * 2 > peers)
+      return ownRequests === 0 || window.allows(ownRequests * (1 + peers), now);
+    return window.allows(this.outstanding(now), now, { sharers: 1 + peers, phase });
+  }
+
   /**
    * Prefill time of all unprocessed prompts, in milliseconds. Peers without a known load are assumed
    * to have as much as this entry. `exceptMs` of this entry's prompts are left out.
@@ -144,6 +159,7 @@
   /** Records the load that a peer sent. */
   updatePeer(name: string, load: SharedLoad, now: number): void {
     this.peerLoads.update(name, load, now);
+    this.window.recordFreed(false);
     const { requests, heldTokens, window } = load;
     const holding = { requests, heldTokens, window, hasRequests: requests > 0 };
     const before = this.peerHoldings.update(name, holding, now);
@@ -209,10 +225,12 @@
     this.ownRequests -= 1;
     this.ownHeldTokens -= heldTokens;
     this.allowance += 1;
+    this.window.recordFreed(true);
   }
 
   private add(prefillMs: number, heldTokens = 0): void {
     this.ownRequests += 1;
+    this.window.recordSend();
     this.startedSinceReport += 1;
     this.ownUnreadMs += prefillMs;
     this.ownHeldTokens += heldTokens;
--- a/packages/decisions/src/forwarding/sharedRateLimiter.ts
+++ b/packages/decisions/src/forwarding/sharedRateLimiter.ts
@@ -12,8 +12,14 @@
   /** Times of the requests in the last second that count in the whole part, oldest first. */
   private readonly times: number[] = [];
 
-  /** Number of the last used period; the period of the first check counts as used. */
-  private lastPeriod: number | undefined;
+  /** Number of the last used period; the period of the first check with a share counts as used. */
+  private lastPeriod = 0;
+
+  /** Fraction of the share by which periods are counted; undefined before the first check. */
+  private rest: number | undefined;
+
+  /** Time of the last request that was sent in a period. */
+  private lastPeriodAt = -Infinity;
 
   constructor(
     /** Phase of this entry's periods, from 0 to 1. */
@@ -24,16 +30,21 @@
   allows(perSecond: number, now: number): boolean {
     const rest = perSecond % 1;
     const period = this.periodAt(rest, now);
-    this.lastPeriod ??= Math.floor(period);
+    if (rest !== this.rest) this.lastPeriod = Math.floor(period);
+    this.rest = rest;
     if (this.hasWhole(perSecond, now)) return true;
     if (rest === 0 || Math.floor(period) <= this.lastPeriod) return false;
+    if (now - this.lastPeriodAt < secondMs) return false;
     const sinceStart = period % 1;
     return sinceStart < slot.part && (sinceStart * secondMs) / rest < slot.maxMs;
   }
 
   record(perSecond: number, now: number): void {
     if (this.hasWhole(perSecond, now)) this.times.push(now);
-    else this.lastPeriod = Math.floor(this.periodAt(perSecond % 1, now));
+    else {
+      this.lastPeriod = Math.floor(this.periodAt(perSecond % 1, now));
+      this.lastPeriodAt = now;
+    }
   }
 
   private hasWhole(perSecond: number, now: number): boolean {
--- a/packages/forwarding/src/endpoints/endpointCapacity.ts
+++ b/packages/forwarding/src/endpoints/endpointCapacity.ts
@@ -1,19 +1,10 @@
 import { ColdRateShare } from '@laburnumstream/decisions';
-import type { CapacitySharers, EndpointStatements } from '@laburnumstream/decisions';
+import type { EndpointStatements } from '@laburnumstream/decisions';
+import type { ColdSharing } from './coldSharing.js';
 import { engineQueueLimits } from './endpointHandle.js';
 import type { EndpointHandle } from './endpointHandle.js';
 import type { EntryCounts } from '../fleet/entryCounts.js';
 
-/** What decides how the entries share the rate of a cold endpoint. */
-export interface ColdSharing {
-  /** Allowed rate, as a multiple of the declared one and requests per second in addition. */
-  readonly bounds: { readonly coldFactor: number; readonly coldSlack: number };
-  /** Region of this entry. */
-  readonly region: string;
-  /** Returns the registered entries that share the endpoints of a region. */
-  readonly getSharers: (region: string) => CapacitySharers;
-}
-
 /** Share of an endpoint's connection limit that all entries together use. */
 const connectionShare = 0.9;
 
@@ -41,7 +32,7 @@
     if (!this.statements.allowsPlacement(incarnation, share, now)) return false;
     if (!this.hasConnection(handle)) return false;
     if (model && !load.hasCapacity({ ...engineQueueLimits, slots }, now)) return false;
-    return load.window.allows(handle.windowedRequests(now)) && this.allowsColdStart(handle, now);
+    return load.hasWindow(handle.sharesWindow, now) && this.allowsColdStart(handle, now);
   }
 
   /** Counts a request that has been placed on an endpoint against the rate of its cold start. */
@@ -61,26 +52,21 @@
     return coldRate.allows(this.getColdRateShare(handle, now), now);
   }
 
-  /** Follows the numbers of entries at each placement, so that a cold endpoint is shared by settled ones. */
+  /** Follows the numbers of entries at each placement, so that a cold endpoint is shared by those that agree. */
   private observeEntries(now: number): void {
     const { coldSharing, entryCounts } = this;
     if (!coldSharing) return;
-    const { region, getSharers } = coldSharing;
     const { forConnections, forColdEndpoints } = entryCounts;
-    this.coldRateShare.observe(
-      forConnections,
-      forColdEndpoints,
-      () => getSharers(region).local,
-      now,
-    );
+    const { ownRegionCount } = coldSharing;
+    this.coldRateShare.observe(forConnections, forColdEndpoints, ownRegionCount, now);
   }
 
   /** Returns the requests per second that this entry may send to an endpoint during its cold start. */
-  private getColdRateShare({ profile, region }: EndpointHandle, now: number): number {
+  private getColdRateShare({ id, profile, region }: EndpointHandle, now: number): number {
+    const { coldSharing, entryCounts } = this;
     const perSecond = profile?.coldRequestsPerSecond ?? 0;
-    if (!this.coldSharing) return perSecond / this.entryCounts.forColdEndpoints;
-    const { bounds, getSharers } = this.coldSharing;
-    const rate = { perSecond, factor: bounds.coldFactor, slack: bounds.coldSlack };
-    return this.coldRateShare.perSecond(rate, getSharers(region), now);
+    if (!coldSharing) return perSecond / entryCounts.forColdEndpoints;
+    const sharers = coldSharing.sharersOf(id, region);
+    return this.coldRateShare.perSecond(coldSharing.rateOf(perSecond), sharers, now);
   }
 }
--- a/packages/forwarding/src/endpoints/endpointHandle.ts
+++ b/packages/forwarding/src/endpoints/endpointHandle.ts
@@ -118,7 +118,8 @@
     this.incarnation = `${endpoint.id}@${endpoint.startedAt}`;
     this.coldRate = new SharedRateLimiter(phase);
     this.namedLimit = new NamedLimit(phase * maxAddedMemoryMs);
-    this.load = new EndpointLoad(peers, isLocal, () => this.slots + engineQueueLimits.spare);
+    const getMax = (): number => this.slots + engineQueueLimits.spare;
+    this.load = new EndpointLoad(peers, isLocal, getMax, phase);
     this.load.window.openForUnknown();
     this.health.observe((...outcome) => this.adaptToOutcome(...outcome));
     this.pool = new ConnectionPool(endpoint.address, clock, metrics);
@@ -179,9 +180,14 @@
     this.answersAgent = isAnswering;
   }
 
-  /** Requests that count in its window: those of all entries where they tell each other, else this entry's. */
+  /** Whether the entries of the region, which tell each other their loads, share its window. */
+  get sharesWindow(): boolean {
+    return this.model !== undefined && this.isLocal;
+  }
+
+  /** Requests that count in its window: those of all entries that share it, else this entry's. */
   windowedRequests(now: number): number {
-    return this.model && this.isLocal ? this.load.outstanding(now) : this.load.ownRequests;
+    return this.sharesWindow ? this.load.outstanding(now) : this.load.ownRequests;
   }
 
   /** Records the remaining time of a cold start that a response states, in milliseconds. */
--- a/packages/forwarding/src/entryGauges.ts
+++ b/packages/forwarding/src/entryGauges.ts
@@ -20,6 +20,8 @@
   readonly clock: Clock;
 }
 
+const percent = 100;
+
 function endpointGauges(handle: EndpointHandle, directory: EndpointDirectory): Gauge[] {
   const { service } = handle.endpoint;
   const state = directory.getState(handle);
@@ -29,6 +31,24 @@
   return [...gauges, { name: 'endpoints_by_version', value: 1, labels: { service, version } }];
 }
 
+/** Returns gauges of the pace, the window and the memory of an endpoint to which adaptive admission applies. */
+function paceGauges(handle: EndpointHandle, now: number): Gauge[] {
+  const { id, isAdaptive, pace, load, memory } = handle;
+  const labels = { endpoint: id };
+  const held = memory && load.ownRequests > 0 ? memory.heldTokens(load, now) : undefined;
+  const gauges: Gauge[] = [];
+  if (held !== undefined) gauges.push({ name: 'endpoint_held_tokens', value: held, labels });
+  if (!isAdaptive) return gauges;
+  const factor = pace?.factor(now) ?? load.slowdown;
+  const { value, cutCount } = load.window;
+  gauges.push(
+    { name: 'endpoint_pace_percent', value: Math.round(factor * percent), labels },
+    { name: 'endpoint_window_cuts', value: cutCount, labels },
+  );
+  if (value !== undefined) gauges.push({ name: 'endpoint_window', value, labels });
+  return gauges;
+}
+
 function budgetGauges(budget: SharedRetryBudget, now: number): Gauge[] {
   return budget.usage(now).flatMap(({ service, retries, allowed }) => [
     { name: 'retry_budget_used', value: retries, labels: { service } },
@@ -39,7 +59,11 @@
 /** Returns gauges of an entry's current requests, configuration, endpoints and retry budgets. */
 export function entryGauges(parts: EntryParts): Gauge[] {
   const { state, directory, queue, budget, memory, callers, freshness, guard, clock } = parts;
-  const endpoints = [...directory.all].flatMap((handle) => endpointGauges(handle, directory));
+  const now = clock.now();
+  const endpoints = [...directory.all].flatMap((handle) => [
+    ...endpointGauges(handle, directory),
+    ...paceGauges(handle, now),
+  ]);
   const versions = [...state.newestVersions].map(([model, value]) => ({
     name: 'version_named',
     value,
@@ -60,6 +84,6 @@
     ...waiting,
     ...endpoints,
     ...versions,
-    ...budgetGauges(budget, clock.now()),
+    ...budgetGauges(budget, now),
   ];
 }
