Keep requests of engines without weights, and wait for endpoints that come back

Cause: after a loss of power the store still lists engines that hold nothing. Each 421 excluded one engine for 60 ms, took a retry from the budget, and ended in a refusal with a constant delay.

- A 421 takes an engine out at once, until its agent reports or it is registered with other layers; engines of the service without a sign of life for 1.5 s are left alone for 0.5 s after it.
- The request stays: it waits for an engine that has shown that it runs, and takes a retry from the budget only when it is sent again.
What never reached an endpoint takes none.
- While no endpoint serves but some are expected to, requests wait whose turn is expected early enough for their deadline.
Others are refused at once with the time of their turn.
Pauses count where admission is adaptive; elsewhere they are handled as before (features/endpointStatements.feature).

--- /dev/null
+++ b/packages/decisions/src/forwarding/misdirections.ts
@@ -0,0 +1,92 @@
+/** Response of an endpoint that a request was not meant for it, or that it holds no weights. */
+interface Misdirection {
+  readonly at: number;
+  /** Time from which the endpoint may be tried again without other news of it. */
+  readonly until: number;
+  /** Number of earlier ones in a row. */
+  readonly times: number;
+  readonly isReleased: boolean;
+}
+
+/**
+ * Exclusion of an endpoint of which nothing else is heard, doubled by each further misdirection, in milliseconds.
+ * The agent of an engine reports within a second, so a request is a last resort to find out about an engine.
+ */
+const exclusionMs = {
+  plain: { initial: 250, max: 4_000 },
+  engine: { initial: 4_000, max: 16_000 },
+} as const;
+/** Time after an exclusion in which another misdirection counts as a further one, in milliseconds. */
+const memoryMs = 5_000;
+/**
+ * Time in which endpoints of a service that have shown no sign of life are left alone after one of them was
+ * misdirected, in milliseconds: all may have lost their weights together. It bounds what finding out costs callers.
+ */
+const doubtMs = 500;
+/** Age up to which a sign of life shows that an endpoint is the one that is registered, in milliseconds. */
+const proofMs = 1_500;
+
+/** Whether a sign of life is recent enough to show that an endpoint is the one that is registered. */
+export function isProof(signOfLifeAt: number, now: number): boolean {
+  return now - signOfLifeAt <= proofMs;
+}
+
+/** What responses with status 421 have shown of the registrations of endpoints. */
+export class Misdirections {
+  /** By incarnation. */
+  private readonly records = new Map<string, Misdirection>();
+
+  /** Monotonic times until which silent endpoints are left alone, by service, in milliseconds. */
+  private readonly doubtedUntil = new Map<string, number>();
+
+  /** Number of endpoints whose last misdirection is remembered. */
+  get size(): number {
+    return this.records.size;
+  }
+
+  /** Records a misdirection; returns whether the endpoint was not excluded before. */
+  record(incarnation: string, service: string, isEngine: boolean, now: number): boolean {
+    const known = this.records.get(incarnation);
+    const isNew = known === undefined || known.isReleased || now >= known.until;
+    const isRepeated = isNew && known !== undefined && now < known.until + memoryMs;
+    const times = isRepeated ? known.times + 1 : (known?.times ?? 0);
+    const { initial, max } = isEngine ? exclusionMs.engine : exclusionMs.plain;
+    const until = isNew ? now + Math.min(max, initial * 2 ** times) : known.until;
+    this.records.set(incarnation, { at: now, until, times, isReleased: false });
+    if (isEngine) this.doubtedUntil.set(service, now + doubtMs);
+    return isNew;
+  }
+
+  /** Whether an endpoint is excluded by its last response. */
+  isExcluded(incarnation: string, now: number): boolean {
+    const record = this.records.get(incarnation);
+    return record !== undefined && !record.isReleased && now < record.until;
+  }
+
+  /** Whether an engine without a recent sign of life is left alone, as another one of its service has misled. */
+  isDoubted(service: string, lastSignOfLifeAt: number, now: number): boolean {
+    return now < (this.doubtedUntil.get(service) ?? -Infinity) && !isProof(lastSignOfLifeAt, now);
+  }
+
+  /** Returns the time of the last misdirection of an endpoint that is not released; undefined if there is none. */
+  misdirectedAt(incarnation: string): number | undefined {
+    const record = this.records.get(incarnation);
+    return record && !record.isReleased ? record.at : undefined;
+  }
+
+  /** Ends the exclusion of an endpoint, of which there is newer news. */
+  release(incarnation: string): void {
+    const record = this.records.get(incarnation);
+    if (record) this.records.set(incarnation, { ...record, isReleased: true });
+  }
+
+  /** Returns the endpoints whose exclusion is over and not ended; forgets those that were so long ago. */
+  takeDue(now: number): string[] {
+    const due: string[] = [];
+    this.records.forEach(({ until, isReleased }, incarnation) => {
+      if (now >= until && !isReleased) due.push(incarnation);
+      else if (now >= until + memoryMs) this.records.delete(incarnation);
+    });
+    return due;
+  }
+}
--- a/packages/decisions/src/forwarding/waitQueue.ts
+++ b/packages/decisions/src/forwarding/waitQueue.ts
@@ -80,10 +80,28 @@
     );
   }
 
-  /** Time until one more request would be dispatched at the rate of the last second, in milliseconds. */
+  /** Number of requests that wait for capacity and would be dispatched before another one. */
+  countAhead(request: QueuedRequest, now: number): number {
+    const rank = getRank(request, now);
+    return this.items.filter((item) => {
+      if (item.stage === RequestStage.begun) return false;
+      const lead = rank - getRank(item, now) || request.priority - item.priority;
+      return lead >= 0;
+    }).length;
+  }
+
+  /**
+   * Time until one more request would be dispatched at the rate of the last second, in milliseconds. Fresh requests
+   * that are late come after it.
+   */
   expectedWaitMs(now: number): number {
     const rate = Math.max(minRate, this.servedInWindow.total(now) / rateWindowMs);
-    return this.contenders / rate;
+    const isInTime = (item: Item): boolean => getRank(item, now) !== lateRank;
+    const ahead = this.items.filter(
+      (item) =>
+        item.stage !== RequestStage.begun && (item.stage !== RequestStage.fresh || isInTime(item)),
+    );
+    return ahead.length / rate;
   }
 
   recordServed(workspace: string, now: number): void {
--- a/packages/forwarding/src/attempts/requestAttempts.ts
+++ b/packages/forwarding/src/attempts/requestAttempts.ts
@@ -1,7 +1,13 @@
 import { Execution, OutcomeUnknown } from '@laburnumstream/common';
 import type { Failure } from '@laburnumstream/common';
-import { AttemptHistory, RequestStage, RetryPurpose, mayRetry } from '@laburnumstream/decisions';
-import type { Placement } from '@laburnumstream/decisions';
+import {
+  AttemptHistory,
+  RequestStage,
+  RetryPurpose,
+  mayRetry,
+  misdirectedStatus,
+} from '@laburnumstream/decisions';
+import type { EngineModel, Placement } from '@laburnumstream/decisions';
 import type { Exchange } from '../callers/exchange.js';
 import { Refusal, RefusalReason } from '../callers/refusal.js';
 import type { Eligibility } from '../endpoints/eligibility.js';
@@ -19,6 +25,8 @@
  * endpoint may be closing one that was idle for longer.
  */
 const maxNonRetryableIdleMs = 2_500;
+/** Responses with status 421 to one request from which on they count as refusals: it is not what they are about. */
+const maxMisdirections = 3;
 /** Delay after which a caller is asked to retry when all endpoints refused its request. */
 const retryDelayMs = 500;
 /** A caller with less than this share of its route's timeout left is taken to retry after a refusal. */
@@ -36,6 +44,24 @@
 /** Faults that an endpoint causes when it ends. */
 const breakingFaults: ReadonlySet<CallFault> = new Set([CallFault.broken, CallFault.truncated]);
 
+/** Time from the start of a request to the end of its answer at a full engine, in milliseconds. */
+function wholeAnswerMs(model: EngineModel, promptTokens: number, answerTokens: number): number {
+  return model.firstEventMs(model.slots - 1, 0, promptTokens) + model.generationMs(answerTokens);
+}
+
+/** Passes the events of a call on, and the status of its response to `onStatus` before. */
+function watchStatus(observer: CallObserver, onStatus: (status: number) => void): CallObserver {
+  return {
+    onHead(status, head, rawHeaders) {
+      onStatus(status);
+      observer.onHead(status, head, rawHeaders);
+    },
+    onData: (bytes) => observer.onData(bytes),
+    onEnd: () => observer.onEnd(),
+    onFailure: (fault, reason) => observer.onFailure(fault, reason),
+  };
+}
+
 /** The attempts of one request: the endpoints that were tried, and whether it may be retried. */
 export class RequestAttempts {
   private readonly history: AttemptHistory<EndpointHandle>;
@@ -46,6 +72,15 @@
   /** Number of times that the request was sent to an endpoint. */
   sendCount = 0;
 
+  /** Number of sends of which nothing reached an endpoint. */
+  private unsentCount = 0;
+
+  /** Status of the response to the last send; undefined before it. */
+  private lastStatus: number | undefined;
+
+  /** Number of endpoints that said that the request was not meant for them, or that they hold no weights. */
+  private misdirections = 0;
+
   /** Why the request was not sent again after its last failed attempt; undefined if it was. */
   retryDenial: RetryDenial | undefined;
 
@@ -109,9 +144,11 @@
     if (fault && breakingFaults.has(fault)) services.guard.recordBreak(handle, exchange);
     this.isMoving = false;
     this.retryingSince = now;
+    const isMisdirected = fault === undefined && this.lastStatus === misdirectedStatus;
+    if (!call.wasSent) this.unsentCount += 1;
+    if (isMisdirected) this.misdirections += 1;
     if (execution !== Execution.notRun) this.history.recordExecution(handle, now);
-    else if (fault) this.history.recordUnsent(handle, now);
-    else this.history.recordRefusal(handle, now);
+    else if (!this.mayReturn(isMisdirected, call.wasSent)) this.recordRefusal(handle, fault, now);
     const denial = this.findDenial(execution);
     this.retryDenial = denial;
     const isRepeated = denial === undefined;
@@ -136,6 +173,19 @@
     return isRepeated;
   }
 
+  /**
+   * Whether the endpoint that has not executed the request may get it again: it has no weights yet, or could not be
+   * reached. The directory keeps requests from it for as long.
+   */
+  private mayReturn(isMisdirected: boolean, wasSent: boolean): boolean {
+    return !this.isBegun && (isMisdirected ? this.waitsForWeights : !wasSent);
+  }
+
+  private recordRefusal(handle: EndpointHandle, fault: CallFault | undefined, now: number): void {
+    if (fault) this.history.recordUnsent(handle, now);
+    else this.history.recordRefusal(handle, now);
+  }
+
   /** Returns why the request may not be retried after an attempt; undefined if it may. */
   private findDenial(execution: Execution): RetryDenial | undefined {
     const { exchange, isBegun } = this;
@@ -144,8 +194,8 @@
     if (!mayRetry(this.isRetryable, execution)) return RetryDenial.notRetryable;
     if (!this.history.allowsAttempt(isBegun)) return RetryDenial.attemptsUsed;
     // A begun request waits for the budget in the queue.
-    if (isBegun || budget.allows(exchange.service, clock.now(), RetryPurpose.failure))
-      return undefined;
+    if (isBegun || this.waitsForWeights || !this.isRetry) return undefined;
+    if (budget.allows(exchange.service, clock.now(), RetryPurpose.failure)) return undefined;
     return RetryDenial.budgetUsed;
   }
 
@@ -229,10 +279,24 @@
       eligibility: this.eligibility((id) => this.isExcluded(id)),
       goalAt,
       deadlineAt,
-      ...(this.sendCount > 0 ? { acquireRetry: () => this.acquireRetry() } : {}),
+      latestStartAt:
+        deadlineAt - (model ? wholeAnswerMs(model, promptTokens, outputTokens) : plainResponseMs),
+      waitsPastGoal: this.waitsForWeights,
+      ...(this.isRetry ? { acquireRetry: () => this.acquireRetry() } : {}),
     };
   }
 
+  /** Whether a part of the request may have reached an endpoint before. */
+  private get isRetry(): boolean {
+    return this.sendCount > this.unsentCount;
+  }
+
+  /** Whether its last endpoint could not serve it, so that it waits for one that has weights. */
+  private get waitsForWeights(): boolean {
+    const { misdirections } = this;
+    return misdirections > 0 && misdirections <= maxMisdirections && !this.isBegun;
+  }
+
   /** Whether the caller has received a part of the response. */
   private get isBegun(): boolean {
     return this.exchange.response.headersSent;
@@ -266,7 +330,8 @@
   private eligibility(isTried: (id: string) => boolean): Eligibility {
     const { route, workspace } = this.exchange;
     const homeRegions = [route.homeRegions, workspace?.homeRegions ?? []];
-    return { homeRegions, tried: { has: isTried, size: this.history.excludedEndpoints } };
+    const tried = { has: isTried, size: this.history.excludedEndpoints };
+    return { homeRegions, tried, needsProof: this.waitsForWeights };
   }
 
   /** Whether the caller retries after a refusal: it has clearly less time left than its route allows. */
@@ -295,8 +360,12 @@
     lastEventId: number | undefined,
   ): Attempt {
     this.sendCount += 1;
+    this.lastStatus = undefined;
     const maxIdleMs = this.isRetryable ? Infinity : maxNonRetryableIdleMs;
-    const options = { observer, lastEventId, maxIdleMs, isBegun: this.isBegun };
+    const watched = watchStatus(observer, (status) => {
+      this.lastStatus = status;
+    });
+    const options = { observer: watched, lastEventId, maxIdleMs, isBegun: this.isBegun };
     return sendAttempt(this.exchange, this.services, handle, options);
   }
 }
--- a/packages/forwarding/src/attempts/responseRecorder.ts
+++ b/packages/forwarding/src/attempts/responseRecorder.ts
@@ -1,6 +1,7 @@
 import type { Log, Metrics } from '@laburnumstream/common';
 import { misdirectedStatus } from '@laburnumstream/decisions';
 import { isSuccess } from '../endpoints/endpointCall.js';
+import type { EndpointDirectory } from '../endpoints/endpointDirectory.js';
 import type { EndpointHandle } from '../endpoints/endpointHandle.js';
 import type { ResponseHead } from '../callers/heads.js';
 import type { StatementRecorder } from '../endpoints/statementRecorder.js';
@@ -13,19 +14,23 @@
   /** Called with the requests per second that a response names as the endpoint's limit, if any. */
   readonly onNamedLimit: (endpoint: EndpointHandle, perSecond: number | undefined) => void;
   readonly statements: StatementRecorder;
+  readonly directory: Pick<EndpointDirectory, 'recordMisdirection'>;
   readonly metrics: Metrics;
   readonly log: Log;
 }
 
 /** Records what an endpoint says of itself with a response. */
 export function recordHead(
-  { statements, onNamedLimit }: ResponseServices,
+  { statements, onNamedLimit, directory }: ResponseServices,
   handle: EndpointHandle,
   status: number,
   head: ResponseHead,
 ): void {
-  // Another endpoint at the address responds so.
-  if (status === misdirectedStatus) return;
+  // Another endpoint at the address responds so, or an engine without weights.
+  if (status === misdirectedStatus) {
+    directory.recordMisdirection(handle);
+    return;
+  }
   statements.record(handle, status, head);
   const { maxRequestsPerSecond } = head;
   // A refusal without a limit does not tell that the limit has ended.
--- a/packages/forwarding/src/endpoints/eligibility.ts
+++ b/packages/forwarding/src/endpoints/eligibility.ts
@@ -4,4 +4,6 @@
   readonly homeRegions: readonly (readonly string[])[];
   /** Ids of endpoints that must not get it now, as they were tried before. */
   readonly tried: Pick<ReadonlySet<string>, 'has' | 'size'>;
+  /** Whether an engine must have shown a sign of life lately, as another one has refused the request without weights. */
+  readonly needsProof?: boolean;
 }
--- a/packages/forwarding/src/endpoints/endpointDirectory.ts
+++ b/packages/forwarding/src/endpoints/endpointDirectory.ts
@@ -2,23 +2,26 @@
   Clock,
   Endpoint,
   FleetSettings,
+  Log,
   Metrics,
   Random,
   ServiceProfile,
 } from '@laburnumstream/common';
 import {
-  EndpointHealth,
   EndpointStatements,
   NotifierSelection,
   countSenders,
   isVersionEligible,
 } from '@laburnumstream/decisions';
-import type { CapacitySharers } from '@laburnumstream/decisions';
+import type { CapacitySharers, ExpectedCapacity } from '@laburnumstream/decisions';
+import { CapacityForecast } from './capacityForecast.js';
 import type { Eligibility } from './eligibility.js';
 import { EndpointCapacity } from './endpointCapacity.js';
 import { EndpointHandle } from './endpointHandle.js';
 import type { EndpointSource, ServiceStatements } from './endpointSource.js';
 import { EndpointState } from './endpointState.js';
+import { MisdirectedEndpoints } from './misdirectedEndpoints.js';
+import { FormerHealth } from './formerHealth.js';
 import type { FleetState } from '../fleet/fleetState.js';
 import type { EntryCounts } from '../fleet/entryCounts.js';
 import { StartBounds } from './startBounds.js';
@@ -26,6 +29,10 @@
 /** Share of an engine's slots up to which a request starts at once, whatever other entries send meanwhile. */
 const freeSlotShare = 0.75;
 
+function isHome(homeRegions: Eligibility['homeRegions'], region: string): boolean {
+  return homeRegions.every((homes) => homes.length === 0 || homes.includes(region));
+}
+
 /** The registered endpoints by id, address and service. */
 export class EndpointDirectory implements EndpointSource {
   private readonly handles = new Map<string, EndpointHandle>();
@@ -48,8 +55,11 @@
 
   private readonly capacity: EndpointCapacity;
 
-  /** Health of endpoints that have left, by id: some come back and fail again. */
-  private readonly formerHealth = new Map<string, EndpointHealth>();
+  private readonly misdirected: MisdirectedEndpoints;
+
+  private readonly forecast = new CapacityForecast();
+
+  private readonly formerHealth = new FormerHealth();
 
   constructor(
     private readonly settings: FleetSettings,
@@ -60,10 +70,12 @@
     private readonly entryCounts: EntryCounts,
     /** Runs during a suspension too, as the time of a version does. */
     versionClock: Pick<Clock, 'now'>,
+    log?: Log,
   ) {
     this.startBounds = new StartBounds(settings, state, clock, versionClock);
     this.senders = new NotifierSelection(settings.instance);
     this.statements = new EndpointStatements(random.next());
+    this.misdirected = new MisdirectedEndpoints(metrics, log);
     this.capacity = new EndpointCapacity(this.statements, entryCounts);
   }
 
@@ -101,10 +113,11 @@
       handle.pool.closeIdle();
       handle.retire(departures.get(id) ?? this.clock.now());
       this.handles.delete(id);
-      this.formerHealth.set(id, handle.health);
+      this.formerHealth.keep(id, handle.health);
     });
     endpoints.forEach((endpoint) => this.addOrUpdate(endpoint, services?.get(endpoint.service)));
-    this.pruneFormerHealth();
+    this.formerHealth.prune(this.clock.now());
+    this.forecast.retain(new Set([...this.handles.values()].map((each) => each.incarnation)));
     this.byService.clear();
     this.byAddress.clear();
     this.handles.forEach((handle) => {
@@ -128,6 +141,7 @@
     among: readonly EndpointHandle[] = this.forService(service),
   ): EndpointHandle[] {
     const now = this.clock.now();
+    this.misdirected.releaseDue((incarnation) => this.findIncarnation(incarnation), now);
     return among.filter(
       (handle) =>
         this.isRegistered(handle) &&
@@ -144,6 +158,7 @@
       this.statements.allows(handle.incarnation, now) &&
       !handle.endpoint.isDraining &&
       !this.state.isEvacuated(handle.endpoint.dataCentre) &&
+      !this.misdirected.has(handle, now) &&
       this.hasUsableWeights(handle, now, true)
     );
   }
@@ -170,6 +185,7 @@
    */
   canServe(service: string, eligibility: Eligibility, by = this.clock.now()): boolean {
     const now = this.clock.now();
+    this.misdirected.releaseDue((incarnation) => this.findIncarnation(incarnation), now);
     return this.forService(service).some(
       (handle) =>
         this.isEligible(handle, eligibility, now) &&
@@ -177,6 +193,38 @@
     );
   }
 
+  /**
+   * Records that a response has shown that another endpoint has the address of this one, or that it holds no weights.
+   * It gets no request until its agent reports or it is registered anew.
+   */
+  recordMisdirection(handle: EndpointHandle): void {
+    this.misdirected.record(handle, this.clock.now());
+  }
+
+  /** Returns when the endpoints of a service are expected to serve, for requests of an eligibility. */
+  expectCapacity(
+    service: string,
+    { homeRegions, tried }: Eligibility,
+    withPauses: boolean,
+  ): readonly ExpectedCapacity[] {
+    const now = this.clock.now();
+    const entries = Math.max(1, this.state.entryCount);
+    const { linkBitsPerSecond } = this.settings;
+    return this.forService(service).flatMap((handle) => {
+      const { id, incarnation, region } = handle;
+      const state = this.getState(handle);
+      const mayServe =
+        !tried.has(id) &&
+        isHome(homeRegions, region) &&
+        this.isSender(handle, now) &&
+        (withPauses || state !== EndpointState.paused);
+      const pauseEndsAt = this.statements.pauseEndsAt(incarnation);
+      const facts = { entries, linkBitsPerSecond, pauseEndsAt };
+      const expected = mayServe ? this.forecast.expect(handle, state, facts, now) : undefined;
+      return expected ? [expected] : [];
+    });
+  }
+
   /** Returns what the endpoints of a service have said, for requests of an eligibility. */
   summarizeStatements(service: string, { homeRegions }: Eligibility): ServiceStatements {
     const now = this.clock.now();
@@ -206,6 +254,7 @@
     if (this.state.isEvacuated(endpoint.dataCentre)) return EndpointState.evacuated;
     if (!handle.isAnswering) return EndpointState.silent;
     if (handle.isSwitching) return EndpointState.switching;
+    if (this.misdirected.has(handle, now)) return EndpointState.misdirected;
     if (handle.model && handle.version === undefined) return EndpointState.empty;
     if (!this.hasUsableWeights(handle, now)) return EndpointState.outdated;
     if (!this.statements.allows(handle.incarnation, now)) return EndpointState.paused;
@@ -242,6 +291,7 @@
   private addOrUpdate(endpoint: Endpoint, profile: ServiceProfile | undefined): void {
     const known = this.handles.get(endpoint.id);
     if (known) {
+      this.misdirected.applyRegistration(known, endpoint, this.clock.now());
       known.endpoint = endpoint;
       known.updateProfile(profile);
       this.extendColdStart(known, endpoint);
@@ -261,28 +311,12 @@
       metrics,
       peers,
       phase,
-      this.restoreHealth(endpoint.id),
+      this.formerHealth.restore(endpoint.id, clock.now()),
     );
     this.extendColdStart(handle, endpoint);
     this.handles.set(endpoint.id, handle);
   }
 
-  /** Returns the health for a new endpoint; one that was registered before counts as restarted. */
-  private restoreHealth(id: string): EndpointHealth {
-    const health = this.formerHealth.get(id);
-    if (!health) return new EndpointHealth();
-    this.formerHealth.delete(id);
-    health.recordRestart(this.clock.now());
-    return health;
-  }
-
-  private pruneFormerHealth(): void {
-    const now = this.clock.now();
-    this.formerHealth.forEach((health, id) => {
-      if (!health.hasRecentOutage(now)) this.formerHealth.delete(id);
-    });
-  }
-
   private extendColdStart(handle: EndpointHandle, { coldRemainingMs }: Endpoint): void {
     if (coldRemainingMs <= 0) return;
     Object.assign(handle, {
@@ -292,7 +326,7 @@
 
   private isEligible(
     handle: EndpointHandle,
-    { homeRegions, tried }: Eligibility,
+    { homeRegions, tried, needsProof = false }: Eligibility,
     now: number,
   ): boolean {
     const { endpoint, region } = handle;
@@ -303,8 +337,10 @@
       handle.isAnswering &&
       this.isSender(handle, now) &&
       !tried.has(endpoint.id) &&
+      !this.misdirected.has(handle, now) &&
+      (!needsProof || MisdirectedEndpoints.isProven(handle, now)) &&
       !this.state.isEvacuated(endpoint.dataCentre) &&
-      homeRegions.every((homes) => homes.length === 0 || homes.includes(region)) &&
+      isHome(homeRegions, region) &&
       this.hasUsableWeights(handle, now)
     );
   }
--- a/packages/forwarding/src/endpoints/endpointSource.ts
+++ b/packages/forwarding/src/endpoints/endpointSource.ts
@@ -1,3 +1,4 @@
+import type { ExpectedCapacity } from '@laburnumstream/decisions';
 import type { Eligibility } from './eligibility.js';
 import type { EndpointHandle } from './endpointHandle.js';
 
@@ -29,4 +30,13 @@
   canServe(service: string, eligibility: Eligibility, by?: number): boolean;
   /** Returns what the endpoints of a service have said, for requests of an eligibility. */
   summarizeStatements(service: string, eligibility: Eligibility): ServiceStatements;
+  /**
+   * Returns when the endpoints of a service are expected to serve and how much, for requests of an eligibility; without
+   * it none is. Endpoints that pause are left out unless `withPauses` is set.
+   */
+  expectCapacity?(
+    service: string,
+    eligibility: Eligibility,
+    withPauses: boolean,
+  ): readonly ExpectedCapacity[];
 }
--- a/packages/forwarding/src/endpoints/endpointState.ts
+++ b/packages/forwarding/src/endpoints/endpointState.ts
@@ -8,6 +8,8 @@
   limited: 'limited',
   /** It is ejected for a while after failures or silence. */
   resting: 'resting',
+  /** Its response has shown that another endpoint has its address, or that it holds no weights. */
+  misdirected: 'misdirected',
   /** It has no complete version of the weights. */
   empty: 'empty',
   /** Its version of the weights may no longer be used. */
--- /dev/null
+++ b/packages/forwarding/src/endpoints/misdirectedEndpoints.ts
@@ -0,0 +1,77 @@
+import type { Endpoint, Log, Metrics } from '@laburnumstream/common';
+import { Misdirections, isProof } from '@laburnumstream/decisions';
+import type { EndpointHandle } from './endpointHandle.js';
+
+/**
+ * Endpoints of which a response has shown that they are not what is registered: another one has the address, or an
+ * engine holds no weights. It counts until the engine's agent reports or the endpoint is registered anew.
+ */
+export class MisdirectedEndpoints {
+  private readonly misdirections = new Misdirections();
+
+  constructor(
+    private readonly metrics: Metrics,
+    private readonly log?: Log,
+  ) {}
+
+  /** Records such a response of an endpoint. */
+  record(handle: EndpointHandle, now: number): void {
+    const { id, incarnation, endpoint, model, lastSignOfLifeAt, load } = handle;
+    const isEngine = model !== undefined;
+    if (isEngine) Object.assign(handle, { reportedVersion: 0 });
+    if (!this.misdirections.record(incarnation, endpoint.service, isEngine, now)) return;
+    this.metrics.count('endpoints_misdirected', { service: endpoint.service });
+    this.log?.info('Endpoint is not the registered one.', {
+      endpoint: id,
+      service: endpoint.service,
+      layers: endpoint.layers?.to ?? 0,
+      signOfLifeAgeMs: Math.round(now - lastSignOfLifeAt),
+      reportAgeMs: Math.round(load.reportAgeMs(now)),
+    });
+  }
+
+  /** Whether an endpoint gets no request for such a response, of its own or of another one beside which it is silent. */
+  has(handle: EndpointHandle, now: number): boolean {
+    const { incarnation, endpoint, model, lastSignOfLifeAt } = handle;
+    if (!model) return this.misdirections.isExcluded(incarnation, now);
+    return (
+      this.isUnheard(handle, now) ||
+      this.misdirections.isDoubted(endpoint.service, lastSignOfLifeAt, now)
+    );
+  }
+
+  /** Whether an endpoint has lately shown that it runs; only engines are expected to without a request. */
+  static isProven({ model, lastSignOfLifeAt }: EndpointHandle, now: number): boolean {
+    return !model || isProof(lastSignOfLifeAt, now);
+  }
+
+  /** Lets endpoints be tried again of which nothing else was heard for long. */
+  releaseDue(find: (incarnation: string) => EndpointHandle | undefined, now: number): void {
+    if (this.misdirections.size === 0) return;
+    this.misdirections.takeDue(now).forEach((incarnation) => {
+      const handle = find(incarnation);
+      if (handle) this.release(handle, now);
+    });
+  }
+
+  /** Lets an endpoint be used again that is registered with other layers than before. */
+  applyRegistration(handle: EndpointHandle, { layers }: Endpoint, now: number): void {
+    const known = handle.endpoint.layers;
+    const isSame =
+      known?.version === layers?.version &&
+      known?.from === layers?.from &&
+      known?.to === layers?.to;
+    if (!isSame) this.release(handle, now);
+  }
+
+  private release(handle: EndpointHandle, now: number): void {
+    if (this.isUnheard(handle, now)) Object.assign(handle, { reportedVersion: undefined });
+    this.misdirections.release(handle.incarnation);
+  }
+
+  /** Whether such a response is the last news of an engine's weights. */
+  private isUnheard({ incarnation, reportedVersion, load }: EndpointHandle, now: number): boolean {
+    const at = this.misdirections.misdirectedAt(incarnation);
+    return at !== undefined && reportedVersion === 0 && now - load.reportAgeMs(now) <= at;
+  }
+}
--- a/packages/forwarding/src/placement/dispatchQueue.ts
+++ b/packages/forwarding/src/placement/dispatchQueue.ts
@@ -14,12 +14,15 @@
 import type { DispatchPolicies } from './dispatchPolicies.js';
 import type { PlacementRequest } from './placementRequest.js';
 import { stagePolicies } from './stagePolicy.js';
-import type { WaitEnd } from '../callers/waitEnd.js';
+import { WaitEnd } from '../callers/waitEnd.js';
+import { WaitEstimates } from './waitEstimates.js';
 
 /** A request for which an endpoint is sought. */
 interface Candidate extends PlacementRequest {
   /** Number of available endpoints when all were last checked; undefined before that. */
   availableCount: number | undefined;
+  /** Monotonic time since when the retry budget keeps it from an endpoint with room, in milliseconds. */
+  budgetDeniedAt: number | undefined;
 }
 
 interface PendingRequest extends Candidate {
@@ -38,6 +41,8 @@
 const goalShare = { base: 0.75, min: 0.35, max: 1, perLead: 3 } as const;
 /** Delay after which refused callers are asked to retry, in milliseconds; `spread` adds jitter. */
 const retryDelayMs = { min: 900, spread: 700 } as const;
+/** Longest time that a request which its caller can send again waits for the retry budget, in milliseconds. */
+const maxBudgetWaitMs = 1_000;
 /** Upper limit of that delay, as a share of the caller's remaining time. */
 const maxRetryDelayShare = 1 / 3;
 
@@ -58,6 +63,8 @@
 
   private readonly policies: DispatchPolicies;
 
+  private readonly estimates: WaitEstimates;
+
   private isRecheckScheduled = false;
 
   constructor(
@@ -69,6 +76,7 @@
     policies: Partial<DispatchPolicies> = {},
   ) {
     this.policies = { ...openPolicies, ...policies };
+    this.estimates = new WaitEstimates(directory, (service) => this.policies.isAdaptive(service));
   }
 
   /** Resolves with an endpoint; rejects with a `Refusal` if the request can't be served in time. */
@@ -78,14 +86,16 @@
     if (request.stage !== RequestStage.callerRetry)
       this.getShares(request.service).recordArrival(request.fairnessGroups, now);
     this.policies.demand.recordArrival(request, now);
-    const candidate: Candidate = { ...request, availableCount: undefined };
+    this.estimates.getOutlook(request.service).recordArrival(now);
+    const candidate = { ...request, availableCount: undefined, budgetDeniedAt: undefined };
     const refusal = this.findStopRefusalOf(request);
     if (refusal) return Promise.reject(refusal);
     const placement = queue.contenders === 0 ? this.tryPlacement(candidate, now) : undefined;
     if (placement) return Promise.resolve(this.recordPlacement(request, placement, now));
     const startAt = now + queue.expectedWaitMs(now);
-    const end = this.findWaitEnd(request, now, startAt);
-    if (end) return Promise.reject(this.createRefusal(candidate, end, now, startAt));
+    const countAhead = (): number => queue.countAhead(request, now);
+    const end = this.findWaitEnd(candidate, now, startAt, countAhead);
+    if (end) return Promise.reject(this.createRefusal(candidate, end, now, startAt, countAhead()));
     return new Promise((resolve, reject) => {
       const queued: PendingRequest = { ...candidate, resolve, reject };
       const abort = (): void => {
@@ -107,6 +117,7 @@
     if (!queue || queue.length === 0) return;
     const now = this.clock.now();
     const among = changed && [changed];
+    let ahead = 0;
     queue.inDispatchOrder(now).forEach((queued) => {
       const refusal = this.findStopRefusalOf(queued);
       if (refusal) {
@@ -120,10 +131,13 @@
         queued.resolve(this.recordPlacement(queued, placement, now));
         return;
       }
-      const end = this.findWaitEnd(queued, now, now);
-      if (!end) return;
+      const end = this.findWaitEnd(queued, now, now, () => ahead);
+      if (!end) {
+        if (queued.stage !== RequestStage.begun) ahead += 1;
+        return;
+      }
       queue.remove(queued);
-      queued.reject(this.createRefusal(queued, end, now, now));
+      queued.reject(this.createRefusal(queued, end, now, now, ahead));
     });
   }
 
@@ -153,7 +167,10 @@
     among?: readonly EndpointHandle[],
   ): Placement<EndpointHandle> | undefined {
     const placement = this.findPlacement(request, now, among);
-    return placement && (request.acquireRetry?.() ?? true) ? placement : undefined;
+    if (!placement) return undefined;
+    if (request.acquireRetry?.() ?? true) return placement;
+    Object.assign(request, { budgetDeniedAt: request.budgetDeniedAt ?? now });
+    return undefined;
   }
 
   private findPlacement(
@@ -189,14 +206,16 @@
 
   /** Returns why a request that is sent at `startAt` can't be useful; undefined if it can. */
   private findWaitEnd(
-    request: PlacementRequest,
+    request: Candidate,
     now: number,
     startAt: number,
+    countAhead: () => number,
   ): WaitEnd | undefined {
-    const { service, eligibility, stage } = request;
-    return stagePolicies[stage].findWaitEnd(request, now, startAt, (latestAt) =>
-      this.directory.canServe(service, eligibility, latestAt),
-    );
+    const { stage, budgetDeniedAt = Infinity } = request;
+    if (!begunStages.has(stage) && now - budgetDeniedAt > maxBudgetWaitMs)
+      return WaitEnd.retryBudget;
+    const facts = this.estimates.createFacts(request, now, startAt, countAhead);
+    return stagePolicies[stage].findWaitEnd(request, facts);
   }
 
   private recordPlacement(
@@ -210,7 +229,9 @@
     this.getQueue(request.service).recordServed(request.workspace, now);
     if (request.stage !== RequestStage.callerRetry)
       this.getShares(request.service).recordServed(request.fairnessGroups, now);
-    this.policies.demand.recordPlacement(request, now + expectedMs <= request.goalAt, now);
+    const isInTime = now + expectedMs <= request.goalAt;
+    this.policies.demand.recordPlacement(request, isInTime, now);
+    if (!isInTime) this.estimates.getOutlook(request.service).recordLatePlacement(now);
     this.metrics.observe('request_wait', now - request.arrivedAt);
     this.log.info('Request placed.', {
       id: request.id,
@@ -230,18 +251,21 @@
     return placement;
   }
 
-  private createRefusal(request: Candidate, end: WaitEnd, now: number, startAt: number): Refusal {
+  private createRefusal(
+    request: Candidate,
+    end: WaitEnd,
+    now: number,
+    startAt: number,
+    ahead: number,
+  ): Refusal {
     const { id, service, isRetryable } = request;
     this.metrics.count('waits_ended', { cause: end });
     this.policies.demand.recordRefusal(request, now);
     const remainingMs = Math.max(0, request.deadlineAt - now);
-    const delayMs = retryDelayMs.min + this.random.next() * retryDelayMs.spread;
-    const maxDelayMs = remainingMs * maxRetryDelayShare;
     const statements = this.directory.summarizeStatements(service, request.eligibility);
+    const recovery = this.findRecovery(request, end, ahead, now);
     const retryAfterMs =
-      statements.pauseLeftMs > 0
-        ? pauseRetryDelayMs(statements.pauseLeftMs, maxDelayMs, this.random)
-        : Math.min(delayMs, maxDelayMs);
+      recovery?.turnMs ?? this.drawRetryDelay(statements.pauseLeftMs, remainingMs);
     this.log.info('Request refused.', {
       id,
       service,
@@ -260,12 +284,38 @@
       leaving: statements.leaving,
       paused: statements.paused,
       waiting: this.getQueue(service).length,
+      ahead,
+      recovering: recovery?.endpoints ?? 0,
+      firstRecoveryMs: recovery ? Math.round(recovery.firstMs) : null,
       retryAfterMs: Math.round(retryAfterMs),
     });
     const message = 'No endpoint can answer in time.';
     return new Refusal(RefusalReason.overloaded, message, retryAfterMs, end);
   }
 
+  /** Returns when a refused request would be sent if it waited for endpoints that do not serve now. */
+  private findRecovery(
+    request: Candidate,
+    end: WaitEnd,
+    ahead: number,
+    now: number,
+  ): { turnMs: number; firstMs: number; endpoints: number } | undefined {
+    const outlook = this.estimates.getOutlook(request.service);
+    const capacities = this.estimates.expectCapacities(request, now);
+    if (!outlook.isOut(capacities, now) && end !== WaitEnd.noEndpoint) return undefined;
+    const turnMs = outlook.turnAt(capacities, ahead, now) - now;
+    if (turnMs === Infinity) return undefined;
+    const firstMs = Math.min(...capacities.map(({ at }) => at)) - now;
+    return { turnMs, firstMs, endpoints: capacities.length };
+  }
+
+  /** Returns a delay that spreads callers who come back, within what they accept. */
+  private drawRetryDelay(pauseLeftMs: number, remainingMs: number): number {
+    const maxDelayMs = remainingMs * maxRetryDelayShare;
+    if (pauseLeftMs > 0) return pauseRetryDelayMs(pauseLeftMs, maxDelayMs, this.random);
+    return Math.min(retryDelayMs.min + this.random.next() * retryDelayMs.spread, maxDelayMs);
+  }
+
   private static createAbortRefusal(): Refusal {
     return new Refusal(RefusalReason.deadline, 'The request was aborted while it was queued.', 0);
   }
--- a/packages/forwarding/src/placement/placementRequest.ts
+++ b/packages/forwarding/src/placement/placementRequest.ts
@@ -19,6 +19,10 @@
   readonly goalAt: number;
   /** Monotonic time by which its response must be complete, in milliseconds. */
   readonly deadlineAt: number;
+  /** Latest monotonic time at which it can be sent and be complete by its deadline, in milliseconds. */
+  readonly latestStartAt?: number;
+  /** Whether it waits past its goal: an endpoint that could not serve has refused it. */
+  readonly waitsPastGoal?: boolean;
   /** Takes a retry from the budget when it is placed; returns false while the budget is exhausted. */
   readonly acquireRetry?: () => boolean;
 }
--- a/packages/forwarding/src/placement/stagePolicy.ts
+++ b/packages/forwarding/src/placement/stagePolicy.ts
@@ -4,6 +4,23 @@
 import type { EndpointHandle } from '../endpoints/endpointHandle.js';
 import { WaitEnd } from '../callers/waitEnd.js';
 
+/** What is expected of the wait of one request. */
+export interface WaitFacts {
+  readonly now: number;
+  /** Time at which it is sent, as far as those ahead of it and the rate of the last second tell. */
+  readonly startAt: number;
+  /** Whether an endpoint could serve it by a time if it had free capacity. */
+  canServe(latestAt: number): boolean;
+  /** Whether no endpoint serves now, though some are expected to. */
+  isOut(): boolean;
+  /** Time at which endpoints that are expected to serve again send it; infinite if none is. */
+  recoveryTurnAt(): number;
+  /** Whether it may wait past its goal while endpoints serve. */
+  mayBeLate(): boolean;
+  /** Time at which a place is left for it that those in time do not need; infinite if none is expected. */
+  lateTurnAt(): number;
+}
+
 /** What a request may use, and how long it may wait, at one stage. */
 interface StagePolicy {
   /** Whether it is placed on the best endpoint, where it would or would not start in time. */
@@ -13,13 +30,8 @@
     isInTime: boolean,
     now: number,
   ): boolean;
-  /** Why it can't wait to be sent at `startAt`; undefined if it can. */
-  findWaitEnd(
-    request: PlacementRequest,
-    now: number,
-    startAt: number,
-    canServe: (latestAt: number) => boolean,
-  ): WaitEnd | undefined;
+  /** Why it can't wait to be sent; undefined if it can. */
+  findWaitEnd(request: PlacementRequest, facts: WaitFacts): WaitEnd | undefined;
 }
 
 /** Longest time in the queue of a request that its caller retries after a refusal, in milliseconds. */
@@ -37,28 +49,45 @@
 
 function findGoalEnd(
   { startBy }: PlacementRequest,
-  now: number,
-  startAt: number,
-  canServe: (latestAt: number) => boolean,
+  { now, startAt, canServe }: WaitFacts,
 ): WaitEnd | undefined {
   if (!canServe(startBy)) return WaitEnd.noEndpoint;
   if (startAt <= startBy) return undefined;
   return now > startBy ? WaitEnd.goalPassed : WaitEnd.expectedWait;
 }
 
+/**
+ * Why a request ends its wait that it would have to end for its goal. While no endpoint serves it waits for those that
+ * are expected to, and otherwise for a place that is left for late ones, if it can then be served by its deadline.
+ */
+function findLateEnd(
+  { latestStartAt, deadlineAt }: PlacementRequest,
+  goalEnd: WaitEnd | undefined,
+  facts: WaitFacts,
+): WaitEnd | undefined {
+  if (goalEnd === undefined) return undefined;
+  const latestAt = latestStartAt ?? deadlineAt;
+  if (facts.isOut() || goalEnd === WaitEnd.noEndpoint) {
+    if (facts.recoveryTurnAt() <= latestAt) return undefined;
+    return goalEnd === WaitEnd.noEndpoint ? goalEnd : WaitEnd.expectedRecovery;
+  }
+  return facts.mayBeLate() && facts.lateTurnAt() <= latestAt ? undefined : goalEnd;
+}
+
 /** Policy of each stage. */
 export const stagePolicies: Readonly<Record<RequestStage, StagePolicy>> = {
   [RequestStage.fresh]: {
     accepts: ({ startBy }, { target }, isInTime, now) =>
       isInTime || (now > startBy && hasUnreservedSlot(target, now)),
-    findWaitEnd: findGoalEnd,
+    findWaitEnd: (request, facts) => findLateEnd(request, findGoalEnd(request, facts), facts),
   },
   [RequestStage.callerRetry]: {
     accepts: (_request, { target }, _isInTime, now) => hasUnreservedSlot(target, now),
-    findWaitEnd({ arrivedAt }, _now, startAt, canServe) {
-      const latestAt = arrivedAt + maxCallerRetryWaitMs;
-      if (!canServe(latestAt)) return WaitEnd.noEndpoint;
-      return startAt < latestAt ? undefined : WaitEnd.callerRetryWait;
+    findWaitEnd(request, facts) {
+      const latestAt = request.arrivedAt + maxCallerRetryWaitMs;
+      if (!facts.canServe(latestAt)) return findLateEnd(request, WaitEnd.noEndpoint, facts);
+      if (facts.startAt < latestAt) return undefined;
+      return findLateEnd(request, WaitEnd.callerRetryWait, facts);
     },
   },
   [RequestStage.begun]: {
