Bound the listeners for other entries, checks and metrics

Cause: the feed, the metrics and the readiness port kept any number of connections open, answered any number of pipelined requests whose responses nobody read, and read bodies without end.

What changed: createBoundedServer (runtime) bounds connections and unanswered requests per connection, refuses bodies, and lets a new connection take the place of the one that has been silent or idle for longest. Closed connections are counted (connections_closed) and logged.

node features/dist/run.js features/callerLimits.feature before: 827 of 600 descriptors at each of the three, 212,520,960 of 200,000,000 bytes with pipelined requests to the feed, and no ordinary request answered in 30 s beside endless bodies to the feed.

--- a/packages/forwarding/src/feed/feedServer.ts
+++ b/packages/forwarding/src/feed/feedServer.ts
@@ -1,5 +1,4 @@
-import { createServer } from 'node:http';
-import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import { promisify } from 'node:util';
 import { gzip } from 'node:zlib';
 import type {
@@ -9,7 +8,7 @@
   StoreChanges,
   StorePosition,
 } from '@laburnumstream/common';
-import { Notifier } from '@laburnumstream/runtime';
+import { Notifier, createBoundedServer } from '@laburnumstream/runtime';
 import { FeedHeader, FeedStatus, feedPath } from './feedProtocol.js';
 import type { FeedBody, FeedSource } from './feedProtocol.js';
 import type { StoreMirror } from './storeMirror.js';
@@ -24,6 +23,8 @@
 const maxSilenceMs = 1_100;
 /** Longest time that a follower may ask to wait, in milliseconds. */
 const maxWaitMs = 2_000;
+/** Bounds of the server: it has one follower for each other entry of its region, with one call at a time. */
+const bounds = { maxConnections: 128, maxPipelined: 2 };
 
 interface EncodedBody {
   readonly bytes: Buffer;
@@ -48,12 +49,7 @@
 export class FeedServer {
   private readonly changed = new Notifier();
 
-  private readonly server = createServer((request, response) => {
-    this.handle(request, response).catch((error: unknown) => {
-      this.log.info('Feed not sent.', { reason: String(error) });
-      response.destroy();
-    });
-  });
+  private readonly server: Server;
 
   /** The last encoded response: after a change, most followers ask for the same. */
   private lastEncoded: { readonly key: string; readonly body: Promise<EncodedBody> } | undefined;
@@ -66,7 +62,20 @@
     /** Returns where this entry reads from. */
     private readonly getSource: () => FeedSource,
     private readonly log: Log,
-  ) {}
+    /** Called for each connection that is closed because of a bound. */
+    onClose: () => void = () => log.info('Connection closed at a bound of the feed.'),
+  ) {
+    this.server = createBoundedServer(
+      (request, response) => {
+        this.handle(request, response).catch((error: unknown) => {
+          this.log.info('Feed not sent.', { reason: String(error) });
+          response.destroy();
+        });
+      },
+      bounds,
+      onClose,
+    );
+  }
 
   /**
    * Listens until the signal fires; resolves when the socket is bound. If that fails, other entries read
--- a/packages/runtime/src/httpServer.ts
+++ b/packages/runtime/src/httpServer.ts
@@ -9,14 +9,12 @@
   return { host, port: Number(port) };
 }
 
-/** Starts an HTTP server on an IP:PORT address; it closes, with all its connections, on abort. */
-export function listen(
-  address: string,
-  listener: RequestListener,
+/** Starts listening with a server; it closes, with all its connections, on abort. */
+export function startListening(
+  server: Server,
+  { host, port }: { readonly host: string; readonly port: number },
   signal: AbortSignal,
 ): Promise<Server> {
-  const { host, port } = parseAddress(address);
-  const server = createServer({ keepAlive: true }, listener);
   signal.addEventListener('abort', () => {
     server.close();
     server.closeIdleConnections();
@@ -28,6 +26,15 @@
   });
 }
 
+/** Starts an HTTP server on an IP:PORT address; it closes, with all its connections, on abort. */
+export function listen(
+  address: string,
+  listener: RequestListener,
+  signal: AbortSignal,
+): Promise<Server> {
+  return startListening(createServer({ keepAlive: true }, listener), parseAddress(address), signal);
+}
+
 /** Reads a request's body as UTF-8; throws `TooLarge` if it exceeds `maxBytes`. */
 export async function readBody(request: IncomingMessage, maxBytes: number): Promise<string> {
   const parts: Buffer[] = [];
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -1,5 +1,7 @@
 /** Process infrastructure: settings, logging, metrics, HTTP servers, lifecycles and shutdown. */
+export * from './boundedServer.js';
 export * from './charts.js';
+export * from './connectionLimit.js';
 export * from './connector.js';
 export * from './digest.js';
 export * from './histogramMetrics.js';
--- a/packages/runtime/src/metricsServer.ts
+++ b/packages/runtime/src/metricsServer.ts
@@ -1,9 +1,12 @@
 import type { Log } from '@laburnumstream/common';
 import { toFailure } from '@laburnumstream/common';
 import type { HistogramMetrics } from './histogramMetrics.js';
-import { listen } from './httpServer.js';
+import { createBoundedServer, recordClosed } from './boundedServer.js';
+import { parseAddress, startListening } from './httpServer.js';
 
 const metricsPath = '/metrics';
+/** Bounds of the server: a few scrapers ask for the metrics every few seconds. */
+const bounds = { maxConnections: 32, maxPipelined: 4 };
 
 /**
  * Serves metrics on an IP:PORT address. If the port is already in use, the error is logged and the
@@ -16,8 +19,7 @@
   signal: AbortSignal,
 ): Promise<void> {
   try {
-    await listen(
-      address,
+    const server = createBoundedServer(
       (request, response) => {
         const isKnown = request.url === metricsPath;
         const body = isKnown ? metrics.render() : '';
@@ -27,8 +29,10 @@
         });
         response.end(body);
       },
-      signal,
+      bounds,
+      () => recordClosed(metrics, log, 'metrics'),
     );
+    await startListening(server, parseAddress(address), signal);
   } catch (error) {
     log.error('Failed to serve metrics.', { address, reason: toFailure(error).message });
   }
