Bound what callers keep open: memory, connections, pipelined requests, time

Cause: each chunk of a body was kept as a buffer of its own, the parts of a refused body were still kept, and nothing bounded the bytes held for all callers, the requests read on one connection, or open heads and unread responses.

What changed: one byte budget (MemoryBudget) counts bodies, requests and responses that are not taken. Reading pauses first (ReadGate); what holds most and progresses least is shed then (selectShed), by 503 where the body is incomplete and the request is the only one of its connection, by a closed connection otherwise. Bodies are copied into few blocks. Sixteen requests of a connection are handled at once and a connection with more than 128 is closed: the HTTP server parses all of a read at once, so the rest of it can't be left in the socket.

Ruled out: leaving the pipelined requests of one read unparsed (the parser can't pause within a read, and a stream between socket and server would cost each ordinary request).

--- a/packages/common/src/fleetSettings.ts
+++ b/packages/common/src/fleetSettings.ts
@@ -65,6 +65,8 @@
   readonly readinessAddress: string;
   /** Memory that the process may use, in bytes; may be infinite. */
   readonly memoryBytes: number;
+  /** File descriptors that the process may have open; may be infinite or absent, which means the same. */
+  readonly maxDescriptors?: number;
   /** Whether no process with this instance name has run before. */
   readonly isFirstStart: boolean;
 }
--- a/packages/decisions/src/forwarding/index.ts
+++ b/packages/decisions/src/forwarding/index.ts
@@ -34,3 +34,5 @@
 export * from './slidingWindowCounter.js';
 export * from './versionEligibility.js';
 export * from './waitQueue.js';
+export * from './memoryBudget.js';
+export * from './sheddingOrder.js';
--- /dev/null
+++ b/packages/forwarding/src/callers/callerMemory.ts
@@ -0,0 +1,110 @@
+import { selectShed } from '@laburnumstream/decisions';
+import type { MemoryBudget, MemoryHolder } from '@laburnumstream/decisions';
+import type { Clock } from '@laburnumstream/common';
+import type { ReadGate } from './readGate.js';
+
+/** A caller's connection that holds memory. */
+export interface CallerHolder extends Omit<MemoryHolder, 'stalledFor'> {
+  bytes: number;
+  workspace: string | undefined;
+  /** Monotonic time at which a body or a response was last completed, in milliseconds. */
+  progressAt: number;
+  readonly gate: ReadGate;
+  /** Refuses what it has sent, or closes it, so that it holds nothing any more. */
+  readonly shed: () => void;
+}
+
+/** Interval at which it is checked whether paused connections may go on, in milliseconds. */
+const checkMs = 50;
+/** Checks in a row under shortage after which memory is shed: what is under way may end before. */
+const maxShortChecks = 5;
+/** Bytes that the HTTP server reads at once from a connection that goes on. */
+const readBytes = 65_536;
+
+/** Reason to pause a connection: this process holds too much. */
+const memoryShort = Symbol('memory short');
+
+/** Counts what callers hold, pauses reading under shortage, and sheds what holds most if that does not help. */
+export class CallerMemory {
+  private readonly holders = new Set<CallerHolder>();
+
+  private readonly paused = new Set<CallerHolder>();
+
+  private shortChecks = 0;
+
+  private timer: NodeJS.Timeout | undefined;
+
+  private isShedding = false;
+
+  constructor(
+    private readonly budget: MemoryBudget,
+    private readonly clock: Clock,
+  ) {
+    budget.onShortage(() => this.shed());
+  }
+
+  /** Changes what a connection holds. */
+  change(holder: CallerHolder, bytes: number): void {
+    if (bytes === 0) return;
+    Object.assign(holder, { bytes: holder.bytes + bytes });
+    if (bytes < 0) {
+      this.budget.remove(-bytes);
+      if (holder.bytes === 0) this.holders.delete(holder);
+      return;
+    }
+    this.budget.add(bytes);
+    this.holders.add(holder);
+    if (this.budget.isShort) this.pause(holder);
+    if (this.budget.isExceeded) this.shed();
+  }
+
+  /** Lets go of all that a closed connection holds. */
+  remove(holder: CallerHolder): void {
+    this.change(holder, -holder.bytes);
+    this.paused.delete(holder);
+  }
+
+  private pause(holder: CallerHolder): void {
+    holder.gate.pause(memoryShort);
+    this.paused.add(holder);
+    this.timer ??= setInterval(() => this.check(), checkMs);
+  }
+
+  private check(): void {
+    if (this.budget.isShort) {
+      this.shortChecks += 1;
+      if (this.shortChecks > maxShortChecks) this.shed();
+    }
+    if (!this.budget.isShort) this.resumeSome();
+    if (this.paused.size > 0) return;
+    clearInterval(this.timer);
+    this.timer = undefined;
+  }
+
+  /** Resumes as many connections as can bring what they are read at once, longest paused first. */
+  private resumeSome(): void {
+    this.shortChecks = 0;
+    let left = Math.ceil((this.budget.maxBytes - this.budget.usedBytes) / readBytes);
+    for (const holder of this.paused) {
+      if (left <= 0) return;
+      left -= 1;
+      this.paused.delete(holder);
+      holder.gate.resume(memoryShort);
+    }
+  }
+
+  private shed(): void {
+    if (this.isShedding) return;
+    this.isShedding = true;
+    this.shortChecks = 0;
+    const now = this.clock.now();
+    const holders = [...this.holders].map((holder) => ({
+      holder,
+      bytes: holder.bytes,
+      workspace: holder.workspace,
+      stalledFor: now - holder.progressAt,
+    }));
+    selectShed(holders, this.budget.excessBytes).forEach(({ holder }) => holder.shed());
+    this.isShedding = false;
+  }
+}
--- a/packages/forwarding/src/callers/callerServer.ts
+++ b/packages/forwarding/src/callers/callerServer.ts
@@ -5,6 +5,7 @@
 import type { Server as Listener, Socket } from 'node:net';
 import { Aborted, NotFound, RouteKind, Unauthenticated, toFailure } from '@laburnumstream/common';
 import type {
+  CallerLimits,
   Clock,
   Failure,
   Log,
@@ -13,16 +14,20 @@
   Route,
   Workspace,
 } from '@laburnumstream/common';
-import { pickService } from '@laburnumstream/decisions';
+import { MemoryBudget, pickService } from '@laburnumstream/decisions';
 import type { RouteTable } from '@laburnumstream/decisions';
+import { checkHeaders } from './requestHeaders.js';
+import { callerBoundsWithin } from './callerBounds.js';
+import type { CallerBounds } from './callerBounds.js';
 import { CallerConnections } from './callerConnections.js';
+import type { CloseReason } from './callerConnections.js';
 import { callerDisconnected, deadlineExceeded, processStopping } from './exchange.js';
 import type { Exchange } from './exchange.js';
 import type { FleetState } from '../fleet/fleetState.js';
 import type { HeaderCodec } from './headerCodec.js';
 import type { RequestHead } from './heads.js';
 import { Refusal, RefusalReason, toDeadlineFailure } from './refusal.js';
-import { readBody } from './requestBody.js';
+import { TooManyParts, readBody } from './requestBody.js';
 import { RequestCounter } from './requestCounter.js';
 import { toStopFailure } from './stopGate.js';
 import type { StopGate } from './stopGate.js';
@@ -53,6 +58,10 @@
 const disconnectTurns = 2;
 /** Turns of the event loop after which what arrives is not waited for any longer. */
 const maxReadTurns = 100;
+/** Memory of a request besides headers, body and response, in bytes: objects of the HTTP server, timers. */
+const requestBytes = 4_096;
+/** Memory of the name or the value of a header, in bytes. */
+const headerPartBytes = 64;
 
 /**
  * Aborts a request whose caller has left, and throws. After a time without the processor a request is read
@@ -69,6 +78,12 @@
   return query < 0 ? url : url.slice(0, query);
 }
 
+/** Returns the refusal of a request whose body is shed because this process holds too much. */
+function toMemoryRefusal(): Refusal {
+  const message = 'Too much is held for callers.';
+  return new Refusal(RefusalReason.memory, message, retryDelayMs);
+}
+
 /** Receives callers' requests, authenticates them and passes them to the forwarder of their route. */
 export class CallerServer {
   private readonly server: Server;
@@ -76,7 +91,7 @@
   /** Separate from `server`, whose close cuts responses that have not been sent in full. */
   private readonly listener: Listener;
 
-  private readonly connections = new CallerConnections();
+  private readonly connections: CallerConnections;
 
   /** Aborts the requests that are being handled, by their responses. */
   private readonly running = new Map<ServerResponse, AbortController>();
@@ -93,16 +108,22 @@
     private readonly random: Random,
     private readonly metrics: Metrics,
     private readonly log: Log,
+    private readonly bounds: CallerBounds = callerBoundsWithin(Infinity),
+    budget = new MemoryBudget(bounds.memoryBytes),
   ) {
+    this.connections = new CallerConnections(bounds, budget, clock, (reason, socket) =>
+      this.recordClosed(reason, socket),
+    );
     this.counter = new RequestCounter(metrics);
     this.server = createServer({ requestTimeout: 0 }, (request, response) => {
       void this.serve(request, response);
     });
+    // Further headers are not kept; a request that has them is refused.
+    this.server.maxHeadersCount = bounds.maxHeaders + 1;
     this.listener = createListener(
       { keepAlive: true, noDelay: true, allowHalfOpen: true },
       (socket) => {
-        this.connections.add(socket);
-        this.server.emit('connection', socket);
+        if (this.connections.add(socket)) this.server.emit('connection', socket);
       },
     );
     this.applyLimits();
@@ -115,6 +136,10 @@
 
   /** Starts listening; rejects if the address can't be bound. */
   listen(host: string, port: number): Promise<void> {
+    this.connections.startSweep(() => ({
+      headMs: Math.max(this.bounds.headTimeoutMs, this.limits?.headerTimeoutMs ?? 0),
+      silentMs: this.server.keepAliveTimeout,
+    }));
     return new Promise((resolve, reject) => {
       this.listener.once('error', reject);
       this.listener.listen(port, host, () => resolve());
@@ -123,7 +148,7 @@
 
   /** Applies the limits of the newest configuration. */
   applyLimits(): void {
-    const limits = this.state.routes?.configuration.limits;
+    const { limits } = this;
     this.server.keepAliveTimeout = Math.max(
       minIdleTimeoutMs,
       (limits?.idleTimeoutMs ?? 0) + idleSlackMs,
@@ -164,27 +189,61 @@
   /** Stops accepting connections. */
   close(): void {
     this.listener.close();
+    this.connections.stopSweep();
   }
 
-  private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
-    const end = this.connections.begin(request.socket, response);
+  private get limits(): CallerLimits | undefined {
+    return this.state.routes?.configuration.limits;
+  }
+
+  private serve(request: IncomingMessage, response: ServerResponse): void {
+    const { socket } = request;
+    const arrivedAt = this.clock.now();
+    const controller = new AbortController();
+    const isBegun = this.connections.begin(socket, {
+      response,
+      bytes: requestBytes + request.rawHeaders.length * headerPartBytes,
+      start: () => {
+        void this.run(request, response, controller, arrivedAt);
+      },
+      abort: () => controller.abort(callerDisconnected),
+      refuse: () => {
+        const canRefuse = !request.complete && !response.headersSent;
+        if (canRefuse) controller.abort(toMemoryRefusal());
+        return canRefuse;
+      },
+    });
     // A request behind the last response of its connection could not be answered.
-    if (!end) {
-      request.resume();
-      return;
-    }
+    if (!isBegun) request.resume();
+  }
+
+  private async run(
+    request: IncomingMessage,
+    response: ServerResponse,
+    controller: AbortController,
+    arrivedAt: number,
+  ): Promise<void> {
+    const { socket } = request;
+    const setHeld = this.connections.trackMemory(socket);
     try {
-      await this.handle(request, response);
+      await this.handle(request, response, controller, arrivedAt, setHeld);
     } finally {
       this.running.delete(response);
-      end();
+      this.connections.end(socket, response);
+      // What the caller has not taken yet stays in memory; what it sent does not.
+      setHeld(response.writableFinished ? 0 : response.writableLength);
+      response.once('finish', () => setHeld(0));
     }
   }
 
-  private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
-    const arrivedAt = this.clock.now();
+  private async handle(
+    request: IncomingMessage,
+    response: ServerResponse,
+    controller: AbortController,
+    arrivedAt: number,
+    setHeld: (bytes: number) => void,
+  ): Promise<void> {
     const head = this.codec.decodeRequestHead(request.headers);
-    const controller = new AbortController();
     let route: Route | undefined;
     let timer: NodeJS.Timeout | undefined;
     this.running.set(response, controller);
@@ -192,6 +251,7 @@
       if (!response.writableFinished) controller.abort(callerDisconnected);
     });
     try {
+      checkHeaders(request, this.bounds.maxHeaders);
       const { routes } = this.state;
       const configurationAgeMs = this.freshness.ageMs();
       if (!routes) {
@@ -200,13 +260,20 @@
       }
       route = this.findRoute(routes, request);
       const workspace = this.authenticate(routes, route, head);
+      this.connections.setWorkspace(request.socket, workspace?.name);
       const timeoutMs = Math.min(head.timeLeftMs ?? route.timeoutMs, route.timeoutMs);
-      timer = setTimeout(() => controller.abort(deadlineExceeded), timeoutMs);
       const deadlineAt = arrivedAt + timeoutMs;
+      timer = setTimeout(
+        () => controller.abort(deadlineExceeded),
+        Math.max(0, deadlineAt - this.clock.now()),
+      );
       const refusal = this.gate.findRefusal(deadlineAt);
       if (refusal) throw refusal;
       const { signal } = controller;
-      const body = await readBody(request, routes.configuration.limits.maxBodyBytes, signal);
+      const { maxParts, bytesPerPart } = this.bounds;
+      const { maxBodyBytes: maxBytes } = routes.configuration.limits;
+      const bodyLimits = { maxBytes, maxParts, bytesPerPart };
+      const body = await readBody(request, bodyLimits, signal, setHeld);
       await checkConnected(request.socket, controller);
       const service = pickService(route, this.random);
       if (service === undefined) throw new NotFound('The route has no service.');
@@ -301,10 +368,16 @@
     const headers = retryAfterMs === undefined ? [] : this.codec.encodeRetryAfter(retryAfterMs);
     // The unread rest of the body would be parsed as the next request.
     if (!request.complete) this.connections.markLast(request.socket, response);
+    if (error instanceof TooManyParts) this.connections.stopReading(request.socket);
     response.writeHead(status, [...headers, 'content-length', '0']);
     response.end();
   }
 
+  private recordClosed(reason: CloseReason, { remoteAddress }: Socket): void {
+    this.metrics.count('connections_closed', { listener: 'callers', reason });
+    this.log.info('Connection closed at a bound.', { reason, address: remoteAddress ?? null });
+  }
+
   private toCallerFailure(error: unknown, { reason }: AbortSignal): Failure {
     if (reason === deadlineExceeded) return toDeadlineFailure(error);
     return reason === processStopping ? toStopFailure(error, this.gate) : toFailure(error);
--- a/packages/forwarding/src/callers/refusal.ts
+++ b/packages/forwarding/src/callers/refusal.ts
@@ -19,6 +19,8 @@
   crashingContent: 'crashing_content',
   /** The deadline passed while the request was queued. */
   deadline: 'deadline',
+  /** This process holds too much for callers, and the unfinished request the most of it. */
+  memory: 'memory',
   /** This process stops before the deadline of the request. */
   stopping: 'stopping',
 } as const;
