Wire the memory budget and the bounds of callers in the entry

The budget is derived from Limits.MemoryMb, the connections from Limits.MaxFds; responses that are not complete count in the same budget. Gauge: held_memory_bytes.

--- a/packages/forwarding/src/entryGauges.ts
+++ b/packages/forwarding/src/entryGauges.ts
@@ -1,5 +1,5 @@
 import type { Clock, Gauge } from '@laburnumstream/common';
-import type { ResponseMemory, SharedRetryBudget } from '@laburnumstream/decisions';
+import type { MemoryBudget, ResponseMemory, SharedRetryBudget } from '@laburnumstream/decisions';
 import type { CallerServer, FreshnessChecks } from './callers/callerServer.js';
 import type { CrashGuard } from './crashes/crashGuard.js';
 import type { DispatchQueue } from './placement/dispatchQueue.js';
@@ -14,6 +14,7 @@
   readonly queue: DispatchQueue;
   readonly budget: SharedRetryBudget;
   readonly memory: ResponseMemory;
+  readonly memoryBudget: MemoryBudget;
   readonly callers: CallerServer;
   readonly freshness: FreshnessChecks;
   readonly guard: CrashGuard;
@@ -38,7 +39,18 @@
 
 /** Returns gauges of an entry's current requests, configuration, endpoints and retry budgets. */
 export function entryGauges(parts: EntryParts): Gauge[] {
-  const { state, directory, queue, budget, memory, callers, freshness, guard, clock } = parts;
+  const {
+    state,
+    directory,
+    queue,
+    budget,
+    memory,
+    memoryBudget,
+    callers,
+    freshness,
+    guard,
+    clock,
+  } = parts;
   const endpoints = [...directory.all].flatMap((handle) => endpointGauges(handle, directory));
   const versions = [...state.newestVersions].map(([model, value]) => ({
     name: 'version_named',
@@ -53,6 +65,7 @@
   return [
     { name: 'requests_running', value: callers.active },
     { name: 'response_memory_bytes', value: memory.usedBytes },
+    { name: 'held_memory_bytes', value: memoryBudget.usedBytes },
     { name: 'configuration_proof_age_ms', value: Math.round(freshness.ageMs()) },
     { name: 'endpoint_crashes_known', value: guard.crashCount },
     { name: 'crash_suspects', value: guard.crashingRequestCount },
--- a/packages/forwarding/src/forwardingEntry.ts
+++ b/packages/forwarding/src/forwardingEntry.ts
@@ -10,9 +10,11 @@
 } from '@laburnumstream/common';
 import {
   ConfigurationFreshness,
+  MemoryBudget,
   ResponseMemory,
   SharedRetryBudget,
 } from '@laburnumstream/decisions';
+import { callerBoundsWithin } from './callers/callerBounds.js';
 import { CallerServer } from './callers/callerServer.js';
 import { CrashGuard } from './crashes/crashGuard.js';
 import { CrashRecords } from './crashes/crashRecords.js';
@@ -143,17 +145,10 @@
       log('crashes'),
     );
     this.gate = new StopGate(clock, random);
-    this.queue = new DispatchQueue(
-      this.directory,
-      clock,
-      random,
-      metrics,
-      log('line'),
-      {
-        findStopRefusal: (deadlineAt) => this.gate.findRefusal(deadlineAt),
-        isAdaptive: (service) => this.adaptive.has(service),
-      },
-    );
+    this.queue = new DispatchQueue(this.directory, clock, random, metrics, log('line'), {
+      findStopRefusal: (deadlineAt) => this.gate.findRefusal(deadlineAt),
+      isAdaptive: (service) => this.adaptive.has(service),
+    });
     this.agents = new AgentLinks(
       settings,
       this.state,
@@ -182,6 +177,8 @@
       slack: bounds.retrySlack,
       windowMs: bounds.retryWindowMs,
     };
+    const callerBounds = callerBoundsWithin(settings.memoryBytes, settings.maxDescriptors);
+    const memoryBudget = new MemoryBudget(callerBounds.memoryBytes);
     const services = {
       queue: this.queue,
       directory: this.directory,
@@ -193,7 +190,7 @@
       statements: new StatementRecorder(this.directory.statements, clock, metrics, log('sidecars')),
       waitingCalls: this.waitingCalls,
       adaptive: this.adaptive,
-      memory: new ResponseMemory(responseMemoryWithin(settings.memoryBytes)),
+      memory: new ResponseMemory(responseMemoryWithin(settings.memoryBytes), memoryBudget),
       codec: headerCodec,
       clock,
       metrics,
@@ -223,11 +220,13 @@
       random,
       metrics,
       log('callers'),
+      callerBounds,
+      memoryBudget,
     );
     const { state, directory, queue, callers } = this;
     const { budget, memory } = services;
-    const parts = { state, directory, queue, callers, budget, memory, freshness, guard, clock };
-    metrics.registerGauges(() => entryGauges(parts));
+    const shared = { budget, memory, memoryBudget, freshness, guard, clock };
+    metrics.registerGauges(() => entryGauges({ state, directory, queue, callers, ...shared }));
   }
 
   /** Starts serving; resolves when all servers are listening. */
