--- a/packages/forwarding/src/forwardingEntry.ts
+++ b/packages/forwarding/src/forwardingEntry.ts
@@ -10,9 +10,11 @@
 } from '@laburnumstream/common';
 import {
   ConfigurationFreshness,
+  MemoryBudget,
   ResponseMemory,
   SharedRetryBudget,
 } from '@laburnumstream/decisions';
+import { callerBoundsWithin } from './callers/callerBounds.js';
 import { CallerServer } from './callers/callerServer.js';
 import { CrashGuard } from './crashes/crashGuard.js';
 import { CrashRecords } from './crashes/crashRecords.js';
@@ -187,6 +189,8 @@
       slack: bounds.retrySlack,
       windowMs: bounds.retryWindowMs,
     };
+    const callerBounds = callerBoundsWithin(settings.memoryBytes, settings.maxDescriptors);
+    const memoryBudget = new MemoryBudget(callerBounds.memoryBytes);
     const services = {
       queue: this.queue,
       directory: this.directory,
@@ -198,7 +202,7 @@
       statements: new StatementRecorder(this.directory.statements, clock, metrics, log('sidecars')),
       waitingCalls: this.waitingCalls,
       adaptive: this.adaptive,
-      memory: new ResponseMemory(responseMemoryWithin(settings.memoryBytes)),
+      memory: new ResponseMemory(responseMemoryWithin(settings.memoryBytes), memoryBudget),
       codec: headerCodec,
       clock,
       metrics,
@@ -228,10 +232,13 @@
       random,
       metrics,
       log('callers'),
+      callerBounds,
+      memoryBudget,
     );
     const { state, directory, queue, callers } = this;
     const { budget, memory } = services;
-    const parts = { state, directory, queue, callers, budget, memory, freshness, guard, clock };
+    const shared = { budget, memory, memoryBudget, freshness, guard, clock };
+    const parts = { state, directory, queue, callers, ...shared };
     metrics.registerGauges(() => [...entryGauges(parts), ...demand.gauges()]);
   }
 
