Keep the cost of a placement independent of the number of entries

Cause: with the cold rates wired, the feature growth found that the lists of entries of a region were built within a placement, and the tokens that peers hold were summed at each read. Change: entries of a region are counted by data centre; the lists are built only where a cold endpoint is shared; sums of held tokens are maintained on update and expiry.

--- a/packages/decisions/src/forwarding/peerHoldings.ts
+++ b/packages/decisions/src/forwarding/peerHoldings.ts
@@ -15,34 +15,51 @@
 /** Age at which a report no longer counts, in milliseconds; the same as that of loads. */
 const staleMs = 2_500;
 
-/** What the other entries of a region say of one endpoint: the windows, and the tokens that they hold there. */
+/**
+ * What the other entries of a region say of one endpoint: the windows, and the tokens that they hold there. The sums
+ * are maintained on each update and expiry, as they are read for each placement.
+ */
 export class PeerHoldings {
   /** By entry name, oldest first. */
   private readonly holdings = new Map<string, ReceivedHolding>();
 
+  private tokenSum = 0;
+
+  /** Requests of entries that do not say how many tokens they hold. */
+  private unsizedRequests = 0;
+
   /** Records what an entry says; returns what it said before, undefined if that is not known. */
   update(name: string, holding: PeerHolding, now: number): PeerHolding | undefined {
     this.expire(now);
-    const before = this.holdings.get(name);
-    this.holdings.delete(name);
+    const before = this.remove(name);
     this.holdings.set(name, { ...holding, at: now });
+    this.add(holding, 1);
     return before;
   }
 
   /** Tokens that these entries hold; one that does not say counts with `typicalTokens` for each request. */
   heldTokens(typicalTokens: number, now: number): number {
     this.expire(now);
-    let sum = 0;
-    this.holdings.forEach(({ requests, heldTokens }) => {
-      sum += heldTokens ?? requests * typicalTokens;
-    });
-    return sum;
+    return this.tokenSum + this.unsizedRequests * typicalTokens;
   }
 
   private expire(now: number): void {
     for (const [name, { at }] of this.holdings) {
       if (now - at < staleMs) return;
-      this.holdings.delete(name);
+      this.remove(name);
     }
   }
+
+  private remove(name: string): PeerHolding | undefined {
+    const known = this.holdings.get(name);
+    if (!known) return undefined;
+    this.holdings.delete(name);
+    this.add(known, -1);
+    return known;
+  }
+
+  private add({ requests, heldTokens }: PeerHolding, sign: 1 | -1): void {
+    if (heldTokens === undefined) this.unsizedRequests += sign * requests;
+    else this.tokenSum += sign * heldTokens;
+  }
 }
--- a/packages/forwarding/src/endpoints/coldSharing.ts
+++ b/packages/forwarding/src/endpoints/coldSharing.ts
@@ -8,28 +8,26 @@
   readonly bounds: Pick<FleetSettings['bounds'], 'coldFactor' | 'coldSlack'>;
 };
 
-/** The entries on this entry's side of a region: those of it, or all others. */
-interface Side {
-  readonly local: number;
-  readonly selection: NotifierSelection;
-}
-
 /** The registered entries that share the rates of cold endpoints. */
 export class ColdSharing {
-  private readonly sides = new Map<string, Side>();
+  /** Selections among the entries on this entry's side of a region: those of it, or all others. */
+  private readonly selections = new Map<string, NotifierSelection>();
 
-  /** Revision of the registered entries from which `sides` were built. */
+  /** Revision of the registered entries from which `selections` were built. */
   private revision = -1;
 
   constructor(
     private readonly settings: ColdSettings,
-    private readonly entries: Pick<FleetState, 'entriesRevision' | 'entryLocations'>,
+    private readonly entries: Pick<
+      FleetState,
+      'entriesRevision' | 'entryLocations' | 'countEntries'
+    >,
   ) {}
 
   /** Number of registered entries in this entry's region; 0 while this entry is not registered. */
   get ownRegionCount(): number {
     const { instance, region } = this.settings;
-    return this.entries.entryLocations.has(instance) ? this.getSide(region).local : 0;
+    return this.entries.entryLocations.has(instance) ? this.countIn(region) : 0;
   }
 
   /** Returns the allowed rate of a cold endpoint that declares `perSecond` requests. */
@@ -40,36 +38,40 @@
 
   /** Returns the entries that share a cold endpoint of a region. */
   sharersOf(endpoint: string, region: string): ColdSharers {
-    const { local, selection } = this.getSide(region);
+    const local = this.countIn(region);
     const isLocal = region === this.settings.region;
     return {
       local: Math.max(isLocal ? 1 : 0, local),
       isLocal,
-      isSelected: (count) => selection.isSelected(endpoint, count),
+      isSelected: (count) => this.getSelection(region).isSelected(endpoint, count),
     };
   }
 
-  private getSide(region: string): Side {
+  private countIn(region: string): number {
+    const { regions } = this.settings;
+    return this.entries.countEntries((dataCentre) => regions.get(dataCentre) === region);
+  }
+
+  private getSelection(region: string): NotifierSelection {
     if (this.revision !== this.entries.entriesRevision) {
       this.revision = this.entries.entriesRevision;
-      this.sides.clear();
+      this.selections.clear();
     }
-    const known = this.sides.get(region);
+    const known = this.selections.get(region);
     if (known) return known;
-    const side = this.createSide(region);
-    this.sides.set(region, side);
-    return side;
+    const selection = this.createSelection(region);
+    this.selections.set(region, selection);
+    return selection;
   }
 
-  private createSide(region: string): Side {
+  private createSelection(region: string): NotifierSelection {
     const { instance, region: ownRegion, regions } = this.settings;
     const isLocal = region === ownRegion;
-    const locations = [...this.entries.entryLocations];
-    const inRegion = locations.filter(([, { dataCentre }]) => regions.get(dataCentre) === region);
-    const local = new Set(inRegion.map(([name]) => name));
-    const names = locations.map(([name]) => name).filter((name) => local.has(name) === isLocal);
+    const side = [...this.entries.entryLocations].filter(
+      ([, { dataCentre }]) => (regions.get(dataCentre) === region) === isLocal,
+    );
     const selection = new NotifierSelection(instance);
-    selection.setEntries(names);
-    return { local: local.size, selection };
+    selection.setEntries(side.map(([name]) => name));
+    return selection;
   }
 }
