--- a/bench/src/heavyDays/unevenRegions.ts
+++ b/bench/src/heavyDays/unevenRegions.ts
@@ -140,6 +140,12 @@
     );
   }
 
+  /** Calls back at an interval while the load is played, in milliseconds. */
+  observe(everyMs: number, observer: (now: number) => void): void {
+    for (let at = everyMs; at <= this.shape.seconds * secondMs; at += everyMs)
+      this.clock.schedule(at, () => observer(at));
+  }
+
   /** Plays the load; the results are complete afterwards. */
   async run(): Promise<readonly ClassResult[]> {
     const { seconds, evacuation } = this.shape;
--- a/bench/src/heavyDays/virtualRegionEntry.ts
+++ b/bench/src/heavyDays/virtualRegionEntry.ts
@@ -99,6 +99,8 @@
 
 /** An entry of a simulated fleet: the product's directory, queue and demand control in virtual time. */
 export class VirtualRegionEntry {
+  readonly settings: ForwarderSettings;
+
   readonly state: FleetState;
 
   readonly directory: EndpointDirectory;
@@ -118,6 +120,7 @@
     const { self, entries, engines, isAdaptive, clock, random, send } = options;
     const regions = new Map([...entries, ...engines].map(({ region }) => [region, region]));
     const settings = createSettings(self, regions);
+    this.settings = settings;
     this.state = new FleetState(noMetrics, silentLog, () => undefined);
     entries.forEach(({ name, host, region }) =>
       this.state.setEntry(name, { host, dataCentre: region }),
--- a/bench/src/index.ts
+++ b/bench/src/index.ts
@@ -5,6 +5,7 @@
 export * from './fleetShape.js';
 export * from './heavyDays/heavyDay.js';
 export * from './heavyDays/unevenRegions.js';
+export * from './heavyDays/virtualRegionEntry.js';
 export * from './histories/history.js';
 export * from './histories/simulation.js';
 export { PlantedFault } from './histories/world.js';
--- a/packages/forwarding/src/peers/regionRoom.ts
+++ b/packages/forwarding/src/peers/regionRoom.ts
@@ -111,10 +111,11 @@
     const entries = this.countEntries(ownRegion);
     const part = (division.remote.get(ownRegion) ?? 0) / entries;
     if (local === 0) return part;
-    // A share applies until the next report, and those to other regions are less frequent.
+    // A share applies until the next report, and those to other regions are less frequent; meanwhile their
+    // entries keep the places that they have, which makes up for a part of it.
     const isReliant = this.isReliant(service);
     const remoteMs = reportIntervalMs({ entries: remote, isLocal: false, isReliant });
-    return part * (remoteMs / reportIntervalMs({ entries: local, isLocal: true }));
+    return part * Math.sqrt(remoteMs / reportIntervalMs({ entries: local, isLocal: true }));
   }
 
   private usableEndpoints(service: string): EndpointHandle[] {
