--- a/packages/forwarding/src/callers/callerServer.ts
+++ b/packages/forwarding/src/callers/callerServer.ts
@@ -3,7 +3,7 @@
 import { createServer as createListener } from 'node:net';
 import { setImmediate as nextTurn } from 'node:timers/promises';
 import type { Server as Listener, Socket } from 'node:net';
-import { Aborted, NotFound, RouteKind, Unauthenticated, toFailure } from '@laburnumstream/common';
+import { Aborted, NotFound, RouteKind, toFailure } from '@laburnumstream/common';
 import type {
   CallerLimits,
   Clock,
@@ -12,10 +12,8 @@
   Metrics,
   Random,
   Route,
-  Workspace,
 } from '@laburnumstream/common';
 import { MemoryBudget, pickService } from '@laburnumstream/decisions';
-import type { RouteTable } from '@laburnumstream/decisions';
 import { checkHeaders } from './requestHeaders.js';
 import { callerBoundsWithin } from './callerBounds.js';
 import type { CallerBounds } from './callerBounds.js';
@@ -26,7 +24,9 @@
 import type { FleetState } from '../fleet/fleetState.js';
 import type { HeaderCodec } from './headerCodec.js';
 import type { RequestHead } from './heads.js';
-import { Refusal, RefusalReason, toDeadlineFailure } from './refusal.js';
+import { Refusal, RefusalReason, storeRetryDelayMs, toDeadlineFailure } from './refusal.js';
+import { RouteAccess } from './routeAccess.js';
+import type { FreshnessChecks } from './routeAccess.js';
 import { TooManyParts, readBody } from './requestBody.js';
 import { RequestCounter } from './requestCounter.js';
 import { toStopFailure } from './stopGate.js';
@@ -37,18 +37,6 @@
   forward(exchange: Exchange): Promise<void>;
 }
 
-/** What the age of the current configuration permits. */
-export interface FreshnessChecks {
-  /** Whether keys of the configuration may still be accepted. */
-  mayAcceptKeys(): boolean;
-  /** Whether a caller may be told that a route or key does not exist. */
-  mayReportMissing(): boolean;
-  /** Time since the store confirmed that the configuration is the newest one, in milliseconds. */
-  ageMs(): number;
-}
-
-/** Delay after which callers are asked to retry while this entry can't serve them, in milliseconds. */
-const retryDelayMs = 700;
 /** Time beyond the configured idle timeout after which connections are closed, in milliseconds. */
 const idleSlackMs = 5_000;
 const minIdleTimeoutMs = 60_000;
@@ -73,15 +61,10 @@
   if (controller.signal.reason === callerDisconnected) throw new Aborted();
 }
 
-function getPath(url: string): string {
-  const query = url.indexOf('?');
-  return query < 0 ? url : url.slice(0, query);
-}
-
 /** Returns the refusal of a request whose body is shed because this process holds too much. */
 function toMemoryRefusal(): Refusal {
   const message = 'Too much is held for callers.';
-  return new Refusal(RefusalReason.memory, message, retryDelayMs);
+  return new Refusal(RefusalReason.memory, message, storeRetryDelayMs);
 }
 
 /** Receives callers' requests, authenticates them and passes them to the forwarder of their route. */
@@ -98,6 +81,8 @@
 
   private readonly counter: RequestCounter;
 
+  private readonly access: RouteAccess;
+
   constructor(
     private readonly state: FleetState,
     private readonly freshness: FreshnessChecks,
@@ -115,6 +100,7 @@
       this.recordClosed(reason, socket),
     );
     this.counter = new RequestCounter(metrics);
+    this.access = new RouteAccess(state, freshness);
     this.server = createServer({ requestTimeout: 0 }, (request, response) => {
       void this.serve(request, response);
     });
@@ -252,14 +238,15 @@
     });
     try {
       checkHeaders(request, this.bounds.maxHeaders);
+      await this.access.awaitStore(request, head, controller.signal);
       const { routes } = this.state;
       const configurationAgeMs = this.freshness.ageMs();
       if (!routes) {
         const message = 'No configuration is known yet.';
-        throw new Refusal(RefusalReason.noConfiguration, message, retryDelayMs);
+        throw new Refusal(RefusalReason.noConfiguration, message, storeRetryDelayMs);
       }
-      route = this.findRoute(routes, request);
-      const workspace = this.authenticate(routes, route, head);
+      route = this.access.findRoute(routes, request);
+      const workspace = this.access.authenticate(routes, route, head);
       this.connections.setWorkspace(request.socket, workspace?.name);
       const timeoutMs = Math.min(head.timeLeftMs ?? route.timeoutMs, route.timeoutMs);
       const deadlineAt = arrivedAt + timeoutMs;
@@ -302,36 +289,6 @@
     }
   }
 
-  private findRoute(routes: RouteTable, { headers, url = '/' }: IncomingMessage): Route {
-    const { host = '' } = headers;
-    const route = routes.match(host.split(':')[0]!, getPath(url));
-    if (!route) throw this.toMissingFailure(new NotFound('No route matches the host and path.'));
-    return route;
-  }
-
-  /** Returns the workspace of the request's key; undefined if no key is required. */
-  private authenticate(routes: RouteTable, route: Route, head: RequestHead): Workspace | undefined {
-    if (route.isPublic || !routes.configuration.requiresKeys) return undefined;
-    // A known key may have been revoked since, and an unknown one may have been added.
-    if (!this.freshness.mayAcceptKeys()) {
-      const ageMs = Math.round(this.freshness.ageMs());
-      const message = `The proof of keys is ${ageMs} ms old.`;
-      throw new Refusal(RefusalReason.oldProof, message, retryDelayMs);
-    }
-    if (head.key === undefined) throw new Unauthenticated('A key is required.');
-    const workspace = routes.findWorkspace(head.key);
-    if (!workspace) throw this.toMissingFailure(new Unauthenticated('The key is unknown.'));
-    return workspace;
-  }
-
-  /** Returns the failure for an unknown route or key, or a refusal if it may have been added since. */
-  private toMissingFailure(failure: Failure): Failure {
-    if (this.freshness.mayReportMissing()) return failure;
-    const ageMs = Math.round(this.freshness.ageMs());
-    const message = `${failure.message} The configuration is ${ageMs} ms old.`;
-    return new Refusal(RefusalReason.oldConfiguration, message, retryDelayMs);
-  }
-
   private handleFailure(
     request: IncomingMessage,
     response: ServerResponse,
--- a/packages/forwarding/src/callers/refusal.ts
+++ b/packages/forwarding/src/callers/refusal.ts
@@ -2,6 +2,9 @@
 import type { Failure } from '@laburnumstream/common';
 import type { WaitEnd } from './waitEnd.js';
 
+/** Delay after which callers are asked to retry while this entry can't serve them, in milliseconds. */
+export const storeRetryDelayMs = 700;
+
 /** Why a request was refused without having been executed. */
 export const RefusalReason = {
   noConfiguration: 'no_configuration',
--- a/packages/forwarding/src/endpoints/endpointDirectory.ts
+++ b/packages/forwarding/src/endpoints/endpointDirectory.ts
@@ -197,8 +197,8 @@
    * Records that a response has shown that another endpoint has the address of this one, or that it holds no weights.
    * It gets no request until its agent reports or it is registered anew.
    */
-  recordMisdirection(handle: EndpointHandle): void {
-    this.misdirected.record(handle, this.clock.now());
+  recordMisdirection(handle: EndpointHandle, isOwn = true): void {
+    this.misdirected.record(handle, this.clock.now(), isOwn);
   }
 
   /** Returns when the endpoints of a service are expected to serve, for requests of an eligibility. */
--- a/packages/forwarding/src/endpoints/endpointHandle.ts
+++ b/packages/forwarding/src/endpoints/endpointHandle.ts
@@ -63,6 +63,12 @@
 
   private agentVersion: number | undefined;
 
+  /**
+   * Monotonic time since when a response to this entry has shown that it holds no weights, in milliseconds; undefined
+   * if none has, or its agent has reported since.
+   */
+  missingWeightsSince: number | undefined;
+
   /** Whether its agent is about to load another version of the weights. */
   isSwitching = false;
 
--- a/packages/forwarding/src/endpoints/misdirectedEndpoints.ts
+++ b/packages/forwarding/src/endpoints/misdirectedEndpoints.ts
@@ -14,11 +14,13 @@
     private readonly log?: Log,
   ) {}
 
-  /** Records such a response of an endpoint. */
-  record(handle: EndpointHandle, now: number): void {
+  /** Records such a response of an endpoint to this entry, or to a peer that has told of it. */
+  record(handle: EndpointHandle, now: number, isOwn = true): void {
     const { id, incarnation, endpoint, model, lastSignOfLifeAt, load } = handle;
     const isEngine = model !== undefined;
     if (isEngine) Object.assign(handle, { reportedVersion: 0 });
+    // What a peer has told is not passed on, as it would come back from there without end.
+    if (isEngine && isOwn) Object.assign(handle, { missingWeightsSince: now });
     if (!this.misdirections.record(incarnation, endpoint.service, isEngine, now)) return;
     this.metrics.count('endpoints_misdirected', { service: endpoint.service });
     this.log?.info('Endpoint is not the registered one.', {
@@ -66,6 +68,7 @@
 
   private release(handle: EndpointHandle, now: number): void {
     if (this.isUnheard(handle, now)) Object.assign(handle, { reportedVersion: undefined });
+    Object.assign(handle, { missingWeightsSince: undefined });
     this.misdirections.release(handle.incarnation);
   }
 
--- a/packages/forwarding/src/entryGauges.ts
+++ b/packages/forwarding/src/entryGauges.ts
@@ -1,6 +1,7 @@
 import type { Clock, Gauge } from '@laburnumstream/common';
 import type { MemoryBudget, ResponseMemory, SharedRetryBudget } from '@laburnumstream/decisions';
-import type { CallerServer, FreshnessChecks } from './callers/callerServer.js';
+import type { CallerServer } from './callers/callerServer.js';
+import type { FreshnessChecks } from './callers/routeAccess.js';
 import type { CrashGuard } from './crashes/crashGuard.js';
 import type { DispatchQueue } from './placement/dispatchQueue.js';
 import type { EndpointDirectory } from './endpoints/endpointDirectory.js';
--- a/packages/forwarding/src/fleet/fleetWatcher.ts
+++ b/packages/forwarding/src/fleet/fleetWatcher.ts
@@ -113,6 +113,11 @@
     this.callCounter = new StoreCallCounter(metrics);
   }
 
+  /** Whether the last call to the store, or to the entry that is read from, was answered. */
+  get isStoreReachable(): boolean {
+    return this.isReachable;
+  }
+
   /** Watches the store until the signal is aborted. */
   async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
--- a/packages/forwarding/src/forwardingEntry.ts
+++ b/packages/forwarding/src/forwardingEntry.ts
@@ -16,6 +16,7 @@
 } from '@laburnumstream/decisions';
 import { callerBoundsWithin } from './callers/callerBounds.js';
 import { CallerServer } from './callers/callerServer.js';
+import { StoreWait } from './callers/storeWait.js';
 import { CrashGuard } from './crashes/crashGuard.js';
 import { CrashRecords } from './crashes/crashRecords.js';
 import { AdaptiveServices } from './placement/adaptiveServices.js';
@@ -107,9 +108,11 @@
       (change) => this.crashRecords.apply(change),
     );
     const entryCounts = new EntryCounts(this.state, settings, clock);
+    const storeWait = new StoreWait(clock, () => this.watcher.isStoreReachable);
     const confirm = (calledAt: number): void => {
       proof.confirm(calledAt);
       entryCounts.update();
+      storeWait.notify();
     };
     this.feed = new RegionalFeed(store, settings, this.state, proofClock, metrics, log('feed'));
     this.watcher = new FleetWatcher(
@@ -131,6 +134,7 @@
       random,
       entryCounts,
       proofClock,
+      log('endpoints'),
     );
     this.waitingCalls = new WaitingCalls(this.directory.startBounds);
     const guard = new CrashGuard((id) => this.directory.get(id), clock, metrics, log('crashes'));
@@ -221,6 +225,10 @@
       },
       mayReportMissing: () => proof.mayReportMissing(proofClock.now()),
       ageMs: () => proof.ageMs(proofClock.now()),
+      awaitConfiguration: (timeLeftMs: number, signal: AbortSignal) =>
+        storeWait.awaitConfiguration(() => this.state.routes !== undefined, timeLeftMs, signal),
+      awaitProof: (timeLeftMs: number, signal: AbortSignal) =>
+        storeWait.awaitProof(() => freshness.mayAcceptKeys(), timeLeftMs, signal),
     };
     this.callers = new CallerServer(
       this.state,
--- a/packages/forwarding/src/peers/agentLinks.ts
+++ b/packages/forwarding/src/peers/agentLinks.ts
@@ -132,6 +132,7 @@
     // The engine aborts its running requests before it loads other weights.
     if (isSwitching && !handle.isSwitching) handle.moveStreams(moveGraceMs);
     Object.assign(handle, { reportedVersion: version, isSwitching, isAnswering, switchAt });
+    Object.assign(handle, { missingWeightsSince: undefined });
     this.directory.startBounds.recordOutdated(handle, version, report.outdatedMsAgo);
     this.onReport(handle);
   }
--- a/packages/forwarding/src/peers/loadBroadcast.ts
+++ b/packages/forwarding/src/peers/loadBroadcast.ts
@@ -11,19 +11,13 @@
 
 type Share = NonNullable<Extract<DatagramContent, { case: 'load' }>['value']['shares']>[number];
 
-/** An engine of which a response may have shown that it holds no weights. */
-interface WeightLoss {
-  /** Monotonic time since when that is known, in milliseconds. */
-  readonly missingWeightsSince?: number | undefined;
-}
-
 /** Time in which changes are batched, for each group of peers, in milliseconds. */
 const batchMsPerGroup = 5;
 const peersPerGroup = 4;
 
 /** Whether a response of the engine has shown that it holds no weights, and no report has said otherwise. */
-function lacksWeights(handle: EndpointHandle & WeightLoss): boolean {
-  return handle.reportedVersion === 0 && handle.missingWeightsSince !== undefined;
+function lacksWeights({ reportedVersion, missingWeightsSince }: EndpointHandle): boolean {
+  return reportedVersion === 0 && missingWeightsSince !== undefined;
 }
 
 /**
@@ -96,7 +90,9 @@
     const empty = engines.filter(
       ({ endpoint }) => reported.get(endpoint.address)?.lacksWeights ?? false,
     );
-    this.weightLosses.receive(sender, empty, now);
+    this.weightLosses
+      .receive(sender, empty, now)
+      .forEach((handle) => this.directory.recordMisdirection(handle, false));
   }
 
   private static createShare(handle: EndpointHandle): Share {
--- a/packages/forwarding/src/peers/weightLossReports.ts
+++ b/packages/forwarding/src/peers/weightLossReports.ts
@@ -10,12 +10,15 @@
   readonly at: number;
 }
 
-/** Applies what other entries have seen of engines that hold no weights, until the agents say otherwise. */
+/** What other entries have seen of engines that hold no weights, until the agents say otherwise. */
 export class WeightLossReports {
   private readonly senders = new Map<string, SenderReports>();
 
-  /** Applies the engines that a sender lists; it repeats them for as long as it knows no better. */
-  receive(sender: string, engines: readonly EndpointHandle[], now: number): void {
+  /**
+   * Returns those of the engines that a sender lists of which nothing newer is known; it repeats them for as long as it
+   * knows no better.
+   */
+  receive(sender: string, engines: readonly EndpointHandle[], now: number): EndpointHandle[] {
     this.forgetSilent(now);
     const before = this.senders.get(sender)?.since;
     const since = new Map(
@@ -23,11 +26,11 @@
     );
     if (since.size > 0) this.senders.set(sender, { since, at: now });
     else this.senders.delete(sender);
-    engines.forEach((handle) => {
+    return engines.filter((handle) => {
       const firstAt = since.get(handle.endpoint.address)!;
       const reportedAt = now - handle.load.reportAgeMs(now);
       // A repetition is out of date if the agent has reported since it was said first.
-      if (firstAt === now || reportedAt < firstAt) Object.assign(handle, { reportedVersion: 0 });
+      return firstAt === now || reportedAt < firstAt;
     });
   }
 
