Bound the queue's work per event, let late requests wait, plan the returns of refused callers

Cause: each event sorted the whole queue and sought a place for each request in it; late requests of services with priorities were refused while they could still be served; the delay of a refusal was drawn at random.

- The queue stays ordered as requests come and go.
An event seeks places for the first 32; the check every 20 ms goes through all, with one estimate for requests that the same endpoints may serve.
- Adaptive services: a late request waits while the measured rate of late placements serves it in half of the time it has.
A refusal names the next free return at that rate, or a time that the caller no longer has.
- A request that arrived while no endpoint served keeps its expected turn as long as it waits.
- After a 421, one request at a time finds out about engines without a sign of life that were registered before it.

--- a/packages/decisions/src/forwarding/misdirections.ts
+++ b/packages/decisions/src/forwarding/misdirections.ts
@@ -19,13 +19,20 @@
 /** Time after an exclusion in which another misdirection counts as a further one, in milliseconds. */
 const memoryMs = 5_000;
 /**
- * Time in which endpoints of a service that have shown no sign of life are left alone after one of them was
- * misdirected, in milliseconds: all may have lost their weights together. It bounds what finding out costs callers.
+ * Time in which engines of a service that have shown no sign of life are left alone after one of them has misled, in
+ * milliseconds: all may have lost their weights together. Then one request finds out, and after it the next one. It
+ * bounds what finding out costs callers.
  */
 const doubtMs = 500;
 /** Age up to which a sign of life shows that an endpoint is the one that is registered, in milliseconds. */
 const proofMs = 1_500;
 
+/** What a misdirection says of the other engines of its service. */
+interface Doubt {
+  readonly at: number;
+  readonly until: number;
+}
+
 /** Whether a sign of life is recent enough to show that an endpoint is the one that is registered. */
 export function isProof(signOfLifeAt: number, now: number): boolean {
   return now - signOfLifeAt <= proofMs;
@@ -36,8 +43,8 @@
   /** By incarnation. */
   private readonly records = new Map<string, Misdirection>();
 
-  /** Monotonic times until which silent endpoints are left alone, by service, in milliseconds. */
-  private readonly doubtedUntil = new Map<string, number>();
+  /** By service. */
+  private readonly doubts = new Map<string, Doubt>();
 
   /** Number of endpoints whose last misdirection is remembered. */
   get size(): number {
@@ -53,7 +60,7 @@
     const { initial, max } = isEngine ? exclusionMs.engine : exclusionMs.plain;
     const until = isNew ? now + Math.min(max, initial * 2 ** times) : known.until;
     this.records.set(incarnation, { at: now, until, times, isReleased: false });
-    if (isEngine) this.doubtedUntil.set(service, now + doubtMs);
+    if (isEngine) this.doubts.set(service, { at: now, until: now + doubtMs });
     return isNew;
   }
 
@@ -63,9 +70,18 @@
     return record !== undefined && !record.isReleased && now < record.until;
   }
 
-  /** Whether an engine without a recent sign of life is left alone, as another one of its service has misled. */
-  isDoubted(service: string, lastSignOfLifeAt: number, now: number): boolean {
-    return now < (this.doubtedUntil.get(service) ?? -Infinity) && !isProof(lastSignOfLifeAt, now);
+  /** Records that a request is sent to an engine without a recent sign of life: others wait for what it finds. */
+  recordProbe(service: string, now: number): void {
+    const doubt = this.doubts.get(service);
+    if (!doubt) return;
+    if (now < doubt.until + memoryMs) this.doubts.set(service, { ...doubt, until: now + doubtMs });
+    else this.doubts.delete(service);
+  }
+
+  /** Whether an engine without a recent sign of life is left alone, as another one of its service has misled since. */
+  isDoubted(service: string, registeredAt: number, now: number): boolean {
+    const doubt = this.doubts.get(service);
+    return doubt !== undefined && now < doubt.until && registeredAt <= doubt.at;
   }
 
   /** Returns the time of the last misdirection of an endpoint that is not released; undefined if there is none. */
--- a/packages/decisions/src/forwarding/serviceOutlook.ts
+++ b/packages/decisions/src/forwarding/serviceOutlook.ts
@@ -1,19 +1,20 @@
-import { expectedTurnAt } from './expectedCapacity.js';
-import type { ExpectedCapacity } from './expectedCapacity.js';
+import type { ExpectedCapacity, TurnSchedule } from './expectedCapacity.js';
 import { SlidingWindowCounter } from './slidingWindowCounter.js';
 
 /** Window over which rates are measured, in milliseconds. */
 const rateWindowMs = 1_000;
 /**
- * Time after which the rate of late placements is known once endpoints serve again, in milliseconds; until then the
- * rate that is expected of them counts.
+ * Factor on the measured wait of a late request. The rate falls when more come that can be in time, and a request that
+ * is refused after a part of its wait must still have time to come back.
  */
-const recoveryMs = 2 * rateWindowMs;
+const lateWaitFactor = 2;
 
 /** What is known of when a request of a service that waits is going to be sent. */
 export class ServiceOutlook {
   private readonly arrivals = new SlidingWindowCounter(rateWindowMs);
 
+  private readonly placements = new SlidingWindowCounter(rateWindowMs);
+
   /** Requests that were sent when they could no longer be in time. */
   private readonly latePlacements = new SlidingWindowCounter(rateWindowMs);
 
@@ -24,8 +25,24 @@
     this.arrivals.add(1, now);
   }
 
-  recordLatePlacement(now: number): void {
-    this.latePlacements.add(1, now);
+  recordPlacement(isLate: boolean, now: number): void {
+    this.placements.add(1, now);
+    if (isLate) this.latePlacements.add(1, now);
+  }
+
+  /** New requests per millisecond. */
+  arrivalsPerMs(now: number): number {
+    return this.arrivals.total(now) / rateWindowMs;
+  }
+
+  /** Requests that are sent per millisecond. */
+  placedPerMs(now: number): number {
+    return this.placements.total(now) / rateWindowMs;
+  }
+
+  /** Late requests that are sent per millisecond. */
+  latePerMs(now: number): number {
+    return this.latePlacements.total(now) / rateWindowMs;
   }
 
   /** Whether no endpoint serves now, though some are expected to. */
@@ -40,19 +57,14 @@
     return this.outAt >= at;
   }
 
-  /** Returns when a request is expected to be sent that has `ahead` others before it, in monotonic milliseconds. */
-  turnAt(capacities: readonly ExpectedCapacity[], ahead: number, now: number): number {
-    return Math.max(
-      now,
-      expectedTurnAt(capacities, ahead, this.arrivals.total(now) / rateWindowMs),
-    );
-  }
-
-  /** Like `turnAt`, for a late request while endpoints serve: it gets the places that those in time leave. */
-  lateTurnAt(capacities: readonly ExpectedCapacity[], ahead: number, now: number): number {
-    const rate = this.latePlacements.total(now) / rateWindowMs;
-    const measuredAt = rate > 0 ? now + (ahead + 1) / rate : Infinity;
-    if (now - this.outAt > recoveryMs) return measuredAt;
-    return Math.min(measuredAt, this.turnAt(capacities, ahead, now));
+  /**
+   * Returns when a late request with `ahead` others before it is expected to be sent while endpoints serve: it gets the
+   * places that those in time leave. One that arrived while none served has the places of those that have come back.
+   */
+  lateTurnAt(schedule: TurnSchedule, ahead: number, arrivedAt: number, now: number): number {
+    const rate = this.latePerMs(now);
+    const measuredAt = rate > 0 ? now + ((ahead + 1) / rate) * lateWaitFactor : Infinity;
+    if (!this.wasOutSince(arrivedAt)) return measuredAt;
+    return Math.min(measuredAt, schedule.turnAt(ahead));
   }
 }
--- a/packages/forwarding/src/endpoints/capacityForecast.ts
+++ b/packages/forwarding/src/endpoints/capacityForecast.ts
@@ -34,6 +34,8 @@
  * is late by a second may come in the next one, and what is late by a minute will not.
  */
 const overdueShare = 0.5;
+/** Part of the free slots that requests which have waited may use; the others are kept for those in time. */
+const waitingShare = 0.8;
 /** Time of a plain service's work on a request, in milliseconds. */
 const plainWorkMs = 25;
 
@@ -111,7 +113,7 @@
     return {
       isServing,
       at,
-      places: isCold ? 0 : free / facts.entries,
+      places: isCold ? 0 : (free * waitingShare) / facts.entries,
       perMs: (isCold ? Math.min(coldPerMs, perMs) : perMs) / facts.entries,
     };
   }
--- a/packages/forwarding/src/endpoints/endpointDirectory.ts
+++ b/packages/forwarding/src/endpoints/endpointDirectory.ts
@@ -269,6 +269,7 @@
     handle.namedLimit.recordSend(now);
     this.statements.recordPlacement(handle.incarnation, now);
     this.capacity.recordPlacement(handle, now);
+    this.misdirected.recordPlacement(handle, now);
   }
 
   /** Returns the entries that share the capacity of the endpoints of a region. */
@@ -314,6 +315,7 @@
       this.formerHealth.restore(endpoint.id, clock.now()),
     );
     this.extendColdStart(handle, endpoint);
+    this.misdirected.recordRegistration(handle, clock.now());
     this.handles.set(endpoint.id, handle);
   }
 
--- a/packages/forwarding/src/endpoints/misdirectedEndpoints.ts
+++ b/packages/forwarding/src/endpoints/misdirectedEndpoints.ts
@@ -9,6 +9,9 @@
 export class MisdirectedEndpoints {
   private readonly misdirections = new Misdirections();
 
+  /** Monotonic times at which this entry learnt of the registrations, in milliseconds. */
+  private readonly registeredAt = new WeakMap<EndpointHandle, number>();
+
   constructor(
     private readonly metrics: Metrics,
     private readonly log?: Log,
@@ -32,12 +35,12 @@
 
   /** Whether an endpoint gets no request for such a response, of its own or of another one beside which it is silent. */
   has(handle: EndpointHandle, now: number): boolean {
-    const { incarnation, endpoint, model, lastSignOfLifeAt } = handle;
+    const { incarnation, endpoint, model } = handle;
     if (!model) return this.misdirections.isExcluded(incarnation, now);
-    return (
-      this.isUnheard(handle, now) ||
-      this.misdirections.isDoubted(endpoint.service, lastSignOfLifeAt, now)
-    );
+    if (this.isUnheard(handle, now)) return true;
+    if (MisdirectedEndpoints.isProven(handle, now)) return false;
+    const registeredAt = this.registeredAt.get(handle) ?? -Infinity;
+    return this.misdirections.isDoubted(endpoint.service, registeredAt, now);
   }
 
   /** Whether an endpoint has lately shown that it runs; only engines are expected to without a request. */
@@ -54,6 +57,17 @@
     });
   }
 
+  /** Records that this entry has learnt of the registration of an endpoint. */
+  recordRegistration(handle: EndpointHandle, now: number): void {
+    this.registeredAt.set(handle, now);
+  }
+
+  /** Records that a request is placed on an endpoint. */
+  recordPlacement(handle: EndpointHandle, now: number): void {
+    if (MisdirectedEndpoints.isProven(handle, now)) return;
+    this.misdirections.recordProbe(handle.endpoint.service, now);
+  }
+
   /** Lets an endpoint be used again that is registered with other layers than before. */
   applyRegistration(handle: EndpointHandle, { layers }: Endpoint, now: number): void {
     const known = handle.endpoint.layers;
@@ -61,7 +75,9 @@
       known?.version === layers?.version &&
       known?.from === layers?.from &&
       known?.to === layers?.to;
-    if (!isSame) this.release(handle, now);
+    if (isSame) return;
+    this.release(handle, now);
+    this.recordRegistration(handle, now);
   }
 
   private release(handle: EndpointHandle, now: number): void {
--- a/packages/forwarding/src/placement/dispatchQueue.ts
+++ b/packages/forwarding/src/placement/dispatchQueue.ts
@@ -1,50 +1,36 @@
 import type { Clock, Log, Metrics, Random } from '@laburnumstream/common';
-import {
-  RequestStage,
-  ServedRatios,
-  WaitQueue,
-  bestPlacement,
-  pauseRetryDelayMs,
-} from '@laburnumstream/decisions';
+import { RequestStage, ServedRatios, WaitQueue, bestPlacement } from '@laburnumstream/decisions';
 import type { Placement } from '@laburnumstream/decisions';
 import type { EndpointHandle } from '../endpoints/endpointHandle.js';
 import type { EndpointSource } from '../endpoints/endpointSource.js';
 import { Refusal, RefusalReason } from '../callers/refusal.js';
+import { createCandidate } from './candidate.js';
+import type { Candidate, PendingRequest } from './candidate.js';
 import { openPolicies } from './dispatchPolicies.js';
 import type { DispatchPolicies } from './dispatchPolicies.js';
 import type { PlacementRequest } from './placementRequest.js';
+import { Refusals } from './refusals.js';
+import { SearchBounds } from './searchBounds.js';
 import { stagePolicies } from './stagePolicy.js';
 import { WaitEnd } from '../callers/waitEnd.js';
 import { WaitEstimates } from './waitEstimates.js';
 
-/** A request for which an endpoint is sought. */
-interface Candidate extends PlacementRequest {
-  /** Number of available endpoints when all were last checked; undefined before that. */
-  availableCount: number | undefined;
-  /** Monotonic time since when the retry budget keeps it from an endpoint with room, in milliseconds. */
-  budgetDeniedAt: number | undefined;
-}
-
-interface PendingRequest extends Candidate {
-  readonly resolve: (placement: Placement<EndpointHandle>) => void;
-  readonly reject: (error: unknown) => void;
-}
-
 /** Time between checks of queued requests without any other trigger, in milliseconds. */
 const recheckIntervalMs = 20;
 /** Time that the response needs to reach the caller, in milliseconds. */
 const responseTransitMs = 10;
+/**
+ * Number of queued requests for which a place is sought after an event, of those that have begun and of the others. An
+ * event frees one place; with more, its cost would grow with the queue. The regular check goes through all.
+ */
+const searchedPerEvent = 32;
 /**
  * Share of the time to the goal that the estimated time may take. It is smaller for groups that were
  * served more often than others, so that requests with short goals or large prompts are not starved.
  */
 const goalShare = { base: 0.75, min: 0.35, max: 1, perLead: 3 } as const;
-/** Delay after which refused callers are asked to retry, in milliseconds; `spread` adds jitter. */
-const retryDelayMs = { min: 900, spread: 700 } as const;
 /** Longest time that a request which its caller can send again waits for the retry budget, in milliseconds. */
 const maxBudgetWaitMs = 1_000;
-/** Upper limit of that delay, as a share of the caller's remaining time. */
-const maxRetryDelayShare = 1 / 3;
 
 /** Stages of requests whose callers have received a part of the response. */
 const begunStages: ReadonlySet<RequestStage> = new Set([RequestStage.begun, RequestStage.moving]);
@@ -65,6 +51,8 @@
 
   private readonly estimates: WaitEstimates;
 
+  private readonly refusals: Refusals;
+
   private isRecheckScheduled = false;
 
   constructor(
@@ -77,6 +65,15 @@
   ) {
     this.policies = { ...openPolicies, ...policies };
     this.estimates = new WaitEstimates(directory, (service) => this.policies.isAdaptive(service));
+    this.refusals = new Refusals(
+      directory,
+      this.estimates,
+      (service) => this.policies.isAdaptive(service),
+      clock,
+      random,
+      metrics,
+      log,
+    );
   }
 
   /** Resolves with an endpoint; rejects with a `Refusal` if the request can't be served in time. */
@@ -87,23 +84,23 @@
       this.getShares(request.service).recordArrival(request.fairnessGroups, now);
     this.policies.demand.recordArrival(request, now);
     this.estimates.getOutlook(request.service).recordArrival(now);
-    const candidate = { ...request, availableCount: undefined, budgetDeniedAt: undefined };
     const refusal = this.findStopRefusalOf(request);
     if (refusal) return Promise.reject(refusal);
+    const candidate = createCandidate(request);
     const placement = queue.contenders === 0 ? this.tryPlacement(candidate, now) : undefined;
     if (placement) return Promise.resolve(this.recordPlacement(request, placement, now));
-    const startAt = now + queue.expectedWaitMs(now);
-    const countAhead = (): number => queue.countAhead(request, now);
-    const end = this.findWaitEnd(candidate, now, startAt, countAhead);
-    if (end) return Promise.reject(this.createRefusal(candidate, end, now, startAt, countAhead()));
+    const expectedMs = queue.expectedWaitMs(now);
+    const ahead = queue.countAhead(request, now);
+    const end = this.findWaitEnd(candidate, now, now + expectedMs, ahead);
+    if (end) return Promise.reject(this.createRefusal(candidate, end, expectedMs, ahead));
     return new Promise((resolve, reject) => {
       const queued: PendingRequest = { ...candidate, resolve, reject };
       const abort = (): void => {
         if (queue.remove(queued)) reject(DispatchQueue.createAbortRefusal());
       };
       signal.addEventListener('abort', abort, { once: true });
-      queue.enqueue(queued);
-      this.dispatch(request.service);
+      queue.enqueue(queued, now);
+      this.dispatchFirst(queue, now);
       this.scheduleRecheck();
     });
   }
@@ -116,31 +113,66 @@
     const queue = this.queues.get(service);
     if (!queue || queue.length === 0) return;
     const now = this.clock.now();
-    const among = changed && [changed];
+    if (changed) this.dispatchFirst(queue, now, [changed]);
+    else this.dispatchQueued(queue, now);
+  }
+
+  /** Seeks places for the first requests of a queue. */
+  private dispatchFirst(
+    queue: WaitQueue<PendingRequest>,
+    now: number,
+    among?: readonly EndpointHandle[],
+  ): void {
+    const bounds = new SearchBounds(searchedPerEvent);
+    queue.first(searchedPerEvent).forEach((queued) => {
+      if (bounds.allows(queued)) this.dispatchOne(queue, queued, now, bounds, among);
+    });
+  }
+
+  /** Goes through all requests of a queue in order: seeks places, and ends the waits that have become useless. */
+  private dispatchQueued(queue: WaitQueue<PendingRequest>, now: number): void {
+    const bounds = new SearchBounds(searchedPerEvent);
     let ahead = 0;
     queue.inDispatchOrder(now).forEach((queued) => {
-      const refusal = this.findStopRefusalOf(queued);
-      if (refusal) {
-        queue.remove(queued);
-        queued.reject(refusal);
-        return;
-      }
-      const placement = this.tryPlacement(queued, now, among);
-      if (placement) {
-        queue.remove(queued);
-        queued.resolve(this.recordPlacement(queued, placement, now));
-        return;
-      }
-      const end = this.findWaitEnd(queued, now, now, () => ahead);
+      const isSought = bounds.allows(queued);
+      if (isSought && this.dispatchOne(queue, queued, now, bounds)) return;
+      const end = this.findWaitEnd(queued, now, now, ahead);
       if (!end) {
         if (queued.stage !== RequestStage.begun) ahead += 1;
         return;
       }
-      queue.remove(queued);
-      queued.reject(this.createRefusal(queued, end, now, now, ahead));
+      // Its last chance, if it was too far behind for the search.
+      if (!isSought && bounds.hasRoom(queued) && this.dispatchOne(queue, queued, now, bounds))
+        return;
+      if (!queue.remove(queued)) return;
+      queued.reject(this.createRefusal(queued, end, 0, ahead));
     });
   }
 
+  /** Seeks a place for a queued request; returns whether its wait has ended. */
+  private dispatchOne(
+    queue: WaitQueue<PendingRequest>,
+    queued: PendingRequest,
+    now: number,
+    bounds: SearchBounds,
+    among?: readonly EndpointHandle[],
+  ): boolean {
+    const refusal = this.findStopRefusalOf(queued);
+    if (refusal) {
+      queue.remove(queued);
+      queued.reject(refusal);
+      return true;
+    }
+    const placement = this.tryPlacement(queued, now, among);
+    if (!placement) {
+      bounds.recordFailure(queued);
+      return false;
+    }
+    queue.remove(queued);
+    queued.resolve(this.recordPlacement(queued, placement, now));
+    return true;
+  }
+
   dispatchAll(): void {
     this.queues.forEach((_queue, service) => this.dispatch(service));
   }
@@ -180,6 +212,7 @@
   ): Placement<EndpointHandle> | undefined {
     const { service, eligibility, demand } = request;
     const targets = this.directory.available(service, eligibility, among);
+    Object.assign(request, { foundCount: targets.length });
     if (!among) Object.assign(request, { availableCount: targets.length });
     const addedCostMs = begunStages.has(request.stage)
       ? ({ begunAdmission }: EndpointHandle): number => begunAdmission.costMs(now)
@@ -209,12 +242,12 @@
     request: Candidate,
     now: number,
     startAt: number,
-    countAhead: () => number,
+    ahead: number,
   ): WaitEnd | undefined {
     const { stage, budgetDeniedAt = Infinity } = request;
     if (!begunStages.has(stage) && now - budgetDeniedAt > maxBudgetWaitMs)
       return WaitEnd.retryBudget;
-    const facts = this.estimates.createFacts(request, now, startAt, countAhead);
+    const facts = this.estimates.createFacts(request, now, startAt, () => ahead);
     return stagePolicies[stage].findWaitEnd(request, facts);
   }
 
@@ -231,7 +264,7 @@
       this.getShares(request.service).recordServed(request.fairnessGroups, now);
     const isInTime = now + expectedMs <= request.goalAt;
     this.policies.demand.recordPlacement(request, isInTime, now);
-    if (!isInTime) this.estimates.getOutlook(request.service).recordLatePlacement(now);
+    this.estimates.getOutlook(request.service).recordPlacement(!isInTime, now);
     this.metrics.observe('request_wait', now - request.arrivedAt);
     this.log.info('Request placed.', {
       id: request.id,
@@ -254,66 +287,12 @@
   private createRefusal(
     request: Candidate,
     end: WaitEnd,
-    now: number,
-    startAt: number,
+    expectedMs: number,
     ahead: number,
   ): Refusal {
-    const { id, service, isRetryable } = request;
-    this.metrics.count('waits_ended', { cause: end });
-    this.policies.demand.recordRefusal(request, now);
-    const remainingMs = Math.max(0, request.deadlineAt - now);
-    const statements = this.directory.summarizeStatements(service, request.eligibility);
-    const recovery = this.findRecovery(request, end, ahead, now);
-    const retryAfterMs =
-      recovery?.turnMs ?? this.drawRetryDelay(statements.pauseLeftMs, remainingMs);
-    this.log.info('Request refused.', {
-      id,
-      service,
-      waitedMs: Math.round(now - request.arrivedAt),
-      isReturned: request.stage === RequestStage.callerRetry,
-      isRepeatable: isRetryable,
-      cause: end,
-      expectedWaitMs: Math.round(startAt - now),
-      toGoalMs: Math.round(request.startBy - now),
-      leftMs: Math.round(remainingMs),
-      tried: request.eligibility.tried.size,
-      endpoints: this.directory.forService(service).length,
-      usable:
-        request.availableCount ?? this.directory.available(service, request.eligibility).length,
-      limited: this.directory.countLimited(service),
-      leaving: statements.leaving,
-      paused: statements.paused,
-      waiting: this.getQueue(service).length,
-      ahead,
-      recovering: recovery?.endpoints ?? 0,
-      firstRecoveryMs: recovery ? Math.round(recovery.firstMs) : null,
-      retryAfterMs: Math.round(retryAfterMs),
-    });
-    const message = 'No endpoint can answer in time.';
-    return new Refusal(RefusalReason.overloaded, message, retryAfterMs, end);
-  }
-
-  /** Returns when a refused request would be sent if it waited for endpoints that do not serve now. */
-  private findRecovery(
-    request: Candidate,
-    end: WaitEnd,
-    ahead: number,
-    now: number,
-  ): { turnMs: number; firstMs: number; endpoints: number } | undefined {
-    const outlook = this.estimates.getOutlook(request.service);
-    const capacities = this.estimates.expectCapacities(request, now);
-    if (!outlook.isOut(capacities, now) && end !== WaitEnd.noEndpoint) return undefined;
-    const turnMs = outlook.turnAt(capacities, ahead, now) - now;
-    if (turnMs === Infinity) return undefined;
-    const firstMs = Math.min(...capacities.map(({ at }) => at)) - now;
-    return { turnMs, firstMs, endpoints: capacities.length };
-  }
-
-  /** Returns a delay that spreads callers who come back, within what they accept. */
-  private drawRetryDelay(pauseLeftMs: number, remainingMs: number): number {
-    const maxDelayMs = remainingMs * maxRetryDelayShare;
-    if (pauseLeftMs > 0) return pauseRetryDelayMs(pauseLeftMs, maxDelayMs, this.random);
-    return Math.min(retryDelayMs.min + this.random.next() * retryDelayMs.spread, maxDelayMs);
+    this.policies.demand.recordRefusal(request, this.clock.now());
+    const waiting = this.getQueue(request.service).length;
+    return this.refusals.create(request, { end, expectedMs, ahead, waiting });
   }
 
   private static createAbortRefusal(): Refusal {
--- a/packages/forwarding/src/placement/waitEstimates.ts
+++ b/packages/forwarding/src/placement/waitEstimates.ts
@@ -1,19 +1,17 @@
 import { ServiceOutlook } from '@laburnumstream/decisions';
-import type { ExpectedCapacity } from '@laburnumstream/decisions';
 import type { EndpointSource } from '../endpoints/endpointSource.js';
-import type { PlacementRequest } from './placementRequest.js';
+import type { Candidate } from './candidate.js';
+import { GroupEstimate } from './groupEstimate.js';
 import type { WaitFacts } from './stagePolicy.js';
 
-type ServedRequest = Pick<PlacementRequest, 'service' | 'eligibility'>;
-
 /** Estimates when requests that wait are going to be sent. */
 export class WaitEstimates {
   private readonly outlooks = new Map<string, ServiceOutlook>();
 
-  /** Expected capacities at `cachedAt`, by service and home regions. */
-  private readonly capacities = new Map<string, readonly ExpectedCapacity[]>();
+  /** Estimates of `estimatedAt`, by service and group of requests. */
+  private readonly estimates = new Map<string, GroupEstimate>();
 
-  private cachedAt = -Infinity;
+  private estimatedAt = -Infinity;
 
   constructor(
     private readonly directory: EndpointSource,
@@ -30,43 +28,46 @@
     return outlook;
   }
 
-  /** Returns when endpoints are expected to serve a request. */
-  expectCapacities(request: ServedRequest, now: number): readonly ExpectedCapacity[] {
-    if (now !== this.cachedAt) this.capacities.clear();
-    this.cachedAt = now;
-    const { service, eligibility } = request;
-    if (eligibility.tried.size > 0) return this.findCapacities(request);
-    const key = [service, ...eligibility.homeRegions.map((homes) => homes.join())].join(';');
-    let known = this.capacities.get(key);
-    if (!known) {
-      known = this.findCapacities(request);
-      this.capacities.set(key, known);
+  /** Returns what is expected of the endpoints that may serve a request. */
+  getEstimate(request: Candidate, now: number): GroupEstimate {
+    if (now !== this.estimatedAt) this.estimates.clear();
+    this.estimatedAt = now;
+    const { service, group } = request;
+    if (group === undefined) return this.createEstimate(request, now);
+    const key = `${service};${group}`;
+    let estimate = this.estimates.get(key);
+    if (!estimate) {
+      estimate = this.createEstimate(request, now);
+      this.estimates.set(key, estimate);
     }
-    return known;
+    return estimate;
   }
 
   /** Returns what is expected of the wait of a request that has `ahead` others before it. */
   createFacts(
-    request: PlacementRequest,
+    request: Candidate,
     now: number,
     startAt: number,
     countAhead: () => number,
   ): WaitFacts {
-    const { service, eligibility, arrivedAt, waitsPastGoal = false } = request;
+    const { service, arrivedAt, waitsPastGoal = false } = request;
     const outlook = this.getOutlook(service);
+    const estimate = this.getEstimate(request, now);
     return {
       now,
       startAt,
-      canServe: (latestAt) => this.directory.canServe(service, eligibility, latestAt),
-      isOut: () => outlook.isOut(this.expectCapacities(request, now), now),
-      recoveryTurnAt: () => outlook.turnAt(this.expectCapacities(request, now), countAhead(), now),
+      canServe: (latestAt) => estimate.canServe(latestAt),
+      isOut: () => estimate.isOut,
+      recoveryTurnAt: () => estimate.schedule.turnAt(countAhead()),
       mayBeLate: () => waitsPastGoal || outlook.wasOutSince(arrivedAt) || this.isAdaptive(service),
-      lateTurnAt: () => outlook.lateTurnAt(this.expectCapacities(request, now), countAhead(), now),
+      lateTurnAt: () => outlook.lateTurnAt(estimate.schedule, countAhead(), arrivedAt, now),
     };
   }
 
-  private findCapacities({ service, eligibility }: ServedRequest): readonly ExpectedCapacity[] {
+  private createEstimate(request: Candidate, now: number): GroupEstimate {
+    const { service } = request;
     // Where admission is not adaptive, a pause is waited for by those only that can still meet their goal then.
-    return this.directory.expectCapacity?.(service, eligibility, this.isAdaptive(service)) ?? [];
+    const withPauses = this.isAdaptive(service);
+    return new GroupEstimate(this.directory, request, this.getOutlook(service), withPauses, now);
   }
 }
