--- a/bench/src/heavyDays/returningCallers.ts
+++ b/bench/src/heavyDays/returningCallers.ts
@@ -21,7 +21,7 @@
 import { VirtualEngine } from './virtualEngine.js';
 
 /** How an entry learns that an engine has weights again. */
-export type WeightNews = 'reports' | 'registrations';
+export type WeightNews = 'reports' | 'registrations' | 'none';
 
 /** A load on one entry whose engines are registered with weights that some of them have lost. */
 export interface ReturningShape {
@@ -187,7 +187,7 @@
       this.clock.schedule(request.arrivesAt, () => void this.submit(request)),
     );
     if (news === 'registrations') this.engines.forEach((_engine, index) => this.register(index));
-    else
+    if (news === 'reports')
       for (let at = firstReportMs; at < endAt; at += reportIntervalMs)
         this.clock.schedule(at, () => this.report());
     await this.clock.runUntil(endAt);
