Start cold shares 600 ms after an entry is registered; note on the pace of endpoints

Change: an entry that has just been registered sends nothing to cold endpoints until others have learned of it. A scenario shows the stated pace from the header to the placement: an endpoint that states 800 % gets less than half of the requests of the others.

--- a/features/endpointPace.feature
+++ b/features/endpointPace.feature
@@ -67,3 +67,10 @@
       | 3,1,12,0        | an unreadable pace |
       | 3,1,12,99999999 | an unreadable pace |
       | 3,1,12,x        | an unreadable pace |
+
+  # The entry program must use what it decodes: the figure was dropped, and a slow endpoint chosen like the others.
+  Scenario: endpoint that states that it is slow
+    Given an entry and 3 endpoints that make statements
+    When the first states a pace of 800 percent for 2 seconds, and the others of 100
+    Then it gets less than half as many requests as each of the others
+    And the entry shows its pace in its metrics
--- a/features/steps/endpointPace.steps.ts
+++ b/features/steps/endpointPace.steps.ts
@@ -16,7 +16,10 @@
 import type { ColdHistory } from '../support/coldFleet.js';
 import { pacedEndpoint, simulatePace } from '../support/pacedEndpoint.js';
 import type { EndpointPhase, PacedRun, PacedStep } from '../support/pacedEndpoint.js';
+import { sumMetric } from '../support/metricsText.js';
 import { platformBounds } from '../support/platformBounds.js';
+import { StatementTraffic } from '../support/statementTraffic.js';
+import type { StatementWorld } from '../support/statementWorld.js';
 
 interface PaceWorld {
   steps: PacedStep[];
@@ -220,3 +223,35 @@
     assert.equal(load?.isPaceUnreadable ?? false, statement === 'an unreadable pace');
   },
 );
+
+When(
+  'the first states a pace of {int} percent for {int} seconds, and the others of {int}',
+  { timeout: 20_000 },
+  async function state(this: StatementWorld, slow: number, seconds: number, usual: number) {
+    const { engines } = this.statedFleet;
+    engines.forEach((engine) =>
+      Object.assign(engine.addedHeaders, {
+        'laburnumstream-engine-load': `0,0,12,${engine === engines[0] ? slow : usual}`,
+      }),
+    );
+    this.traffic = new StatementTraffic(this.targets, 40, undefined);
+    await this.traffic.run(seconds * secondMs);
+    await this.traffic.finish();
+  },
+);
+
+Then(
+  'it gets less than half as many requests as each of the others',
+  function fewer(this: StatementWorld) {
+    const [slow, ...others] = this.endpoints.map(({ arrivals }) => arrivals.length);
+    assert.ok(slow! < Math.min(...others) / 2, `${slow} and ${others.join()} requests`);
+  },
+);
+
+Then('the entry shows its pace in its metrics', function shows(this: StatementWorld) {
+  const { metrics, engines } = this.statedFleet;
+  const paces = engines.map(({ id }) =>
+    sumMetric(metrics, 'endpoint_pace_percent', { endpoint: id }),
+  );
+  assert.ok(paces[0]! > 2 * paces[1]!, paces.join());
+});
--- a/packages/decisions/src/forwarding/coldRateShare.ts
+++ b/packages/decisions/src/forwarding/coldRateShare.ts
@@ -24,8 +24,10 @@
 const startingPart = 0.1;
 /** Part of the agreed rate for the entries of the endpoint's region, if there are any; others send there when theirs are full. */
 const localPart = 0.85;
+/** Time within which entries learn of each other, in milliseconds; an entry that starts sends nothing until then. */
+const startMs = 600;
 /**
- * Time for which the numbers of entries must agree, in milliseconds: others learn of a new entry within 500 ms, and
+ * Time for which the numbers of entries must agree, in milliseconds: others learn of a new entry, and
  * what they, or its former process, sent until then counts for a second.
  */
 const agreementMs = 1_500;
@@ -50,7 +52,8 @@
 
   private counted = Infinity;
 
-  private isRegistered = false;
+  /** Since when this entry is registered, as monotonic time in milliseconds; undefined while it is not. */
+  private registeredSince: number | undefined;
 
   /**
    * Observes the registered entries and those that must be counted with, because they may still send. `local` is
@@ -59,17 +62,18 @@
   observe(registered: number, counted: number, local: number, now: number): void {
     this.registered = registered;
     this.counted = counted;
-    this.isRegistered = local > 0;
-    if (counted > registered || !this.isRegistered) this.agreedSince = undefined;
+    if (local === 0) this.registeredSince = undefined;
+    else this.registeredSince ??= now;
+    if (counted > registered || local === 0) this.agreedSince = undefined;
     else this.agreedSince ??= now;
-    if (!this.isRegistered) this.agreedLocal = undefined;
+    if (local === 0) this.agreedLocal = undefined;
     else if (this.isAgreed(now)) this.agreedLocal = local;
   }
 
   /** Returns the requests per second that this entry may send. */
   perSecond({ perSecond, factor, slack }: ColdRate, sharers: ColdSharers, now: number): number {
     const allowed = perSecond * factor + slack;
-    if (!this.isRegistered) return 0;
+    if (now - (this.registeredSince ?? now) < startMs) return 0;
     if (this.agreedLocal === undefined) {
       const starting = sharers.isLocal ? Math.floor(allowed * startingPart) : 0;
       return sharers.isSelected(starting) ? 1 : 0;
