Keep reading a stream whose caller is slow

Cause: the entry stopped reading an endpoint as soon as a caller had not taken what was written, and an engine cuts off a response that stays unread for some seconds.

What changed: up to 1 MiB of a stream is kept for a slow caller, counted in the memory for responses and so in the process's budget; only beyond it, or when the budget has no room, the endpoint waits.

--- a/packages/forwarding/src/attempts/eventDelivery.ts
+++ b/packages/forwarding/src/attempts/eventDelivery.ts
@@ -34,6 +34,11 @@
     return this.lastId;
   }
 
+  /** Bytes that have been written and not been handed to the operating system, as the caller reads slowly. */
+  get unreadBytes(): number {
+    return this.exchange.response.writableLength;
+  }
+
   /** Writes complete events, after the head of the first attempt; returns false on backpressure. */
   send(status: number, rawHeaders: readonly string[], events: readonly StreamEvent[]): boolean {
     const { response } = this.exchange;
--- a/packages/forwarding/src/attempts/eventRelay.ts
+++ b/packages/forwarding/src/attempts/eventRelay.ts
@@ -9,7 +9,7 @@
 import type { EventDelivery } from './eventDelivery.js';
 import type { Exchange } from '../callers/exchange.js';
 import type { ResponseHead } from '../callers/heads.js';
-import { maxEventBytes } from '../endpoints/responseBounds.js';
+import { maxEventBytes, maxUnreadBytes } from '../endpoints/responseBounds.js';
 import { ResponseHold } from './responseHold.js';
 
 /** Outcome of one attempt at a stream. */
@@ -63,6 +63,14 @@
 
   private timer: NodeJS.Timeout | undefined;
 
+  /** Bytes that the caller has not taken and that are counted in `hold`. */
+  private unreadBytes = 0;
+
+  /** Whether the caller has not taken all that was written. */
+  private isDraining = false;
+
+  private isDetached = false;
+
   constructor(
     private readonly exchange: Exchange,
     private readonly delivery: EventDelivery,
@@ -108,7 +116,7 @@
     const { partialBytes } = this.splitter;
     if (partialBytes > maxEventBytes)
       throw new ResponseTooLarge(`${partialBytes} bytes of an incomplete event`);
-    this.hold.resize(partialBytes);
+    this.hold.resize(partialBytes + this.unreadBytes);
   }
 
   private deliver(events: readonly StreamEvent[]): void {
@@ -116,9 +124,25 @@
     this.startTimer(eventTimeoutMs);
     this.attempt?.markPrefilled();
     this.attempt?.handle.recordEvent(this.clock.now());
-    if (this.delivery.send(this.status, this.rawHeaders, events)) return;
-    this.attempt?.call.pause();
-    this.exchange.response.once('drain', () => this.attempt?.call.resume());
+    if (!this.delivery.send(this.status, this.rawHeaders, events)) this.keepUnread();
+  }
+
+  /** Keeps what a slow caller has not taken, and lets the endpoint wait only if it is too much. */
+  private keepUnread(): void {
+    const { unreadBytes } = this.delivery;
+    const isKept = unreadBytes <= maxUnreadBytes && this.hold.tryResize(unreadBytes);
+    if (isKept) this.unreadBytes = unreadBytes;
+    else this.attempt?.call.pause();
+    if (this.isDraining) return;
+    this.isDraining = true;
+    this.exchange.response.once('drain', () => this.handleDrain());
+  }
+
+  private handleDrain(): void {
+    this.isDraining = false;
+    this.unreadBytes = 0;
+    if (!this.isDetached) this.hold.tryResize(this.splitter.partialBytes);
+    this.attempt?.call.resume();
   }
 
   onEnd(): void {
@@ -164,6 +188,7 @@
   }
 
   private detach(): void {
+    this.isDetached = true;
     clearTimeout(this.timer);
     this.hold.release();
     this.attempt?.handle.removeStream(this);
--- a/packages/forwarding/src/endpoints/responseBounds.ts
+++ b/packages/forwarding/src/endpoints/responseBounds.ts
@@ -23,3 +23,9 @@
 
 /** Maximum size of one event of a stream, in bytes: usually it is a few tokens. */
 export const maxEventBytes = 4_194_304;
+
+/**
+ * Maximum size of the events that are kept for a caller that reads slowly, in bytes: more than most streams have. An
+ * endpoint that had to wait for its caller could cut the stream off.
+ */
+export const maxUnreadBytes = 1_048_576;
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -1,6 +1,11 @@
 /** The entry for a platform with its own store: forwards callers' requests to endpoints. */
 export * from './peers/agentUpdates.js';
+export * from './attempts/eventDelivery.js';
+export * from './attempts/eventRelay.js';
 export * from './attempts/responseCollector.js';
+export * from './callers/bodyBuffer.js';
+export * from './callers/callerBounds.js';
+export * from './callers/requestBody.js';
 export * from './endpoints/connectionPool.js';
 export * from './feed/datedStore.js';
 export * from './placement/adaptiveServices.js';
