Agents: order at once what the engine has staged

Of a version that is fetched, only the pieces that the engine did not have are staged.

Also: the two reads of a manifest from the origin run at once; an engine that holds nothing needs no notice of a switch (25 ms); a new entry gets its first report at once instead of with the next poll (up to 240 ms); an engine that has not responded yet is polled each 60 ms instead of 240.

--- a/packages/sidecar/src/engineMonitor.ts
+++ b/packages/sidecar/src/engineMonitor.ts
@@ -4,6 +4,8 @@
 
 /** Time between two polls, in milliseconds. */
 const pollIntervalMs = 240;
+/** The same until the engine has responded for the first time, as both may have just started. */
+const firstPollIntervalMs = 60;
 /** Timeout of one poll, in milliseconds. */
 const pollTimeoutMs = 400;
 /** Consecutive failed polls after which the engine counts as not answering. */
@@ -46,7 +48,8 @@
     while (!signal.aborted) {
       await this.poll(signal);
       this.onPolled();
-      await this.clock.sleep(pollIntervalMs, signal).catch(() => undefined);
+      const intervalMs = this.lastState ? pollIntervalMs : firstPollIntervalMs;
+      await this.clock.sleep(intervalMs, signal).catch(() => undefined);
     }
   }
 
--- a/packages/sidecar/src/engineReporter.ts
+++ b/packages/sidecar/src/engineReporter.ts
@@ -51,7 +51,11 @@
     const known = this.subscribers.get(name);
     const lastHeardAt = this.clock.now();
     if (known?.host === host) Object.assign(known, { intervalMs, lastHeardAt });
-    else this.subscribers.set(name, { host, intervalMs, lastHeardAt, lastSentAt: -Infinity });
+    else {
+      this.subscribers.set(name, { host, intervalMs, lastHeardAt, lastSentAt: -Infinity });
+      // Until the first report, the entry does not know what the engine holds.
+      this.report();
+    }
   }
 
   /** Sends the reports that are due, or all of them after an urgent change. */
--- a/packages/sidecar/src/versionFetch.ts
+++ b/packages/sidecar/src/versionFetch.ts
@@ -228,9 +228,11 @@
   }
   if (!originAddress)
     throw new NotFound('No member sent the manifest and no origin is configured.');
-  const first = await originClient.getManifest(originAddress, model, version, signal);
-  const second = await originClient.getManifest(originAddress, model, version, signal);
   // The origin may send corrupt bytes, and a wrong digest in the manifest could not be detected later.
+  const [first, second] = await Promise.all([
+    originClient.getManifest(originAddress, model, version, signal),
+    originClient.getManifest(originAddress, model, version, signal),
+  ]);
   if (first.digests.join() === second.digests.join()) return first;
   throw new Corrupted('The origin sent two different manifests.');
 }
--- a/packages/sidecar/src/weightUpdater.ts
+++ b/packages/sidecar/src/weightUpdater.ts
@@ -29,8 +29,10 @@
 const loadTimeoutMs = 12_000;
 /** Maximum number of members that are asked for a manifest before the origin. */
 const maxManifestPeers = 2;
-/** Mismatching staged pieces in a row after which the engine is assumed to have staged another version. */
+/** Mismatching staged pieces, if they are the first, after which the engine is assumed to have staged another version. */
 const maxMismatches = 2;
+/** Number of staged pieces that are read at once after a start. */
+const adoptWindow = 8;
 
 type UpdaterEvent = 'WANTED' | 'DUE' | 'LOADED' | 'FAILED' | 'CHANGED' | 'RETRY';
 
@@ -201,18 +203,41 @@
 
   /** Reuses pieces staged at the engine, which outlive restarts of this process and of the engine. */
   private async adoptStaged(fetch: VersionFetch, signal: AbortSignal): Promise<void> {
-    const { model } = fetch.held.manifest;
-    let mismatches = 0;
+    const startedAt = this.staging.now();
+    const intact: number[] = [];
     try {
-      for (const piece of await this.engine.listStagedPieces(model, signal)) {
-        const bytes = await this.engine.getStagedPiece(model, piece, signal);
-        mismatches = fetch.addIfValid(piece, bytes) ? 0 : mismatches + 1;
-        if (mismatches >= maxMismatches) return;
-      }
+      const staged = await this.engine.listStagedPieces(fetch.held.manifest.model, signal);
+      // Two pieces show whether the engine has staged another version.
+      const isOther = !(await this.adoptPieces(
+        fetch,
+        staged.slice(0, maxMismatches),
+        intact,
+        signal,
+      ));
+      for (let start = maxMismatches; start < staged.length && !isOther; start += adoptWindow)
+        await this.adoptPieces(fetch, staged.slice(start, start + adoptWindow), intact, signal);
     } catch (error) {
       signal.throwIfAborted();
       this.log.info('Staged pieces not read.', { reason: toFailure(error).message });
     }
+    this.staging.adopt(fetch.held, intact, startedAt);
+  }
+
+  /** Reads staged pieces back at once and adds the intact ones; returns whether there is one. */
+  private async adoptPieces(
+    fetch: VersionFetch,
+    staged: readonly number[],
+    intact: number[],
+    signal: AbortSignal,
+  ): Promise<boolean> {
+    const { model } = fetch.held.manifest;
+    const before = intact.length;
+    const adopt = async (piece: number): Promise<void> => {
+      const bytes = await this.engine.getStagedPiece(model, piece, signal);
+      if (fetch.addIfValid(piece, bytes)) intact.push(piece);
+    };
+    await Promise.all(staged.map(adopt));
+    return intact.length > before;
   }
 
   /** Waits until a newer version than the served one is complete. */
@@ -262,7 +287,8 @@
     this.isSwitching = true;
     this.onSwitchingChanged();
     try {
-      await this.clock.sleep(switchNoticeMs, signal);
+      // An engine without weights gets no requests that would have to be told.
+      if (this.servedVersion > 0) await this.clock.sleep(switchNoticeMs, signal);
       await this.monitor.poll(signal);
       const { state } = this.monitor;
       if (!state || !this.monitor.isAnswering)
