--- a/bench/src/heavyDays/returningCallers.ts
+++ b/bench/src/heavyDays/returningCallers.ts
@@ -249,9 +249,12 @@
     const deadline = new AbortController();
     this.clock.schedule(request.arrivesAt + timeoutMs, () => deadline.abort());
     try {
-      for (let isMisdirected = false; ; isMisdirected = true) {
+      for (;;) {
+        const isMisdirected = outcome.misdirections > 0;
         const placed = this.createRequest(outcome.request, stage, startedAt, isMisdirected);
         const { target } = await this.queue.place(placed, deadline.signal);
+        // Asked again when the connection is ready.
+        if (!this.directory.maySend(target)) continue;
         if (this.send(target, outcome)) return undefined;
         await this.clock.sleep(answerMs);
         target.load.recordEnd();
--- a/packages/forwarding/src/attempts/requestAttempts.ts
+++ b/packages/forwarding/src/attempts/requestAttempts.ts
@@ -27,7 +27,7 @@
 const maxNonRetryableIdleMs = 2_500;
 /** Responses with status 421 to one request from which on they count as refusals: it is not what they are about. */
 const maxMisdirections = 3;
-/** Delay after which a caller is asked to retry when all endpoints refused its request. */
+/** Delay after which a caller is asked to retry whose request endpoints have refused, if no time is known. */
 const retryDelayMs = 500;
 /** A caller with less than this share of its route's timeout left is taken to retry after a refusal. */
 const callerRetryShare = 0.82;
@@ -253,7 +253,8 @@
     if (this.history.executions > 0)
       return new OutcomeUnknown('An earlier attempt may have executed the request.');
     const message = 'The endpoints refused the request.';
-    return new Refusal(RefusalReason.endpointsRefused, message, retryDelayMs);
+    const delayMs = this.services.queue.findRetryDelay(this.createPlacementRequest(), retryDelayMs);
+    return new Refusal(RefusalReason.endpointsRefused, message, delayMs);
   }
 
   private createPlacementRequest(): PlacementRequest {
--- a/packages/forwarding/src/endpoints/endpointDirectory.ts
+++ b/packages/forwarding/src/endpoints/endpointDirectory.ts
@@ -158,7 +158,7 @@
       this.statements.allows(handle.incarnation, now) &&
       !handle.endpoint.isDraining &&
       !this.state.isEvacuated(handle.endpoint.dataCentre) &&
-      !this.misdirected.has(handle, now) &&
+      !this.misdirected.isExcluded(handle, now) &&
       this.hasUsableWeights(handle, now, true)
     );
   }
--- a/packages/forwarding/src/endpoints/misdirectedEndpoints.ts
+++ b/packages/forwarding/src/endpoints/misdirectedEndpoints.ts
@@ -33,14 +33,18 @@
     });
   }
 
+  /** Whether an endpoint gets no request for such a response of its own. */
+  isExcluded(handle: EndpointHandle, now: number): boolean {
+    if (handle.model) return this.isUnheard(handle, now);
+    return this.misdirections.isExcluded(handle.incarnation, now);
+  }
+
   /** Whether an endpoint gets no request for such a response, of its own or of another one beside which it is silent. */
   has(handle: EndpointHandle, now: number): boolean {
-    const { incarnation, endpoint, model } = handle;
-    if (!model) return this.misdirections.isExcluded(incarnation, now);
-    if (this.isUnheard(handle, now)) return true;
+    if (this.isExcluded(handle, now)) return true;
     if (MisdirectedEndpoints.isProven(handle, now)) return false;
     const registeredAt = this.registeredAt.get(handle) ?? -Infinity;
-    return this.misdirections.isDoubted(endpoint.service, registeredAt, now);
+    return this.misdirections.isDoubted(handle.endpoint.service, registeredAt, now);
   }
 
   /** Whether an endpoint has lately shown that it runs; only engines are expected to without a request. */
--- a/packages/forwarding/src/placement/dispatchQueue.ts
+++ b/packages/forwarding/src/placement/dispatchQueue.ts
@@ -177,6 +177,13 @@
     this.queues.forEach((_queue, service) => this.dispatch(service));
   }
 
+  /** Returns the delay after which a caller is asked to retry whose request endpoints have refused. */
+  findRetryDelay(request: PlacementRequest, usualMs: number): number {
+    const queue = this.getQueue(request.service);
+    const ahead = queue.countAhead(request, this.clock.now());
+    return this.refusals.findRetryDelay(createCandidate(request), ahead, queue.length, usualMs);
+  }
+
   /** Number of queued requests by service. */
   get queueLengths(): ReadonlyMap<string, number> {
     return new Map([...this.queues].map(([service, { length }]) => [service, length]));
--- a/packages/forwarding/src/placement/refusals.ts
+++ b/packages/forwarding/src/placement/refusals.ts
@@ -55,11 +55,9 @@
     const statements = this.directory.summarizeStatements(service, request.eligibility);
     const recovery = this.findRecovery(request, end, ahead, now);
     const { pauseLeftMs } = statements;
+    const planned = pauseLeftMs > 0 ? undefined : this.planReturn(request, waiting, now);
     const retryAfterMs =
-      recovery?.turnMs ??
-      (this.isAdaptive(service) && pauseLeftMs === 0
-        ? this.planReturn(request, waiting, remainingMs, now)
-        : this.drawRetryDelay(pauseLeftMs, remainingMs));
+      recovery?.turnMs ?? planned ?? this.drawRetryDelay(pauseLeftMs, remainingMs);
     this.log.info('Request refused.', {
       id,
       service,
@@ -90,7 +88,7 @@
   /** Returns when a refused request would be sent if it waited; undefined while endpoints serve. */
   private findRecovery(
     request: Candidate,
-    end: WaitEnd,
+    end: WaitEnd | undefined,
     ahead: number,
     now: number,
   ): Recovery | undefined {
@@ -102,13 +100,24 @@
     return { turnMs: Math.max(0, turnMs), firstMs, endpoints: capacities.length };
   }
 
-  /** Returns when room is expected for a caller that comes back. */
+  /**
+   * Returns the delay after which the caller of a request that endpoints have refused is asked to retry; `usualMs` where
+   * nothing better is known.
+   */
+  findRetryDelay(request: Candidate, ahead: number, waiting: number, usualMs: number): number {
+    const now = this.clock.now();
+    const recovery = this.findRecovery(request, undefined, ahead, now);
+    return recovery?.turnMs ?? this.planReturn(request, waiting, now) ?? usualMs;
+  }
+
+  /** Returns when room is expected for a caller that comes back; undefined where admission is not adaptive. */
   private planReturn(
-    { service, stage }: Candidate,
+    { service, stage, deadlineAt }: Candidate,
     waiting: number,
-    remainingMs: number,
     now: number,
-  ): number {
+  ): number | undefined {
+    if (!this.isAdaptive(service)) return undefined;
+    const remainingMs = Math.max(0, deadlineAt - now);
     const outlook = this.estimates.getOutlook(service);
     const placedPerMs = outlook.placedPerMs(now);
     const latePerMs = Math.max(outlook.latePerMs(now), placedPerMs * minReturnShare);
