Report demand less often in large regions

Cause: each entry gets the reports of all others of its region; with 123 entries (a third of the design size of 370) five reports per second would be 610 datagrams per second at each.

--- a/packages/decisions/src/forwarding/reportInterval.ts
+++ b/packages/decisions/src/forwarding/reportInterval.ts
@@ -27,3 +27,15 @@
   const { minMs, perEntryMs } = isLocal ? local : ofOthers;
   return Math.min(maxMs, Math.max(minMs, entries * perEntryMs));
 }
+
+/**
+ * Interval of the reports of demand: several within the second in which reserves have to adapt, and fewer in a
+ * large region, as each entry gets those of all others.
+ */
+const demandInterval = { minMs: 200, maxMs: 400, perEntryMs: 5 } as const;
+
+/** Interval of an entry's reports of demand to the entries of its region, in milliseconds. */
+export function demandIntervalMs(entries: number): number {
+  const { minMs, perEntryMs } = demandInterval;
+  return Math.min(demandInterval.maxMs, Math.max(minMs, entries * perEntryMs));
+}
--- a/packages/forwarding/src/peers/demandExchange.ts
+++ b/packages/forwarding/src/peers/demandExchange.ts
@@ -1,6 +1,6 @@
 import { rendezvousOrder } from '@laburnumstream/common';
 import type { Clock, FleetSettings, Metrics } from '@laburnumstream/common';
-import { servedShare } from '@laburnumstream/decisions';
+import { demandIntervalMs, servedShare } from '@laburnumstream/decisions';
 import type { PriorityCounts } from '@laburnumstream/decisions';
 import type { DatagramSource, FleetDatagrams } from '@laburnumstream/links';
 import type { DemandReport, ServiceDemand } from '@laburnumstream/protocol';
@@ -12,8 +12,6 @@
 import type { ServiceDemandState } from './serviceDemandState.js';
 import type { ServiceDemands } from './serviceDemands.js';
 
-/** Interval of the reports, in milliseconds: several within the second that a reserve has to adapt. */
-const reportIntervalMs = 200;
 /** Entries of a region that send its sum to each other region, and that receive it there. */
 const exchangersPerRegion = 2;
 /** Maximum number of demands in one datagram, so that it fits a packet. */
@@ -37,7 +35,8 @@
   async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       this.exchange();
-      await this.clock.sleep(reportIntervalMs, signal).catch(() => undefined);
+      const intervalMs = demandIntervalMs(this.room.countEntries(this.settings.region));
+      await this.clock.sleep(intervalMs, signal).catch(() => undefined);
     }
   }
 
