--- a/bench/src/heavyDays/unevenEndpoints.ts
+++ b/bench/src/heavyDays/unevenEndpoints.ts
@@ -10,7 +10,7 @@
 import { VirtualEngine } from './virtualEngine.js';
 
 /** Engines whose instances are slow for moments, behind the entries of one region. */
-export interface UnevenShape {
+export interface UnevenEndpointsShape {
   readonly seed: number;
   readonly engines: number;
   readonly entries: number;
@@ -68,7 +68,7 @@
 }
 
 /** Runs the product's placement against uneven engines in virtual time. */
-export async function runUnevenEndpoints(shape: UnevenShape): Promise<UnevenOutcome> {
+export async function runUnevenEndpoints(shape: UnevenEndpointsShape): Promise<UnevenOutcome> {
   const { seed, engines: engineCount, entries: entryCount, rateFactor, seconds } = shape;
   const random = new SeededRandom(seed);
   const paceRandom = new SeededRandom(seed + 1);
