--- a/features/callerMemory.feature
+++ b/features/callerMemory.feature
@@ -23,3 +23,12 @@
   # Guards against responses and bodies that together hold more than the process may.
   Scenario: responses beside bodies
     Then responses find no more room than bodies of callers leave, and bodies are shed for them
+
+  # Guards against ordinary callers that are shed because responses of endpoints take the budget.
+  Scenario: callers beside responses
+    Then of 100 callers with 100 bytes each as many keep a budget of 20000 bytes as responses leave them:
+      | responses | callers |
+      | 0         | 100     |
+      | 9000      | 100     |
+      | 13000     | 60      |
+      | 20000     | 60      |
--- a/features/steps/callerMemory.steps.ts
+++ b/features/steps/callerMemory.steps.ts
@@ -1,8 +1,9 @@
 import assert from 'node:assert/strict';
 import { EventEmitter } from 'node:events';
 import { Then, When } from '@cucumber/cucumber';
+import type { DataTable } from '@cucumber/cucumber';
 import { MemoryBudget, ResponseMemory, selectShed } from '@laburnumstream/decisions';
-import { BodyBuffer, EventDelivery, EventRelay } from '@laburnumstream/forwarding';
+import { BodyBuffer, CallerMemory, EventDelivery, EventRelay } from '@laburnumstream/forwarding';
 import { VirtualClock } from '@laburnumstream/standins';
 
 interface MemoryWorld {
@@ -118,3 +119,33 @@
     assert.equal(memory.usedBytes, 0);
   },
 );
+
+/** Lets callers hold memory beside responses; returns how many were not shed. */
+function countKept(callers: number, bytes: number, budgetSize: number, responses: number): number {
+  const budget = new MemoryBudget(budgetSize);
+  const memory = new CallerMemory(budget, new VirtualClock());
+  const gate = { pause: () => undefined, resume: () => undefined } as never;
+  budget.add(responses);
+  let kept = callers;
+  Array.from({ length: callers }, () => {
+    const holder = {
+      ...{ bytes: 0, workspace: undefined, progressAt: 0, gate },
+      shed: () => {
+        kept -= 1;
+        memory.remove(holder);
+      },
+    };
+    return holder;
+  }).forEach((holder) => memory.change(holder, bytes));
+  return kept;
+}
+
+Then(
+  /^of (\d+) callers with (\d+) bytes each as many keep a budget of (\d+) bytes as responses leave them:$/,
+  (callers: string, bytes: string, size: string, table: DataTable) => {
+    table.hashes().forEach(({ responses, callers: least }) => {
+      const kept = countKept(Number(callers), Number(bytes), Number(size), Number(responses));
+      assert.ok(kept >= Number(least), `${kept} of ${callers} beside ${responses} bytes`);
+    });
+  },
+);
--- a/packages/forwarding/src/callers/callerMemory.ts
+++ b/packages/forwarding/src/callers/callerMemory.ts
@@ -21,6 +21,11 @@
 /** Bytes that the HTTP server reads at once from a connection that goes on. */
 const readBytes = 65_536;
 
+/** Share of the budget that callers may hold even if responses of endpoints take the rest. */
+const guaranteedShare = 0.3;
+/** Least share of the budget that a search for what to shed must release, so that searches are rare. */
+const minShedShare = 0.05;
+
 /** Reason to pause a connection: this process holds too much. */
 const memoryShort = Symbol('memory short');
 
@@ -30,6 +35,9 @@
 
   private readonly paused = new Set<CallerHolder>();
 
+  /** Bytes that all callers hold. */
+  private heldBytes = 0;
+
   private shortChecks = 0;
 
   private timer: NodeJS.Timeout | undefined;
@@ -47,6 +55,7 @@
   change(holder: CallerHolder, bytes: number): void {
     if (bytes === 0) return;
     Object.assign(holder, { bytes: holder.bytes + bytes });
+    this.heldBytes += bytes;
     if (bytes < 0) {
       this.budget.remove(-bytes);
       if (holder.bytes === 0) this.holders.delete(holder);
@@ -54,7 +63,7 @@
     }
     this.budget.add(bytes);
     this.holders.add(holder);
-    if (this.budget.isShort) this.pause(holder);
+    if (this.isShort) this.pause(holder);
     if (this.budget.isExceeded) this.shed();
   }
 
@@ -64,18 +73,29 @@
     this.paused.delete(holder);
   }
 
+  /** Whether nothing more is to be read from callers for now. */
+  private get isShort(): boolean {
+    return this.budget.isShort && this.excessBytes > 0;
+  }
+
+  /** Bytes that callers are to release under shortage. */
+  private get excessBytes(): number {
+    const { budget, heldBytes } = this;
+    return Math.min(budget.excessBytes, heldBytes - budget.maxBytes * guaranteedShare);
+  }
+
   private pause(holder: CallerHolder): void {
     holder.gate.pause(memoryShort);
     this.paused.add(holder);
-    this.timer ??= setInterval(() => this.check(), checkMs);
+    this.timer ??= setInterval(() => this.check(), checkMs).unref();
   }
 
   private check(): void {
-    if (this.budget.isShort) {
+    if (this.isShort) {
       this.shortChecks += 1;
       if (this.shortChecks > maxShortChecks) this.shed();
     }
-    if (!this.budget.isShort) this.resumeSome();
+    if (!this.isShort) this.resumeSome();
     if (this.paused.size > 0) return;
     clearInterval(this.timer);
     this.timer = undefined;
@@ -94,7 +114,8 @@
   }
 
   private shed(): void {
-    if (this.isShedding) return;
+    const { excessBytes } = this;
+    if (this.isShedding || excessBytes < this.budget.maxBytes * minShedShare) return;
     this.isShedding = true;
     this.shortChecks = 0;
     const now = this.clock.now();
@@ -104,7 +125,7 @@
       workspace: holder.workspace,
       stalledFor: now - holder.progressAt,
     }));
-    selectShed(holders, this.budget.excessBytes).forEach(({ holder }) => holder.shed());
+    selectShed(holders, excessBytes).forEach(({ holder }) => holder.shed());
     this.isShedding = false;
   }
 }
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -5,6 +5,7 @@
 export * from './attempts/responseCollector.js';
 export * from './callers/bodyBuffer.js';
 export * from './callers/callerBounds.js';
+export * from './callers/callerMemory.js';
 export * from './callers/requestBody.js';
 export * from './endpoints/connectionPool.js';
 export * from './feed/datedStore.js';
