Keep an engine without weights out until an answer from afterwards says otherwise

Cause: an agent's report that was on its way when a response showed that the engine holds no weights set its old version again.

--- a/features/regionShare.feature
+++ b/features/regionShare.feature
@@ -73,5 +73,6 @@
     Examples:
       | case                                       | version |
       | nothing else happens                         | 0       |
+      | the agent reports what it knew before        | 0       |
       | the agent reports and the other repeats it   | 2       |
       | the agent reports and the other sees it anew | 0     |
--- a/features/steps/regionShare.steps.ts
+++ b/features/steps/regionShare.steps.ts
@@ -251,11 +251,13 @@
 );
 
 /** What happens after an entry has heard of an engine without weights, in order. */
-const events: Readonly<Record<string, readonly ('report' | 'repeat' | 'recover')[]>> = {
-  'nothing else happens': [],
-  'the agent reports and the other repeats it': ['report', 'repeat'],
-  'the agent reports and the other sees it anew': ['report', 'recover', 'repeat'],
-};
+const events: Readonly<Record<string, readonly ('report' | 'oldReport' | 'repeat' | 'recover')[]>> =
+  {
+    'nothing else happens': [],
+    'the agent reports what it knew before': ['oldReport'],
+    'the agent reports and the other repeats it': ['report', 'repeat'],
+    'the agent reports and the other sees it anew': ['report', 'recover', 'repeat'],
+  };
 
 Given(
   'an entry that hears from another one that an engine holds no weights',
@@ -270,7 +272,7 @@
 );
 
 When(
-  /^(nothing else happens|the agent reports and .+)$/,
+  /^(nothing else happens|the agent reports .+)$/,
   async function happens(this: RegionWorld, name: string) {
     const entry = this.pair[1]!;
     const [handle] = entry.handles;
@@ -280,11 +282,14 @@
     assert.equal(handle!.reportedVersion, 0);
     const sharers = { local: 2, remote: 0, isLocal: true };
     const report = { running: 0, waiting: 0, slowdown: 1 };
+    const applyReport = (answeredAt: number): void => {
+      handle!.applyLoadReport(report, sharers, new SeededRandom(1), this.clock.now());
+      broadcast.applyVersion(handle!, 2, answeredAt);
+    };
+    const heardAt = this.clock.now();
     const handlers = {
-      report: () => {
-        handle!.applyLoadReport(report, sharers, new SeededRandom(1), this.clock.now());
-        Object.assign(handle!, { reportedVersion: 2 });
-      },
+      report: () => applyReport(this.clock.now()),
+      oldReport: () => applyReport(heardAt - 1),
       repeat: () => broadcast.receive(load!, 'entry-0'),
       recover: () => broadcast.receive({ ...load!, shares: [] }, 'entry-0'),
     };
--- a/packages/forwarding/src/peers/agentLinks.ts
+++ b/packages/forwarding/src/peers/agentLinks.ts
@@ -131,7 +131,8 @@
     const switchAt = report.switchInMs === undefined ? undefined : now + report.switchInMs;
     // The engine aborts its running requests before it loads other weights.
     if (isSwitching && !handle.isSwitching) handle.moveStreams(moveGraceMs);
-    Object.assign(handle, { reportedVersion: version, isSwitching, isAnswering, switchAt });
+    this.loadBroadcast.applyVersion(handle, version, now - report.answeredMsAgo);
+    Object.assign(handle, { isSwitching, isAnswering, switchAt });
     this.directory.startBounds.recordOutdated(handle, version, report.outdatedMsAgo);
     this.onReport(handle);
   }
--- a/packages/forwarding/src/peers/loadBroadcast.ts
+++ b/packages/forwarding/src/peers/loadBroadcast.ts
@@ -8,15 +8,10 @@
 import type { EndpointHandle } from '../endpoints/endpointHandle.js';
 import type { EntryPeers } from './entryPeers.js';
 import { WeightLossReports } from './weightLossReports.js';
+import type { WeightLoss } from './weightLossReports.js';
 
 type Share = NonNullable<Extract<DatagramContent, { case: 'load' }>['value']['shares']>[number];
 
-/** An engine of which a response may have shown that it holds no weights. */
-interface WeightLoss {
-  /** Monotonic time since when that is known, in milliseconds. */
-  readonly missingWeightsSince?: number | undefined;
-}
-
 /** Time in which changes are batched, for each group of peers, in milliseconds. */
 const batchMsPerGroup = 5;
 const peersPerGroup = 4;
@@ -99,6 +94,17 @@
     this.weightLosses.receive(sender, empty, now);
   }
 
+  /**
+   * Applies the version that an agent reports, as its engine answered it at `answeredAt`. An answer from before
+   * a response showed that the engine holds no weights says nothing of it.
+   */
+  applyVersion(handle: EndpointHandle & WeightLoss, version: number, answeredAt: number): void {
+    if (answeredAt < this.weightLosses.lostAt(handle)) return;
+    Object.assign(handle, { reportedVersion: version });
+    if (handle.missingWeightsSince !== undefined)
+      Object.assign(handle, { missingWeightsSince: undefined });
+  }
+
   private static createShare(handle: EndpointHandle): Share {
     const { requests, unreadMs, heldTokens = 0, window } = handle.load.ownLoad;
     const share = {
--- a/packages/forwarding/src/peers/weightLossReports.ts
+++ b/packages/forwarding/src/peers/weightLossReports.ts
@@ -1,5 +1,11 @@
 import type { EndpointHandle } from '../endpoints/endpointHandle.js';
 
+/** An engine of which a response to this entry may have shown that it holds no weights. */
+export interface WeightLoss {
+  /** Monotonic time since when that is known, in milliseconds. */
+  readonly missingWeightsSince?: number | undefined;
+}
+
 /** Time without a load of a sender after which its reports are forgotten, in milliseconds. */
 const forgetMs = 5_000;
 
@@ -14,6 +20,9 @@
 export class WeightLossReports {
   private readonly senders = new Map<string, SenderReports>();
 
+  /** Monotonic times of the last reports that were applied, in milliseconds. */
+  private readonly appliedAt = new WeakMap<EndpointHandle, number>();
+
   /** Applies the engines that a sender lists; it repeats them for as long as it knows no better. */
   receive(sender: string, engines: readonly EndpointHandle[], now: number): void {
     this.forgetSilent(now);
@@ -27,10 +36,20 @@
       const firstAt = since.get(handle.endpoint.address)!;
       const reportedAt = now - handle.load.reportAgeMs(now);
       // A repetition is out of date if the agent has reported since it was said first.
-      if (firstAt === now || reportedAt < firstAt) Object.assign(handle, { reportedVersion: 0 });
+      if (firstAt !== now && reportedAt >= firstAt) return;
+      Object.assign(handle, { reportedVersion: 0 });
+      this.appliedAt.set(handle, firstAt);
     });
   }
 
+  /** Monotonic time since when an engine is known to hold no weights, here or elsewhere; -Infinity if never. */
+  lostAt(handle: EndpointHandle & WeightLoss): number {
+    return Math.max(
+      this.appliedAt.get(handle) ?? -Infinity,
+      handle.missingWeightsSince ?? -Infinity,
+    );
+  }
+
   private forgetSilent(now: number): void {
     this.senders.forEach(({ at }, sender) => {
       if (now - at >= forgetMs) this.senders.delete(sender);
