--- a/packages/forwarding/src/peers/demandLog.ts
+++ b/packages/forwarding/src/peers/demandLog.ts
@@ -1,11 +1,11 @@
 import type { Clock, Log } from '@laburnumstream/common';
-import { sumCounts } from '@laburnumstream/decisions';
 import type { ServiceDemandState } from './serviceDemandState.js';
 
 /** Change of a part that is worth a line. */
 const minChange = 0.1;
 /** Minimum time between two lines on the same part, in milliseconds. */
 const minIntervalMs = 1_000;
+const hundred = 100;
 
 interface LoggedPart {
   readonly part: number;
@@ -27,10 +27,13 @@
     const now = this.clock.now();
     state.reserve(this.region).all.forEach((part, priority) => {
       if (!this.isChange(`${service} reserve ${priority}`, part, now)) return;
-      const own = sumCounts([state.window.read(now)]);
-      const served = Math.round(state.served * 100) / 100;
-      const fields = { service, priority, part: DemandLog.round(part), served };
-      this.log.info('Reserve for more urgent requests changed.', { ...fields, own });
+      this.log.info('Reserve for more urgent requests changed.', {
+        service,
+        priority,
+        part: DemandLog.round(part),
+        served: DemandLog.round(state.served),
+        counts: state.counts,
+      });
     });
     const division = state.division(this.region).value;
     division?.remote.forEach((part, region) => {
@@ -53,6 +56,6 @@
   }
 
   private static round(part: number): number {
-    return Math.round(part * 100) / 100;
+    return Math.round(part * hundred) / hundred;
   }
 }
