--- a/packages/forwarding/src/peers/loadBroadcast.ts
+++ b/packages/forwarding/src/peers/loadBroadcast.ts
@@ -8,7 +8,6 @@
 import type { EndpointHandle } from '../endpoints/endpointHandle.js';
 import type { EntryPeers } from './entryPeers.js';
 import { WeightLossReports } from './weightLossReports.js';
-import type { WeightLoss } from './weightLossReports.js';
 
 type Share = NonNullable<Extract<DatagramContent, { case: 'load' }>['value']['shares']>[number];
 
@@ -100,11 +99,9 @@
    * Applies the version that an agent reports, as its engine answered it at `answeredAt`. An answer from before
    * a response showed that the engine holds no weights says nothing of it.
    */
-  applyVersion(handle: EndpointHandle & WeightLoss, version: number, answeredAt: number): void {
+  applyVersion(handle: EndpointHandle, version: number, answeredAt: number): void {
     if (answeredAt < this.weightLosses.lostAt(handle)) return;
-    Object.assign(handle, { reportedVersion: version });
-    if (handle.missingWeightsSince !== undefined)
-      Object.assign(handle, { missingWeightsSince: undefined });
+    Object.assign(handle, { reportedVersion: version, missingWeightsSince: undefined });
   }
 
   private static createShare(handle: EndpointHandle): Share {
--- a/packages/forwarding/src/peers/weightLossReports.ts
+++ b/packages/forwarding/src/peers/weightLossReports.ts
@@ -1,11 +1,5 @@
 import type { EndpointHandle } from '../endpoints/endpointHandle.js';
 
-/** An engine of which a response to this entry may have shown that it holds no weights. */
-export interface WeightLoss {
-  /** Monotonic time since when that is known, in milliseconds. */
-  readonly missingWeightsSince?: number | undefined;
-}
-
 /** Time without a load of a sender after which its reports are forgotten, in milliseconds. */
 const forgetMs = 5_000;
 
@@ -46,7 +40,7 @@
   }
 
   /** Monotonic time since when an engine is known to hold no weights, here or elsewhere; -Infinity if never. */
-  lostAt(handle: EndpointHandle & WeightLoss): number {
+  lostAt(handle: EndpointHandle): number {
     return Math.max(
       this.appliedAt.get(handle) ?? -Infinity,
       handle.missingWeightsSince ?? -Infinity,
