--- a/packages/forwarding/src/fleet/fleetChange.ts
+++ b/packages/forwarding/src/fleet/fleetChange.ts
@@ -41,6 +41,8 @@
 
 /** Encodes and decodes the keys and values of the store. */
 export interface FleetCodec extends FleetDecoder {
+  /** Prefix of the keys of named versions. */
+  readonly versionPrefix: string;
   /** The key under which an entry registers itself. */
   entryKey(name: string): string;
   /** Encodes the value that an entry registers. */
