Return times before anything was placed, and late placements in the log

Cause: an entry that has just started had placed nothing and told callers a time longer than their own although endpoints had room later. The rates of the profiles count until something was placed.

--- a/packages/forwarding/src/placement/dispatchQueue.ts
+++ b/packages/forwarding/src/placement/dispatchQueue.ts
@@ -283,6 +283,7 @@
       waitedMs: Math.round(now - request.arrivedAt),
       isReturned: request.stage === RequestStage.callerRetry,
       leftMs: Math.round(request.goalAt - now),
+      isLate: !isInTime,
       unreadMs: Math.round(target.load.unreadMs(now)),
       configuration: request.configurationVersion,
       proofAgeMs: Math.round(request.configurationAgeMs),
--- a/packages/forwarding/src/placement/refusals.ts
+++ b/packages/forwarding/src/placement/refusals.ts
@@ -111,15 +111,15 @@
   }
 
   /** Returns when room is expected for a caller that comes back; undefined where admission is not adaptive. */
-  private planReturn(
-    { service, stage, deadlineAt }: Candidate,
-    waiting: number,
-    now: number,
-  ): number | undefined {
+  private planReturn(request: Candidate, waiting: number, now: number): number | undefined {
+    const { service, stage, deadlineAt } = request;
     if (!this.isAdaptive(service)) return undefined;
     const remainingMs = Math.max(0, deadlineAt - now);
     const outlook = this.estimates.getOutlook(service);
-    const placedPerMs = outlook.placedPerMs(now);
+    // An entry that has just started has placed nothing yet, so the profiles tell.
+    const { capacities } = this.estimates.getEstimate(request, now);
+    const placedPerMs =
+      outlook.placedPerMs(now) || capacities.reduce((sum, { perMs }) => sum + perMs, 0);
     const latePerMs = Math.max(outlook.latePerMs(now), placedPerMs * minReturnShare);
     const backlogMs = placedPerMs > 0 ? waiting / placedPerMs : remainingMs;
     const mayReturn = stage !== RequestStage.callerRetry;
