Adapt all endpoints of a service at once; unknown entries share a fixed part of a cold rate

Change: each answer applies the adaptive state to all endpoints of the service. Entries that have just started or are cut off from the store have 0.08 of the rate together, as whole requests of selected entries.

--- a/features/endpointPace.feature
+++ b/features/endpointPace.feature
@@ -73,4 +73,4 @@
     Given an entry and 3 endpoints that make statements
     When the first states a pace of 800 percent for 2 seconds, and the others of 100
     Then it gets less than half as many requests as each of the others
-    And the entry shows its pace in its metrics
+    And the entry shows a higher pace of it than of the others in its metrics
--- a/packages/decisions/src/forwarding/coldRateShare.ts
+++ b/packages/decisions/src/forwarding/coldRateShare.ts
@@ -18,10 +18,13 @@
   readonly isSelected: (count: number) => boolean;
 }
 
-/** Part of the allowed rate that entries use of which all others know. The rest is for entries that have started. */
+/** Part of the allowed rate that entries use of which all others know. The rest is for the others. */
 const agreedPart = 0.87;
-/** Part for entries that are registered, but that others may not know yet: those that have just started. */
-const startingPart = 0.1;
+/**
+ * Part for entries that others may not know yet, as they have just started, and again for entries that others may
+ * not know any more, as they are cut off from the store.
+ */
+const unknownPart = 0.08;
 /** Part of the agreed rate for the entries of the endpoint's region, if there are any; others send there when theirs are full. */
 const localPart = 0.85;
 /** Time within which entries learn of each other, in milliseconds; an entry that starts sends nothing until then. */
@@ -33,8 +36,6 @@
 const agreementMs = 1_500;
 /** Factor between the counted and the registered entries from which this entry counts as cut off from the store. */
 const silentFactor = 4;
-/** Divisor of the share of an entry that is cut off: others may divide the rate without it. */
-const silentDivisor = 16;
 
 /**
  * This entry's share of the rate of a cold endpoint. The split is static: it follows from the registered entries
@@ -77,13 +78,12 @@
   perSecond({ perSecond, factor, slack }: ColdRate, sharers: ColdSharers, now: number): number {
     const allowed = perSecond * factor + slack;
     if (now - (this.registeredSince ?? now) < startMs) return 0;
-    if (this.agreedLocal === undefined) {
-      const starting = sharers.isLocal ? Math.floor(allowed * startingPart) : 0;
-      return sharers.isSelected(starting) ? 1 : 0;
+    if (this.agreedLocal === undefined || this.isSilent) {
+      const senders = sharers.isLocal ? Math.floor(allowed * unknownPart) : 0;
+      return sharers.isSelected(senders) ? 1 : 0;
     }
     const rate = allowed * agreedPart * this.partOf(sharers, now);
     const members = Math.max(1, this.countMembers(sharers, this.agreedLocal, now));
-    if (this.isSilent) return rate / (members * silentDivisor);
     const whole = Math.floor(rate);
     return Math.floor(whole / members) + (sharers.isSelected(whole % members) ? 1 : 0);
   }
@@ -98,17 +98,13 @@
   private countMembers({ local, isLocal }: ColdSharers, agreedLocal: number, now: number): number {
     if (!isLocal) return this.counted - local;
     if (this.isAgreed(now)) return local;
-    return Math.max(agreedLocal, local + (this.isSilent ? 0 : this.missing));
+    return Math.max(agreedLocal, local + this.counted - this.registered);
   }
 
   private isAgreed(now: number): boolean {
     return this.agreedSince !== undefined && now - this.agreedSince >= agreementMs;
   }
 
-  private get missing(): number {
-    return this.counted - this.registered;
-  }
-
   private get isSilent(): boolean {
     return this.counted >= this.registered * silentFactor;
   }
--- a/packages/decisions/src/forwarding/concurrencyWindow.ts
+++ b/packages/decisions/src/forwarding/concurrencyWindow.ts
@@ -18,8 +18,11 @@
 /** Growth in one round of answers after a cut, in requests. */
 const additiveStep = 2;
 
-/** Time of one turn at free room, in milliseconds: within it, other entries hear that the room is taken. */
-const turnMs = 20;
+/**
+ * Time of one turn at free room, in milliseconds: within it, other entries hear that the room is taken, and waiting
+ * requests are checked at least once.
+ */
+const turnMs = 30;
 
 /** How entries that share a window take turns. */
 export interface WindowTurn {
--- a/packages/decisions/src/forwarding/expectedTime.ts
+++ b/packages/decisions/src/forwarding/expectedTime.ts
@@ -51,7 +51,8 @@
 ): boolean {
   if (!memory) return true;
   const { promptTokens, answerTokens, maxAnswerTokens } = demand;
-  const maxOutputTokens = maxAnswerTokens ?? answerTokens;
+  // An estimate of 0 means that the caller has stated none.
+  const maxOutputTokens = maxAnswerTokens ?? (answerTokens > 0 ? answerTokens : undefined);
   return memory.fits(load, memory.neededTokens({ promptTokens, maxOutputTokens }), isLocal, now);
 }
 
--- a/packages/forwarding/src/attempts/sendAttempt.ts
+++ b/packages/forwarding/src/attempts/sendAttempt.ts
@@ -60,7 +60,9 @@
   handle.adapt(adaptive.has(service));
   let timing: AttemptTiming | undefined;
   const recordAnswer = (): void => {
-    timing?.recordAnswer(directory.forService(service));
+    const endpoints = directory.forService(service);
+    endpoints.forEach((endpoint) => endpoint.adapt(adaptive.has(service)));
+    timing?.recordAnswer(endpoints);
     reportWindow(services, handle, clock.now());
   };
   let isTaken = false;
