--- a/packages/decisions/src/forwarding/coldRateShare.ts
+++ b/packages/decisions/src/forwarding/coldRateShare.ts
@@ -62,10 +62,11 @@
    */
   observe(registered: number, counted: number, local: number, now: number): void {
     const wasSilent = this.isSilent;
+    const isChanged = registered !== this.registered;
     this.registered = registered;
     this.counted = counted;
-    // Its registration may have ended meanwhile, so that others have to learn of it again.
-    const isBack = wasSilent && !this.isSilent;
+    // Registrations may have ended during a silence, so that entries have to learn of each other again.
+    const isBack = wasSilent && (isChanged || !this.isSilent);
     if (local === 0 || isBack)
       Object.assign(this, { registeredSince: undefined, agreedLocal: undefined });
     if (local > 0) this.registeredSince ??= now;
