Feed server: say whether the content is being received

An entry that starts needs to know whether one that is not ready either will soon have the content, as then another copy of it over the link would only slow it down. Responses 503 have a header for it while the store has not been silent for long.

--- a/packages/forwarding/src/feed/feedProtocol.ts
+++ b/packages/forwarding/src/feed/feedProtocol.ts
@@ -33,6 +33,8 @@
   unseen: 'laburnumstream-feed-unseen',
   outage: 'laburnumstream-feed-outage',
   outageEnded: 'laburnumstream-feed-outage-ended',
+  /** Present where the entry is not ready, but the store is sending it the content. */
+  reading: 'laburnumstream-feed-reading',
 } as const;
 
 /** Body of a response: the changes after the requested revision, or all values after 0. */
--- a/packages/forwarding/src/feed/feedServer.ts
+++ b/packages/forwarding/src/feed/feedServer.ts
@@ -105,8 +105,7 @@
     if (provenMs < Infinity) await this.waitForProof(provenSince, waitMs, response);
     else await this.waitForChange(after, waitMs, response);
     const content = this.mirror.readAfter(after, calledAt, this.proofClock.now());
-    if (!this.isReady(provenSince) || this.mirror.isBehind(after))
-      FeedServer.sendEmpty(response, FeedStatus.notReady);
+    if (!this.isReady(provenSince) || this.mirror.isBehind(after)) this.sendNotReady(response);
     else if (!content) FeedServer.sendEmpty(response, FeedStatus.historyLost);
     else await this.send(response, after.revision, content);
   }
@@ -185,6 +184,13 @@
     return this.lastEncoded.body;
   }
 
+  private sendNotReady(response: ServerResponse): void {
+    const silenceMs = this.getSilenceMs();
+    // With a call in progress, the store has not been silent for long.
+    if (silenceMs > 0 && silenceMs <= maxSilenceMs) response.setHeader(FeedHeader.reading, '1');
+    FeedServer.sendEmpty(response, FeedStatus.notReady);
+  }
+
   private static sendEmpty(response: ServerResponse, status: number): void {
     response.writeHead(status, { 'content-length': '0' });
     response.end();
