Entries that start together read the content from a few

Now an entry lists the registrations first (one small call, given up after 300 ms). If it is to be a follower it asks two entries for the content, waits while they receive it, and reads the store itself if none does after 0.2 s. The calls to the other entries moved to Forerunners.

--- a/packages/forwarding/src/feed/callRace.ts
+++ b/packages/forwarding/src/feed/callRace.ts
@@ -21,6 +21,8 @@
 export interface CallSeries<Content> {
   /** Returns the time between the starts of two calls, in milliseconds. */
   readonly getIntervalMs: () => number;
+  /** Whether a call may start now. */
+  readonly isDue?: () => boolean;
   /** Whether a call may start while the ones before are not answered, as their connections may be dead. */
   readonly overlaps: boolean;
   readonly start: CallStart<Content>;
@@ -74,7 +76,7 @@
   }
 
   private async runSeries(
-    { getIntervalMs, overlaps, start }: CallSeries<Content>,
+    { getIntervalMs, isDue = () => true, overlaps, start }: CallSeries<Content>,
     settle: Settle<Content>,
   ): Promise<void> {
     let dueAt = performance.now();
@@ -83,7 +85,7 @@
       if (leftMs > 0) {
         const { signal } = this;
         await pause(Math.min(leftMs, maxPauseMs), undefined, { signal }).catch(() => undefined);
-      } else if (this.receiving.has(start)) {
+      } else if (this.receiving.has(start) || !isDue()) {
         // More copies of a large response would only slow it down.
         dueAt = performance.now() + maxPauseMs;
       } else {
--- a/packages/forwarding/src/feed/feedClient.ts
+++ b/packages/forwarding/src/feed/feedClient.ts
@@ -116,6 +116,9 @@
 export class FeedClient {
   private client: Client | undefined;
 
+  /** Whether the other entry was not ready at the last call, but was receiving the content. */
+  isSourceReading = false;
+
   /** IP:PORT that `client` is connected to. */
   private address = '';
 
@@ -144,6 +147,7 @@
     const limits = { firstMs: waitMs + responseGraceMs, stallMs, totalMs, maxBytes };
     try {
       const response = await transfer(client, { method: 'GET', path }, limits, signal);
+      this.isSourceReading = response.headers[FeedHeader.reading] !== undefined;
       if (response.status === FeedStatus.historyLost) throw new HistoryLost(path);
       if (response.status !== FeedStatus.ok)
         throw new Unavailable(`${address} responded with ${response.status}.`, retryDelayMs);
@@ -152,13 +156,14 @@
       const epoch = readEpoch(response);
       return { revision, epoch, changes, provenance: readProvenance(response), isFromReader };
     } catch (error) {
-      if (!(error instanceof HistoryLost)) this.close();
+      if (!(error instanceof HistoryLost || error instanceof Unavailable)) this.close();
       throw error;
     }
   }
 
   /** Closes the connection. */
   close(): void {
+    this.isSourceReading = false;
     void this.client?.destroy();
     this.client = undefined;
   }
--- a/packages/forwarding/src/feed/regionalFeed.ts
+++ b/packages/forwarding/src/feed/regionalFeed.ts
@@ -1,7 +1,6 @@
-import { HistoryLost, NotFound, OldProof, Unavailable, toFailure } from '@laburnumstream/common';
+import { HistoryLost, NotFound, toFailure } from '@laburnumstream/common';
 import type {
   DatedChanges,
-  DatedFeed,
   DatedSnapshot,
   FleetSettings,
   Log,
@@ -9,6 +8,7 @@
   SleepAwareClock,
   StoreFeed,
   StorePosition,
+  StoredValue,
 } from '@laburnumstream/common';
 import { FeedReaders } from '@laburnumstream/decisions';
 import type { ChangeDate } from '@laburnumstream/decisions';
@@ -18,16 +18,12 @@
 import { FeedSource } from './feedProtocol.js';
 import { FeedClient } from './feedClient.js';
 import type { RelayedChanges } from './feedClient.js';
-import {
-  checkRelayed,
-  maxProofAgeMs,
-  readDate,
-  toStoredValue,
-  wholeContent,
-} from './feedRequest.js';
+import { checkRelayed, readDate, toStoredValue, wholeContent } from './feedRequest.js';
 import type { DatedContent, FeedRead, FeedRequest } from './feedRequest.js';
 import { FeedServer } from './feedServer.js';
+import { Forerunners } from './forerunners.js';
 import { EntryPeers } from '../peers/entryPeers.js';
+import type { FleetFeed } from '../fleet/fleetFeed.js';
 import type { FleetState } from '../fleet/fleetState.js';
 import { probeIntervalMs } from './probeInterval.js';
 import { StoreMirror } from './storeMirror.js';
@@ -42,12 +38,10 @@
 const maxAttemptsMs = 1_300;
 /** Wait for a change of a call that finds out whether the store responds again, in milliseconds. */
 const probeWaitMs = 10;
-/** Longest wait for another entry's proof during an outage, in milliseconds: its silence shows only after it. */
-const proofWaitMs = 250;
-/** Time between two calls to an entry that has no proof, in milliseconds. */
-const proofIntervalMs = 100;
-/** Number of other entries that are asked for a proof during an outage. */
-const forerunners = 2;
+/** Time for which an entry that starts waits for others that may start with it, in milliseconds. */
+const startWaitMs = 200;
+/** The same while they receive the content, in milliseconds. */
+const maxStartWaitMs = 2_500;
 /** Offset of the port at which the feed is served from the first port of an instance. */
 const feedPortOffset = 1;
 
@@ -55,7 +49,7 @@
  * The store's content for an entry: a few entries of each region read the store, the others read from
  * those. So a link between regions carries a few copies of each change, however many entries there are.
  */
-export class RegionalFeed implements DatedFeed {
+export class RegionalFeed implements FleetFeed {
   private readonly mirror = new StoreMirror();
 
   private readonly client = new FeedClient();
@@ -83,14 +77,13 @@
   /** Whether the store can't be reached, so that whatever answers first is waited for. */
   private isStoreAway = false;
 
-  /** Connections to the entries that are asked for a proof during an outage. */
-  private readonly proofClients = Array.from({ length: forerunners }, () => new FeedClient());
+  private readonly forerunners: Forerunners;
 
   /** Time since when the store owes the next part of a response; undefined once it has responded in full. */
   private silentSince: number | undefined;
 
   constructor(
-    store: StoreFeed,
+    private readonly rawStore: StoreFeed,
     private readonly settings: FleetSettings,
     private readonly state: FleetState,
     private readonly proofClock: SleepAwareClock,
@@ -104,19 +97,29 @@
       () => this.source,
       log,
     );
-    this.store = new DatedStore(store, proofClock, settings.bounds);
+    this.store = new DatedStore(rawStore, proofClock, settings.bounds);
     this.readers = new FeedReaders(settings.instance, new Set(settings.regions.values()).size);
     this.peers = new EntryPeers(settings, state);
+    this.forerunners = new Forerunners(
+      this.readers,
+      proofClock,
+      (source) => this.getFeedAddress(source),
+      () => ({ position: this.mirror.position, respondedAt: this.respondedAt }),
+    );
   }
 
   /** Serves the content to other entries until the signal fires. */
   listen(signal: AbortSignal): Promise<void> {
     const { host, firstPort } = this.settings;
-    const clients = [this.client, ...this.proofClients];
+    const clients = [this.client, this.forerunners];
     signal.addEventListener('abort', () => clients.forEach((client) => client.close()));
     return this.server.listen(host, firstPort + feedPortOffset, signal);
   }
 
+  async listEntries(prefix: string, signal: AbortSignal): Promise<readonly StoredValue[]> {
+    return (await this.rawStore.snapshot(prefix, signal)).values;
+  }
+
   async snapshot(prefix: string, signal?: AbortSignal): Promise<DatedSnapshot> {
     const startedAt = this.proofClock.now();
     const request: FeedRead<DatedSnapshot> = {
@@ -129,7 +132,8 @@
       startedAt,
       signal,
     };
-    if (this.isStoreAway) return this.readFirst(request);
+    const isStarting = this.mirror.position === undefined && this.pickSource() !== undefined;
+    if (this.isStoreAway || isStarting) return this.readFirst(request);
     const relayed = await this.readFromEntries(request, 0);
     return relayed ? request.toContent(relayed) : this.readDirectly(request, 0);
   }
@@ -233,36 +237,6 @@
     return { ...relayed, provenance: { ...provenance, proofAgeMs, changeAgeMs, unseenMs } };
   }
 
-  /** Asks an entry that is one of the first to read the store again for a proof newer than the last response. */
-  private async readProof<Content>(
-    index: number,
-    request: FeedRead<Content>,
-    call: RacingCall,
-  ): Promise<Content> {
-    const calledAt = this.proofClock.now();
-    const source = this.readers.pickForerunners(calledAt)[index];
-    if (source === undefined) throw new NotFound('No other entry can be asked.');
-    const provenMs = Math.min(maxProofAgeMs, calledAt - (this.respondedAt ?? -Infinity));
-    try {
-      const address = this.getFeedAddress(source);
-      const { after } = request;
-      const query = { waitMs: proofWaitMs, provenMs };
-      const relayed = await this.proofClients[index]!.ask(address, after, query, call.signal);
-      checkRelayed(relayed, after, this.mirror.position, address);
-      const { proofAgeMs } = relayed.provenance;
-      if (proofAgeMs > provenMs) throw new OldProof(address, proofAgeMs);
-      call.claim();
-      return request.toContent(this.takeRelayed(relayed, request, calledAt));
-    } catch (error) {
-      const hasResponded = [Unavailable, OldProof, HistoryLost].some(
-        (type) => error instanceof type,
-      );
-      if (!call.signal.aborted)
-        this.readers.recordCall(source, hasResponded, this.proofClock.now());
-      throw error;
-    }
-  }
-
   private getFeedAddress(source: string): string {
     const location = this.state.entryLocations.get(source);
     if (!location) throw new NotFound(`The entry ${source} is not registered.`);
@@ -316,6 +290,8 @@
         const isCutOff = this.source === FeedSource.entry;
         return probeIntervalMs(this.readers, request.kind, isCutOff, this.proofClock.now());
       },
+      // An entry that starts leaves the first read to others while they make progress.
+      isDue: () => this.isStoreAway || !this.hasStartingSource(request.startedAt),
       overlaps: true,
       start: async (call) => {
         await this.store.ping(call.signal);
@@ -327,13 +303,17 @@
     return this.race(request, [fromStore, ...this.createProofSeries(request)]);
   }
 
-  /** Returns calls to the entries that are the first to have the content again. */
+  /** Whether another entry may soon have the content that this one has not had yet. */
+  private hasStartingSource(startedAt: number): boolean {
+    const waitedMs = this.proofClock.now() - startedAt;
+    return waitedMs < (this.forerunners.isReading ? maxStartWaitMs : startWaitMs);
+  }
+
+  /** Returns calls to the entries that are the first to have the content. */
   private createProofSeries<Content>(request: FeedRead<Content>): CallSeries<Content>[] {
-    return this.proofClients.map((_client, index) => ({
-      getIntervalMs: () => proofIntervalMs,
-      overlaps: false,
-      start: (call: RacingCall) => this.readProof(index, request, call),
-    }));
+    return this.forerunners.createSeries(request.after, (relayed, calledAt) =>
+      request.toContent(this.takeRelayed(relayed, request, calledAt)),
+    );
   }
 
   private async race<Content extends DatedContent>(
@@ -391,7 +371,7 @@
     if (!isCutOff) {
       this.isStoreAway = false;
       this.silentSince = undefined;
-      this.proofClients.forEach((client) => client.close());
+      this.forerunners.close();
     }
     this.server.notifyChange();
   }
--- a/packages/forwarding/src/fleet/fleetChange.ts
+++ b/packages/forwarding/src/fleet/fleetChange.ts
@@ -35,6 +35,8 @@
 export interface FleetDecoder {
   /** Prefix of all keys that entries watch. */
   readonly prefix: string;
+  /** The key under which an entry registers itself; without a name, the prefix of all those. */
+  entryKey?(name: string): string;
   /** Returns undefined for keys that do not concern entries; throws `InvalidInput` for invalid values. */
   decode(change: StoreChange): FleetChange | undefined;
 }
--- a/packages/forwarding/src/fleet/fleetWatcher.ts
+++ b/packages/forwarding/src/fleet/fleetWatcher.ts
@@ -1,7 +1,12 @@
-import { HistoryLost, InvalidInput, SleepAwareClock, toFailure } from '@laburnumstream/common';
+import {
+  HistoryLost,
+  InvalidInput,
+  SleepAwareClock,
+  createTimeoutSignal,
+  toFailure,
+} from '@laburnumstream/common';
 import type {
   Clock,
-  DatedFeed,
   FleetBounds,
   Log,
   Metrics,
@@ -12,6 +17,7 @@
 } from '@laburnumstream/common';
 import { DeferredRemovals, changeBatchWindowMs } from '@laburnumstream/decisions';
 import type { FleetChange, FleetDecoder } from './fleetChange.js';
+import type { FleetFeed } from './fleetFeed.js';
 import type { ChangeTimes, FleetState } from './fleetState.js';
 import { StoreCall, StoreCallCounter } from './storeCallCounter.js';
 
@@ -23,6 +29,8 @@
 const probeWatchTimeoutMs = 50;
 /** Minimum time between two interruptions of a wait for changes, in milliseconds. */
 const interruptionIntervalMs = 250;
+/** Time after which the list of the entries is not waited for, in milliseconds: it only saves copies of the content. */
+const listTimeoutMs = 300;
 const initialBackoffMs = 100;
 const maxBackoffMs = 300;
 
@@ -99,7 +107,7 @@
   private readonly callCounter: StoreCallCounter;
 
   constructor(
-    private readonly store: DatedFeed,
+    private readonly store: FleetFeed,
     private readonly codec: FleetDecoder,
     private readonly state: FleetState,
     private readonly proof: FreshnessProof,
@@ -115,6 +123,7 @@
 
   /** Watches the store until the signal is aborted. */
   async run(signal: AbortSignal): Promise<void> {
+    await this.learnEntries(signal);
     while (!signal.aborted) {
       const calledAt = this.proofClock.now();
       const call = this.position === undefined ? StoreCall.list : StoreCall.watch;
@@ -156,6 +165,22 @@
     this.interruption.abort();
   }
 
+  /** Learns which entries there are, so that those that start together read the whole content from a few. */
+  private async learnEntries(signal: AbortSignal): Promise<void> {
+    const prefix = this.codec.entryKey?.('');
+    if (prefix === undefined || !this.store.listEntries) return;
+    try {
+      const timeout = createTimeoutSignal(listTimeoutMs, signal);
+      const values = await this.store.listEntries(prefix, timeout);
+      const now = this.proofClock.now();
+      const changes = values.flatMap((value) => this.decode(value));
+      changes.forEach(({ change }) => change.kind === 'entry' && this.state.apply(change, now));
+      this.callCounter.countSuccess(StoreCall.list);
+    } catch (error) {
+      this.callCounter.countFailure(StoreCall.list, error);
+    }
+  }
+
   /** Timeout of the next watch call; short while the store may be unreachable. */
   private get nextWatchTimeoutMs(): number {
     if (!this.isReachable || this.isConfirming) return probeWatchTimeoutMs;
