Read a newly named version at once; renew registrations and reach new agents sooner

Readers now watch the named versions alone, with calls of 30 s, and end the pause. Paths of mutations follow the move into folders.

--- a/bench/src/mutations/mutations.ts
+++ b/bench/src/mutations/mutations.ts
@@ -97,14 +97,14 @@
   ...soakMutations,
   {
     name: 'proof from before the call',
-    file: 'packages/forwarding/dist/fleetWatcher.js',
+    file: 'packages/forwarding/dist/fleet/fleetWatcher.js',
     find: 'this.proof.confirm(calledAt - proofAgeMs);',
     replace: 'this.proof.confirm(this.proofClock.now());',
     test: 'Bounds that all entries share: removed keys and calls that are slow, lost or late',
   },
   {
     name: 'age of a proof that another entry passes on',
-    file: 'packages/forwarding/dist/storeMirror.js',
+    file: 'packages/forwarding/dist/feed/storeMirror.js',
     find: 'proofAgeMs: Math.max(0, calledAt - this.confirmedAt),',
     replace: 'proofAgeMs: 0,',
     test: "Entries that read the store's content from each other: proof of a mirror",
@@ -132,7 +132,7 @@
   },
   {
     name: 'configuration that never goes back',
-    file: 'packages/forwarding/dist/fleetState.js',
+    file: 'packages/forwarding/dist/fleet/fleetState.js',
     find: 'if (version <= known)',
     replace: 'if (false)',
     test: 'Bounds that all entries share: configuration and lists that are no snapshot',
@@ -167,7 +167,7 @@
   },
   {
     name: 'placements count before their requests are sent',
-    file: 'packages/forwarding/dist/dispatchQueue.js',
+    file: 'packages/forwarding/dist/placement/dispatchQueue.js',
     find: 'countPlacement(target, request);',
     replace: '',
     test: 'Engines that several entries fill: requests that wait for the same endpoint',
--- a/bench/src/mutations/soakMutations.ts
+++ b/bench/src/mutations/soakMutations.ts
@@ -19,7 +19,7 @@
   },
   {
     name: 'answers that belong to other requests',
-    file: 'packages/forwarding/dist/endpointCall.js',
+    file: 'packages/forwarding/dist/endpoints/endpointCall.js',
     find: 'return requestId === this.request.id;',
     replace: 'return true;',
     test,
@@ -35,7 +35,7 @@
   },
   {
     name: 'unknown outcome of a broken connection',
-    file: 'packages/forwarding/dist/endpointCall.js',
+    file: 'packages/forwarding/dist/endpoints/endpointCall.js',
     find: 'unsentFaults.has(fault) ? Execution.notRun : Execution.unknown',
     replace: 'Execution.notRun',
     test,
@@ -43,7 +43,7 @@
   },
   {
     name: 'age of the proof of keys',
-    file: 'packages/forwarding/dist/callerServer.js',
+    file: 'packages/forwarding/dist/callers/callerServer.js',
     find: 'if (!this.freshness.mayAcceptKeys())',
     replace: 'if (false)',
     test,
@@ -51,7 +51,7 @@
   },
   {
     name: 'draining endpoints',
-    file: 'packages/forwarding/dist/endpointDirectory.js',
+    file: 'packages/forwarding/dist/endpoints/endpointDirectory.js',
     find: '!endpoint.isDraining &&',
     replace: '',
     test,
@@ -67,7 +67,7 @@
   },
   {
     name: 'broken streams',
-    file: 'packages/forwarding/dist/eventRelay.js',
+    file: 'packages/forwarding/dist/attempts/eventRelay.js',
     find: "this.settle({ kind: 'fault', fault, reason });",
     replace: 'this.onEnd();',
     test,
--- a/packages/forwarding/src/feed/regionalFeed.ts
+++ b/packages/forwarding/src/feed/regionalFeed.ts
@@ -116,6 +116,11 @@
     return this.server.listen(host, firstPort + feedPortOffset, signal);
   }
 
+  /** Whether this entry reads the store itself. */
+  get isReader(): boolean {
+    return this.pickSource() === undefined;
+  }
+
   async listEntries(prefix: string, signal: AbortSignal): Promise<readonly StoredValue[]> {
     return (await this.rawStore.snapshot(prefix, signal)).values;
   }
--- a/packages/forwarding/src/fleet/fleetWatcher.ts
+++ b/packages/forwarding/src/fleet/fleetWatcher.ts
@@ -19,6 +19,7 @@
 import type { FleetChange, FleetDecoder } from './fleetChange.js';
 import type { FleetFeed } from './fleetFeed.js';
 import type { ChangeTimes, FleetState } from './fleetState.js';
+import { getRegistration } from './changedRegistration.js';
 import { StoreCall, StoreCallCounter } from './storeCallCounter.js';
 
 /** Timeout of a watch call, in milliseconds; its end proves that nothing has changed. */
@@ -34,24 +35,6 @@
 const initialBackoffMs = 100;
 const maxBackoffMs = 300;
 
-/** The registration or evacuation that a change concerns; without a key for changes of other kinds. */
-interface Registration {
-  readonly key?: string;
-  /** Whether the registration was removed. */
-  readonly isGone?: boolean;
-}
-
-function getRegistration(change: FleetChange): Registration {
-  if (change.kind === 'endpoint') {
-    return { key: `endpoint ${change.id}`, isGone: change.endpoint === undefined };
-  }
-  if (change.kind === 'entry') {
-    return { key: `entry ${change.name}`, isGone: change.location === undefined };
-  }
-  if (change.kind === 'evacuation') return { key: `evacuation ${change.dataCentre}` };
-  return {};
-}
-
 /** A decoded change of a response. */
 interface DatedChange {
   readonly change: FleetChange;
@@ -102,6 +85,9 @@
   /** Whether the last response had changes, so that the next call waits for more. */
   private isPauseDue = false;
 
+  /** Ends the current or the last pause after changes; undefined before the first one. */
+  private pause: AbortController | undefined;
+
   private readonly deferredRemovals = new DeferredRemovals<FleetChange>();
 
   private readonly callCounter: StoreCallCounter;
@@ -126,6 +112,11 @@
     return this.isReachable;
   }
 
+  /** Position up to which the store's content is known; undefined if a snapshot is due. */
+  get knownPosition(): StorePosition | undefined {
+    return this.position;
+  }
+
   /** Watches the store until the signal is aborted. */
   async run(signal: AbortSignal): Promise<void> {
     await this.learnEntries(signal);
@@ -196,8 +187,17 @@
   private async pauseAfterChanges(signal: AbortSignal): Promise<void> {
     if (!this.isPauseDue) return;
     this.isPauseDue = false;
-    const ended = AbortSignal.any([signal, this.interruption.signal]);
-    await this.clock.sleep(this.batchWindowMs, ended);
+    const pause = new AbortController();
+    this.pause = pause;
+    const ended = AbortSignal.any([signal, this.interruption.signal, pause.signal]);
+    await this.clock.sleep(this.batchWindowMs, ended).catch((error: unknown) => {
+      if (!pause.signal.aborted) throw error;
+    });
+  }
+
+  /** Ends a pause after changes, as an urgent one has been made. */
+  endPause(): void {
+    this.pause?.abort();
   }
 
   private get batchWindowMs(): number {
--- a/packages/forwarding/src/fleet/versionWatch.ts
+++ b/packages/forwarding/src/fleet/versionWatch.ts
@@ -9,14 +9,6 @@
 /** Time after a failed call, in milliseconds: the store may be away, and calls to it are limited. */
 const failurePauseMs = 5_000;
 
-/** What a version watch needs to know of its entry. */
-export interface VersionWatchSource {
-  /** Whether this entry reads the store itself. */
-  readonly isReader: boolean;
-  /** Position up to which this entry knows the store's content; undefined if it knows none. */
-  readonly position: StorePosition | undefined;
-}
-
 /**
  * Watches the named versions alone. Readers of the store pause after each change to batch further ones, but a new
  * version is urgent: its weights have to leave the origin, which may be slow or fail soon.
@@ -26,7 +18,8 @@
     private readonly store: Pick<StoreFeed, 'changes'>,
     /** Prefix of the keys of named versions. */
     private readonly prefix: string,
-    private readonly source: VersionWatchSource,
+    /** Returns the known position of the store; undefined if there is none, or this entry does not read the store. */
+    private readonly getPosition: () => StorePosition | undefined,
     /** Called when a version has been named. */
     private readonly onChange: () => void,
     private readonly clock: Clock,
@@ -36,8 +29,8 @@
   /** Watches until the signal fires, while this entry reads the store itself. */
   async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
-      const { isReader, position } = this.source;
-      if (isReader && position) await this.watch(position, signal);
+      const position = this.getPosition();
+      if (position) await this.watch(position, signal);
       else await this.pause(checkIntervalMs, signal);
     }
   }
@@ -46,7 +39,7 @@
   private async watch(from: StorePosition, signal: AbortSignal): Promise<void> {
     let after = from;
     try {
-      while (!signal.aborted && this.source.isReader) {
+      while (!signal.aborted && this.getPosition()) {
         const { changes, revision, epoch } = await this.store.changes(
           this.prefix,
           after,
--- a/packages/forwarding/src/forwardingEntry.ts
+++ b/packages/forwarding/src/forwardingEntry.ts
@@ -29,6 +29,7 @@
 import { EntryRegistration } from './fleet/entryRegistration.js';
 import type { FleetCodec } from './fleet/fleetChange.js';
 import { FleetWatcher } from './fleet/fleetWatcher.js';
+import { VersionWatch } from './fleet/versionWatch.js';
 import { FleetState } from './fleet/fleetState.js';
 import type { HeaderCodec } from './callers/headerCodec.js';
 import { serveReadiness } from './callers/readiness.js';
@@ -75,6 +76,8 @@
 
   private readonly watcher: FleetWatcher;
 
+  private readonly versionWatch: VersionWatch;
+
   private readonly directory: EndpointDirectory;
 
   private readonly waitingCalls: WaitingCalls;
@@ -113,6 +116,7 @@
       proof.confirm(calledAt);
       entryCounts.update();
       storeWait.notify();
+      this.registration.handleStoreResponse();
     };
     this.feed = new RegionalFeed(store, settings, this.state, proofClock, metrics, log('feed'));
     this.watcher = new FleetWatcher(
@@ -126,6 +130,15 @@
       log('store'),
       bounds,
     );
+    const { feed, watcher } = this;
+    this.versionWatch = new VersionWatch(
+      store,
+      fleetCodec.versionPrefix,
+      () => (feed.isReader ? watcher.knownPosition : undefined),
+      () => watcher.endPause(),
+      clock,
+      log('store'),
+    );
     this.directory = new EndpointDirectory(
       settings,
       this.state,
@@ -256,6 +269,7 @@
     const ready = parseAddress(readinessAddress);
     await this.feed.listen(signal);
     void this.watcher.run(signal);
+    void this.versionWatch.run(signal);
     void this.agents.run(signal);
     void this.registration.run(signal);
     await serveReadiness(ready.host, ready.port, () => this.isReady(), signal);
--- a/packages/forwarding/src/peers/agentUpdates.ts
+++ b/packages/forwarding/src/peers/agentUpdates.ts
@@ -107,10 +107,9 @@
     return (this.dueRounds.get(getHost(handle)) ?? 0) <= this.round || this.isOverdue(handle);
   }
 
-  /** Whether an agent has reported to this entry, but not lately. */
+  /** Whether an agent has not reported lately: it may have restarted, or have started after the last update. */
   private isOverdue({ load }: EndpointHandle): boolean {
-    const ageMs = load.reportAgeMs(this.clock.now());
-    return ageMs > silentAgentMs && ageMs < Infinity;
+    return load.reportAgeMs(this.clock.now()) > silentAgentMs;
   }
 
   private send(
