--- a/bench/src/mutations/soakMutations.ts
+++ b/bench/src/mutations/soakMutations.ts
@@ -43,7 +43,7 @@
   },
   {
     name: 'age of the proof of keys',
-    file: 'packages/forwarding/dist/callers/callerServer.js',
+    file: 'packages/forwarding/dist/callers/routeAccess.js',
     find: 'if (!this.freshness.mayAcceptKeys())',
     replace: 'if (false)',
     test,
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -30,6 +30,7 @@
 export * from './peers/demandExchange.js';
 export * from './peers/loadBroadcast.js';
 export * from './fleet/fleetWatcher.js';
+export * from './fleet/versionWatch.js';
 export * from './fleet/fleetState.js';
 export * from './callers/refusal.js';
 export * from './feed/regionalFeed.js';
