Queue: requests that are held back for more urgent ones do not delay these

For adaptive services only: a request is tried at once if none is ahead of it, its expected wait counts those ahead, and the served-ratio rule compares routes of one priority.

--- a/packages/decisions/src/forwarding/waitQueue.ts
+++ b/packages/decisions/src/forwarding/waitQueue.ts
@@ -168,11 +168,11 @@
 
   /**
    * Time until one more request would be dispatched at the rate of the last second, in milliseconds. Fresh requests
-   * that are late come after it.
+   * that are late come after it. `ahead` is the number of requests before it; by default, all that are not late.
    */
-  expectedWaitMs(now: number): number {
+  expectedWaitMs(now: number, ahead = this.contending.length - this.lateCount): number {
     const rate = Math.max(minRate, this.servedInWindow.total(now) / rateWindowMs);
-    return (this.contending.length - this.lateCount) / rate;
+    return ahead / rate;
   }
 
   recordServed(workspace: string, now: number): void {
--- a/packages/forwarding/src/placement/dispatchQueue.ts
+++ b/packages/forwarding/src/placement/dispatchQueue.ts
@@ -81,16 +81,19 @@
     const now = this.clock.now();
     const queue = this.getQueue(request.service);
     if (request.stage !== RequestStage.callerRetry)
-      this.getShares(request.service).recordArrival(request.fairnessGroups, now);
+      this.getShares(request).recordArrival(request.fairnessGroups, now);
     this.policies.demand.recordArrival(request, now);
     this.estimates.getOutlook(request.service).recordArrival(now);
     const refusal = this.findStopRefusalOf(request);
     if (refusal) return Promise.reject(refusal);
     const candidate = createCandidate(request);
-    const placement = queue.contenders === 0 ? this.tryPlacement(candidate, now) : undefined;
-    if (placement) return Promise.resolve(this.recordPlacement(request, placement, now));
-    const expectedMs = queue.expectedWaitMs(now);
     const ahead = queue.countAhead(request, now);
+    // Less urgent requests may be held back while there is room, and must not delay this one.
+    const isAdaptive = this.policies.isAdaptive(request.service);
+    const isNext = isAdaptive ? ahead === 0 : queue.contenders === 0;
+    const placement = isNext ? this.tryPlacement(candidate, now) : undefined;
+    if (placement) return Promise.resolve(this.recordPlacement(request, placement, now));
+    const expectedMs = queue.expectedWaitMs(now, isAdaptive ? ahead : undefined);
     const end = this.findWaitEnd(candidate, now, now + expectedMs, ahead);
     if (end) return Promise.reject(this.createRefusal(candidate, end, expectedMs, ahead));
     return new Promise((resolve, reject) => {
@@ -238,9 +241,10 @@
     return begunStages.has(stage) ? undefined : this.policies.findStopRefusal(deadlineAt);
   }
 
-  private getGoalShare({ service, fairnessGroups }: PlacementRequest, now: number): number {
+  private getGoalShare(request: PlacementRequest, now: number): number {
     const { base, min, max, perLead } = goalShare;
-    const share = base - this.getShares(service).surplus(fairnessGroups, now) * perLead;
+    const surplus = this.getShares(request).surplus(request.fairnessGroups, now);
+    const share = base - surplus * perLead;
     return Math.min(max, Math.max(min, share));
   }
 
@@ -268,7 +272,7 @@
     if (begunStages.has(request.stage)) target.begunAdmission.recordPlacement(now);
     this.getQueue(request.service).recordServed(request.workspace, now);
     if (request.stage !== RequestStage.callerRetry)
-      this.getShares(request.service).recordServed(request.fairnessGroups, now);
+      this.getShares(request).recordServed(request.fairnessGroups, now);
     const isInTime = now + expectedMs <= request.goalAt;
     this.policies.demand.recordPlacement(request, isInTime, now);
     this.estimates.getOutlook(request.service).recordPlacement(!isInTime, now);
@@ -307,11 +311,13 @@
     return new Refusal(RefusalReason.deadline, 'The request was aborted while it was queued.', 0);
   }
 
-  private getShares(service: string): ServedRatios {
-    let shares = this.shares.get(service);
+  /** Returns the served ratios that a request is compared with: of its priority, where priorities compete. */
+  private getShares({ service, priority }: PlacementRequest): ServedRatios {
+    const key = this.policies.isAdaptive(service) ? `${service} ${priority}` : service;
+    let shares = this.shares.get(key);
     if (!shares) {
       shares = new ServedRatios();
-      this.shares.set(service, shares);
+      this.shares.set(key, shares);
     }
     return shares;
   }
