Let a new entry of a small region wait until entries that are cut off count as silent

Change: in regions of fewer than 8 entries a full cold share needs 5.6 s of agreement. Also: the scenario of the stated pace sends 15 requests a second for 3 s, so that the other endpoints are not full.

--- a/features/endpointPace.feature
+++ b/features/endpointPace.feature
@@ -71,6 +71,6 @@
   # The entry program must use what it decodes: the figure was dropped, and a slow endpoint chosen like the others.
   Scenario: endpoint that states that it is slow
     Given an entry and 3 endpoints that make statements
-    When the first states a pace of 800 percent for 2 seconds, and the others of 100
+    When the first states a pace of 800 percent for 3 seconds, and the others of 100
     Then it gets less than half as many requests as each of the others
     And the entry shows a higher pace of it than of the others in its metrics
--- a/features/steps/endpointPace.steps.ts
+++ b/features/steps/endpointPace.steps.ts
@@ -236,7 +236,7 @@
       Object.assign(this.endpoints[at]!, { delayMs: (usualMs * pace) / percent });
       Object.assign(addedHeaders, { 'laburnumstream-engine-load': `0,0,12,${pace}` });
     });
-    this.traffic = new StatementTraffic(this.targets, 40, undefined);
+    this.traffic = new StatementTraffic(this.targets, 15, undefined);
     await this.traffic.run(seconds * secondMs);
     await this.traffic.finish();
   },
--- a/packages/decisions/src/forwarding/coldRateShare.ts
+++ b/packages/decisions/src/forwarding/coldRateShare.ts
@@ -30,10 +30,13 @@
 /** Time within which entries learn of each other, in milliseconds; an entry that starts sends nothing until then. */
 const startMs = 600;
 /**
- * Time for which the numbers of entries must agree, in milliseconds: others learn of a new entry, and
- * what they, or its former process, sent until then counts for a second.
+ * Time for which the numbers of entries must agree, in milliseconds: others learn of a new entry, and what they, or
+ * its former process, sent until then counts for a second. An entry that is cut off does not learn of it, and uses
+ * its share until it counts as silent. Among few entries that is a large part, so that a new one waits for longer.
  */
-const agreementMs = 1_500;
+const agreementMs = { few: 5_600, many: 1_500 } as const;
+/** Number of entries in a region from which they are many. */
+const manyEntries = 8;
 /** Factor between the counted and the registered entries from which this entry counts as cut off from the store. */
 const silentFactor = 4;
 
@@ -53,6 +56,8 @@
 
   private counted = Infinity;
 
+  private local = 0;
+
   /** Since when this entry is registered, as monotonic time in milliseconds; undefined while it is not. */
   private registeredSince: number | undefined;
 
@@ -65,6 +70,7 @@
     const isChanged = registered !== this.registered;
     this.registered = registered;
     this.counted = counted;
+    this.local = local;
     // Registrations may have ended during a silence, so that entries have to learn of each other again.
     const isBack = wasSilent && (isChanged || !this.isSilent);
     if (local === 0 || isBack)
@@ -103,7 +109,8 @@
   }
 
   private isAgreed(now: number): boolean {
-    return this.agreedSince !== undefined && now - this.agreedSince >= agreementMs;
+    const neededMs = this.local < manyEntries ? agreementMs.few : agreementMs.many;
+    return this.agreedSince !== undefined && now - this.agreedSince >= neededMs;
   }
 
   private get isSilent(): boolean {
