--- a/packages/forwarding/src/attempts/requestAttempts.ts
+++ b/packages/forwarding/src/attempts/requestAttempts.ts
@@ -107,6 +107,7 @@
       guard.check(this.exchange);
       if (this.isBegun) await this.waitForExecution(signal);
       else guard.checkHold(this.exchange);
+      this.checkSize();
       const placement = await queue.place(this.createPlacementRequest(), signal);
       // It may have been quarantined while it waited.
       guard.check(this.exchange);
@@ -117,6 +118,19 @@
     }
   }
 
+  /** Throws a `Refusal` for a request that no engine of its service can ever hold. */
+  private checkSize(): void {
+    const { head, service, deadlineAt } = this.exchange;
+    const { directory, clock } = this.services;
+    const handles = directory.forService(service);
+    const isTooLarge = ({ memory }: EndpointHandle): boolean =>
+      memory !== undefined && !memory.canHold(memory.neededTokens(head));
+    if (handles.length === 0 || !handles.every(isTooLarge)) return;
+    const message = 'The request is larger than the memory of an engine.';
+    // A retry within the time that is left can't be served either.
+    throw new Refusal(RefusalReason.overloaded, message, deadlineAt - clock.now());
+  }
+
   /**
    * Waits until a begun request may be executed once more: an execution at an endpoint that was lost does
    * not count, but the loss is known a moment later only. So is whether a broken connection was a crash.
@@ -275,7 +289,7 @@
       stage: this.getStage(),
       startBy: model?.latestStart(goalAt, promptTokens) ?? goalAt - plainResponseMs,
       isRetryable: this.isRetryable,
-      demand: { promptTokens, answerTokens: outputTokens },
+      demand: { promptTokens, answerTokens: outputTokens, maxAnswerTokens: head.maxOutputTokens },
       fairnessGroups: size === undefined ? [route.name] : [route.name, size],
       eligibility: this.eligibility((id) => this.isExcluded(id)),
       goalAt,
--- a/packages/forwarding/src/endpoints/endpointDirectory.ts
+++ b/packages/forwarding/src/endpoints/endpointDirectory.ts
@@ -15,6 +15,7 @@
 } from '@laburnumstream/decisions';
 import type { CapacitySharers, ExpectedCapacity } from '@laburnumstream/decisions';
 import { CapacityForecast } from './capacityForecast.js';
+import { ColdSharing } from './coldSharing.js';
 import type { Eligibility } from './eligibility.js';
 import { EndpointCapacity } from './endpointCapacity.js';
 import { EndpointHandle } from './endpointHandle.js';
@@ -71,12 +72,15 @@
     /** Runs during a suspension too, as the time of a version does. */
     versionClock: Pick<Clock, 'now'>,
     log?: Log,
+    /** Whether adaptive admission applies to a service. */
+    private readonly isAdaptive: (service: string) => boolean = () => false,
   ) {
     this.startBounds = new StartBounds(settings, state, clock, versionClock);
     this.senders = new NotifierSelection(settings.instance);
     this.statements = new EndpointStatements(random.next());
     this.misdirected = new MisdirectedEndpoints(metrics, log);
-    this.capacity = new EndpointCapacity(this.statements, entryCounts);
+    const coldSharing = new ColdSharing(settings, state);
+    this.capacity = new EndpointCapacity(this.statements, entryCounts, coldSharing);
   }
 
   get all(): Iterable<EndpointHandle> {
@@ -295,6 +299,7 @@
       this.misdirected.applyRegistration(known, endpoint, this.clock.now());
       known.endpoint = endpoint;
       known.updateProfile(profile);
+      known.adapt(this.isAdaptive(endpoint.service));
       this.extendColdStart(known, endpoint);
       return;
     }
@@ -314,6 +319,7 @@
       phase,
       this.formerHealth.restore(endpoint.id, clock.now()),
     );
+    handle.adapt(this.isAdaptive(endpoint.service));
     this.extendColdStart(handle, endpoint);
     this.misdirected.recordRegistration(handle, clock.now());
     this.handles.set(endpoint.id, handle);
--- a/packages/forwarding/src/feed/regionalFeed.ts
+++ b/packages/forwarding/src/feed/regionalFeed.ts
@@ -11,6 +11,7 @@
   StoredValue,
 } from '@laburnumstream/common';
 import { FeedReaders } from '@laburnumstream/decisions';
+import { recordClosed } from '@laburnumstream/runtime';
 import type { ChangeDate } from '@laburnumstream/decisions';
 import { CallRace } from './callRace.js';
 import type { CallSeries, CallStart, RacingCall } from './callRace.js';
@@ -96,6 +97,7 @@
       () => this.getSilenceMs(),
       () => this.source,
       log,
+      () => recordClosed(metrics, log, 'feed'),
     );
     this.store = new DatedStore(rawStore, proofClock, settings.bounds);
     this.readers = new FeedReaders(settings.instance, new Set(settings.regions.values()).size);
--- a/packages/forwarding/src/forwardingEntry.ts
+++ b/packages/forwarding/src/forwardingEntry.ts
@@ -14,6 +14,7 @@
   ResponseMemory,
   SharedRetryBudget,
 } from '@laburnumstream/decisions';
+import { recordClosed } from '@laburnumstream/runtime';
 import { callerBoundsWithin } from './callers/callerBounds.js';
 import { CallerServer } from './callers/callerServer.js';
 import { StoreWait } from './callers/storeWait.js';
@@ -148,6 +149,7 @@
       entryCounts,
       proofClock,
       log('endpoints'),
+      (service) => this.adaptive.has(service),
     );
     this.waitingCalls = new WaitingCalls(this.directory.startBounds);
     const guard = new CrashGuard((id) => this.directory.get(id), clock, metrics, log('crashes'));
@@ -265,14 +267,21 @@
 
   /** Starts serving; resolves when all servers are listening. */
   async start(signal: AbortSignal): Promise<void> {
-    const { callerAddress, readinessAddress } = this.dependencies.settings;
+    const { metrics, log, settings } = this.dependencies;
+    const { callerAddress, readinessAddress } = settings;
     const ready = parseAddress(readinessAddress);
     await this.feed.listen(signal);
     void this.watcher.run(signal);
     void this.versionWatch.run(signal);
     void this.agents.run(signal);
     void this.registration.run(signal);
-    await serveReadiness(ready.host, ready.port, () => this.isReady(), signal);
+    await serveReadiness(
+      ready.host,
+      ready.port,
+      () => this.isReady(),
+      signal,
+      () => recordClosed(metrics, log('readiness'), 'readiness'),
+    );
     const { host, port } = parseAddress(callerAddress);
     await this.callers.listen(host, port);
   }
--- a/packages/forwarding/src/peers/loadBroadcast.ts
+++ b/packages/forwarding/src/peers/loadBroadcast.ts
@@ -68,7 +68,7 @@
     const { regionHosts } = this.peers;
     if (regionHosts.length === 0) return;
     const shares = this.engines
-      .filter((handle) => handle.load.ownRequests > 0 || lacksWeights(handle))
+      .filter((handle) => LoadBroadcast.hasNews(handle))
       .map((handle) => LoadBroadcast.createShare(handle));
     this.datagrams.sendAll({ case: 'load', value: { shares } }, regionHosts);
   }
@@ -104,6 +104,12 @@
     Object.assign(handle, { reportedVersion: version, missingWeightsSince: undefined });
   }
 
+  /** Whether there is something to say of an engine; a window counts also without requests there. */
+  private static hasNews(handle: EndpointHandle): boolean {
+    const { ownRequests, window } = handle.load;
+    return ownRequests > 0 || window.value !== undefined || lacksWeights(handle);
+  }
+
   private static createShare(handle: EndpointHandle): Share {
     const { requests, unreadMs, heldTokens = 0, window } = handle.load.ownLoad;
     const share = {
--- a/packages/forwarding/src/placement/dispatchQueue.ts
+++ b/packages/forwarding/src/placement/dispatchQueue.ts
@@ -36,8 +36,13 @@
 const begunStages: ReadonlySet<RequestStage> = new Set([RequestStage.begun, RequestStage.moving]);
 
 /** Counts a request at its endpoint until its sender has sent it, or has not. */
-function countPlacement({ load, model }: EndpointHandle, { demand }: PlacementRequest): void {
-  load.recordPlacement(model?.prefillMs(demand.promptTokens) ?? 0);
+function countPlacement(
+  { load, model, memory }: EndpointHandle,
+  { demand }: PlacementRequest,
+): void {
+  const { promptTokens, maxAnswerTokens: maxOutputTokens } = demand;
+  const heldTokens = memory?.neededTokens({ promptTokens, maxOutputTokens });
+  load.recordPlacement(model?.prefillMs(promptTokens) ?? 0, heldTokens);
   setImmediate(() => load.dropPlacements());
 }
 
