--- a/packages/forwarding/src/placement/dispatchQueue.ts
+++ b/packages/forwarding/src/placement/dispatchQueue.ts
@@ -35,7 +35,7 @@
 /** Stages of requests whose callers have received a part of the response. */
 const begunStages: ReadonlySet<RequestStage> = new Set([RequestStage.begun, RequestStage.moving]);
 
-/** Counts a request at its endpoint until its sender has sent it, or has not. */
+/** Counts a request at its endpoint until it is sent, or until the event loop's next turn if it is not. */
 function countPlacement(
   { load, model, memory }: EndpointHandle,
   { demand }: PlacementRequest,
@@ -137,7 +137,7 @@
     });
   }
 
-  /** Goes through all requests of a queue in order: seeks places, and ends the waits that have become useless. */
+  /** Goes through all requests of a queue in order: seeks places, and refuses those that can't be served in time. */
   private dispatchQueued(queue: WaitQueue<PendingRequest>, now: number): void {
     const bounds = new SearchBounds(searchedPerEvent);
     let ahead = 0;
@@ -149,7 +149,7 @@
         if (queued.stage !== RequestStage.begun) ahead += 1;
         return;
       }
-      // Its last chance, if it was too far behind for the search.
+      // The search did not reach it, so a place is sought before it is refused.
       if (!isSought && bounds.hasRoom(queued) && this.dispatchOne(queue, queued, now, bounds))
         return;
       if (!queue.remove(queued)) return;
@@ -181,6 +181,7 @@
     return true;
   }
 
+  /** Dispatches queued requests of all services. */
   dispatchAll(): void {
     this.queues.forEach((_queue, service) => this.dispatch(service));
   }
@@ -282,6 +283,17 @@
     this.policies.demand.recordPlacement(request, isInTime, now);
     this.estimates.getOutlook(request.service).recordPlacement(!isInTime, now);
     this.metrics.observe('request_wait', now - request.arrivedAt);
+    this.logPlacement(request, placement, isInTime, now);
+    countPlacement(target, request);
+    return placement;
+  }
+
+  private logPlacement(
+    request: PlacementRequest,
+    { target, expectedMs }: Placement<EndpointHandle>,
+    isInTime: boolean,
+    now: number,
+  ): void {
     this.log.info('Request placed.', {
       id: request.id,
       service: request.service,
@@ -297,8 +309,6 @@
       configuration: request.configurationVersion,
       proofAgeMs: Math.round(request.configurationAgeMs),
     });
-    countPlacement(target, request);
-    return placement;
   }
 
   private createRefusal(
