--- a/packages/decisions/src/forwarding/coldRateShare.ts
+++ b/packages/decisions/src/forwarding/coldRateShare.ts
@@ -95,7 +95,7 @@
     return Math.floor(whole / members) + (sharers.isSelected(whole % members) ? 1 : 0);
   }
 
-  /** Part of this entry's side; entries of the endpoint's region may still send shortly after they have left. */
+  /** Part of the agreed rate for this entry's side: the endpoint's region, or all others. Entries of the endpoint's region may still send shortly after they have left. */
   private partOf({ local, isLocal }: ColdSharers, now: number): number {
     if (isLocal) return localPart;
     return local === 0 && this.isAgreed(now) ? 1 : 1 - localPart;
--- a/packages/decisions/src/forwarding/concurrencyWindow.ts
+++ b/packages/decisions/src/forwarding/concurrencyWindow.ts
@@ -1,11 +1,12 @@
-/** Part of the most that an endpoint can hold at which its window starts, and below which it never falls. */
+/** Part of the most that an endpoint can hold at which its window starts. */
 const startPart = 1 / 4;
+/** Part of the most that an endpoint can hold below which its window never falls. */
 const floorPart = 1 / 8;
 /** Factors on the window after an answer that was slow, and after one that failed or was refused. */
 const cutFactors = { slow: 0.7, failure: 0.5 } as const;
 /** Factor on the expected time, and time beyond it in milliseconds, up to which an answer is as good as expected. */
 const goodBound = { factor: 1.5, addedMs: 50 } as const;
-/** The same from which an answer is slow. Estimates err by less, and callers notice less hardly. */
+/** Factor and added time beyond which an answer is slow: estimates err by less, and callers hardly notice less. */
 const slowBound = { factor: 2.5, addedMs: 100 } as const;
 /** Slow answers in a row that open a window where there was none. */
 const maxSlowAnswers = 2;
@@ -34,7 +35,7 @@
 
 const unshared: WindowTurn = { sharers: 1, phase: 0 };
 
-/** What an answer of an endpoint tells about its pace. */
+/** Time that an answer of an endpoint took, and the time that was expected. */
 export interface TimedAnswer {
   /** Time to the response of a plain service, or to the first event of an engine, in milliseconds. */
   readonly ms: number;
@@ -44,7 +45,7 @@
   readonly sentAt: number;
 }
 
-/** What another entry says of its window at the same endpoint. */
+/** What another entry reports of its window at the same endpoint. */
 export interface PeerWindow {
   /** Undefined while the window of that entry does not limit it. */
   readonly window: number | undefined;
@@ -79,7 +80,7 @@
 
   private slowAnswers = 0;
 
-  /** Whether the window has been opened for something that this entry has seen. */
+  /** Whether this entry has itself observed a reason for the window, instead of following a peer. */
   private hasCause = false;
 
   private cuts = 0;
@@ -157,7 +158,7 @@
     if (now - this.cutAt >= failureIntervalMs) this.cut(cutFactors.failure, outstanding, now);
   }
 
-  /** Follows what another entry says; `before` is what it said last, undefined if that is not known. */
+  /** Follows the report of another entry; `before` is its previous report, undefined if there is none. */
   followPeer(
     before: PeerWindow | undefined,
     { window, hasRequests }: PeerWindow,
--- a/packages/decisions/src/forwarding/decayingMean.ts
+++ b/packages/decisions/src/forwarding/decayingMean.ts
@@ -1,6 +1,6 @@
 /** Time constant with which samples lose weight, in milliseconds. */
 const decayMs = 10_000;
-/** Weight of all samples below which the mean counts as unknown: the last answer is a minute ago. */
+/** Weight of all samples below which the mean is unknown: that of one sample after about a minute. */
 const minWeight = 0.003;
 
 /** A mean of samples that lose weight with their age. */
@@ -11,6 +11,7 @@
 
   private decayedAt = 0;
 
+  /** Adds a sample. */
   add(value: number, now: number): void {
     this.decay(now);
     this.sum += value;
--- a/packages/decisions/src/forwarding/endpointLoad.ts
+++ b/packages/decisions/src/forwarding/endpointLoad.ts
@@ -47,6 +47,7 @@
   /** Prefill time of own requests without a first event, in milliseconds. */
   private ownUnreadMs = 0;
 
+  /** Factor by which it is slower than its profile states, according to the last report. */
   slowdown = 1;
 
   /** Requests at the last report that neither this entry nor a peer accounts for. */
@@ -63,8 +64,10 @@
   /** Concurrent requests that the endpoint can take, as entries of the region have found. */
   readonly window: ConcurrencyWindow;
 
+  /** Requests that this entry may send until the next report. */
   private allowance = Infinity;
 
+  /** Monotonic time of the last report, in milliseconds. */
   private reportedAt = -Infinity;
 
   private readonly peerLoads = new PeerLoads();
@@ -178,6 +181,7 @@
     return own * (1 + this.unknownPeers(now)) + peers + others;
   }
 
+  /** Time since the last report, in milliseconds; infinite before the first one. */
   reportAgeMs(now: number): number {
     return now - this.reportedAt;
   }
--- a/packages/decisions/src/forwarding/memoryBudget.ts
+++ b/packages/decisions/src/forwarding/memoryBudget.ts
@@ -11,6 +11,7 @@
 
   constructor(readonly maxBytes: number) {}
 
+  /** Bytes that are held. */
   get usedBytes(): number {
     return this.used;
   }
@@ -30,7 +31,7 @@
     return Math.max(0, this.used - this.maxBytes * freedShare);
   }
 
-  /** Sets what is called when more is needed than is left; it may release what callers hold. */
+  /** Sets the function that is called when the budget has too little room; it may release what callers hold. */
   onShortage(release: () => void): void {
     this.release = release;
   }
@@ -41,10 +42,12 @@
     return this.used + bytes <= this.maxBytes;
   }
 
+  /** Adds held bytes, whether they fit or not. */
   add(bytes: number): void {
     this.used += bytes;
   }
 
+  /** Removes bytes that are no longer held. */
   remove(bytes: number): void {
     this.used -= bytes;
   }
--- a/packages/decisions/src/forwarding/misdirections.ts
+++ b/packages/decisions/src/forwarding/misdirections.ts
@@ -19,15 +19,15 @@
 /** Time after an exclusion in which another misdirection counts as a further one, in milliseconds. */
 const memoryMs = 5_000;
 /**
- * Time in which engines of a service that have shown no sign of life are left alone after one of them has misled, in
- * milliseconds: all may have lost their weights together. Then one request finds out, and after it the next one. It
- * bounds what finding out costs callers.
+ * Time in which engines of a service without a recent sign of life get no request after a misdirection by one of them,
+ * in milliseconds: all may have lost their weights together. After it they are probed by one request at a time, which
+ * bounds the number of failed attempts.
  */
 const doubtMs = 500;
 /** Age up to which a sign of life shows that an endpoint is the one that is registered, in milliseconds. */
 const proofMs = 1_500;
 
-/** What a misdirection says of the other engines of its service. */
+/** Time for which the other engines of a service are suspected after a misdirection by one of them. */
 interface Doubt {
   readonly at: number;
   readonly until: number;
@@ -70,7 +70,7 @@
     return record !== undefined && !record.isReleased && now < record.until;
   }
 
-  /** Records that a request is sent to an engine without a recent sign of life: others wait for what it finds. */
+  /** Records that a request probes an engine without a recent sign of life: others wait for its result. */
   recordProbe(service: string, now: number): void {
     const doubt = this.doubts.get(service);
     if (!doubt) return;
@@ -78,7 +78,7 @@
     else this.doubts.delete(service);
   }
 
-  /** Whether an engine without a recent sign of life is left alone, as another one of its service has misled since. */
+  /** Whether an engine without a recent sign of life gets no request, as another of its service misdirected one since. */
   isDoubted(service: string, registeredAt: number, now: number): boolean {
     const doubt = this.doubts.get(service);
     return doubt !== undefined && now < doubt.until && registeredAt <= doubt.at;
--- a/packages/decisions/src/forwarding/peerHoldings.ts
+++ b/packages/decisions/src/forwarding/peerHoldings.ts
@@ -1,9 +1,9 @@
 import type { PeerWindow } from './concurrencyWindow.js';
 
-/** What another entry says of an endpoint beside its load. */
+/** What another entry reports of an endpoint beside its load. */
 export interface PeerHolding extends PeerWindow {
   readonly requests: number;
-  /** Tokens that its requests hold and may still need; undefined if it does not say. */
+  /** Tokens that its requests hold and may still need; undefined if it does not report them. */
   readonly heldTokens: number | undefined;
 }
 
@@ -16,7 +16,7 @@
 const staleMs = 2_500;
 
 /**
- * What the other entries of a region say of one endpoint: the windows, and the tokens that they hold there. The sums
+ * What the other entries of a region report of one endpoint: the windows, and the tokens that they hold there. The sums
  * are maintained on each update and expiry, as they are read for each placement.
  */
 export class PeerHoldings {
@@ -25,10 +25,10 @@
 
   private tokenSum = 0;
 
-  /** Requests of entries that do not say how many tokens they hold. */
+  /** Requests of entries that do not report how many tokens they hold. */
   private unsizedRequests = 0;
 
-  /** Records what an entry says; returns what it said before, undefined if that is not known. */
+  /** Records a report of an entry; returns its previous one, undefined if there is none. */
   update(name: string, holding: PeerHolding, now: number): PeerHolding | undefined {
     this.expire(now);
     const before = this.remove(name);
@@ -37,7 +37,7 @@
     return before;
   }
 
-  /** Tokens that these entries hold; one that does not say counts with `typicalTokens` for each request. */
+  /** Tokens that these entries hold; one that does not report them counts with `typicalTokens` a request. */
   heldTokens(typicalTokens: number, now: number): number {
     this.expire(now);
     return this.tokenSum + this.unsizedRequests * typicalTokens;
--- a/packages/decisions/src/forwarding/priorityFloor.ts
+++ b/packages/decisions/src/forwarding/priorityFloor.ts
@@ -18,6 +18,7 @@
     this.credits.set(priority, Math.min(maxCredit, this.creditOf(priority) + floorShare * served));
   }
 
+  /** Takes the credit of a placed request. */
   recordPlacement(priority: number): void {
     this.credits.set(priority, Math.max(0, this.creditOf(priority) - 1));
   }
--- a/packages/decisions/src/forwarding/responseMemory.ts
+++ b/packages/decisions/src/forwarding/responseMemory.ts
@@ -28,6 +28,7 @@
     return true;
   }
 
+  /** Releases bytes that a response no longer holds. */
   release(bytes: number): void {
     this.used -= bytes;
     this.budget?.remove(bytes);
--- a/packages/decisions/src/forwarding/returnSchedule.ts
+++ b/packages/decisions/src/forwarding/returnSchedule.ts
@@ -15,7 +15,7 @@
 const maxDelayShare = 1 / 3;
 /** Time in which a refusal reaches its caller, in milliseconds. */
 const transitMs = 20;
-/** Shortest delay: what is refused now finds nothing else a moment later. */
+/** Shortest delay, in milliseconds: the load hardly changes in less time. */
 const minDelayMs = 200;
 
 /**
@@ -28,7 +28,7 @@
 
   /** Returns the delay after which a caller is expected to find room; a longer one than it accepts is not planned. */
   plan({ now, backlogMs, latePerMs, remainingMs, mayReturn }: ReturnFacts): number {
-    // No time is known, and it is not within the caller's.
+    // No room is expected, so the delay is no shorter than the time that the caller has left.
     if (latePerMs <= 0) return remainingMs + backlogMs;
     const at = Math.max(this.nextAt, now + Math.max(minDelayMs, backlogMs));
     const delayMs = at - now;
--- a/packages/decisions/src/forwarding/servedWorkspaces.ts
+++ b/packages/decisions/src/forwarding/servedWorkspaces.ts
@@ -18,6 +18,7 @@
 
   private records = 0;
 
+  /** Records a served request of a workspace. */
   record(workspace: string): void {
     this.weight /= decay;
     this.sums.set(workspace, (this.sums.get(workspace) ?? 0) + this.weight);
--- a/packages/decisions/src/forwarding/serviceOutlook.ts
+++ b/packages/decisions/src/forwarding/serviceOutlook.ts
@@ -21,10 +21,12 @@
   /** Monotonic time at which no endpoint could serve last, in milliseconds. */
   private outAt = -Infinity;
 
+  /** Records an arrived request, also one that is placed again. */
   recordArrival(now: number): void {
     this.arrivals.add(1, now);
   }
 
+  /** Records a sent request, which may no longer be in time. */
   recordPlacement(isLate: boolean, now: number): void {
     this.placements.add(1, now);
     if (isLate) this.latePlacements.add(1, now);
--- a/packages/decisions/src/forwarding/sharedRateLimiter.ts
+++ b/packages/decisions/src/forwarding/sharedRateLimiter.ts
@@ -39,6 +39,7 @@
     return sinceStart < slot.part && (sinceStart * secondMs) / rest < slot.maxMs;
   }
 
+  /** Records that a request is sent that `allows` has admitted at the same time and share. */
   record(perSecond: number, now: number): void {
     if (this.hasWhole(perSecond, now)) this.times.push(now);
     else {
--- a/packages/decisions/src/forwarding/waitQueue.ts
+++ b/packages/decisions/src/forwarding/waitQueue.ts
@@ -98,6 +98,7 @@
     return this.contending.length;
   }
 
+  /** Adds a request at its place in the order. */
   enqueue(item: Item, now = item.arrivedAt): void {
     this.sequence += 1;
     const { sequence } = this;
@@ -175,6 +176,7 @@
     return ahead / rate;
   }
 
+  /** Records that a request of a workspace was sent, queued or not. */
   recordServed(workspace: string, now: number): void {
     this.servedInWindow.add(1, now);
     this.served.record(workspace);
--- a/packages/forwarding/src/attempts/attemptLoad.ts
+++ b/packages/forwarding/src/attempts/attemptLoad.ts
@@ -20,11 +20,13 @@
     return this.isPrefilled;
   }
 
+  /** Counts the attempt from now on. */
   start(): void {
     this.handle.load.recordStart(this.prefillMs, this.heldTokens);
     this.onChange(this.handle);
   }
 
+  /** Records that the endpoint has processed the prompt. */
   markPrefilled(): void {
     if (this.isPrefilled) return;
     this.isPrefilled = true;
--- a/packages/forwarding/src/attempts/attemptTiming.ts
+++ b/packages/forwarding/src/attempts/attemptTiming.ts
@@ -29,8 +29,8 @@
     this.pace = this.paceAt(this.sentAt);
   }
 
-  /** Records that the response, or its first event, has arrived; `others` are the endpoints of the service. */
-  recordAnswer(others: readonly EndpointHandle[]): void {
+  /** Records that the response, or its first event, has arrived; `endpoints` are all of the service, this one too. */
+  recordAnswer(endpoints: readonly EndpointHandle[]): void {
     if (this.isRecorded) return;
     this.isRecorded = true;
     const { handle, sentAt } = this;
@@ -44,7 +44,7 @@
     if (handle.model) return;
     const serviceMs = ms / pace / (1 + this.rounds);
     handle.learnedTime.record(serviceMs, now);
-    others.forEach(({ learnedTime }) => learnedTime.recordOfService(serviceMs, now));
+    endpoints.forEach(({ learnedTime }) => learnedTime.recordOfService(serviceMs, now));
   }
 
   private paceAt(now: number): number {
--- a/packages/forwarding/src/endpoints/capacityForecast.ts
+++ b/packages/forwarding/src/endpoints/capacityForecast.ts
@@ -11,7 +11,7 @@
   readonly pauseEndsAt: number;
 }
 
-/** Since when an endpoint is in its state, as far as this entry has looked. */
+/** State of an endpoint when its start was last estimated, and when that state was first seen. */
 interface StateStart {
   readonly state: EndpointState;
   readonly since: number;
@@ -23,15 +23,15 @@
 const noticeMs = 300;
 /** Time in which a process is started anew on its instance, in milliseconds. */
 const restartMs = 1_000;
-/** Time for which an endpoint that is full gets no request after it has refused one, in milliseconds: it serves on. */
+/** Time for which an endpoint that is full gets no request after it has refused one, in milliseconds: its other requests go on. */
 const fullRestMs = 60;
 /** Steps in which the end of a rest is sought, and the longest rest, in milliseconds. */
 const restSearchMs = { step: 250, max: 4_000 } as const;
 /** Factor on the time that a link needs for the weights: other agents use it at the same time. */
 const linkSharers = 2;
 /**
- * Part of the time that a state has lasted for which it is expected to last on once it takes longer than usual: what
- * is late by a second may come in the next one, and what is late by a minute will not.
+ * Part of the time that a state has lasted for which it is expected to last on once it takes longer than usual: the
+ * longer it is overdue, the less likely it is to end soon.
  */
 const overdueShare = 0.5;
 /** Part of the free slots that requests which have waited may use; the others are kept for those in time. */
--- a/packages/forwarding/src/endpoints/formerHealth.ts
+++ b/packages/forwarding/src/endpoints/formerHealth.ts
@@ -4,6 +4,7 @@
 export class FormerHealth {
   private readonly byId = new Map<string, EndpointHealth>();
 
+  /** Keeps the health of an endpoint that has left. */
   keep(id: string, health: EndpointHealth): void {
     this.byId.set(id, health);
   }
--- a/packages/forwarding/src/endpoints/misdirectedEndpoints.ts
+++ b/packages/forwarding/src/endpoints/misdirectedEndpoints.ts
@@ -41,7 +41,7 @@
     return this.misdirections.isExcluded(handle.incarnation, now);
   }
 
-  /** Whether an endpoint gets no request for such a response, of its own or of another one beside which it is silent. */
+  /** Whether an endpoint gets no request for such a response, or for that of another while it shows no sign of life. */
   has(handle: EndpointHandle, now: number): boolean {
     if (this.isExcluded(handle, now)) return true;
     if (MisdirectedEndpoints.isProven(handle, now)) return false;
@@ -54,7 +54,7 @@
     return !model || isProof(lastSignOfLifeAt, now);
   }
 
-  /** Lets endpoints be tried again of which nothing else was heard for long. */
+  /** Lets endpoints be tried again whose exclusion is over without other news of them. */
   releaseDue(find: (incarnation: string) => EndpointHandle | undefined, now: number): void {
     if (this.misdirections.size === 0) return;
     this.misdirections.takeDue(now).forEach((incarnation) => {
--- a/packages/forwarding/src/placement/refusals.ts
+++ b/packages/forwarding/src/placement/refusals.ts
@@ -6,7 +6,7 @@
 import type { Candidate } from './candidate.js';
 import type { WaitEstimates } from './waitEstimates.js';
 
-/** The wait that a request ends with a refusal. */
+/** The wait of a request that has ended with its refusal. */
 export interface EndedWait {
   readonly end: WaitEnd;
   /** Time until its turn as far as it was expected, in milliseconds. */
@@ -28,8 +28,8 @@
 /** Upper limit of that delay, as a share of the caller's remaining time. */
 const maxRetryDelayShare = 1 / 3;
 /**
- * Least part of the rate of all requests at which callers are taken to find room when they return: without any return it
- * would not be noticed that there is room again.
+ * Lower bound of the rate at which callers are asked to return, as a part of the rate of all placements: without any
+ * return, new room would not be noticed.
  */
 const minReturnShare = 0.1;
 
@@ -47,6 +47,7 @@
     private readonly log: Log,
   ) {}
 
+  /** Creates and logs the refusal of a request. */
   create(request: Candidate, { end, expectedMs, ahead, waiting }: EndedWait): Refusal {
     const now = this.clock.now();
     const { id, service, isRetryable } = request;
@@ -116,7 +117,7 @@
     if (!this.isAdaptive(service)) return undefined;
     const remainingMs = Math.max(0, deadlineAt - now);
     const outlook = this.estimates.getOutlook(service);
-    // An entry that has just started has placed nothing yet, so the profiles tell.
+    // An entry that has just started has placed nothing yet, so the rates of the profiles apply.
     const { capacities } = this.estimates.getEstimate(request, now);
     const placedPerMs =
       outlook.placedPerMs(now) || capacities.reduce((sum, { perMs }) => sum + perMs, 0);
--- a/packages/forwarding/src/placement/searchBounds.ts
+++ b/packages/forwarding/src/placement/searchBounds.ts
@@ -5,7 +5,7 @@
  * them that the same endpoints may serve are not tried.
  */
 export class SearchBounds {
-  /** Requests for which no place was found, by group; infinite where no endpoint has room. */
+  /** Number of requests for which no place was found, by group; infinite where no endpoint has room. */
   private readonly failures = new Map<string, number>();
 
   constructor(private readonly maxFailures: number) {}
--- a/packages/forwarding/src/placement/stagePolicy.ts
+++ b/packages/forwarding/src/placement/stagePolicy.ts
@@ -7,7 +7,7 @@
 /** What is expected of the wait of one request. */
 export interface WaitFacts {
   readonly now: number;
-  /** Time at which it is sent, as far as those ahead of it and the rate of the last second tell. */
+  /** Expected time at which it is sent, from the requests ahead of it and the rate of the last second. */
   readonly startAt: number;
   /** Whether an endpoint could serve it by a time if it had free capacity. */
   canServe(latestAt: number): boolean;
@@ -57,8 +57,9 @@
 }
 
 /**
- * Why a request ends its wait that it would have to end for its goal. While no endpoint serves it waits for those that
- * are expected to, and otherwise for a place that is left for late ones, if it can then be served by its deadline.
+ * Returns why a request can't wait past its goal; undefined if it can. `goalEnd` is why it can't meet the goal. It waits
+ * if it can be served by its deadline: by endpoints that are expected to recover while none serves, or else in a place
+ * that is left for late requests.
  */
 function findLateEnd(
   { latestStartAt, deadlineAt }: PlacementRequest,
