--- a/packages/decisions/src/forwarding/demandSums.ts
+++ b/packages/decisions/src/forwarding/demandSums.ts
@@ -18,7 +18,7 @@
 
 /** Age at which another entry's part no longer counts, in milliseconds: some reports in a row were lost. */
 const partMs = 1_000;
-/** Age at which the sum of another region no longer counts, in milliseconds; it passes two entries. */
+/** Age at which the sum of another region no longer counts, in milliseconds; two entries forward it. */
 const regionMs = 2_500;
 
 /** Demand on one service as reported by the entries of the own region, and by other regions. */
--- a/packages/decisions/src/forwarding/demandWindow.ts
+++ b/packages/decisions/src/forwarding/demandWindow.ts
@@ -1,6 +1,6 @@
 import { SlidingWindowCounter } from './slidingWindowCounter.js';
 
-/** What became of the requests of one priority in the last second. */
+/** Outcomes of the requests of one priority in the last second. */
 export interface PriorityCounts {
   /** 0 is the most urgent. */
   readonly priority: number;
@@ -57,7 +57,7 @@
   return [...sums.values()].sort((a, b) => a.priority - b.priority);
 }
 
-/** Multiplies all counts, as an entry does that has to estimate those of others by its own. */
+/** Multiplies all counts; used to estimate the counts of other entries from the own ones. */
 export function scaleCounts(counts: readonly PriorityCounts[], factor: number): PriorityCounts[] {
   return counts.map(({ priority, arrived, placedInTime, placedLate, refused, waiting }) => ({
     priority,
--- a/packages/forwarding/src/attempts/requestAttempts.ts
+++ b/packages/forwarding/src/attempts/requestAttempts.ts
@@ -25,7 +25,7 @@
  * endpoint may be closing one that was idle for longer.
  */
 const maxNonRetryableIdleMs = 2_500;
-/** Responses with status 421 to one request from which on they count as refusals: it is not what they are about. */
+/** Responses with status 421 to one request after which it no longer waits for weights; more count as refusals. */
 const maxMisdirections = 3;
 /** Delay after which a caller is asked to retry whose request endpoints have refused, if no time is known. */
 const retryDelayMs = 500;
@@ -49,7 +49,7 @@
   return model.firstEventMs(model.slots - 1, 0, promptTokens) + model.generationMs(answerTokens);
 }
 
-/** Passes the events of a call on, and the status of its response to `onStatus` before. */
+/** Returns an observer that passes events on to `observer`, and before them the status of the response to `onStatus`. */
 function watchStatus(observer: CallObserver, onStatus: (status: number) => void): CallObserver {
   return {
     onHead(status, head, rawHeaders) {
@@ -78,7 +78,7 @@
   /** Status of the response to the last send; undefined before it. */
   private lastStatus: number | undefined;
 
-  /** Number of endpoints that said that the request was not meant for them, or that they hold no weights. */
+  /** Number of responses with status 421: the request was not meant for the endpoint, or it holds no weights. */
   private misdirections = 0;
 
   /** Why the request was not sent again after its last failed attempt; undefined if it was. */
--- a/packages/forwarding/src/endpoints/endpointCapacity.ts
+++ b/packages/forwarding/src/endpoints/endpointCapacity.ts
@@ -52,7 +52,7 @@
     return coldRate.allows(this.getColdRateShare(handle, now), now);
   }
 
-  /** Follows the numbers of entries at each placement, so that a cold endpoint is shared by those that agree. */
+  /** Updates the numbers of entries by which the rate of a cold endpoint is divided; called at each check for room. */
   private observeEntries(now: number): void {
     const { coldSharing, entryCounts } = this;
     if (!coldSharing) return;
--- a/packages/forwarding/src/endpoints/endpointHandle.ts
+++ b/packages/forwarding/src/endpoints/endpointHandle.ts
@@ -94,7 +94,7 @@
   /** Service time of a plain service, learned from its answers. */
   readonly learnedTime = new ServiceTime();
 
-  /** Changes of its window that are still to be logged. */
+  /** Limits how often changes of its window are logged. */
   readonly windowChanges = new WindowChanges();
 
   private hasUnreadablePace = false;
--- a/packages/forwarding/src/endpoints/paceRecorder.ts
+++ b/packages/forwarding/src/endpoints/paceRecorder.ts
@@ -20,7 +20,7 @@
   { endpointId, load, coldLeftMs = 0 }: ResponseHead,
   now: number,
 ): void {
-  // Another endpoint at the address responds so.
+  // Another endpoint has the address, so the response says nothing of this one.
   if (endpointId !== undefined && endpointId !== handle.id) return;
   handle.recordColdLeft(coldLeftMs, now);
   if (load?.isPaceUnreadable) {
--- a/packages/forwarding/src/endpoints/windowChanges.ts
+++ b/packages/forwarding/src/endpoints/windowChanges.ts
@@ -7,7 +7,7 @@
   readonly to: number | null;
 }
 
-/** Sums up the changes of an endpoint's window, so that operators see one a second at most. */
+/** Combines the changes of an endpoint's window, so that at most one a second is logged. */
 export class WindowChanges {
   private reported: number | undefined;
 
--- a/packages/forwarding/src/placement/candidate.ts
+++ b/packages/forwarding/src/placement/candidate.ts
@@ -4,7 +4,7 @@
 
 /** A request for which an endpoint is sought. */
 export interface Candidate extends PlacementRequest {
-  /** Names the requests that the same endpoints may serve; undefined if it has tried endpoints. */
+  /** Key of the requests that the same endpoints may serve; undefined if endpoints are excluded after attempts. */
   readonly group: string | undefined;
   /** Number of available endpoints when all were last checked; undefined before that. */
   availableCount: number | undefined;
--- a/packages/forwarding/src/placement/groupEstimate.ts
+++ b/packages/forwarding/src/placement/groupEstimate.ts
@@ -9,7 +9,7 @@
 
   private turns: TurnSchedule | undefined;
 
-  /** Latest time by which no endpoint can serve, and earliest one by which one can, as far as was asked. */
+  /** Of the times that were checked, the latest by which no endpoint can serve and the earliest by which one can. */
   private readonly known = { cannotBy: -Infinity, canBy: Infinity };
 
   constructor(
