--- a/packages/forwarding/src/callers/bodyBuffer.ts
+++ b/packages/forwarding/src/callers/bodyBuffer.ts
@@ -5,7 +5,7 @@
 
 /**
  * Collects a body in few blocks. What arrives is copied: a chunk of a few bytes that is kept as it is costs some
- * hundred bytes, and a slice of a larger buffer holds on to all of it.
+ * hundred bytes, and a slice of a larger buffer keeps all of it in memory.
  */
 export class BodyBuffer {
   private readonly blocks: Buffer[] = [];
@@ -27,6 +27,7 @@
     return this.allocated;
   }
 
+  /** Appends a copy of some bytes. */
   push(bytes: Buffer): void {
     for (let at = 0; at < bytes.length;) {
       if (this.free === 0) this.addBlock(bytes.length - at);
@@ -38,7 +39,7 @@
     this.size += bytes.length;
   }
 
-  /** Returns all bytes and lets go of the blocks. */
+  /** Returns all bytes and releases the blocks. */
   take(): Buffer {
     const [first] = this.blocks;
     const whole =
@@ -49,6 +50,7 @@
     return whole;
   }
 
+  /** Drops all bytes and releases the blocks. */
   clear(): void {
     this.blocks.length = 0;
     this.free = 0;
--- a/packages/forwarding/src/callers/callerBounds.ts
+++ b/packages/forwarding/src/callers/callerBounds.ts
@@ -12,11 +12,13 @@
   readonly maxHeaders: number;
   /** Chunks of a body, in addition to one for each `bytesPerPart` bytes. */
   readonly maxParts: number;
+  /** Bytes of a body for each of which one more chunk is allowed. */
   readonly bytesPerPart: number;
   /** Time in which the head of a request must be complete, in milliseconds. */
   readonly headTimeoutMs: number;
   /** Time in which an answered caller must take `minTakenBytes` or the rest of its response, in milliseconds. */
   readonly unreadTimeoutMs: number;
+  /** Bytes that a caller must take of its response in each `unreadTimeoutMs`. */
   readonly minTakenBytes: number;
 }
 
@@ -24,7 +26,7 @@
 const fileDescriptors = 200;
 /** Share of the other descriptors for callers; the rest is for endpoints, other entries, checks and metrics. */
 const callerDescriptorShare = 0.6;
-/** Memory that the program takes before any caller comes, in bytes. */
+/** Memory that the program takes without any connection, in bytes. */
 const programBytes = 130_000_000;
 /** Share of the other memory for callers and endpoints; the rest is for the heap and for buffers to be collected. */
 const memoryShare = 0.5;
--- a/packages/forwarding/src/callers/callerConnections.ts
+++ b/packages/forwarding/src/callers/callerConnections.ts
@@ -19,7 +19,7 @@
   connections: 'connections',
   /** Too many requests were sent without waiting for responses. */
   pipelined: 'pipelined',
-  /** The process holds too much for callers, and the connection the most of it. */
+  /** Memory is short, and the connection was selected to release some. */
   memory: 'memory',
 } as const;
 
@@ -65,7 +65,7 @@
 
 /** Reason to pause a connection: earlier requests have not been answered. */
 const pipelined = Symbol('pipelined');
-/** Reason to pause a connection: the rest of its request is not wanted. */
+/** Reason to pause a connection: the rest of its request is not needed, as it has been refused. */
 const unwanted = Symbol('unwanted');
 
 /** Tracks the requests on callers' connections: bounds them, and closes only idle ones otherwise. */
@@ -148,6 +148,7 @@
     this.timer = setInterval(() => this.sweep(getTimes()), sweepMs).unref();
   }
 
+  /** Stops the sweep. */
   stopSweep(): void {
     clearInterval(this.timer);
   }
--- a/packages/forwarding/src/callers/callerMemory.ts
+++ b/packages/forwarding/src/callers/callerMemory.ts
@@ -7,18 +7,18 @@
 export interface CallerHolder extends Omit<MemoryHolder, 'stalledFor'> {
   bytes: number;
   workspace: string | undefined;
-  /** Monotonic time at which a body or a response was last completed, in milliseconds. */
+  /** Monotonic time at which a response was last sent, or else the connection opened, in milliseconds. */
   progressAt: number;
   readonly gate: ReadGate;
-  /** Refuses what it has sent, or closes it, so that it holds nothing any more. */
+  /** Releases what it holds, by a refusal of its unfinished request or by closing it. */
   readonly shed: () => void;
 }
 
-/** Interval at which it is checked whether paused connections may go on, in milliseconds. */
+/** Interval at which it is checked whether paused connections may be read again, in milliseconds. */
 const checkMs = 50;
-/** Checks in a row under shortage after which memory is shed: what is under way may end before. */
+/** Checks in a row under shortage after which memory is shed: requests in progress may end before and release theirs. */
 const maxShortChecks = 5;
-/** Bytes that the HTTP server reads at once from a connection that goes on. */
+/** Bytes that the HTTP server reads at once from a connection that is resumed. */
 const readBytes = 65_536;
 
 /** Share of the budget that callers may hold even if responses of endpoints take the rest. */
@@ -67,7 +67,7 @@
     if (this.budget.isExceeded) this.shed();
   }
 
-  /** Lets go of all that a closed connection holds. */
+  /** Releases all memory of a closed connection. */
   remove(holder: CallerHolder): void {
     this.change(holder, -holder.bytes);
     this.paused.delete(holder);
@@ -101,7 +101,7 @@
     this.timer = undefined;
   }
 
-  /** Resumes as many connections as can bring what they are read at once, longest paused first. */
+  /** Resumes as many connections as there is room for one read of each, longest paused first. */
   private resumeSome(): void {
     this.shortChecks = 0;
     let left = Math.ceil((this.budget.maxBytes - this.budget.usedBytes) / readBytes);
--- a/packages/forwarding/src/callers/callerServer.ts
+++ b/packages/forwarding/src/callers/callerServer.ts
@@ -28,6 +28,7 @@
 import { RouteAccess } from './routeAccess.js';
 import type { FreshnessChecks } from './routeAccess.js';
 import { TooManyParts, readBody } from './requestBody.js';
+import type { BodyLimits } from './requestBody.js';
 import { RequestCounter } from './requestCounter.js';
 import { toStopFailure } from './stopGate.js';
 import type { StopGate } from './stopGate.js';
@@ -61,7 +62,7 @@
   if (controller.signal.reason === callerDisconnected) throw new Aborted();
 }
 
-/** Returns the refusal of a request whose body is shed because this process holds too much. */
+/** Returns the refusal of a request whose unfinished body is dropped because memory is short. */
 function toMemoryRefusal(): Refusal {
   const message = 'Too much is held for callers.';
   return new Refusal(RefusalReason.memory, message, storeRetryDelayMs);
@@ -182,10 +183,15 @@
     return this.state.routes?.configuration.limits;
   }
 
+  private getBodyLimits({ maxBodyBytes: maxBytes }: CallerLimits): BodyLimits {
+    const { maxParts, bytesPerPart } = this.bounds;
+    return { maxBytes, maxParts, bytesPerPart };
+  }
+
   private serve(request: IncomingMessage, response: ServerResponse): void {
     const { socket } = request;
     const arrivedAt = this.clock.now();
-    // A request that is never started needs none.
+    // Created at the start, as many queued requests are never started.
     let controller: AbortController | undefined;
     const isBegun = this.connections.begin(socket, {
       response,
@@ -259,9 +265,7 @@
       const refusal = this.gate.findRefusal(deadlineAt);
       if (refusal) throw refusal;
       const { signal } = controller;
-      const { maxParts, bytesPerPart } = this.bounds;
-      const { maxBodyBytes: maxBytes } = routes.configuration.limits;
-      const bodyLimits = { maxBytes, maxParts, bytesPerPart };
+      const bodyLimits = this.getBodyLimits(routes.configuration.limits);
       const body = await readBody(request, bodyLimits, signal, setHeld);
       await checkConnected(request.socket, controller);
       const service = pickService(route, this.random);
--- a/packages/forwarding/src/callers/connectionProgress.ts
+++ b/packages/forwarding/src/callers/connectionProgress.ts
@@ -38,7 +38,7 @@
 
 /**
  * Finds connections that make no progress. Time is counted in sweeps, one a second: a process that was paused
- * sweeps once before it reads what has arrived, so a pause is not blamed on callers.
+ * sweeps once before it reads what has arrived, so the time of the pause does not count against callers.
  */
 export class ConnectionProgress {
   private headSweeps = 0;
--- a/packages/forwarding/src/callers/readGate.ts
+++ b/packages/forwarding/src/callers/readGate.ts
@@ -1,6 +1,6 @@
 import type { Socket } from 'node:net';
 
-/** Pauses the reading of a connection for one or more reasons, and goes on when none is left. */
+/** Pauses the reading of a connection for one or more reasons, and resumes it when none is left. */
 export class ReadGate {
   private readonly reasons = new Set<symbol>();
 
@@ -8,13 +8,13 @@
 
   private readonly resumeSocket: () => Socket;
 
-  /** Whether the HTTP server would read on. */
+  /** Whether the HTTP server has last resumed the connection, or never paused it. */
   private isWanted = true;
 
   constructor(private readonly socket: Socket) {
     this.pauseSocket = socket.pause.bind(socket);
     this.resumeSocket = socket.resume.bind(socket);
-    // The HTTP server pauses and resumes the connection on its own: its wish is kept while the gate is closed.
+    // The HTTP server pauses and resumes the connection, too: its last call is recorded and applied when no reason is left.
     const pause = (): Socket => {
       this.isWanted = false;
       return this.pauseSocket();
@@ -32,6 +32,7 @@
     this.pauseSocket();
   }
 
+  /** Removes a reason; reading resumes if it was the last one. */
   resume(reason: symbol): void {
     if (!this.reasons.delete(reason) || this.reasons.size > 0) return;
     if (this.isWanted && !this.socket.destroyed) this.resumeSocket();
--- a/packages/forwarding/src/callers/refusal.ts
+++ b/packages/forwarding/src/callers/refusal.ts
@@ -22,7 +22,7 @@
   crashingContent: 'crashing_content',
   /** The deadline passed while the request was queued. */
   deadline: 'deadline',
-  /** This process holds too much for callers, and the unfinished request the most of it. */
+  /** Memory is short, and the unfinished request was selected to release some. */
   memory: 'memory',
   /** This process stops before the deadline of the request. */
   stopping: 'stopping',
--- a/packages/forwarding/src/callers/requestBody.ts
+++ b/packages/forwarding/src/callers/requestBody.ts
@@ -10,7 +10,7 @@
   readonly bytesPerPart: number;
 }
 
-/** The body came in so many small chunks that reading it costs far more than its size. */
+/** The body has so many chunks that reading it costs far more processor time than its size justifies. */
 export class TooManyParts extends TooLarge {
   constructor(parts: number) {
     super(`The body has more than ${parts} chunks for its size.`);
--- a/packages/forwarding/src/callers/requestHeaders.ts
+++ b/packages/forwarding/src/callers/requestHeaders.ts
@@ -5,7 +5,7 @@
 const partsPerHeader = 2;
 const tooManyHeadersStatus = 431;
 
-/** The request has so many headers that reading it costs far more than its size. */
+/** The request has so many headers that keeping them costs far more memory than their size. */
 export class TooManyHeaders extends Failure {
   constructor(maxHeaders: number) {
     super('too_many_headers', `The request has more than ${maxHeaders} headers.`, {
--- a/packages/forwarding/src/callers/routeAccess.ts
+++ b/packages/forwarding/src/callers/routeAccess.ts
@@ -14,9 +14,9 @@
   mayReportMissing(): boolean;
   /** Time since the store confirmed that the configuration is the newest one, in milliseconds. */
   ageMs(): number;
-  /** Waits for the first configuration if it is about to come; `timeLeftMs` is the caller's remaining time. */
+  /** Waits for the first configuration if it is expected soon; `timeLeftMs` is the caller's remaining time. */
   awaitConfiguration(timeLeftMs: number, signal: AbortSignal): Promise<void>;
-  /** Waits for a proof with which keys may be accepted if it is about to come. */
+  /** Waits for a proof with which keys may be accepted if it is expected soon. */
   awaitProof(timeLeftMs: number, signal: AbortSignal): Promise<void>;
 }
 
@@ -43,7 +43,7 @@
     private readonly freshness: FreshnessChecks,
   ) {}
 
-  /** Waits for what the store is about to tell, without which the request would be refused. */
+  /** Waits for a response of the store that is expected soon and without which the request would be refused. */
   async awaitStore(
     request: IncomingMessage,
     { timeLeftMs = defaultTimeLeftMs }: RequestHead,
--- a/packages/forwarding/src/callers/storeWait.ts
+++ b/packages/forwarding/src/callers/storeWait.ts
@@ -11,7 +11,7 @@
 /** Largest part of its caller's remaining time for which a request waits. */
 const maxWaitShare = 1 / 3;
 
-/** Lets requests wait for what the store is about to tell: the first configuration or a new proof. */
+/** Lets requests wait for a response of the store that is expected soon: the first configuration or a new proof. */
 export class StoreWait {
   private readonly changed = new Notifier();
 
--- a/packages/forwarding/src/feed/callRace.ts
+++ b/packages/forwarding/src/feed/callRace.ts
@@ -4,7 +4,7 @@
 /** Longest pause before it is checked again whether the next call of a series is due, in milliseconds. */
 const maxPauseMs = 50;
 
-/** What a call of a race uses to take part in it. */
+/** Signal and callbacks that a race gives to each of its calls. */
 export interface RacingCall {
   /** Fires when the answer of the call no longer counts. */
   readonly signal: AbortSignal;
@@ -17,7 +17,7 @@
 /** Starts a call; it must claim its response. */
 export type CallStart<Content> = (call: RacingCall) => Promise<Content>;
 
-/** Calls that are started again and again until one is answered. */
+/** Calls that are repeated until one is answered. */
 export interface CallSeries<Content> {
   /** Returns the time between the starts of two calls, in milliseconds. */
   readonly getIntervalMs: () => number;
@@ -28,20 +28,20 @@
   readonly start: CallStart<Content>;
 }
 
-/** Ends the promise of a race. */
+/** Settles the promise of a race. */
 interface Settle<Content> {
   readonly resolve: (content: Content) => void;
   readonly reject: (error: unknown) => void;
 }
 
-/** Calls of which the first answer counts; the others are ended. */
+/** Concurrent calls of which the first answer counts; the others are aborted. */
 export class CallRace<Content> {
   private readonly over = new AbortController();
 
   /** Fires when the race or its owner ends. */
   private readonly signal: AbortSignal;
 
-  /** The series of each call in progress, by what ends the call. */
+  /** The series of each call in progress, by the controller that aborts it. */
   private readonly running = new Map<AbortController, CallStart<Content>>();
 
   /** The call whose response is arriving, by series. */
@@ -117,7 +117,7 @@
     }
   }
 
-  /** Ends the calls of a series for which another one receives its response. */
+  /** Aborts the other calls of a series, of which one is receiving its response. */
   private receive(start: CallStart<Content>, abort: AbortController): void {
     if (this.receiving.has(start)) return;
     this.receiving.set(start, abort);
--- a/packages/forwarding/src/feed/feedClient.ts
+++ b/packages/forwarding/src/feed/feedClient.ts
@@ -14,7 +14,7 @@
 /** Time that a response may take beyond the wait that was asked for, in milliseconds. */
 const responseGraceMs = 500;
 const stallMs = 500;
-/** Time in which a response must be complete, in milliseconds: it may make little progress for ever. */
+/** Time in which a response must be complete, in milliseconds: a slow one may make progress without ending. */
 const totalMs = 60_000;
 const maxBytes = 64_000_000;
 /** Largest epoch that a feed can state. */
@@ -132,7 +132,7 @@
     return this.ask(address, after, { waitMs }, signal);
   }
 
-  /** The same with more to choose; throws `Unavailable` if the other entry has responded that it is not ready. */
+  /** Like `read`, with the age of an acceptable proof; throws `Unavailable` if the other entry is not ready. */
   async ask(
     address: string,
     after: StorePosition,
--- a/packages/forwarding/src/feed/forerunners.ts
+++ b/packages/forwarding/src/feed/forerunners.ts
@@ -6,7 +6,7 @@
 import type { RelayedChanges } from './feedClient.js';
 import { checkRelayed, maxProofAgeMs } from './feedRequest.js';
 
-/** Longest wait for another entry's proof, in milliseconds: its silence shows only after it. */
+/** Longest wait for another entry's proof, in milliseconds: a failure of that entry is detected only after it. */
 const proofWaitMs = 250;
 /** The same after a start, until it is known that the other entry receives the content. */
 const firstWaitMs = 40;
--- a/packages/forwarding/src/feed/regionalFeed.ts
+++ b/packages/forwarding/src/feed/regionalFeed.ts
@@ -75,7 +75,7 @@
   /** Whether the last call to the store has failed. */
   private isStoreFailing = false;
 
-  /** Whether the store can't be reached, so that whatever answers first is waited for. */
+  /** Whether the store is unreachable, so that it and other entries are asked at the same time. */
   private isStoreAway = false;
 
   private readonly forerunners: Forerunners;
@@ -363,7 +363,7 @@
   private handleFailure(error: unknown): void {
     this.isStoreFailing = true;
     const isAway = !(error instanceof HistoryLost);
-    // What failed when the store did is tried again, as it may have failed for the same reason.
+    // Entries that failed at the same time as the store are tried again: the cause may be the same.
     if (isAway && !this.isStoreAway) this.readers.forgetFailures();
     this.isStoreAway = isAway;
   }
--- a/packages/forwarding/src/fleet/entryRegistration.ts
+++ b/packages/forwarding/src/fleet/entryRegistration.ts
@@ -6,7 +6,7 @@
 const renewalsPerLease = 3;
 /** Delay before a failed call is retried, in milliseconds. */
 const retryDelayMs = 1_000;
-/** Time in which a call is answered whose connection is not dead, in milliseconds. */
+/** Time without a response after which the connection of a call may be dead, in milliseconds. */
 const overdueMs = 300;
 /** Minimum time between the starts of two calls, in milliseconds. */
 const minIntervalMs = 100;
@@ -24,7 +24,7 @@
   private calledAt: number | undefined;
 
   /** Ends the call in progress or the pause after a failed one; each once. */
-  private hastening = new AbortController();
+  private interruption = new AbortController();
 
   private readonly callCounter: StoreCallCounter;
 
@@ -42,15 +42,15 @@
 
   /** Maintains the registration until the signal is aborted. */
   async run(signal: AbortSignal): Promise<void> {
-    let wasHastened = false;
+    let wasInterrupted = false;
     while (!signal.aborted && !this.isWithdrawn) {
-      const hastening = new AbortController();
-      this.hastening = hastening;
-      const ended = AbortSignal.any([signal, hastening.signal]);
+      const interruption = new AbortController();
+      this.interruption = interruption;
+      const ended = AbortSignal.any([signal, interruption.signal]);
       // A call that replaces another one has its whole time, as the store may be slow.
-      const callEnd: AbortSignal = wasHastened ? signal : ended;
+      const callEnd: AbortSignal = wasInterrupted ? signal : ended;
       const delayMs = await this.renew(callEnd);
-      wasHastened = callEnd.aborted;
+      wasInterrupted = callEnd.aborted;
       await this.clock.sleep(minIntervalMs, signal).catch(() => undefined);
       const pauseEnd = this.isFailing ? ended : signal;
       await this.clock.sleep(delayMs - minIntervalMs, pauseEnd).catch(() => undefined);
@@ -58,12 +58,12 @@
   }
 
   /**
-   * Learns that the store responds, to this entry or another one. A call that has failed, or that has no response yet, is
-   * made again at once: its connection may be dead, and the lease may end before the next one is due.
+   * Handles a response of the store, to this entry or to another one. A call that has failed, or that has no response
+   * yet, is made again at once: its connection may be dead, and the lease may end before the next one is due.
    */
   handleStoreResponse(): void {
     const inProgressMs = this.calledAt === undefined ? 0 : this.clock.now() - this.calledAt;
-    if (this.isFailing || inProgressMs > overdueMs) this.hastening.abort();
+    if (this.isFailing || inProgressMs > overdueMs) this.interruption.abort();
   }
 
   /** Removes the registration when this entry stops taking requests. */
--- a/packages/forwarding/src/peers/demandExchange.ts
+++ b/packages/forwarding/src/peers/demandExchange.ts
@@ -17,7 +17,7 @@
 /** Maximum number of demands in one datagram, so that it fits a packet. */
 const maxDemandsPerDatagram = 12;
 
-/** Tells other entries what becomes of this entry's requests, and follows what they tell. */
+/** Sends the results of this entry's requests to other entries, and adapts to the results that they send. */
 export class DemandExchange {
   constructor(
     private readonly settings: Pick<FleetSettings, 'instance' | 'region' | 'regions'>,
@@ -32,6 +32,7 @@
     private readonly onUpdate: (service: string, state: ServiceDemandState) => void,
   ) {}
 
+  /** Exchanges demand at intervals until the signal fires. */
   async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       this.exchange();
@@ -51,7 +52,7 @@
       const entries = this.room.countEntries(this.settings.region);
       const sum = state.sums.sumRegion(own, entries, now);
       this.adapt(service, state, sum, now);
-      // An entry without demand answers those that have some, as they would else assume that it has as much.
+      // An entry without demand reports to those that have some: without a report they assume that it has as much.
       if (own.length > 0 || state.sums.hasPeerDemand(now))
         parts.push(encodeDemand(service, '', own));
       parts.push(...DemandExchange.createForwards(service, state, now));
@@ -63,7 +64,7 @@
     if (sums.length > 0) this.send(sums, this.findRemoteExchangers());
   }
 
-  /** Takes in what another entry has reported. */
+  /** Records a report of another entry. */
   receive({ demands }: DemandReport, { sender }: Pick<DatagramSource, 'sender'>): void {
     const now = this.clock.now();
     const isFromRegion = this.isFromRegion(sender);
--- a/packages/forwarding/src/peers/demandLog.ts
+++ b/packages/forwarding/src/peers/demandLog.ts
@@ -1,11 +1,12 @@
 import type { Clock, Log } from '@laburnumstream/common';
 import type { ServiceDemandState } from './serviceDemandState.js';
 
-/** Change of a part that is worth a line. */
+/** Minimum change of a part that is logged. */
 const minChange = 0.1;
 /** Minimum time between two lines on the same part, in milliseconds. */
 const minIntervalMs = 1_000;
-const hundred = 100;
+/** Factor that rounds parts to two decimals. */
+const roundingFactor = 100;
 
 interface LoggedPart {
   readonly part: number;
@@ -56,6 +57,6 @@
   }
 
   private static round(part: number): number {
-    return Math.round(part * hundred) / hundred;
+    return Math.round(part * roundingFactor) / roundingFactor;
   }
 }
--- a/packages/forwarding/src/peers/loadBroadcast.ts
+++ b/packages/forwarding/src/peers/loadBroadcast.ts
@@ -68,7 +68,7 @@
     const { regionHosts } = this.peers;
     if (regionHosts.length === 0) return;
     const shares = this.engines
-      .filter((handle) => LoadBroadcast.hasNews(handle))
+      .filter((handle) => LoadBroadcast.hasState(handle))
       .map((handle) => LoadBroadcast.createShare(handle));
     this.datagrams.sendAll({ case: 'load', value: { shares } }, regionHosts);
   }
@@ -104,8 +104,8 @@
     Object.assign(handle, { reportedVersion: version, missingWeightsSince: undefined });
   }
 
-  /** Whether there is something to say of an engine; a window counts also without requests there. */
-  private static hasNews(handle: EndpointHandle): boolean {
+  /** Whether this entry has state of an engine to share; a window counts even without requests there. */
+  private static hasState(handle: EndpointHandle): boolean {
     const { ownRequests, window } = handle.load;
     return ownRequests > 0 || window.value !== undefined || lacksWeights(handle);
   }
--- a/packages/forwarding/src/peers/priorityAdmission.ts
+++ b/packages/forwarding/src/peers/priorityAdmission.ts
@@ -21,7 +21,7 @@
   return !model || load.unreadMs(now) < unreadMs * (1 - part);
 }
 
-/** Counts what becomes of requests, and keeps places free for the more urgent ones of a service. */
+/** Counts the results of requests, and keeps places free for the more urgent ones of a service. */
 export class PriorityAdmission implements DemandObserver, PlaceReserve {
   constructor(private readonly demands: ServiceDemands) {}
 
--- a/packages/forwarding/src/peers/serviceDemandState.ts
+++ b/packages/forwarding/src/peers/serviceDemandState.ts
@@ -26,7 +26,7 @@
 
   private readonly divisions = new Map<string, SmoothedDivision>();
 
-  /** The reserve that the demand of a region asks for. */
+  /** The reserve that follows from the demand of a region. */
   reserve(region: string): PriorityReserve {
     let reserve = this.reserves.get(region);
     if (!reserve) {
--- a/packages/forwarding/src/peers/weightLossReports.ts
+++ b/packages/forwarding/src/peers/weightLossReports.ts
@@ -3,14 +3,14 @@
 /** Time without a load of a sender after which its reports are forgotten, in milliseconds. */
 const forgetMs = 5_000;
 
-/** What one entry has last said of engines without weights. */
+/** The last report of one entry on engines without weights. */
 interface SenderReports {
   /** Monotonic times of the first of the uninterrupted reports on each engine, by address. */
   readonly since: ReadonlyMap<string, number>;
   readonly at: number;
 }
 
-/** What other entries have seen of engines that hold no weights, until the agents say otherwise. */
+/** Reports of other entries on engines that hold no weights; a newer report of the agent overrides them. */
 export class WeightLossReports {
   private readonly senders = new Map<string, SenderReports>();
 
@@ -18,8 +18,8 @@
   private readonly appliedAt = new WeakMap<EndpointHandle, number>();
 
   /**
-   * Returns those of the engines that a sender lists of which nothing newer is known; it repeats them for as long as it
-   * knows no better.
+   * Records the engines without weights that a sender lists, and returns those without a newer report of their agent.
+   * A sender repeats an engine until it gets such a report itself.
    */
   receive(sender: string, engines: readonly EndpointHandle[], now: number): EndpointHandle[] {
     this.forgetSilent(now);
@@ -32,7 +32,7 @@
     return engines.filter((handle) => {
       const firstAt = since.get(handle.endpoint.address)!;
       const reportedAt = now - handle.load.reportAgeMs(now);
-      // A repetition is out of date if the agent has reported since it was said first.
+      // A repetition is out of date if the agent has reported since the first one.
       if (firstAt !== now && reportedAt >= firstAt) return false;
       this.appliedAt.set(handle, firstAt);
       return true;
--- a/packages/runtime/src/boundedServer.ts
+++ b/packages/runtime/src/boundedServer.ts
@@ -6,6 +6,7 @@
 
 /** Bounds of a server that answers small requests without bodies. */
 export interface ServerBounds {
+  /** Maximum number of open connections. */
   readonly maxConnections: number;
   /** Maximum number of unanswered requests on a connection; one with more is closed. */
   readonly maxPipelined: number;
--- a/packages/sidecar/src/engineReporter.ts
+++ b/packages/sidecar/src/engineReporter.ts
@@ -53,7 +53,7 @@
     if (known?.host === host) Object.assign(known, { intervalMs, lastHeardAt });
     else {
       this.subscribers.set(name, { host, intervalMs, lastHeardAt, lastSentAt: -Infinity });
-      // Until the first report, the entry does not know what the engine holds.
+      // Until its first report, a new subscriber does not know which version the engine holds.
       this.report();
     }
   }
--- a/packages/sidecar/src/engineStaging.ts
+++ b/packages/sidecar/src/engineStaging.ts
@@ -49,7 +49,7 @@
     private readonly log: Log,
   ) {}
 
-  /** Throws `Unavailable` unless all pieces were read back a moment ago. */
+  /** Throws `Unavailable` unless all pieces were read back in the last `maxCheckAgeMs`. */
   requireRecentCheck(): void {
     if (this.isCheckRecent) return;
     throw new Unavailable('The staged pieces were checked too long ago.', retryDelayMs);
@@ -57,7 +57,7 @@
 
   /**
    * Records pieces that the engine had when they were read back from `checkedSince` on: they are not staged again, and
-   * if they are all of the version, they are not read back again either while that was a moment ago.
+   * if they are all of the version, they are not read back again while that check is recent.
    */
   adopt(target: HeldVersion, pieces: readonly number[], checkedSince: number): void {
     // A piece of another version may have replaced one that had been read.
