--- a/packages/decisions/src/forwarding/concurrencyWindow.ts
+++ b/packages/decisions/src/forwarding/concurrencyWindow.ts
@@ -10,8 +10,11 @@
 const slowBound = { factor: 2.5, addedMs: 100 } as const;
 /** Slow answers in a row that open a window where there was none. */
 const maxSlowAnswers = 2;
-/** Time between two cuts for failures, in milliseconds: one cause makes several requests fail at once. */
-const failureIntervalMs = 100;
+/**
+ * Time between two cuts for failures, in milliseconds: one cause makes several requests fail, some of them only with
+ * their time-out for a first event.
+ */
+const failureIntervalMs = 1_000;
 /** Time after a cut for which larger windows of other entries do not count: they have not heard of it, in milliseconds. */
 const peerHoldMs = 200;
 /** Time after the last cut from which the window grows exponentially again, in milliseconds. */
--- a/packages/decisions/src/forwarding/misdirections.ts
+++ b/packages/decisions/src/forwarding/misdirections.ts
@@ -90,6 +90,11 @@
     return record && !record.isReleased ? record.at : undefined;
   }
 
+  /** Forgets an endpoint that has gone. */
+  forget(incarnation: string): void {
+    this.records.delete(incarnation);
+  }
+
   /** Ends the exclusion of an endpoint, of which there is newer news. */
   release(incarnation: string): void {
     const record = this.records.get(incarnation);
--- a/packages/forwarding/src/callers/callerConnections.ts
+++ b/packages/forwarding/src/callers/callerConnections.ts
@@ -206,6 +206,8 @@
     this.handling += 1;
     connection.handling += 1;
     connection.latest = response;
+    // The time for which the connection was idle is no time without progress.
+    if (unanswered.size === 0) connection.holder.progressAt = this.clock.now();
     unanswered.set(response, request);
     this.memory.change(connection.holder, request.bytes);
     beforeHead(response, () => {
@@ -240,6 +242,8 @@
 
   private handleSent(connection: Connection, response: ServerResponse): void {
     const { socket, unanswered, unsent, holder, gate } = connection;
+    // A response whose connection was closed finishes, too; what it held has been released.
+    if (socket.destroyed) return;
     unsent.delete(response);
     Object.assign(connection, { bytesRead: socket.bytesRead });
     const request = unanswered.get(response);
--- a/packages/forwarding/src/callers/callerMemory.ts
+++ b/packages/forwarding/src/callers/callerMemory.ts
@@ -70,6 +70,7 @@
   /** Releases all memory of a closed connection. */
   remove(holder: CallerHolder): void {
     this.change(holder, -holder.bytes);
+    this.holders.delete(holder);
     this.paused.delete(holder);
   }
 
--- a/packages/forwarding/src/callers/callerServer.ts
+++ b/packages/forwarding/src/callers/callerServer.ts
@@ -68,6 +68,12 @@
   return new Refusal(RefusalReason.memory, message, storeRetryDelayMs);
 }
 
+/** Returns the memory that a request takes until it is read, in bytes. */
+function getHeldBytes({ rawHeaders, url = '', readableLength }: IncomingMessage): number {
+  const textBytes = rawHeaders.reduce((sum, part) => sum + part.length, url.length);
+  return requestBytes + rawHeaders.length * headerPartBytes + textBytes + readableLength;
+}
+
 /** Receives callers' requests, authenticates them and passes them to the forwarder of their route. */
 export class CallerServer {
   private readonly server: Server;
@@ -195,7 +201,7 @@
     let controller: AbortController | undefined;
     const isBegun = this.connections.begin(socket, {
       response,
-      bytes: requestBytes + request.rawHeaders.length * headerPartBytes,
+      bytes: getHeldBytes(request),
       start: () => {
         controller = new AbortController();
         void this.run(request, response, controller, arrivedAt);
@@ -342,6 +348,7 @@
   }
 
   private toCallerFailure(error: unknown, { reason }: AbortSignal): Failure {
+    if (reason instanceof Refusal) return reason;
     if (reason === deadlineExceeded) return toDeadlineFailure(error);
     return reason === processStopping ? toStopFailure(error, this.gate) : toFailure(error);
   }
--- a/packages/forwarding/src/callers/connectionProgress.ts
+++ b/packages/forwarding/src/callers/connectionProgress.ts
@@ -58,7 +58,10 @@
     const isHeadOpen = stage.isWaiting && headBytes > emptyLineBytes;
     this.headSweeps = isHeadOpen ? this.headSweeps + 1 : 0;
     if (this.headSweeps > times.headMs * sweepsPerMs) return Overdue.head;
-    this.silentSweeps = socket.bytesRead === 0 ? this.silentSweeps + 1 : 0;
+    // A few bytes that are no request yet do not count, as they could hold the connection for ever.
+    const hasFewBytes = stage.isWaiting && headBytes > 0 && headBytes <= emptyLineBytes;
+    const isSilent = socket.bytesRead === 0 || hasFewBytes;
+    this.silentSweeps = isSilent ? this.silentSweeps + 1 : 0;
     if (this.silentSweeps > times.silentMs * sweepsPerMs) return Overdue.silent;
     return this.isUnread(socket, stage) ? Overdue.unread : undefined;
   }
--- a/packages/forwarding/src/endpoints/capacityForecast.ts
+++ b/packages/forwarding/src/endpoints/capacityForecast.ts
@@ -15,8 +15,12 @@
 interface StateStart {
   readonly state: EndpointState;
   readonly since: number;
+  /** When it was seen last. */
+  readonly seenAt: number;
 }
 
+/** Time without an estimate after which an endpoint may have left a state and entered it again, in milliseconds. */
+const maxUnseenMs = 1_000;
 const secondMs = 1_000;
 const bitsPerByte = 8;
 /** Time in which an agent notices a change of its engine and reports it, in milliseconds. */
@@ -141,8 +145,9 @@
 
   private findStart(incarnation: string, state: EndpointState, now: number): number {
     const known = this.starts.get(incarnation);
-    if (known?.state === state) return known.since;
-    this.starts.set(incarnation, { state, since: now });
-    return now;
+    const isSame = known?.state === state && now - known.seenAt < maxUnseenMs;
+    const since = isSame ? known.since : now;
+    this.starts.set(incarnation, { state, since, seenAt: now });
+    return since;
   }
 }
--- a/packages/forwarding/src/endpoints/endpointDirectory.ts
+++ b/packages/forwarding/src/endpoints/endpointDirectory.ts
@@ -297,10 +297,11 @@
     const known = this.handles.get(endpoint.id);
     if (known) {
       this.misdirected.applyRegistration(known, endpoint, this.clock.now());
+      // The remaining time of a cold start counts from the registration, not from each change of the fleet.
+      if (known.endpoint !== endpoint) this.extendColdStart(known, endpoint);
       known.endpoint = endpoint;
       known.updateProfile(profile);
       known.adapt(this.isAdaptive(endpoint.service));
-      this.extendColdStart(known, endpoint);
       return;
     }
     const region = this.settings.regions.get(endpoint.dataCentre) ?? '';
--- a/packages/forwarding/src/endpoints/endpointHandle.ts
+++ b/packages/forwarding/src/endpoints/endpointHandle.ts
@@ -291,7 +291,7 @@
 
   /** Applies a load report of the engine's agent; `sharers` are the entries that share its capacity. */
   applyLoadReport(load: ReportedLoad, sharers: CapacitySharers, random: Random, now: number): void {
-    this.statedPace.record(load.slowdown, now);
+    if (load.slowdown > 0) this.statedPace.record(load.slowdown, now);
     const free = this.slots + engineQueueLimits.spare - load.running - load.waiting;
     const capacity = Math.min(free, this.model?.promptsWithin(engineQueueLimits.unreadMs) ?? free);
     this.load.applyReport(
--- a/packages/forwarding/src/endpoints/misdirectedEndpoints.ts
+++ b/packages/forwarding/src/endpoints/misdirectedEndpoints.ts
@@ -60,6 +60,7 @@
     this.misdirections.takeDue(now).forEach((incarnation) => {
       const handle = find(incarnation);
       if (handle) this.release(handle, now);
+      else this.misdirections.forget(incarnation);
     });
   }
 
--- a/packages/forwarding/src/peers/regionRoom.ts
+++ b/packages/forwarding/src/peers/regionRoom.ts
@@ -81,7 +81,7 @@
 
   /** Whether this region depends on the endpoints of others for a service. */
   isReliant(service: string): boolean {
-    return this.reliantServices.has(service);
+    return this.reliantServices.has(service) && this.demands.get(service) !== undefined;
   }
 
   /**
--- a/packages/forwarding/src/placement/dispatchQueue.ts
+++ b/packages/forwarding/src/placement/dispatchQueue.ts
@@ -102,11 +102,23 @@
     const end = this.findWaitEnd(candidate, now, now + expectedMs, ahead);
     if (end) return Promise.reject(this.createRefusal(candidate, end, expectedMs, ahead));
     return new Promise((resolve, reject) => {
-      const queued: PendingRequest = { ...candidate, resolve, reject };
+      // A request may wait many times, each with a listener.
+      const ended = new AbortController();
+      const queued: PendingRequest = {
+        ...candidate,
+        resolve: (placement) => {
+          ended.abort();
+          resolve(placement);
+        },
+        reject: (error) => {
+          ended.abort();
+          reject(error);
+        },
+      };
       const abort = (): void => {
-        if (queue.remove(queued)) reject(DispatchQueue.createAbortRefusal());
+        if (queue.remove(queued)) queued.reject(DispatchQueue.createAbortRefusal());
       };
-      signal.addEventListener('abort', abort, { once: true });
+      signal.addEventListener('abort', abort, { once: true, signal: ended.signal });
       queue.enqueue(queued, now);
       this.dispatchFirst(queue, now);
       this.scheduleRecheck();
--- a/packages/forwarding/src/placement/refusals.ts
+++ b/packages/forwarding/src/placement/refusals.ts
@@ -56,7 +56,9 @@
     const statements = this.directory.summarizeStatements(service, request.eligibility);
     const recovery = this.findRecovery(request, end, ahead, now);
     const { pauseLeftMs } = statements;
-    const planned = pauseLeftMs > 0 ? undefined : this.planReturn(request, waiting, now);
+    // A return that is not told to the caller must not be reserved.
+    const isPlanned = !recovery && pauseLeftMs === 0;
+    const planned = isPlanned ? this.planReturn(request, waiting, now) : undefined;
     const retryAfterMs =
       recovery?.turnMs ?? planned ?? this.drawRetryDelay(pauseLeftMs, remainingMs);
     this.log.info('Request refused.', {
--- a/packages/forwarding/src/placement/waitEstimates.ts
+++ b/packages/forwarding/src/placement/waitEstimates.ts
@@ -53,13 +53,14 @@
     const { service, arrivedAt, waitsPastGoal = false } = request;
     const outlook = this.getOutlook(service);
     const estimate = this.getEstimate(request, now);
+    const waitsForRecovery = waitsPastGoal || this.isAdaptive(service);
     return {
       now,
       startAt,
       canServe: (latestAt) => estimate.canServe(latestAt),
-      isOut: () => estimate.isOut,
-      recoveryTurnAt: () => estimate.schedule.turnAt(countAhead()),
-      mayBeLate: () => waitsPastGoal || outlook.wasOutSince(arrivedAt) || this.isAdaptive(service),
+      isOut: () => waitsForRecovery && estimate.isOut,
+      recoveryTurnAt: () => (waitsForRecovery ? estimate.schedule.turnAt(countAhead()) : Infinity),
+      mayBeLate: () => waitsForRecovery,
       lateTurnAt: () => outlook.lateTurnAt(estimate.schedule, countAhead(), arrivedAt, now),
     };
   }
