--- a/packages/forwarding/src/placement/dispatchQueue.ts
+++ b/packages/forwarding/src/placement/dispatchQueue.ts
@@ -106,9 +106,9 @@
       const ended = new AbortController();
       const queued: PendingRequest = {
         ...candidate,
-        resolve: (placement) => {
+        resolve: (placed) => {
           ended.abort();
-          resolve(placement);
+          resolve(placed);
         },
         reject: (error) => {
           ended.abort();
