Features: the serial pass uses the step definitions of the first; agents' updates are spread as before

Telling agents that have never reported in each round sent each update to all of them (agentUpdates, 'regular updates are spread over rounds'), so that is taken back.

--- a/features/run.ts
+++ b/features/run.ts
@@ -4,6 +4,7 @@
 import { fileURLToPath } from 'node:url';
 import { parseArgs } from 'node:util';
 import { loadConfiguration, loadSources, runCucumber } from '@cucumber/cucumber/api';
+import type { ISupportCodeLibrary } from '@cucumber/cucumber/api';
 import { readKnownRed } from './support/knownRed.js';
 import { parseScenarioResults } from './support/results.js';
 import type { ScenarioResult } from './support/results.js';
@@ -19,6 +20,8 @@
 interface PassResult {
   readonly planned: number;
   readonly results: readonly ScenarioResult[];
+  /** The step definitions; undefined if no scenario was planned. */
+  readonly support: ISupportCodeLibrary | undefined;
 }
 
 const root = fileURLToPath(new URL('../..', import.meta.url));
@@ -33,6 +36,7 @@
   { name, tags, parallel }: Pass,
   paths: readonly string[],
   names: readonly string[],
+  loaded: ISupportCodeLibrary | undefined,
 ): Promise<PassResult> {
   const report = join(tmpdir(), `laburnumstream-features-${process.pid}-${name}.json`);
   const provided = {
@@ -46,9 +50,12 @@
   };
   const { runConfiguration } = await loadConfiguration({ provided, file: false }, { cwd: root });
   const { plan } = await loadSources(runConfiguration.sources, { cwd: root });
-  if (plan.length === 0) return { planned: 0, results: [] };
-  await runCucumber(runConfiguration, { cwd: root });
-  return { planned: plan.length, results: parseScenarioResults(readFileSync(report, 'utf8')) };
+  if (plan.length === 0) return { planned: 0, results: [], support: loaded };
+  // Modules with step definitions are evaluated once, so a later pass uses those of the first one.
+  const options = { ...runConfiguration, support: loaded ?? runConfiguration.support };
+  const { support } = await runCucumber(options, { cwd: root });
+  const results = parseScenarioResults(readFileSync(report, 'utf8'));
+  return { planned: plan.length, results, support };
 }
 
 /**
@@ -63,7 +70,8 @@
   });
   const paths = positionals.length > 0 ? positionals : ['features/**/*.feature'];
   const done: PassResult[] = [];
-  for (const pass of passes) done.push(await runPass(pass, paths, values.name ?? []));
+  for (const pass of passes)
+    done.push(await runPass(pass, paths, values.name ?? [], done.at(-1)?.support));
   const results = done.flatMap((pass) => pass.results);
   const known = readKnownRed(readFileSync(join(root, 'KNOWN-RED.txt'), 'utf8'));
   const failed = results.filter(({ passed }) => !passed);
--- a/packages/forwarding/src/peers/agentUpdates.ts
+++ b/packages/forwarding/src/peers/agentUpdates.ts
@@ -107,9 +107,10 @@
     return (this.dueRounds.get(getHost(handle)) ?? 0) <= this.round || this.isOverdue(handle);
   }
 
-  /** Whether an agent has not reported lately: it may have restarted, or have started after the last update. */
+  /** Whether an agent has reported to this entry, but not lately. */
   private isOverdue({ load }: EndpointHandle): boolean {
-    return load.reportAgeMs(this.clock.now()) > silentAgentMs;
+    const ageMs = load.reportAgeMs(this.clock.now());
+    return ageMs > silentAgentMs && ageMs < Infinity;
   }
 
   private send(
