--- a/packages/forwarding/src/endpoints/paceRecorder.ts
+++ b/packages/forwarding/src/endpoints/paceRecorder.ts
@@ -6,6 +6,7 @@
 export interface PaceServices {
   /** Learns which services state the pace of their instances. */
   readonly adaptive: {
+    recordResponse(service: string): void;
     recordStatedPace(service: string): void;
     has(service: string): boolean;
   };
@@ -28,6 +29,7 @@
     if (handle.takeUnreadablePace())
       log.warn('Endpoint states an unreadable pace.', { endpoint: handle.id });
   }
+  adaptive.recordResponse(handle.endpoint.service);
   if (load?.pace === undefined) return;
   handle.statedPace.record(load.pace, now);
   adaptive.recordStatedPace(handle.endpoint.service);
--- a/packages/forwarding/src/forwardingEntry.ts
+++ b/packages/forwarding/src/forwardingEntry.ts
@@ -176,6 +176,7 @@
     this.queue = new DispatchQueue(this.directory, clock, random, metrics, log('line'), {
       findStopRefusal: (deadlineAt) => this.gate.findRefusal(deadlineAt),
       isAdaptive: (service) => this.adaptive.has(service),
+      waitsForRecovery: (service) => this.adaptive.mayApply(service),
       demand: demand.admission,
       reserve: demand.admission,
     });
--- a/packages/forwarding/src/placement/adaptiveServices.ts
+++ b/packages/forwarding/src/placement/adaptiveServices.ts
@@ -22,16 +22,32 @@
 
   private readonly uneven = new Set<string>();
 
+  /** Services of which an endpoint has responded since the start of this process. */
+  private readonly heard = new Set<string>();
+
   /** Applies a configuration. */
   update(configuration: FleetConfiguration): void {
     this.competing = findCompeting(configuration);
   }
 
+  /** Records that an endpoint of a service has responded. */
+  recordResponse(service: string): void {
+    this.heard.add(service);
+  }
+
   /** Records that an endpoint of a service has stated the pace of its instance. */
   recordStatedPace(service: string): void {
     this.uneven.add(service);
   }
 
+  /**
+   * Whether adaptive admission may apply to a service: an entry that has just started does not know yet what the
+   * endpoints state.
+   */
+  mayApply(service: string): boolean {
+    return this.has(service) || !this.heard.has(service);
+  }
+
   has(service: string): boolean {
     return this.competing.has(service) || this.uneven.has(service);
   }
--- a/packages/forwarding/src/placement/dispatchPolicies.ts
+++ b/packages/forwarding/src/placement/dispatchPolicies.ts
@@ -21,6 +21,8 @@
   readonly findStopRefusal: (deadlineAt: number) => Refusal | undefined;
   /** Whether adaptive admission applies to a service. */
   readonly isAdaptive: (service: string) => boolean;
+  /** Whether requests of a service wait for endpoints that are expected to recover. */
+  readonly waitsForRecovery: (service: string) => boolean;
   readonly demand: DemandObserver;
   readonly reserve: PlaceReserve;
 }
@@ -29,6 +31,7 @@
 export const openPolicies: DispatchPolicies = {
   findStopRefusal: () => undefined,
   isAdaptive: () => false,
+  waitsForRecovery: () => false,
   demand: {
     recordArrival: () => undefined,
     recordPlacement: () => undefined,
--- a/packages/forwarding/src/placement/dispatchQueue.ts
+++ b/packages/forwarding/src/placement/dispatchQueue.ts
@@ -68,8 +68,9 @@
     private readonly log: Log,
     policies: Partial<DispatchPolicies> = {},
   ) {
-    this.policies = { ...openPolicies, ...policies };
-    this.estimates = new WaitEstimates(directory, (service) => this.policies.isAdaptive(service));
+    const { isAdaptive, waitsForRecovery = isAdaptive } = policies;
+    this.policies = { ...openPolicies, ...policies, ...(waitsForRecovery && { waitsForRecovery }) };
+    this.estimates = new WaitEstimates(directory, this.policies);
     this.refusals = new Refusals(
       directory,
       this.estimates,
--- a/packages/forwarding/src/placement/waitEstimates.ts
+++ b/packages/forwarding/src/placement/waitEstimates.ts
@@ -1,6 +1,7 @@
 import { ServiceOutlook } from '@laburnumstream/decisions';
 import type { EndpointSource } from '../endpoints/endpointSource.js';
 import type { Candidate } from './candidate.js';
+import type { DispatchPolicies } from './dispatchPolicies.js';
 import { GroupEstimate } from './groupEstimate.js';
 import type { WaitFacts } from './stagePolicy.js';
 
@@ -15,7 +16,7 @@
 
   constructor(
     private readonly directory: EndpointSource,
-    private readonly isAdaptive: (service: string) => boolean,
+    private readonly policies: Pick<DispatchPolicies, 'isAdaptive' | 'waitsForRecovery'>,
   ) {}
 
   /** Returns what is known of the waits for a service. */
@@ -53,7 +54,7 @@
     const { service, arrivedAt, waitsPastGoal = false } = request;
     const outlook = this.getOutlook(service);
     const estimate = this.getEstimate(request, now);
-    const waitsForRecovery = waitsPastGoal || this.isAdaptive(service);
+    const waitsForRecovery = waitsPastGoal || this.policies.waitsForRecovery(service);
     return {
       now,
       startAt,
@@ -68,7 +69,7 @@
   private createEstimate(request: Candidate, now: number): GroupEstimate {
     const { service } = request;
     // Where admission is not adaptive, a pause is waited for by those only that can still meet their goal then.
-    const withPauses = this.isAdaptive(service);
+    const withPauses = this.policies.isAdaptive(service);
     return new GroupEstimate(this.directory, request, this.getOutlook(service), withPauses, now);
   }
 }
