--- a/bench/src/heavyDays/admissionPolicies.ts
+++ b/bench/src/heavyDays/admissionPolicies.ts
@@ -1,9 +1,10 @@
 import { Failure, Unavailable } from '@laburnumstream/common';
-import type { Clock, Endpoint, Log, Metrics, Random, ServiceProfile } from '@laburnumstream/common';
+import type { Clock, Endpoint, Random, ServiceProfile } from '@laburnumstream/common';
 import { RequestStage } from '@laburnumstream/decisions';
 import { DispatchQueue, EndpointHandle, engineQueueLimits } from '@laburnumstream/forwarding';
 import type { EndpointSource } from '@laburnumstream/forwarding';
 import type { HeavyRequest } from './heavyLoad.js';
+import { noMetrics, silentLog } from './silentObservers.js';
 
 /** Selects an engine for each request of one entry. */
 export interface EntryAdmission {
@@ -38,19 +39,6 @@
 /** Retry delay of a request that the cap refused: the minimum, and the range of the random part. */
 const capRetryMs = { min: 600, range: 1_000 } as const;
 
-const silentLog: Log = {
-  debug: () => undefined,
-  info: () => undefined,
-  warn: () => undefined,
-  error: () => undefined,
-};
-const noMetrics: Metrics = {
-  count: () => undefined,
-  gauge: () => undefined,
-  observe: () => undefined,
-  registerGauges: () => undefined,
-};
-
 /** Region of an engine or entry, assigned round-robin. */
 export function getRegion(index: number, regions: number): number {
   return index % regions;
--- a/bench/src/heavyDays/returningCallers.ts
+++ b/bench/src/heavyDays/returningCallers.ts
@@ -1,5 +1,5 @@
 import { SeededRandom, Unavailable } from '@laburnumstream/common';
-import type { Endpoint, FleetConfiguration, Log, Metrics } from '@laburnumstream/common';
+import type { Endpoint, FleetConfiguration } from '@laburnumstream/common';
 import {
   EngineModel,
   RequestStage,
@@ -19,6 +19,7 @@
 import { drawHeavyLoad } from './heavyLoad.js';
 import type { HeavyRequest } from './heavyLoad.js';
 import { VirtualEngine } from './virtualEngine.js';
+import { noMetrics, silentLog } from './silentObservers.js';
 
 /** How an entry learns that an engine has weights again. */
 export type WeightNews = 'reports' | 'registrations' | 'none';
@@ -60,18 +61,6 @@
 const drainMs = 9_000;
 const secondMs = 1_000;
 const maxReturnShare = 1 / 3;
-const silentLog: Log = {
-  debug: () => undefined,
-  info: () => undefined,
-  warn: () => undefined,
-  error: () => undefined,
-};
-const noMetrics: Metrics = {
-  count: () => undefined,
-  gauge: () => undefined,
-  observe: () => undefined,
-  registerGauges: () => undefined,
-};
 const settings = {
   instance: 'entry-0',
   host: '10.0.0.1',
--- a/bench/src/heavyDays/virtualRegionEntry.ts
+++ b/bench/src/heavyDays/virtualRegionEntry.ts
@@ -1,4 +1,4 @@
-import type { Clock, ForwarderSettings, Log, Metrics, Random } from '@laburnumstream/common';
+import type { Clock, ForwarderSettings, Random } from '@laburnumstream/common';
 import { RequestStage } from '@laburnumstream/decisions';
 import {
   DemandControl,
@@ -12,6 +12,7 @@
 import type { DatagramContent } from '@laburnumstream/links';
 import { competingProfile } from './competingClasses.js';
 import type { CompetingClass } from './competingClasses.js';
+import { noMetrics, silentLog } from './silentObservers.js';
 
 /** A request of one class. */
 export interface ClassRequest {
@@ -47,19 +48,6 @@
 export const modelService = 'model';
 const deadlineMs = 6_030;
 
-const silentLog: Log = {
-  debug: () => undefined,
-  info: () => undefined,
-  warn: () => undefined,
-  error: () => undefined,
-};
-const noMetrics: Metrics = {
-  count: () => undefined,
-  gauge: () => undefined,
-  observe: () => undefined,
-  registerGauges: () => undefined,
-};
-
 function createSettings(
   { name, host, region }: VirtualPlace,
   regions: ReadonlyMap<string, string>,
