--- a/bench/src/heavyDays/returningCallers.ts
+++ b/bench/src/heavyDays/returningCallers.ts
@@ -20,6 +20,7 @@
 import type { HeavyRequest } from './heavyLoad.js';
 import { VirtualEngine } from './virtualEngine.js';
 import { noMetrics, silentLog } from './silentObservers.js';
+import { virtualBounds } from './virtualBounds.js';
 
 /** How an entry learns that an engine has weights again. */
 export type WeightNews = 'reports' | 'registrations' | 'none';
@@ -75,22 +76,7 @@
   callerAddress: '10.0.0.1:1',
   readinessAddress: '10.0.0.1:2',
   isFirstStart: true,
-  bounds: {
-    shutdownMs: 4_000,
-    drainMs: 2_000,
-    configurationMs: 1_000,
-    revocationMs: 5_000,
-    failsClosed: true,
-    evacuationMs: 5_000,
-    versionMs: 8_000,
-    addressReuseMs: 2_000,
-    retryRatio: 0.2,
-    retrySlack: 6,
-    retryWindowMs: 10_000,
-    coldFactor: 1.5,
-    coldSlack: 5,
-    maxEventDelayMs: 120,
-  },
+  bounds: { ...virtualBounds, retrySlack: 6 },
 };
 
 function createEndpoint(engine: number, startedAt: number): Endpoint {
--- a/bench/src/heavyDays/virtualRegionEntry.ts
+++ b/bench/src/heavyDays/virtualRegionEntry.ts
@@ -13,6 +13,7 @@
 import { competingProfile } from './competingClasses.js';
 import type { CompetingClass } from './competingClasses.js';
 import { noMetrics, silentLog } from './silentObservers.js';
+import { virtualBounds } from './virtualBounds.js';
 
 /** A request of one class. */
 export interface ClassRequest {
@@ -66,22 +67,7 @@
     readinessAddress: `${host}:2`,
     memoryBytes: 350_000_000,
     isFirstStart: true,
-    bounds: {
-      shutdownMs: 4_000,
-      drainMs: 2_000,
-      configurationMs: 1_000,
-      revocationMs: 5_000,
-      failsClosed: true,
-      evacuationMs: 5_000,
-      versionMs: 8_000,
-      addressReuseMs: 2_000,
-      retryRatio: 0.2,
-      retrySlack: 220,
-      retryWindowMs: 10_000,
-      coldFactor: 1.5,
-      coldSlack: 5,
-      maxEventDelayMs: 120,
-    },
+    bounds: { ...virtualBounds, retrySlack: 220 },
   };
 }
 
