--- /dev/null
+++ b/review/lib-2/notReached.mjs
@@ -0,0 +1,6 @@
+/** Thrown where a case can't run. */
+export class NotReached extends Error {
+  constructor(what) {
+    super(`not reached: ${what}`);
+  }
+}
--- /dev/null
+++ b/review/lib-2/strangers.mjs
@@ -0,0 +1,38 @@
+// Clients that nobody controls (letters): each sends the head of a request and chunks of its body, stops short of the
+// end and stays open. Usage: strangers.mjs PORT COUNT CHUNK_BYTES CHUNKS
+import { connect } from 'node:net';
+import { setTimeout as sleep } from 'node:timers/promises';
+
+const [port, count, chunkBytes, chunks] = process.argv.slice(2).map(Number);
+const batch = 50;
+const chunk = `${chunkBytes.toString(16)}\r\n${'x'.repeat(chunkBytes)}\r\n`;
+const perBlock = Math.max(1, Math.floor(65_536 / chunk.length));
+const block = Buffer.from(chunk.repeat(perBlock));
+const rest = Buffer.from(chunk.repeat(chunks % perBlock));
+let open = 0;
+let closed = 0;
+
+function start(number) {
+  const socket = connect({ host: '127.0.0.1', port });
+  // They don't read their answers.
+  socket.pause();
+  socket.on('error', () => undefined);
+  socket.on('close', () => {
+    closed += 1;
+  });
+  socket.once('connect', () => {
+    open += 1;
+    const id = `Laburnumstream-Request-Id: stranger-${number}`;
+    socket.write(
+      `POST /open/x HTTP/1.1\r\nHost: desk.example\r\n${id}\r\nTransfer-Encoding: chunked\r\n\r\n`,
+    );
+    for (let sent = perBlock; sent <= chunks; sent += perBlock) socket.write(block);
+    if (rest.length > 0) socket.write(rest);
+  });
+}
+
+for (let number = 1; number <= count; number += 1) {
+  start(number);
+  if (number % batch === 0) await sleep(2);
+}
+setInterval(() => process.stdout.write(`strangers: ${open} connected, ${closed} closed\n`), 1_000);
