--- a/review/lib-2/frontWorld.mjs
+++ b/review/lib-2/frontWorld.mjs
@@ -12,8 +12,13 @@
 const askEveryMs = 250;
 const established = '01';
 
-function route(name, kind, isPublic) {
-  const times = { TimeoutMs: 1000, GoalMs: 124, MaxAttempts: kind === 'safe' ? 2 : 1, Priority: 2 };
+function route(name, kind, isPublic, timeoutMs = 1000) {
+  const times = {
+    TimeoutMs: timeoutMs,
+    GoalMs: 124,
+    MaxAttempts: kind === 'safe' ? 2 : 1,
+    Priority: 2,
+  };
   const place = { Host: 'desk.example', PathPrefix: `/${name}/`, Kind: kind, Service: 'desk' };
   return { Name: name, ...place, ...times, Public: isPublic };
 }
@@ -24,6 +29,7 @@
     route('status', 'safe', false),
     route('order', 'unsafe', false),
     route('open', 'safe', true),
+    route('slow', 'safe', true, 6000),
   ],
   Services: [{ Name: 'desk', HealthPath: '/health', MaxConns: 100, ColdS: 0, ColdPerS: 0 }],
   Limits: {
@@ -106,9 +112,10 @@
     return Promise.all(calls);
   }
 
-  startStrangers(count, chunkBytes, chunks) {
+  /** Starts clients that stop short of the end of a body; with a route, others follow those that were closed. */
+  startStrangers(count, chunkBytes, chunks, followersRoute) {
     this.record(`${count} strangers: ${chunks} chunks of ${chunkBytes} bytes each, then nothing`);
-    const words = [this.port, count, chunkBytes, chunks].map(String);
+    const words = [this.port, count, chunkBytes, chunks, followersRoute ?? ''].map(String);
     const child = spawn(process.execPath, [join(library, 'strangers.mjs'), ...words], {
       stdio: ['ignore', 'pipe', 'inherit'],
     });
--- a/review/lib-2/strangers.mjs
+++ b/review/lib-2/strangers.mjs
@@ -1,9 +1,12 @@
 // Clients that nobody controls (letters): each sends the head of a request and chunks of its body, stops short of the
-// end and stays open. Usage: strangers.mjs PORT COUNT CHUNK_BYTES CHUNKS
+// end and stays open. Usage: strangers.mjs PORT COUNT CHUNK_BYTES CHUNKS [ROUTE]. With a route, another one comes for each
+// whose connection was closed.
 import { connect } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
 
-const [port, count, chunkBytes, chunks] = process.argv.slice(2).map(Number);
+const [port, count, chunkBytes, chunks] = process.argv.slice(2, 6).map(Number);
+const [, , , , , , route] = process.argv;
+const returnMs = 50;
 const batch = 50;
 const chunk = `${chunkBytes.toString(16)}\r\n${'x'.repeat(chunkBytes)}\r\n`;
 const perBlock = Math.max(1, Math.floor(65_536 / chunk.length));
@@ -14,17 +17,19 @@
 
 function start(number) {
   const socket = connect({ host: '127.0.0.1', port });
-  // They don't read their answers.
-  socket.pause();
+  // They don't read their answers, but for those that are followed by others.
+  if (route) socket.resume();
+  else socket.pause();
   socket.on('error', () => undefined);
   socket.on('close', () => {
     closed += 1;
+    if (route) setTimeout(() => start(number), returnMs);
   });
   socket.once('connect', () => {
     open += 1;
     const id = `Laburnumstream-Request-Id: stranger-${number}`;
     socket.write(
-      `POST /open/x HTTP/1.1\r\nHost: desk.example\r\n${id}\r\nTransfer-Encoding: chunked\r\n\r\n`,
+      `POST /${route ?? 'open'}/x HTTP/1.1\r\nHost: desk.example\r\n${id}\r\nTransfer-Encoding: chunked\r\n\r\n`,
     );
     for (let sent = perBlock; sent <= chunks; sent += perBlock) socket.write(block);
     if (rest.length > 0) socket.write(rest);
