--- a/review/lib-2/frontWorld.mjs
+++ b/review/lib-2/frontWorld.mjs
@@ -30,6 +30,7 @@
     route('order', 'unsafe', false),
     route('open', 'safe', true),
     route('slow', 'safe', true, 6000),
+    route('deposit', 'unsafe', false, 6000),
   ],
   Services: [{ Name: 'desk', HealthPath: '/health', MaxConns: 100, ColdS: 0, ColdPerS: 0 }],
   Limits: {
@@ -55,10 +56,14 @@
     appendFileSync(this.recordFile, `${seconds} ${line}\n`);
   }
 
-  async start(values) {
+  /** Starts the machine with its store and servers, whose work on deposits takes `depositMs`. */
+  async start(values, depositMs) {
     this.store = await PlatformStore.start();
     for (let number = 1; number <= 3; number += 1) {
-      const server = new PlainServer(`i-${number}`, { record: (line) => this.record(line) });
+      const server = new PlainServer(`i-${number}`, {
+        depositMs,
+        record: (line) => this.record(line),
+      });
       this.servers.push(await server.listen());
       this.store.write(`servers/${server.id}`, server.registration('desk', 'a'));
     }
@@ -112,10 +117,10 @@
     return Promise.all(calls);
   }
 
-  /** Starts clients that stop short of the end of a body; with a route, others follow those that were closed. */
-  startStrangers(count, chunkBytes, chunks, followersRoute) {
+  /** Starts clients that stop short of the end of a body; when `followed`, others come for those that were closed. */
+  startStrangers({ count, perSecond, chunkBytes, chunks, path = 'open', manner = 'alone' }) {
     this.record(`${count} strangers: ${chunks} chunks of ${chunkBytes} bytes each, then nothing`);
-    const words = [this.port, count, chunkBytes, chunks, followersRoute ?? ''].map(String);
+    const words = [this.port, count, chunkBytes, chunks, path, manner, perSecond].map(String);
     const child = spawn(process.execPath, [join(library, 'strangers.mjs'), ...words], {
       stdio: ['ignore', 'pipe', 'inherit'],
     });
--- a/review/lib-2/server.mjs
+++ b/review/lib-2/server.mjs
@@ -1,12 +1,15 @@
 // A server of a plain service as PROTOCOL.md describes it: it runs `slots` requests at once and turns others away.
 import { createServer } from 'node:http';
 
-const workMs = 20;
+const usualWorkMs = 20;
+/** Requests with this path take `depositMs`. */
+const depositPath = '/deposit/';
 
 export class PlainServer {
-  constructor(id, { slots = 6, record = () => undefined } = {}) {
+  constructor(id, { slots = 6, depositMs = usualWorkMs, record = () => undefined } = {}) {
     this.id = id;
     this.slots = slots;
+    this.depositMs = depositMs;
     this.record = record;
     this.active = 0;
     this.server = createServer((request, response) => this.receive(request, response));
@@ -56,13 +59,16 @@
     if (this.active >= this.slots) return refuse(503);
     this.active += 1;
     this.record(`run ${id} at ${this.id} ${request.method} ${request.url} ${body.length} bytes`);
-    setTimeout(() => {
-      this.active -= 1;
-      const text = `answer to ${id} `.padEnd(800, '.');
-      const head = { ...base, 'laburnumstream-server-seal': `seal.${this.id}` };
-      response.writeHead(200, { ...head, 'content-length': text.length });
-      response.end(text);
-    }, workMs);
+    setTimeout(
+      () => {
+        this.active -= 1;
+        const text = `answer to ${id} `.padEnd(800, '.');
+        const head = { ...base, 'laburnumstream-server-seal': `seal.${this.id}` };
+        response.writeHead(200, { ...head, 'content-length': text.length });
+        response.end(text);
+      },
+      request.url.startsWith(depositPath) ? this.depositMs : usualWorkMs,
+    );
     return undefined;
   }
 
