--- a/review/lib-2/frontWorld.mjs
+++ b/review/lib-2/frontWorld.mjs
@@ -12,14 +12,14 @@
 const askEveryMs = 250;
 const established = '01';
 
-function route(name, kind, isPublic, timeoutMs = 1000) {
+function route(name, kind, isPublic, timeoutMs = 1000, service = 'desk') {
   const times = {
     TimeoutMs: timeoutMs,
     GoalMs: 124,
     MaxAttempts: kind === 'safe' ? 2 : 1,
     Priority: 2,
   };
-  const place = { Host: 'desk.example', PathPrefix: `/${name}/`, Kind: kind, Service: 'desk' };
+  const place = { Host: 'desk.example', PathPrefix: `/${name}/`, Kind: kind, Service: service };
   return { Name: name, ...place, ...times, Public: isPublic };
 }
 
@@ -31,8 +31,15 @@
     route('open', 'safe', true),
     route('slow', 'safe', true, 6000),
     route('deposit', 'unsafe', false, 6000),
+    { ...route('draft', 'stream', false, 6000, 'assist'), GapTargetMs: 300, Resumable: true },
   ],
-  Services: [{ Name: 'desk', HealthPath: '/health', MaxConns: 100, ColdS: 0, ColdPerS: 0 }],
+  Services: ['desk', 'assist'].map((Name) => ({
+    Name,
+    HealthPath: '/health',
+    MaxConns: 100,
+    ColdS: 0,
+    ColdPerS: 0,
+  })),
   Limits: {
     MaxHeaderBytes: 16384,
     MaxBodyBytes: 4194304,
@@ -56,12 +63,13 @@
     appendFileSync(this.recordFile, `${seconds} ${line}\n`);
   }
 
-  /** Starts the machine with its store and servers, whose work on deposits takes `depositMs`. */
-  async start(values, depositMs) {
+  /** Starts the machine with its store and servers, whose work on deposits takes `depositMs`; `onRun` gets the ids. */
+  async start(values, depositMs, onRun = () => undefined) {
     this.store = await PlatformStore.start();
     for (let number = 1; number <= 3; number += 1) {
       const server = new PlainServer(`i-${number}`, {
         depositMs,
+        onRun,
         record: (line) => this.record(line),
       });
       this.servers.push(await server.listen());
--- a/review/lib-2/server.mjs
+++ b/review/lib-2/server.mjs
@@ -6,11 +6,15 @@
 const depositPath = '/deposit/';
 
 export class PlainServer {
-  constructor(id, { slots = 6, depositMs = usualWorkMs, record = () => undefined } = {}) {
+  constructor(
+    id,
+    { slots = 6, depositMs = usualWorkMs, record = () => undefined, onRun = () => undefined } = {},
+  ) {
     this.id = id;
     this.slots = slots;
     this.depositMs = depositMs;
     this.record = record;
+    this.onRun = onRun;
     this.active = 0;
     this.server = createServer((request, response) => this.receive(request, response));
   }
@@ -58,6 +62,7 @@
     if (id === undefined) return refuse(400);
     if (this.active >= this.slots) return refuse(503);
     this.active += 1;
+    this.onRun(id);
     this.record(`run ${id} at ${this.id} ${request.method} ${request.url} ${body.length} bytes`);
     setTimeout(
       () => {
