--- a/review/lib-2/frontWorld.mjs
+++ b/review/lib-2/frontWorld.mjs
@@ -55,6 +55,9 @@
     this.startedAt = Date.now();
     this.children = [];
     this.servers = [];
+    this.programs = [];
+    /** Services besides the plain ones. */
+    this.services = [];
     writeFileSync(this.recordFile, '');
   }
 
@@ -75,13 +78,16 @@
       this.servers.push(await server.listen());
       this.store.write(`servers/${server.id}`, server.registration('desk', 'a'));
     }
-    this.store.write('op/config', configuration);
+    const Services = [...configuration.Services, ...this.services];
+    this.store.write('op/config', { ...configuration, Services });
     const [front, ready, first, metricsPort] = await freePorts(4);
     this.port = front;
+    this.portRange = `${first},${first + 15}`;
+    this.metricsPort = metricsPort;
     const settings = frontSettings({
       'Listen.Front': `127.0.0.1:${front}`,
       'Listen.Ready': `127.0.0.1:${ready}`,
-      PortRange: `${first},${first + 15}`,
+      PortRange: this.portRange,
       'Platform.Address': this.store.address,
       ...values,
     });
@@ -150,6 +156,7 @@
   async stop() {
     this.children.forEach((child) => child.kill('SIGKILL'));
     await this.entry?.stop();
+    await Promise.all(this.programs.map((program) => program.stop()));
     this.servers.forEach((server) => server.close());
     this.store?.close();
   }
