--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -1,4 +1,4 @@
-// One server sends bytes without end in the body of a stream: the process of the front machine ends.
+// Servers send bytes without end in the bodies of streams: the process of the front machine ends.
 import { connect } from 'node:net';
 import { fileURLToPath } from 'node:url';
 import { setTimeout as sleep } from 'node:timers/promises';
@@ -6,9 +6,12 @@
 import { KeptCaller } from '../lib-2/keptCaller.mjs';
 import { StreamServer } from '../lib-2/streamServer.mjs';
 
-/** 80 Mbit/s; the link of the front machine has 1,000. */
-const bytesPerSecond = 10_000_000;
-const streams = 8;
+/** 6.4 Mbit/s from each server; the link of a `side` machine, where the engines with streams are, has 6.58. */
+const bytesPerSecond = 800_000;
+/** Half of the six engines of the site. */
+const servers = 3;
+/** Three for each of these servers. */
+const streams = 9;
 const streamsAfterMs = 3_000;
 const callers = 8;
 const body = Buffer.alloc(600, 'x');
@@ -42,11 +45,12 @@
 await runCase(fileURLToPath(new URL('.', import.meta.url)), async (world, hasTrouble) => {
   const run = new Set();
   await world.start({}, depositMs, (id) => run.add(id));
-  const server = new StreamServer('i-9', { isInTrouble: hasTrouble, bytesPerSecond }, (line) =>
-    world.record(line),
-  );
-  world.servers.push(await server.listen());
-  world.store.write('servers/i-9', server.registration('assist', 'a'));
+  for (let number = 1; number <= servers; number += 1) {
+    const trouble = { isInTrouble: hasTrouble, bytesPerSecond };
+    const server = new StreamServer(`e-${number}`, trouble, (line) => world.record(line));
+    world.servers.push(await server.listen());
+    world.store.write(`servers/${server.id}`, server.registration('assist', 'a'));
+  }
   const endAt = Date.now() + playMs;
   const results = [];
   const deposit = async (number) => {
--- a/review/lib-2/keptCaller.mjs
+++ b/review/lib-2/keptCaller.mjs
@@ -55,8 +55,10 @@
         if (end < 0 || length === undefined || answer.length < end + 4 + Number(length)) return;
         finish(Number(answer.slice(9, 12)), 'answered');
       });
-      socket.once('end', () => finish(0, 'closed'));
-      socket.once('close', () => finish(0, 'closed'));
+      // A connection that ends within an answer is not one without an answer.
+      const finishClosed = () => finish(0, answer === '' ? 'closed' : 'closed within an answer');
+      socket.once('end', finishClosed);
+      socket.once('close', finishClosed);
       timer = setTimeout(() => finish(0, 'deadline'), deadlineMs);
       if (socket.destroyed) finish(0, 'closed');
       socket.write(`${lines.join('\r\n')}\r\n\r\n`);
--- a/review/lib-2/modelEngine.mjs
+++ b/review/lib-2/modelEngine.mjs
@@ -10,9 +10,9 @@
 
 /** A model engine. In trouble, its list of staged pieces comes in chunks of one byte, without end. */
 export class ModelEngine {
-  constructor(id, { isInTrouble, bytesPerSecond }, record) {
+  constructor(id, bytesPerSecond, record) {
     this.id = id;
-    this.isInTrouble = isInTrouble;
+    this.isInTrouble = false;
     this.record = record;
     this.version = 1;
     this.orders = 0;
@@ -28,6 +28,11 @@
     return this;
   }
 
+  /** From now on, its list of staged pieces has no end. */
+  beginTrouble() {
+    this.isInTrouble = true;
+  }
+
   registration(service, zone) {
     const held = { From: 0, To: layers, Version: this.version };
     const rest = {
