--- /dev/null
+++ b/features/smallPieces.feature
@@ -0,0 +1,27 @@
+@alone
+Feature: Streams in small pieces
+
+  # Guards against an entry that runs out of memory because each event, or each chunk, of a stream costs objects and a write
+  # of its own however small it is. The engine sends as fast as it is read.
+  Scenario Outline: <callers>
+    Given an entry program with 200 MB of memory and 600 descriptors
+    When <connections> connections are held by <callers>
+    Then the program runs within its memory and descriptors
+    And an ordinary request is answered
+
+    Examples:
+      | connections | callers |
+      | 9 | streams of empty lines that are read |
+      | 9 | streams of empty lines read byte by byte |
+      | 9 | streams of empty lines left unread |
+      | 9 | streams of comments that are read |
+      | 9 | streams of small events that are read |
+      | 9 | streams of small events left unread |
+      | 9 | streams of small events in chunks of one byte |
+      | 9 | streams of one event in chunks of one byte |
+      | 9 | streams of refusals in chunks of one byte |
+
+  # Guards against a heap that grows with the number of events which wait for a caller, whatever their bytes.
+  Scenario: small events for a caller that reads slowly
+    When a stream brings 1000 small events in one turn, and 1000 more in turns of their own, to a caller that takes nothing
+    Then there is one write to the caller, and 2 when it has taken all
--- a/features/steps/callerLimits.steps.ts
+++ b/features/steps/callerLimits.steps.ts
@@ -5,6 +5,7 @@
 import { eventually } from '../support/assertions.js';
 import { CallerCrowd } from '../support/callerCrowd.js';
 import { LimitedEntry } from '../support/limitedEntry.js';
+import { findPieces } from '../support/smallPieces.js';
 import { sendRequest } from '../support/platformCaller.js';
 import { createConfiguration, firstStart } from '../support/platformFleet.js';
 
@@ -41,6 +42,8 @@
 const behave: Behaviour = (request, response, engine) => {
   const { url = '' } = request;
   request.resume();
+  const sendPieces = findPieces(url);
+  if (sendPieces) return sendPieces(request, response, engine);
   if (url.startsWith('/stream/large')) return streamLarge(request, response, engine);
   if (url.startsWith('/stream/')) return streamSmall(request, response, engine);
   if (url.endsWith('/large')) return answerLarge(request, response, engine);
--- a/features/steps/callerMemory.steps.ts
+++ b/features/steps/callerMemory.steps.ts
@@ -1,10 +1,12 @@
 import assert from 'node:assert/strict';
-import { EventEmitter } from 'node:events';
+import { setImmediate as nextTurn } from 'node:timers/promises';
 import { Then, When } from '@cucumber/cucumber';
 import type { DataTable } from '@cucumber/cucumber';
+import { ByteBlocks } from '@laburnumstream/common';
 import { MemoryBudget, ResponseMemory, selectShed } from '@laburnumstream/decisions';
-import { BodyBuffer, CallerMemory, EventDelivery, EventRelay } from '@laburnumstream/forwarding';
+import { CallerMemory } from '@laburnumstream/forwarding';
 import { VirtualClock } from '@laburnumstream/standins';
+import { RelayedStream } from '../support/relayedStream.js';
 
 interface MemoryWorld {
   /** Whether the engine is read, after each amount and after the caller has taken all. */
@@ -16,57 +18,23 @@
 const bytesPerKilobyte = 1_000;
 const budgetBytes = 10_000;
 
-/** A response whose caller takes nothing. */
-class UnreadResponse extends EventEmitter {
-  writableLength = 0;
-
-  writeHead(): void {
-    this.writableLength += 1;
-  }
-
-  write(bytes: Buffer): boolean {
-    this.writableLength += bytes.length;
-    return false;
-  }
-}
-
 When(
   'a stream brings {int} KB, and {int} KB in all, to a caller that takes nothing',
-  function stream(this: MemoryWorld, first: number, all: number) {
-    const response = new UnreadResponse();
-    const memory = new ResponseMemory(100_000_000);
-    const clock = new VirtualClock();
-    const exchange = { response, head: {}, arrivedAt: 0 } as never;
-    const codec = { encodeResponseHeaders: () => [] } as never;
-    const delivery = new EventDelivery(exchange, codec, clock);
-    const relay = new EventRelay(exchange, delivery, clock, () => false, memory);
-    let isRead = true;
-    const call = {
-      pause: () => {
-        isRead = false;
-      },
-      resume: () => {
-        isRead = true;
-      },
-      abort: () => undefined,
-    };
-    const handle = {
-      addStream: () => undefined,
-      removeStream: () => undefined,
-      recordEvent: () => undefined,
-    };
-    const markNothing = (): void => undefined;
-    relay.attach({ handle, call, markPrefilled: markNothing, markEnded: markNothing } as never);
-    relay.onHead(200, { isSigned: true, wasNotRun: false, isEncoded: false } as never, []);
+  async function bring(this: MemoryWorld, first: number, all: number) {
+    const stream = new RelayedStream();
+    const { delivery, relay, response } = stream;
     const event = Buffer.from(`data: ${'x'.repeat(eventBytes)}\n\n`);
-    this.states = [first, all].map((kilobytes) => {
-      while (response.writableLength < kilobytes * bytesPerKilobyte) relay.onData(event);
-      return isRead;
-    });
-    response.writableLength = 0;
-    response.emit('drain');
-    this.states.push(isRead);
-    this.heldBytes = memory.usedBytes;
+    this.states = [];
+    for (const kilobytes of [first, all]) {
+      while (delivery.unreadBytes < kilobytes * bytesPerKilobyte) {
+        relay.onData(event);
+        await nextTurn();
+      }
+      this.states.push(stream.isRead);
+    }
+    response.takeAll();
+    this.states.push(stream.isRead);
+    this.heldBytes = stream.memory.usedBytes;
     relay.abort();
   },
 );
@@ -96,7 +64,7 @@
   (size: number, smallest: number, largest: number, most: number) => {
     const content = Buffer.from(Array.from({ length: size }, (_value, index) => index % 251));
     for (let step = smallest; step <= largest; step = step * 3 + 1) {
-      const body = new BodyBuffer();
+      const body = new ByteBlocks();
       for (let at = 0; at < size; at += step) body.push(content.subarray(at, at + step));
       assert.ok(body.heldBytes <= most, `${body.heldBytes} bytes for chunks of ${step}`);
       assert.equal(body.length, size);
--- a/features/steps/endlessAnswers.steps.ts
+++ b/features/steps/endlessAnswers.steps.ts
@@ -3,7 +3,6 @@
 import { After, Given, Then, When } from '@cucumber/cucumber';
 import { HttpModelEngine, HttpPlainService, HttpWeightOrigin } from '@laburnumstream/clients';
 import { EventSplitter, ResponseMemory } from '@laburnumstream/decisions';
-import type { StreamEvent } from '@laburnumstream/decisions';
 import { Behaviours, PlatformEngine, respondWith } from '@laburnumstream/standins';
 import { eventually } from '../support/assertions.js';
 import { EndlessEndpoint, bodyBeforeMore } from '../support/endlessEndpoint.js';
@@ -149,14 +148,13 @@
   const event = Buffer.from(`id: 7\ndata: ${'x'.repeat(4 * megabyte)}\n\n`);
   [997, 65_536, event.length].forEach((size) => {
     const splitter = new EventSplitter();
-    const found: StreamEvent[] = [];
+    const batches = [];
     for (let at = 0; at < event.length; at += size)
-      found.push(...splitter.push(event.subarray(at, at + size)));
-    assert.deepEqual(
-      found.map(({ id }) => id),
-      [7],
-    );
-    assert.ok(found[0]!.bytes.equals(event));
+      batches.push(splitter.push(event.subarray(at, at + size)));
+    const { bytes, count, lastId } = batches.at(-1)!;
+    assert.deepEqual({ count, lastId }, { count: 1, lastId: 7 });
+    assert.ok(batches.slice(0, -1).every((batch) => batch.count === 0 && batch.bytes.length === 0));
+    assert.ok(bytes.equals(event));
   });
 });
 
--- a/features/steps/forwarding.steps.ts
+++ b/features/steps/forwarding.steps.ts
@@ -15,7 +15,6 @@
   isVersionEligible,
   capacityShare,
 } from '@laburnumstream/decisions';
-import type { StreamEvent } from '@laburnumstream/decisions';
 import type { CallOutcome } from '@laburnumstream/forwarding';
 import { callEndpoint } from '../support/responseReaders.js';
 import { sendScriptedResponse, wholeBody } from '../support/scriptedResponses.js';
@@ -285,26 +284,42 @@
 });
 
 Then('a stream that arrives in pieces of any sizes gives the same events', () => {
-  const event = fc.record({ id: fc.nat(), data: fc.string({ unit: 'grapheme-ascii' }) });
+  const event = fc.record({
+    id: fc.option(fc.nat(), { nil: undefined }),
+    data: fc.string({ unit: 'grapheme-ascii' }),
+    end: fc.constantFrom('\n\n', '\n\r\n'),
+  });
   const property = fc.property(
     fc.array(event, { maxLength: 12 }),
     fc.infiniteStream(fc.integer({ min: 1, max: 9 })),
     (events, sizes) => {
-      const texts = events.map(({ id, data }) => `id: ${id}\ndata: ${JSON.stringify(data)}\n\n`);
+      const texts = events.map(
+        ({ id, data, end }) =>
+          `${id === undefined ? '' : `id: ${id}\n`}data: ${JSON.stringify(data)}${end}`,
+      );
       const bytes = Buffer.from(texts.join(''));
       const splitter = new EventSplitter();
-      const found: StreamEvent[] = [];
+      const kept: Buffer[] = [];
+      let count = 0;
+      let lastId: number | undefined;
       for (let at = 0; at < bytes.length;) {
         const size = sizes.next().value as number;
-        found.push(...splitter.push(bytes.subarray(at, at + size)));
+        const batch = splitter.push(bytes.subarray(at, at + size), lastId);
+        kept.push(batch.bytes);
+        count += batch.count;
+        ({ lastId } = batch);
         at += size;
       }
-      assert.deepEqual(
-        found.map(({ id }) => id),
-        events.map(({ id }) => id),
-      );
-      assert.equal(Buffer.concat(found.map((each) => each.bytes)).toString(), texts.join(''));
-      assert.equal(splitter.partial.length, 0);
+      const highestBefore = (index: number): number =>
+        Math.max(-1, ...events.slice(0, index).map(({ id = -1 }) => id));
+      const newTexts = texts.filter((_, index) => {
+        const { id } = events[index]!;
+        return id === undefined || id > highestBefore(index);
+      });
+      assert.equal(Buffer.concat(kept).toString(), newTexts.join(''));
+      assert.equal(count, events.length);
+      assert.equal(lastId ?? -1, highestBefore(events.length));
+      assert.equal(splitter.partialBytes, 0);
     },
   );
   fc.assert(property, { seed: 3, numRuns: 300 });
--- a/features/support/callerCrowd.ts
+++ b/features/support/callerCrowd.ts
@@ -6,6 +6,18 @@
 import type { LimitedEntry } from './limitedEntry.js';
 import { platformHost } from './platformFleet.js';
 
+/** How the connections of a crowd read. */
+const Reading = {
+  none: 'none',
+  /** A byte per second. */
+  slow: 'slow',
+  /** All that arrives. */
+  full: 'full',
+} as const;
+
+/** One of the values of {@link Reading}. */
+type Reading = (typeof Reading)[keyof typeof Reading];
+
 /** How one connection of a crowd behaves. */
 interface CrowdKind {
   /** The listener that it connects to; that of the callers by default. */
@@ -14,8 +26,8 @@
   readonly bytes: Buffer;
   /** What it sends over and over afterwards, as fast as it is read. */
   readonly repeated?: Buffer;
-  /** Whether it reads a byte per second; it reads nothing otherwise. */
-  readonly readsSlowly?: boolean;
+  /** How it reads; not at all by default. */
+  readonly reading?: Reading;
   /** Whether it resets the connection after that and comes back. */
   readonly comesBack?: boolean;
 }
@@ -53,6 +65,12 @@
   repeated: Buffer.from('1\r\nx\r\n'.repeat(4_096)),
 };
 
+/** Asks for a stream, which is never whole, by the last part of its path. */
+function askForStream(name: string, reading: Reading): CrowdKind {
+  const headers = ['Laburnumstream-Request-Id: stream-1', 'Content-Length: 0'];
+  return { bytes: Buffer.from(buildHead(`/stream/${name}`, ...headers)), reading };
+}
+
 function repeat(text: string, times: number): Buffer {
   return Buffer.from(text.repeat(times));
 }
@@ -70,11 +88,20 @@
   },
   'pipelined requests that are not read': { bytes: repeat(smallRequest, pipelinedRequests) },
   'pipelined large responses left unread': { bytes: repeat(largeRequest, pipelinedLargeRequests) },
-  'large responses read byte by byte': { bytes: Buffer.from(largeRequest), readsSlowly: true },
+  'large responses read byte by byte': { bytes: Buffer.from(largeRequest), reading: Reading.slow },
   'large streams read byte by byte': {
     bytes: Buffer.from(buildHead('/stream/large', 'Content-Length: 0')),
-    readsSlowly: true,
+    reading: Reading.slow,
   },
+  'streams of empty lines that are read': askForStream('empty-lines', Reading.full),
+  'streams of empty lines read byte by byte': askForStream('empty-lines', Reading.slow),
+  'streams of empty lines left unread': askForStream('empty-lines', Reading.none),
+  'streams of comments that are read': askForStream('comments', Reading.full),
+  'streams of small events that are read': askForStream('events', Reading.full),
+  'streams of small events left unread': askForStream('events', Reading.none),
+  'streams of small events in chunks of one byte': askForStream('events-in-chunks', Reading.full),
+  'streams of one event in chunks of one byte': askForStream('one-event-in-chunks', Reading.full),
+  'streams of refusals in chunks of one byte': askForStream('refusal-in-chunks', Reading.full),
   'heads that never end': { bytes: Buffer.from(openHead + 'x'.repeat(openHeadBytes)) },
   'heads with many headers': {
     bytes: repeat(
@@ -118,7 +145,8 @@
   },
 };
 
-function sendRepeatedly(socket: Socket, bytes: Buffer): void {
+/** Sends bytes over and over, as fast as they are read. */
+export function sendRepeatedly(socket: Socket, bytes: Buffer): void {
   const send = (): void => {
     if (!socket.writable) return;
     socket.write(bytes, () => setImmediate(send));
@@ -159,7 +187,7 @@
 
   private open(): void {
     if (this.isClosed) return;
-    const { listener = ListenerName.callers, bytes, repeated, readsSlowly, comesBack } = this.kind;
+    const { listener = ListenerName.callers, bytes, repeated, reading, comesBack } = this.kind;
     const socket = connect(this.entry.port(listener), '127.0.0.1');
     this.sockets.add(socket);
     socket.on('error', () => undefined);
@@ -168,7 +196,8 @@
       if (comesBack) setTimeout(() => this.open(), returnMs);
     });
     socket.pause();
-    if (readsSlowly) this.timers.add(setInterval(() => socket.read(1), secondMs));
+    if (reading === Reading.full) socket.resume();
+    if (reading === Reading.slow) this.timers.add(setInterval(() => socket.read(1), secondMs));
     socket.once('connect', () => {
       socket.write(bytes);
       if (repeated) sendRepeatedly(socket, repeated);
--- a/packages/clients/src/httpClient.ts
+++ b/packages/clients/src/httpClient.ts
@@ -50,7 +50,7 @@
       throw new ResponseTooLarge(`its body has more than ${maxBodyBytes} bytes`);
     collector.push(bytes);
   }
-  return collector.concat();
+  return collector.take();
 }
 
 /** A minimal HTTP client with one connection pool. */
--- a/packages/forwarding/src/callers/bodyBuffer.ts
+++ b/packages/common/src/byteBlocks.ts
@@ -4,10 +4,10 @@
 const maxBlockBytes = 65_536;
 
 /**
- * Collects a body in few blocks. What arrives is copied: a chunk of a few bytes that is kept as it is costs some
+ * Collects bytes in few blocks. What arrives is copied: a piece of a few bytes that is kept as it is costs some
  * hundred bytes, and a slice of a larger buffer keeps all of it in memory.
  */
-export class BodyBuffer {
+export class ByteBlocks {
   private readonly blocks: Buffer[] = [];
 
   /** Unused bytes at the end of the last block. */
@@ -58,7 +58,7 @@
     this.allocated = 0;
   }
 
-  /** Blocks grow with the body, so that many small bodies hold little. */
+  /** Blocks grow with the content, so that many small ones hold little. */
   private addBlock(neededBytes: number): void {
     const bytes = Math.min(maxBlockBytes, Math.max(minBlockBytes, this.size, neededBytes));
     this.blocks.push(Buffer.allocUnsafeSlow(bytes));
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -1,5 +1,6 @@
 /** Platform-neutral types and utilities shared by all packages. */
 export * from './asyncQueue.js';
+export * from './byteBlocks.js';
 export * from './byteCollector.js';
 export * from './chart.js';
 export * from './failures.js';
--- a/packages/decisions/src/forwarding/eventSplitter.ts
+++ b/packages/decisions/src/forwarding/eventSplitter.ts
@@ -1,74 +1,111 @@
 import { ByteCollector } from '@laburnumstream/common';
 
-/** A complete server-sent event, as the bytes that were received. */
-export interface StreamEvent {
-  /** Numeric event id; undefined when there is none. */
-  readonly id: number | undefined;
+/** Complete server-sent events that arrived together. */
+export interface EventBatch {
+  /** All events, without those that the reader already has; empty if there are none. */
   readonly bytes: Buffer;
+  /** Number of events that were completed. */
+  readonly count: number;
+  /** Numeric id of the last event that has one, or the id before it. */
+  readonly lastId: number | undefined;
 }
 
+const noBytes: Buffer = Buffer.alloc(0);
 const lineFeed = 0x0a;
 const carriageReturn = 0x0d;
 const idPattern = /^id: ?(\d+)\s*$/m;
-/** Length of the longest part of a blank line that does not end an event yet, in bytes. */
-const endPartBytes = 2;
+/** Length of the shortest event with an id, in bytes. */
+const minBytesWithId = 'id:0\n\n'.length;
 
-function parseId(bytes: Buffer): number | undefined {
-  const match = idPattern.exec(bytes.toString('latin1'));
-  return match ? Number(match[1]) : undefined;
-}
+/** How much of the blank line that ends an event has been read. */
+const EndProgress = {
+  none: 0,
+  lineFeed: 1,
+  carriageReturn: 2,
+} as const;
 
-/** Offset after the blank line that ends the first event; -1 when the event is incomplete. */
-function findEventEnd(bytes: Buffer, from: number): number {
-  for (let at = bytes.indexOf(lineFeed, from); at >= 0; at = bytes.indexOf(lineFeed, at + 1)) {
-    const next = bytes[at + 1];
-    if (next === lineFeed) return at + 2;
-    if (next === carriageReturn && bytes[at + 2] === lineFeed) return at + 3;
-  }
-  return -1;
+/** One of the values of {@link EndProgress}. */
+type EndProgress = (typeof EndProgress)[keyof typeof EndProgress];
+
+function parseId(bytes: Buffer, start: number, end: number): number | undefined {
+  if (end - start < minBytesWithId) return undefined;
+  const match = idPattern.exec(bytes.toString('latin1', start, end));
+  return match ? Number(match[1]) : undefined;
 }
 
-/** Splits a stream of server-sent events into complete events and buffers an incomplete one. */
+/**
+ * Splits a stream of server-sent events into complete events and buffers an incomplete one. What arrives together is
+ * returned as one batch, so that its cost grows with its bytes and not with the number of events in them.
+ */
 export class EventSplitter {
   private readonly rest = new ByteCollector();
 
-  /** Bytes of the incomplete event. */
-  get partial(): Buffer {
-    return this.rest.concat();
-  }
+  private endProgress: EndProgress = EndProgress.none;
 
   /** Number of bytes of the incomplete event. */
   get partialBytes(): number {
     return this.rest.length;
   }
 
-  /** Appends received bytes and returns the events that they complete. */
-  push(bytes: Buffer): StreamEvent[] {
-    const events: StreamEvent[] = [];
-    let start = 0;
-    let end = this.rest.length === 0 ? findEventEnd(bytes, 0) : this.findPartialEnd(bytes);
-    while (end >= 0) {
-      const event = this.takeEvent(bytes.subarray(start, end));
-      events.push({ id: parseId(event), bytes: event });
-      start = end;
-      end = findEventEnd(bytes, start);
+  /**
+   * Appends received bytes and returns the events that they complete. Events whose ids are not above `lastId`, which the
+   * reader has, are left out: an endpoint that resumes a stream may repeat them.
+   */
+  push(received: Buffer, lastId?: number): EventBatch {
+    const firstEnd = this.findEnd(received, 0);
+    if (firstEnd < 0) {
+      this.rest.push(received);
+      return { bytes: noBytes, count: 0, lastId };
     }
-    if (start < bytes.length) this.rest.push(start === 0 ? bytes : bytes.subarray(start));
-    return events;
+    const bytes = this.takeRest(received);
+    return this.collect(bytes, firstEnd + bytes.length - received.length, lastId);
   }
 
-  /** Offset in `bytes` after the end of the incomplete event; -1 when they do not complete it. */
-  private findPartialEnd(bytes: Buffer): number {
-    const tail = this.rest.tail(endPartBytes);
-    const end = findEventEnd(Buffer.concat([tail, bytes]), 0);
-    return end < 0 ? end : end - tail.length;
+  /** Returns the bytes of the incomplete event with those that follow. */
+  private takeRest(received: Buffer): Buffer {
+    if (this.rest.length === 0) return received;
+    this.rest.push(received);
+    return this.rest.take();
   }
 
-  /** Returns an event that `last` ends, and clears the incomplete event. */
-  private takeEvent(last: Buffer): Buffer {
-    if (this.rest.length === 0) return last;
-    const event = Buffer.concat([this.rest.concat(), last]);
-    this.rest.clear();
-    return event;
+  /** Collects the events in `bytes`, the first of which ends at `firstEnd`, and keeps the incomplete one after them. */
+  private collect(bytes: Buffer, firstEnd: number, lastId: number | undefined): EventBatch {
+    const kept = new ByteCollector();
+    let last = lastId;
+    let count = 0;
+    let start = 0;
+    /** Start of the events that are kept and not collected yet. */
+    let keptFrom = 0;
+    for (let end = firstEnd; end >= 0; end = this.findEnd(bytes, start)) {
+      const id = parseId(bytes, start, end);
+      if (id !== undefined && last !== undefined && id <= last) {
+        if (keptFrom < start) kept.push(bytes.subarray(keptFrom, start));
+        keptFrom = end;
+      } else last = id ?? last;
+      count += 1;
+      start = end;
+    }
+    if (keptFrom < start) kept.push(bytes.subarray(keptFrom, start));
+    if (start < bytes.length) this.rest.push(bytes.subarray(start));
+    return { bytes: kept.take(), count, lastId: last };
+  }
+
+  /** Offset after the blank line that ends the event which is read; -1 when it is incomplete. */
+  private findEnd(bytes: Buffer, from: number): number {
+    let progress = this.endProgress;
+    for (let at = from; at < bytes.length; at += 1) {
+      const byte = bytes[at];
+      if (byte === lineFeed) {
+        if (progress !== EndProgress.none) {
+          this.endProgress = EndProgress.none;
+          return at + 1;
+        }
+        progress = EndProgress.lineFeed;
+      } else if (byte === carriageReturn && progress === EndProgress.lineFeed)
+        progress = EndProgress.carriageReturn;
+      else progress = EndProgress.none;
+    }
+    this.endProgress = progress;
+    return -1;
   }
 }
--- a/packages/forwarding/src/attempts/eventDelivery.ts
+++ b/packages/forwarding/src/attempts/eventDelivery.ts
@@ -1,9 +1,14 @@
+import { ByteCollector } from '@laburnumstream/common';
 import type { Clock } from '@laburnumstream/common';
-import type { StreamEvent } from '@laburnumstream/decisions';
+import type { EventBatch } from '@laburnumstream/decisions';
 import type { Exchange } from '../callers/exchange.js';
 import type { HeaderCodec } from '../callers/headerCodec.js';
 
-/** Delivers one stream to its caller, across all attempts. */
+/**
+ * Delivers one stream to its caller, across all attempts. There is one write at a time, and events that arrive during it
+ * are written together after it: a write costs some hundred bytes of the heap until it is done. The response hands a write
+ * to the operating system at the end of the turn of the event loop, so that a turn has two writes at most.
+ */
 export class EventDelivery {
   private hasWrittenHead = false;
 
@@ -11,6 +16,14 @@
 
   private lastSentAt: number | undefined;
 
+  /** Events that wait for the end of the write. */
+  private readonly pending = new ByteCollector();
+
+  /** Whether the last write has not been handed to the operating system. */
+  private isWriting = false;
+
+  private onDrained: (() => void) | undefined;
+
   /** Time until the first event, in milliseconds; undefined before it. */
   firstEventMs: number | undefined;
 
@@ -34,30 +47,56 @@
     return this.lastId;
   }
 
-  /** Bytes that have been written and not been handed to the operating system, as the caller reads slowly. */
+  /** Bytes that have been sent and not been handed to the operating system, as the caller reads slowly. */
   get unreadBytes(): number {
-    return this.exchange.response.writableLength;
+    return this.pending.heldBytes + this.exchange.response.writableLength;
   }
 
-  /** Writes complete events, after the head of the first attempt; returns false on backpressure. */
-  send(status: number, rawHeaders: readonly string[], events: readonly StreamEvent[]): boolean {
-    const { response } = this.exchange;
+  /**
+   * Sends complete events, after the head of the first attempt. Returns false while the caller does not take them;
+   * `onDrained` is then called once when it has taken all.
+   */
+  send(
+    status: number,
+    rawHeaders: readonly string[],
+    { bytes, lastId }: EventBatch,
+    onDrained: () => void,
+  ): boolean {
     this.writeHead(status, rawHeaders);
     this.recordGap();
-    let isWritable = true;
-    events.forEach(({ id, bytes }) => {
-      // An endpoint that resumes a stream may repeat events that the caller already has.
-      if (id !== undefined && this.lastId !== undefined && id <= this.lastId) return;
-      this.lastId = id ?? this.lastId;
-      isWritable = response.write(bytes);
-    });
-    return isWritable;
+    this.lastId = lastId;
+    if (bytes.length === 0) return true;
+    if (this.isWriting) this.pending.push(bytes);
+    else if (this.write(bytes)) return true;
+    this.onDrained = onDrained;
+    return false;
   }
 
   /** Ends the response after the last event. */
   finish(status: number, rawHeaders: readonly string[]): void {
     this.writeHead(status, rawHeaders);
-    this.exchange.response.end();
+    const { response } = this.exchange;
+    if (this.pending.length > 0) response.write(this.pending.take());
+    response.end();
+  }
+
+  /** Returns false on backpressure. */
+  private write(bytes: Buffer): boolean {
+    this.isWriting = true;
+    return this.exchange.response.write(bytes, (error) => this.handleWritten(error));
+  }
+
+  private handleWritten(error: Error | null | undefined): void {
+    // The caller has left, and the request is aborted.
+    if (error) return;
+    this.isWriting = false;
+    if (this.pending.length > 0) {
+      this.write(this.pending.take());
+      return;
+    }
+    const { onDrained } = this;
+    this.onDrained = undefined;
+    onDrained?.();
   }
 
   private recordGap(): void {
--- a/packages/forwarding/src/attempts/eventRelay.ts
+++ b/packages/forwarding/src/attempts/eventRelay.ts
@@ -1,13 +1,12 @@
 import { ByteCollector, ResponseTooLarge } from '@laburnumstream/common';
 import type { Clock } from '@laburnumstream/common';
 import { ResponseAction, EventSplitter, classifyResponse } from '@laburnumstream/decisions';
-import type { ResponseMemory, StreamEvent } from '@laburnumstream/decisions';
+import type { EventBatch, ResponseMemory } from '@laburnumstream/decisions';
 import type { Attempt } from './attempt.js';
 import { CallFault, Framing, isSuccess } from '../endpoints/endpointCall.js';
 import type { CallObserver } from '../endpoints/endpointCall.js';
 import type { MovableStream } from '../endpoints/endpointHandle.js';
 import type { EventDelivery } from './eventDelivery.js';
-import type { Exchange } from '../callers/exchange.js';
 import type { ResponseHead } from '../callers/heads.js';
 import { maxEventBytes, maxUnreadBytes } from '../endpoints/responseBounds.js';
 import { ResponseHold } from './responseHold.js';
@@ -63,16 +62,15 @@
 
   private timer: NodeJS.Timeout | undefined;
 
+  /** Time of `timer`, in milliseconds. */
+  private timerMs = 0;
+
   /** Bytes that the caller has not taken and that are counted in `hold`. */
   private unreadBytes = 0;
 
-  /** Whether the caller has not taken all that was written. */
-  private isDraining = false;
-
   private isDetached = false;
 
   constructor(
-    private readonly exchange: Exchange,
     private readonly delivery: EventDelivery,
     private readonly clock: Clock,
     /** Whether the stream could be resumed elsewhere; otherwise its timeouts are not enforced. */
@@ -111,20 +109,21 @@
       this.body.push(bytes);
       return;
     }
-    const events = this.splitter.push(bytes);
-    if (events.length > 0) this.deliver(events);
+    const batch = this.splitter.push(bytes, this.delivery.lastEventId);
+    if (batch.count > 0) this.deliver(batch);
     const { partialBytes } = this.splitter;
     if (partialBytes > maxEventBytes)
       throw new ResponseTooLarge(`${partialBytes} bytes of an incomplete event`);
     this.hold.resize(partialBytes + this.unreadBytes);
   }
 
-  private deliver(events: readonly StreamEvent[]): void {
+  private deliver(batch: EventBatch): void {
     this.hasEvents = true;
     this.startTimer(eventTimeoutMs);
     this.attempt?.markPrefilled();
     this.attempt?.handle.recordEvent(this.clock.now());
-    if (!this.delivery.send(this.status, this.rawHeaders, events)) this.keepUnread();
+    const { status, rawHeaders, handleDrain } = this;
+    if (!this.delivery.send(status, rawHeaders, batch, handleDrain)) this.keepUnread();
   }
 
   /** Keeps what a slow caller has not taken, and lets the endpoint wait only if it is too much. */
@@ -133,17 +132,13 @@
     const isKept = unreadBytes <= maxUnreadBytes && this.hold.tryResize(unreadBytes);
     if (isKept) this.unreadBytes = unreadBytes;
     else this.attempt?.call.pause();
-    if (this.isDraining) return;
-    this.isDraining = true;
-    this.exchange.response.once('drain', () => this.handleDrain());
   }
 
-  private handleDrain(): void {
-    this.isDraining = false;
+  private readonly handleDrain = (): void => {
     this.unreadBytes = 0;
     if (!this.isDetached) this.hold.tryResize(this.splitter.partialBytes);
     this.attempt?.call.resume();
-  }
+  };
 
   onEnd(): void {
     this.detach();
@@ -159,7 +154,7 @@
       return;
     }
     const { status, rawHeaders } = this;
-    const body = this.body.concat();
+    const body = this.body.take();
     this.settle({ kind: 'response', status, head: this.head!, rawHeaders, body });
   }
 
@@ -195,7 +190,12 @@
   }
 
   private startTimer(ms: number): void {
+    if (this.timer && this.timerMs === ms) {
+      this.timer.refresh();
+      return;
+    }
     clearTimeout(this.timer);
+    this.timerMs = ms;
     this.timer = setTimeout(() => {
       if (!this.couldResume()) {
         this.startTimer(ms);
--- a/packages/forwarding/src/attempts/responseCollector.ts
+++ b/packages/forwarding/src/attempts/responseCollector.ts
@@ -47,7 +47,7 @@
   }
 
   onEnd(): void {
-    const response = { ...this.start!, body: this.body.concat() };
+    const response = { ...this.start!, body: this.body.take() };
     this.settle({ kind: 'response', response });
   }
 
--- a/packages/forwarding/src/attempts/streamSession.ts
+++ b/packages/forwarding/src/attempts/streamSession.ts
@@ -86,10 +86,10 @@
   }
 
   private start(placement: Placement<EndpointHandle>): RunningAttempt {
-    const { exchange, delivery, attempts } = this;
+    const { delivery, attempts } = this;
     const couldResume = (): boolean => attempts.couldRetry(placement.target);
     const { clock, memory } = this.services;
-    const relay = new EventRelay(exchange, delivery, clock, couldResume, memory);
+    const relay = new EventRelay(delivery, clock, couldResume, memory);
     const attempt = attempts.send(placement, relay, delivery.lastEventId);
     relay.attach(attempt);
     return { attempt, relay, outcome: this.waitForOutcome(attempt, relay) };
--- a/packages/forwarding/src/callers/requestBody.ts
+++ b/packages/forwarding/src/callers/requestBody.ts
@@ -1,6 +1,5 @@
 import type { IncomingMessage } from 'node:http';
-import { Execution, Failure, Timeout, TooLarge } from '@laburnumstream/common';
-import { BodyBuffer } from './bodyBuffer.js';
+import { ByteBlocks, Execution, Failure, Timeout, TooLarge } from '@laburnumstream/common';
 
 /** Limits of one request's body. */
 export interface BodyLimits {
@@ -33,7 +32,7 @@
   signal: AbortSignal,
   onHeld: (bytes: number) => void = () => undefined,
 ): Promise<Buffer> {
-  const body = new BodyBuffer();
+  const body = new ByteBlocks();
   let parts = 0;
   let hasEnded = false;
   return new Promise((resolve, reject) => {
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -3,7 +3,6 @@
 export * from './attempts/eventDelivery.js';
 export * from './attempts/eventRelay.js';
 export * from './attempts/responseCollector.js';
-export * from './callers/bodyBuffer.js';
 export * from './callers/callerBounds.js';
 export * from './callers/callerMemory.js';
 export * from './callers/requestBody.js';
