--- a/features/smallPieces.feature
+++ b/features/smallPieces.feature
@@ -21,6 +21,19 @@
       | 9 | streams of one event in chunks of one byte |
       | 9 | streams of refusals in chunks of one byte |
 
+  # Guards against an agent that runs out of memory because it keeps each chunk of a body as a buffer of its own.
+  Scenario Outline: body in chunks of one byte
+    When a process with 100 MB of heap reads such a body without end as <reader>
+    Then the process has given up
+
+    Examples:
+      | reader                       |
+      | the client of plain services |
+      | the client of weights        |
+      | the client of an engine      |
+      | the client of the origin     |
+      | the client of other agents   |
+
   # Guards against a heap that grows with the number of events which wait for a caller, whatever their bytes.
   Scenario: small events for a caller that reads slowly
     When a stream brings 1000 small events in one turn, and 1000 more in turns of their own, to a caller that takes nothing
--- a/features/steps/smallPieces.steps.ts
+++ b/features/steps/smallPieces.steps.ts
@@ -1,6 +1,10 @@
 import assert from 'node:assert/strict';
+import { execFile } from 'node:child_process';
 import { setImmediate as nextTurn } from 'node:timers/promises';
-import { Then, When } from '@cucumber/cucumber';
+import { fileURLToPath } from 'node:url';
+import { promisify } from 'node:util';
+import { After, Then, When } from '@cucumber/cucumber';
+import { EndlessEndpoint } from '../support/endlessEndpoint.js';
 import { RelayedStream } from '../support/relayedStream.js';
 
 interface RelayedWorld {
@@ -9,8 +13,42 @@
   writes: number[];
 }
 
+interface ReaderWorld {
+  endlessBody: EndlessEndpoint;
+  /** What the process has printed, or how it has ended. */
+  readerOutcome: string;
+}
+
+/** Timeout of a process that reads one response, in milliseconds. */
+const readerTimeoutMs = 30_000;
+const readerProgram = fileURLToPath(new URL('../support/readerProgram.js', import.meta.url));
+const execute = promisify(execFile);
 const smallEvent = Buffer.from('data:a\n\n');
 
+After(function close(this: Partial<ReaderWorld>) {
+  this.endlessBody?.close();
+});
+
+When(
+  /^a process with (\d+) MB of heap reads such a body without end as (.+)$/,
+  { timeout: readerTimeoutMs * 2 },
+  async function read(this: ReaderWorld, megabytes: string, reader: string) {
+    this.endlessBody = await EndlessEndpoint.start('a body in chunks of one byte');
+    const { address } = this.endlessBody;
+    const args = [`--max-old-space-size=${megabytes}`, readerProgram, reader, address];
+    const { stdout } = await execute(process.execPath, args, { timeout: readerTimeoutMs }).catch(
+      ({ signal, code }: { signal: string | null; code: number | null }) => ({
+        stdout: `ended by itself: ${signal ?? code}`,
+      }),
+    );
+    this.readerOutcome = stdout;
+  },
+);
+
+Then('the process has given up', function givenUp(this: ReaderWorld) {
+  assert.match(this.readerOutcome, /too large|timeout|aborted/i);
+});
+
 When(
   'a stream brings {int} small events in one turn, and {int} more in turns of their own, to a caller that takes nothing',
   async function bring(this: RelayedWorld, together: number, apart: number) {
--- a/features/support/endlessEndpoint.ts
+++ b/features/support/endlessEndpoint.ts
@@ -23,6 +23,7 @@
 const hugeLength = 'Content-Length: 1000000000000\r\n\r\n';
 const event = 'Content-Type: text/event-stream\r\n';
 const firstEvents = 'id: 1\ndata: token 1\n\nid: 2\ndata: token 2\n\n';
+const smallChunk = '1\r\nx\r\n';
 const chunk = `400\r\n${'x'.repeat(1024)}\r\n`;
 
 /** What follows the head `HTTP/1.1 200 OK` with the request's id and the endpoint's signature. */
@@ -32,6 +33,7 @@
   'many headers': { start: '', repeated: 'X-Many: 1\r\n' },
   'a body with a length': { start: hugeLength, repeated: 'x' },
   'a body in chunks': { start: chunked, repeated: chunk },
+  'a body in chunks of one byte': { start: chunked, repeated: smallChunk },
   'a body until close': { start: '\r\n', repeated: 'x' },
   'the size of a chunk': { start: chunked, repeated: '0' },
   'an extension of a chunk': { start: `${chunked}5;`, repeated: 'x' },
--- a/packages/clients/src/httpClient.ts
+++ b/packages/clients/src/httpClient.ts
@@ -2,14 +2,12 @@
 import type { Dispatcher } from 'undici';
 import {
   Aborted,
-  ByteCollector,
   ConnectionReset,
-  ResponseTooLarge,
   StoreUnavailable,
   createTimeoutSignal,
 } from '@laburnumstream/common';
 import type { Failure } from '@laburnumstream/common';
-import { createConnector, createInterimLimit } from '@laburnumstream/runtime';
+import { createConnector, createInterimLimit, readResponseBody } from '@laburnumstream/runtime';
 
 /** Maximum size of a response's body that is read as a whole, in bytes. */
 const maxBodyBytes = 33_554_432;
@@ -42,17 +40,6 @@
   return error instanceof ConnectionReset || (error as { code?: string }).code === socketClosedCode;
 }
 
-/** Reads a body as a whole; throws `ResponseTooLarge`, which closes the connection. */
-async function readBody(body: AsyncIterable<Buffer>): Promise<Buffer> {
-  const collector = new ByteCollector();
-  for await (const bytes of body) {
-    if (collector.length + bytes.length > maxBodyBytes)
-      throw new ResponseTooLarge(`its body has more than ${maxBodyBytes} bytes`);
-    collector.push(bytes);
-  }
-  return collector.take();
-}
-
 /** A minimal HTTP client with one connection pool. */
 export class HttpClient {
   private readonly pool: Pool;
@@ -86,7 +73,7 @@
         signal,
         onInfo: createInterimLimit(),
       });
-      return { status: statusCode, body: await readBody(body as AsyncIterable<Buffer>) };
+      return { status: statusCode, body: await readResponseBody(body, maxBodyBytes) };
     } catch (error) {
       if (request.signal?.aborted) throw new Aborted();
       throw this.createFailure(`${request.method} ${request.path} failed: ${String(error)}`, error);
--- a/packages/forwarding/src/feed/transfer.ts
+++ b/packages/forwarding/src/feed/transfer.ts
@@ -1,4 +1,4 @@
-import { TransferFailed } from '@laburnumstream/common';
+import { ByteCollector, TransferFailed } from '@laburnumstream/common';
 import { ProgressTimeout } from '@laburnumstream/runtime';
 import type { ProgressLimits } from '@laburnumstream/runtime';
 import type { Dispatcher } from 'undici';
@@ -31,23 +31,21 @@
 ): Promise<TransferredResponse> {
   const startedAt = performance.now();
   const timeout = new ProgressTimeout(limits, signal);
-  const parts: Buffer[] = [];
-  let size = 0;
+  const collector = new ByteCollector();
   try {
     const response = await client.request({ ...options, signal: timeout.signal });
     timeout.recordProgress();
     for await (const part of response.body as AsyncIterable<Buffer>) {
       timeout.recordProgress();
       if (response.statusCode === successStatus) onProgress();
-      parts.push(part);
-      size += part.length;
-      if (size > limits.maxBytes)
+      collector.push(part);
+      if (collector.length > limits.maxBytes)
         throw new TransferFailed(`The response is larger than ${limits.maxBytes} bytes.`);
     }
     const { statusCode, headers } = response;
-    return { status: statusCode, headers, body: Buffer.concat(parts) };
+    return { status: statusCode, headers, body: collector.take() };
   } catch (error) {
-    const progress = `${size} bytes in ${Math.round(performance.now() - startedAt)} ms`;
+    const progress = `${collector.length} bytes in ${Math.round(performance.now() - startedAt)} ms`;
     const call = `${options.method} ${options.path}`;
     throw new TransferFailed(`${call} failed after ${progress}: ${String(error)}`, error);
   } finally {
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -17,6 +17,7 @@
 export * from './processAbort.js';
 export * from './progressTimeout.js';
 export * from './resetAwareSocket.js';
+export * from './responseBody.js';
 export * from './settings.js';
 export * from './shutdown.js';
 export * from './systemClock.js';
--- a/packages/sidecar/src/peerClient.ts
+++ b/packages/sidecar/src/peerClient.ts
@@ -1,11 +1,5 @@
-import {
-  InvalidInput,
-  NotFound,
-  ResponseTooLarge,
-  Unavailable,
-  createTimeoutSignal,
-} from '@laburnumstream/common';
-import { createConnector, createInterimLimit } from '@laburnumstream/runtime';
+import { InvalidInput, NotFound, Unavailable, createTimeoutSignal } from '@laburnumstream/common';
+import { createConnector, createInterimLimit, readResponseBody } from '@laburnumstream/runtime';
 import { Pool } from 'undici';
 import type { PieceManifest } from './localEngine.js';
 import { PieceStatus } from './pieceServer.js';
@@ -17,8 +11,6 @@
 const manifestTimeoutMs = 1_000;
 /** Maximum size of a response's body, in bytes: the largest is a manifest, or a piece. */
 const maxBodyBytes = 8_388_608;
-/** Error code of undici for a body that exceeds its bound. */
-const bodyOverflowCode = 'UND_ERR_RES_EXCEEDED_MAX_SIZE';
 /** Delay before a busy agent is asked again, in milliseconds. */
 const busyRetryMs = 30;
 
@@ -50,11 +42,6 @@
   }
 }
 
-function toReadFailure(error: unknown): unknown {
-  if ((error as { code?: string }).code !== bodyOverflowCode) return error;
-  return new ResponseTooLarge(`its body has more than ${maxBodyBytes} bytes`, error);
-}
-
 /** HTTP client for the pieces and manifests of other agents. */
 export class PeerClient {
   private readonly pools = new Map<string, Pool>();
@@ -90,10 +77,8 @@
   private async read(host: string, path: string, signal: AbortSignal): Promise<Uint8Array> {
     const options = { method: 'GET', path, signal, onInfo: createInterimLimit() } as const;
     const { statusCode, body } = await this.getPool(host).request(options);
-    const bytes = await body.arrayBuffer().catch((error: unknown) => {
-      throw toReadFailure(error);
-    });
-    if (statusCode === PieceStatus.ok) return new Uint8Array(bytes);
+    const bytes = await readResponseBody(body, maxBodyBytes);
+    if (statusCode === PieceStatus.ok) return bytes;
     if (statusCode === PieceStatus.notHeld) throw new NotFound(`${host} does not hold ${path}.`);
     throw new Unavailable(`${host} responded with status ${statusCode}.`, busyRetryMs);
   }
@@ -104,7 +89,6 @@
       pool = new Pool(`http://${host}:${this.port}`, {
         connections: maxConnections,
         connect: createConnector(connectTimeoutMs),
-        maxResponseSize: maxBodyBytes,
       });
       this.pools.set(host, pool);
     }
