Stand-in engine: an answer to a request without an id names none

Its answers to requests without an id named the id "undefined", so an entry took each for another request's and answered 502. The crowds of callerLimits that send no id never had a whole answer or a stream, and their checks held for that reason. Found as the crowds of small pieces brought no stream.

A row for answers in chunks of one byte.

--- a/features/smallPieces.feature
+++ b/features/smallPieces.feature
@@ -10,16 +10,17 @@
     And an ordinary request is answered
 
     Examples:
-      | connections | callers |
-      | 9 | streams of empty lines that are read |
-      | 9 | streams of empty lines read byte by byte |
-      | 9 | streams of empty lines left unread |
-      | 9 | streams of comments that are read |
-      | 9 | streams of small events that are read |
-      | 9 | streams of small events left unread |
-      | 9 | streams of small events in chunks of one byte |
-      | 9 | streams of one event in chunks of one byte |
-      | 9 | streams of refusals in chunks of one byte |
+      | connections | callers                                       |
+      | 9           | streams of empty lines that are read          |
+      | 9           | streams of empty lines read byte by byte      |
+      | 9           | streams of empty lines left unread            |
+      | 9           | streams of comments that are read             |
+      | 9           | streams of small events that are read         |
+      | 9           | streams of small events left unread           |
+      | 9           | streams of small events in chunks of one byte |
+      | 9           | streams of one event in chunks of one byte    |
+      | 9           | streams of refusals in chunks of one byte     |
+      | 9           | answers in chunks of one byte                 |
 
   # Guards against an agent that runs out of memory because it keeps each chunk of a body as a buffer of its own.
   Scenario Outline: body in chunks of one byte
--- a/features/steps/callerLimits.steps.ts
+++ b/features/steps/callerLimits.steps.ts
@@ -1,6 +1,12 @@
 import assert from 'node:assert/strict';
 import { After, Given, Then, When } from '@cucumber/cucumber';
-import { PlatformEngine, PlatformStore, respondWith, streamEvents } from '@laburnumstream/standins';
+import {
+  PlatformEngine,
+  PlatformStore,
+  buildHeaders,
+  respondWith,
+  streamEvents,
+} from '@laburnumstream/standins';
 import type { Behaviour } from '@laburnumstream/standins';
 import { eventually } from '../support/assertions.js';
 import { CallerCrowd } from '../support/callerCrowd.js';
@@ -30,8 +36,7 @@
 
 const streamLarge: Behaviour = (request, response, engine) => {
   response.writeHead(200, {
-    'laburnumstream-request-id': String(request.headers['laburnumstream-request-id']),
-    'laburnumstream-server-seal': `seal.${engine.id}`,
+    ...buildHeaders(request, engine),
     'content-type': 'text/event-stream',
   });
   for (let id = 1; id <= largeEvents; id += 1) response.write(`id: ${id}\n${largeEvent}`);
--- a/features/support/callerCrowd.ts
+++ b/features/support/callerCrowd.ts
@@ -65,10 +65,10 @@
   repeated: Buffer.from('1\r\nx\r\n'.repeat(4_096)),
 };
 
-/** Asks for a stream, which is never whole, by the last part of its path. */
-function askForStream(name: string, reading: Reading): CrowdKind {
-  const headers = ['Laburnumstream-Request-Id: stream-1', 'Content-Length: 0'];
-  return { bytes: Buffer.from(buildHead(`/stream/${name}`, ...headers)), reading };
+/** Asks for a response that is never whole, by the last part of its path. */
+function askForPieces(name: string, reading: Reading, route = 'stream'): CrowdKind {
+  const headers = ['Laburnumstream-Request-Id: pieces-1', 'Content-Length: 0'];
+  return { bytes: Buffer.from(buildHead(`/${route}/${name}`, ...headers)), reading };
 }
 
 function repeat(text: string, times: number): Buffer {
@@ -93,15 +93,16 @@
     bytes: Buffer.from(buildHead('/stream/large', 'Content-Length: 0')),
     reading: Reading.slow,
   },
-  'streams of empty lines that are read': askForStream('empty-lines', Reading.full),
-  'streams of empty lines read byte by byte': askForStream('empty-lines', Reading.slow),
-  'streams of empty lines left unread': askForStream('empty-lines', Reading.none),
-  'streams of comments that are read': askForStream('comments', Reading.full),
-  'streams of small events that are read': askForStream('events', Reading.full),
-  'streams of small events left unread': askForStream('events', Reading.none),
-  'streams of small events in chunks of one byte': askForStream('events-in-chunks', Reading.full),
-  'streams of one event in chunks of one byte': askForStream('one-event-in-chunks', Reading.full),
-  'streams of refusals in chunks of one byte': askForStream('refusal-in-chunks', Reading.full),
+  'streams of empty lines that are read': askForPieces('empty-lines', Reading.full),
+  'streams of empty lines read byte by byte': askForPieces('empty-lines', Reading.slow),
+  'streams of empty lines left unread': askForPieces('empty-lines', Reading.none),
+  'streams of comments that are read': askForPieces('comments', Reading.full),
+  'streams of small events that are read': askForPieces('events', Reading.full),
+  'streams of small events left unread': askForPieces('events', Reading.none),
+  'streams of small events in chunks of one byte': askForPieces('events-in-chunks', Reading.full),
+  'streams of one event in chunks of one byte': askForPieces('one-event-in-chunks', Reading.full),
+  'streams of refusals in chunks of one byte': askForPieces('refusal-in-chunks', Reading.full),
+  'answers in chunks of one byte': askForPieces('one-event-in-chunks', Reading.full, 'unsafe'),
   'heads that never end': { bytes: Buffer.from(openHead + 'x'.repeat(openHeadBytes)) },
   'heads with many headers': {
     bytes: repeat(
--- a/packages/standins/src/platformEngine.ts
+++ b/packages/standins/src/platformEngine.ts
@@ -18,9 +18,10 @@
   request: IncomingMessage,
   engine: Pick<PlatformEngine, 'id'> & Partial<Pick<PlatformEngine, 'addedHeaders'>>,
 ): Record<string, string> {
+  const requestId = request.headers['laburnumstream-request-id'];
   return {
     ...engine.addedHeaders,
-    'laburnumstream-request-id': String(request.headers['laburnumstream-request-id']),
+    ...(requestId === undefined ? {} : { 'laburnumstream-request-id': String(requestId) }),
     'laburnumstream-server-seal': `seal.${engine.id}`,
   };
 }
