--- a/features/support/unreadResponse.ts
+++ b/features/support/unreadResponse.ts
@@ -1,7 +1,5 @@
 /** A response whose caller takes nothing until it is told to. */
 export class UnreadResponse {
-  readonly writableHighWaterMark = 16_384;
-
   writableLength = 0;
 
   writes = 0;
--- a/packages/forwarding/src/endpoints/endpointCall.ts
+++ b/packages/forwarding/src/endpoints/endpointCall.ts
@@ -124,6 +124,9 @@
   /** Whether the observer wants no more of the response for now. */
   private isPaused = false;
 
+  /** Whether the rest of what was read waits for the next turn of the event loop. */
+  private isYielding = false;
+
   constructor(
     private readonly pool: ConnectionPool,
     private readonly request: CallRequest,
@@ -198,8 +201,9 @@
   }
 
   resume(): void {
+    if (!this.isPaused) return;
     this.isPaused = false;
-    this.controller?.resume();
+    if (!this.isYielding) this.controller?.resume();
   }
 
   onRequestStart(controller: Dispatcher.DispatchController): void {
@@ -272,8 +276,10 @@
 
   /** Leaves the rest of what was read for the next turn of the event loop. */
   private yieldTurn(): void {
+    this.isYielding = true;
     this.controller?.pause();
     setImmediate(() => {
+      this.isYielding = false;
       if (!this.isPaused) this.controller?.resume();
     });
   }
