Sound streams cost what they did: no tick and no closure for each event

The relay scheduled a tick to record an event once a turn, and the delivery made a closure for each write.

Change: an event within 1 ms of the last recorded one is not recorded, and the callback of the writes is one function.

--- a/packages/forwarding/src/attempts/eventDelivery.ts
+++ b/packages/forwarding/src/attempts/eventDelivery.ts
@@ -87,10 +87,10 @@
   /** Returns false on backpressure. */
   private write(bytes: Buffer): boolean {
     this.isWriting = true;
-    return this.exchange.response.write(bytes, (error) => this.handleWritten(error));
+    return this.exchange.response.write(bytes, this.handleWritten);
   }
 
-  private handleWritten(error: Error | null | undefined): void {
+  private readonly handleWritten = (error: Error | null | undefined): void => {
     // The caller has left, and the request is aborted.
     if (error) return;
     this.isWriting = false;
@@ -101,7 +101,7 @@
     const { onDrained } = this;
     this.onDrained = undefined;
     onDrained?.();
-  }
+  };
 
   private writeHead(status: number, rawHeaders: readonly string[]): void {
     if (this.hasWrittenHead) return;
--- a/packages/forwarding/src/attempts/eventRelay.ts
+++ b/packages/forwarding/src/attempts/eventRelay.ts
@@ -27,6 +27,8 @@
 
 /** Timeout for the first event of an attempt, in milliseconds. */
 const firstEventTimeoutMs = 900;
+/** Time after an event in which further ones are not recorded, in milliseconds: they would change nothing. */
+const minRecordIntervalMs = 1;
 /** Timeout between two events of an attempt, in milliseconds. */
 const eventTimeoutMs = 700;
 
@@ -68,8 +70,8 @@
   /** Bytes that the caller has not taken and that are counted in `hold`. */
   private unreadBytes = 0;
 
-  /** Whether an event has been recorded in this turn of the event loop. */
-  private hasRecordedEvent = false;
+  /** Monotonic time at which an event was recorded last, in milliseconds. */
+  private recordedAt = -Infinity;
 
   private isDetached = false;
 
@@ -121,18 +123,14 @@
   }
 
   private deliver(batch: EventBatch): void {
-    if (!this.hasRecordedEvent) this.recordEvent();
+    const now = this.clock.now();
+    if (now - this.recordedAt >= minRecordIntervalMs) this.recordEvent(now);
     const { status, rawHeaders, handleDrain } = this;
     if (!this.delivery.send(status, rawHeaders, batch, handleDrain)) this.keepUnread();
   }
 
-  /** Records the first event of a turn of the event loop; more of them in the same turn change nothing. */
-  private recordEvent(): void {
-    this.hasRecordedEvent = true;
-    process.nextTick(() => {
-      this.hasRecordedEvent = false;
-    });
-    const now = this.clock.now();
+  private recordEvent(now: number): void {
+    this.recordedAt = now;
     this.hasEvents = true;
     this.startTimer(eventTimeoutMs);
     this.attempt?.markPrefilled();
