--- a/bench/src/platformProgram.ts
+++ b/bench/src/platformProgram.ts
@@ -23,6 +23,8 @@
   readonly log?: number;
   /** Port of the metrics endpoint; a free one by default. */
   readonly metricsPort?: number;
+  /** Flags of Node.js; none by default. */
+  readonly flags?: readonly string[];
 }
 
 /** Entries of the platform's settings file by key. */
@@ -92,9 +94,9 @@
 
   /** Starts the program. `output` is a file descriptor, `pipe` (never read) or `ignore`. */
   async start(output: IOType | number = this.options.log ?? 'ignore'): Promise<void> {
-    const { main, directory = programDirectory } = this.options;
+    const { main, directory = programDirectory, flags = [] } = this.options;
     this.metricsPort = this.options.metricsPort ?? (await freePorts(1))[0]!;
-    const args = [join(directory, main), '--metrics-port', String(this.metricsPort)];
+    const args = [...flags, join(directory, main), '--metrics-port', String(this.metricsPort)];
     const child = spawn(process.execPath, args, {
       env: { PATH: process.env.PATH, LABURNUMSTREAM_CONFIG: this.file },
       stdio: ['ignore', output, 'pipe'],
--- a/features/support/agentProgram.ts
+++ b/features/support/agentProgram.ts
@@ -65,22 +65,34 @@
   });
 }
 
+/** What an agent is started with. */
+export interface AgentOptions {
+  /** Its engine; by default one that serves version 1. */
+  readonly engine?: Server;
+  /** Flags of Node.js. */
+  readonly flags?: readonly string[];
+}
+
 /** An agent in its own process beside an engine, with an origin and an entry that names version 1. */
 export class AgentProgram {
-  readonly program = new PlatformProgram({ main: PlatformMain.agent });
+  readonly program: PlatformProgram;
 
   private readonly abort = new AbortController();
 
   private constructor(
     private readonly firstPort: number,
     private readonly servers: readonly Server[],
-  ) {}
+    flags: readonly string[],
+  ) {
+    this.program = new PlatformProgram({ main: PlatformMain.agent, flags });
+  }
 
-  static async start(): Promise<AgentProgram> {
-    const [engine, origin] = await Promise.all([serveEngine(), serveOrigin()]);
+  static async start(options: AgentOptions = {}): Promise<AgentProgram> {
+    const engine = options.engine ?? (await serveEngine());
+    const origin = await serveOrigin();
     const lines = await makeEntrySettings(getAddress(engine));
     const firstPort = Number(lines.PortRange!.split(',')[0]);
-    const agent = new AgentProgram(firstPort, [engine, origin]);
+    const agent = new AgentProgram(firstPort, [engine, origin], options.flags ?? []);
     const own = { app: getAddress(engine), Service: 'model', 'Limits.LinkMbps': linkMbps };
     agent.program.write({ ...lines, ...own });
     await agent.program.start();
