Clients keep what waits for a reader in blocks, and close what they do not read

Fix: openResponse receives responses itself. ResponseBody copies what waits into blocks, stops the connection at 64 KiB, and leaves a turn to others after 8,192 pieces (PacedReading, which EndpointCall uses as well). All clients of agents and entries that used undici's queue go through it; a refused generation closes its connection. The bound on interim responses holds for calls of the store and of other entries, too.

--- a/features/smallPieces.feature
+++ b/features/smallPieces.feature
@@ -24,7 +24,7 @@
 
   # Guards against an agent that runs out of memory because it keeps each chunk of a body as a buffer of its own.
   Scenario Outline: body in chunks of one byte
-    When a process with 100 MB of heap reads such a body without end as <reader>
+    When a process with 100 MB of heap reads a body in chunks of one byte without end as <reader>
     Then the process has given up
 
     Examples:
@@ -35,6 +35,17 @@
       | the client of the origin     |
       | the client of other agents   |
 
+  # Guards against an agent that runs out of memory, and of connections, because it does not read what follows a refusal of
+  # its engine: what waits in the client costs some hundred bytes for each chunk.
+  Scenario: refusals in chunks of one byte
+    When a process with 60 MB of heap reads a refusal in chunks of one byte without end as 30 calls of an engine
+    Then each connection is closed and the process goes on
+
+  # Guards against a reader that runs out of memory because it is slower than its peer.
+  Scenario: streams that are read slowly
+    When a process with 60 MB of heap reads tokens in chunks of one byte without end as 16 slow callers of an engine
+    Then each connection is closed and the process goes on
+
   # Guards against a heap that grows with the number of events which wait for a caller, whatever their bytes.
   Scenario: small events for a caller that reads slowly
     When a stream brings 1000 small events in one turn, and 1000 more in turns of their own, to a caller that takes nothing
--- a/features/steps/smallPieces.steps.ts
+++ b/features/steps/smallPieces.steps.ts
@@ -30,10 +30,10 @@
 });
 
 When(
-  /^a process with (\d+) MB of heap reads such a body without end as (.+)$/,
+  /^a process with (\d+) MB of heap reads (.+) without end as (.+)$/,
   { timeout: readerTimeoutMs * 2 },
-  async function read(this: ReaderWorld, megabytes: string, reader: string) {
-    this.endlessBody = await EndlessEndpoint.start('a body in chunks of one byte');
+  async function read(this: ReaderWorld, megabytes: string, body: string, reader: string) {
+    this.endlessBody = await EndlessEndpoint.start(body);
     const { address } = this.endlessBody;
     const args = [`--max-old-space-size=${megabytes}`, readerProgram, reader, address];
     const { stdout } = await execute(process.execPath, args, { timeout: readerTimeoutMs }).catch(
@@ -49,6 +49,11 @@
   assert.match(this.readerOutcome, /too large|timeout|aborted/i);
 });
 
+Then('each connection is closed and the process goes on', function goesOn(this: ReaderWorld) {
+  assert.equal(this.readerOutcome, 'all calls have ended');
+  assert.equal(this.endlessBody.closedByCaller, this.endlessBody.requests);
+});
+
 When(
   'a stream brings {int} small events in one turn, and {int} more in turns of their own, to a caller that takes nothing',
   async function bring(this: RelayedWorld, together: number, apart: number) {
--- a/features/support/endlessEndpoint.ts
+++ b/features/support/endlessEndpoint.ts
@@ -24,6 +24,11 @@
 const event = 'Content-Type: text/event-stream\r\n';
 const firstEvents = 'id: 1\ndata: token 1\n\nid: 2\ndata: token 2\n\n';
 const smallChunk = '1\r\nx\r\n';
+/** Text in chunks of one character each. */
+function inSmallChunks(text: string): string {
+  return [...text].map((character) => `1\r\n${character}\r\n`).join('');
+}
+
 const chunk = `400\r\n${'x'.repeat(1024)}\r\n`;
 
 /** What follows the head `HTTP/1.1 200 OK` with the request's id and the endpoint's signature. */
@@ -54,6 +59,14 @@
   garbage: { start: '', repeated: 'no answer ' },
   'interim answers': { start: '', repeated: 'HTTP/1.1 103 Early Hints\r\n\r\n' },
   'one line': { start: 'HTTP/1.1 200 OK\r\n\r\n{"text":"', repeated: 'x' },
+  'a refusal in chunks of one byte': {
+    start: `HTTP/1.1 503 Service Unavailable\r\n${chunked}`,
+    repeated: smallChunk,
+  },
+  'tokens in chunks of one byte': {
+    start: `HTTP/1.1 200 OK\r\n${chunked}`,
+    repeated: inSmallChunks('{"index":0,"text":"a"}\n'),
+  },
   'a refusal': { start: `HTTP/1.1 404 Not Found\r\n${hugeLength}`, repeated: 'x' },
 };
 
--- /dev/null
+++ b/features/support/heapReaders.ts
@@ -0,0 +1,48 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+import { HttpModelEngine } from '@laburnumstream/clients';
+import type { ResponseReader } from './responseReaders.js';
+
+type Generation = Parameters<HttpModelEngine['generate']>[0];
+
+const timeoutMs = 5_000;
+/** Time between two refused calls, and between two tokens that a slow caller takes, in milliseconds. */
+const pauseMs = 50;
+/** Tokens that a slow caller takes before it leaves. */
+const slowTokens = 40;
+const refusedCalls = 30;
+const slowCallers = 16;
+const generation = { id: 'r1', maxTokens: 100, resumeFrom: 0 } as Generation;
+const ended = 'all calls have ended';
+
+/** Asks again after each refusal, while nothing aborts the calls. */
+async function callRefused(engine: HttpModelEngine): Promise<void> {
+  const { signal } = new AbortController();
+  for (let call = 0; call < refusedCalls; call += 1) {
+    const tokens = engine.generate(generation, signal)[Symbol.asyncIterator]();
+    await tokens.next().catch(() => undefined);
+    await sleep(pauseMs);
+  }
+}
+
+async function callSlowly(engine: HttpModelEngine): Promise<void> {
+  let tokens = 0;
+  for await (const { index } of engine.generate(generation, AbortSignal.timeout(timeoutMs * 2))) {
+    tokens += index + 1;
+    if (tokens === slowTokens) return;
+    await sleep(pauseMs);
+  }
+}
+
+/** Uses of a client that are many or slow, by the names that step texts use. */
+export const heapReaders: Readonly<Record<string, ResponseReader>> = {
+  '30 calls of an engine': async (address) => {
+    await callRefused(new HttpModelEngine(`http://${address}`, timeoutMs));
+    return ended;
+  },
+  '16 slow callers of an engine': async (address) => {
+    const engine = new HttpModelEngine(`http://${address}`, timeoutMs);
+    await Promise.all(Array.from({ length: slowCallers }, () => callSlowly(engine)));
+    await sleep(pauseMs);
+    return ended;
+  },
+};
--- a/packages/clients/src/httpClient.ts
+++ b/packages/clients/src/httpClient.ts
@@ -7,7 +7,8 @@
   createTimeoutSignal,
 } from '@laburnumstream/common';
 import type { Failure } from '@laburnumstream/common';
-import { createConnector, createInterimLimit, readResponseBody } from '@laburnumstream/runtime';
+import { createConnector, openResponse, readResponseBody } from '@laburnumstream/runtime';
+import type { OpenResponse } from '@laburnumstream/runtime';
 
 /** Maximum size of a response's body that is read as a whole, in bytes. */
 const maxBodyBytes = 33_554_432;
@@ -66,40 +67,35 @@
   async send(request: HttpRequest): Promise<HttpResponse> {
     const signal = createTimeoutSignal(request.timeoutMs ?? this.timeoutMs, request.signal);
     try {
-      const { statusCode, body } = await this.pool.request({
-        method: request.method,
-        path: this.prefix + request.path,
-        body: request.body ?? null,
-        signal,
-        onInfo: createInterimLimit(),
-      });
-      return { status: statusCode, body: await readResponseBody(body, maxBodyBytes) };
+      const { status, body } = await openResponse(this.pool, this.toOptions(request), signal);
+      return { status, body: await readResponseBody(body, maxBodyBytes) };
     } catch (error) {
-      if (request.signal?.aborted) throw new Aborted();
-      throw this.createFailure(`${request.method} ${request.path} failed: ${String(error)}`, error);
+      throw this.toFailure(request, error);
     }
   }
 
-  /** Sends a request and returns the response body as a stream. */
-  async stream(request: HttpRequest): Promise<{ status: number; body: AsyncIterable<Buffer> }> {
+  /** Sends a request and returns the response with its body as a stream, to be read or cancelled. */
+  async stream(request: HttpRequest): Promise<OpenResponse> {
+    const timeoutMs = request.timeoutMs ?? this.timeoutMs;
+    const timeouts = { bodyTimeout: timeoutMs, headersTimeout: timeoutMs };
+    const options = { ...this.toOptions(request), ...timeouts };
     try {
-      const { statusCode, body } = await this.pool.request({
-        method: request.method,
-        path: this.prefix + request.path,
-        body: request.body ?? null,
-        signal: request.signal ?? null,
-        onInfo: createInterimLimit(),
-        bodyTimeout: request.timeoutMs ?? this.timeoutMs,
-        headersTimeout: request.timeoutMs ?? this.timeoutMs,
-      });
-      return { status: statusCode, body };
+      return await openResponse(this.pool, options, request.signal);
     } catch (error) {
-      if (request.signal?.aborted) throw new Aborted();
-      throw this.createFailure(`${request.method} ${request.path} failed: ${String(error)}`, error);
+      throw this.toFailure(request, error);
     }
   }
 
   close(): Promise<void> {
     return this.pool.destroy();
   }
+
+  private toOptions({ method, path, body }: HttpRequest): Dispatcher.DispatchOptions {
+    return { method, path: this.prefix + path, body: body ?? null };
+  }
+
+  private toFailure({ method, path, signal }: HttpRequest, error: unknown): Failure {
+    if (signal?.aborted) return new Aborted();
+    return this.createFailure(`${method} ${path} failed: ${String(error)}`, error);
+  }
 }
--- a/packages/clients/src/httpModelEngine.ts
+++ b/packages/clients/src/httpModelEngine.ts
@@ -59,10 +59,10 @@
     const body = JSON.stringify(generation);
     const path = '/generate';
     const response = await this.client.stream({ method: 'POST', path, body, signal });
-    if (response.status === 503) {
-      throw new Unavailable('The engine has no weights loaded.', retryAfterMs);
-    }
     if (response.status !== 200) {
+      response.body.cancel();
+      if (response.status === 503)
+        throw new Unavailable('The engine has no weights loaded.', retryAfterMs);
       throw new OutcomeUnknown(`The engine answered ${response.status}.`);
     }
     let hasEnded = false;
--- a/packages/forwarding/src/endpoints/endpointCall.ts
+++ b/packages/forwarding/src/endpoints/endpointCall.ts
@@ -2,12 +2,13 @@
 import { Aborted, Execution, ResponseTooLarge } from '@laburnumstream/common';
 import { classifyResponse, containsStatusLine } from '@laburnumstream/decisions';
 import type { FramedHeaders } from '@laburnumstream/decisions';
+import { PacedReading } from '@laburnumstream/runtime';
 import type { Dispatcher } from 'undici';
 import type { ConnectionPool } from './connectionPool.js';
 import type { EndpointConnection, FramedHandler } from './endpointConnection.js';
 import type { ResponseHead } from '../callers/heads.js';
 import type { HeaderCodec } from '../callers/headerCodec.js';
-import { maxHeaderBytes, maxPiecesPerTurn } from './responseBounds.js';
+import { maxHeaderBytes } from './responseBounds.js';
 
 /** Why a call to an endpoint failed. */
 export const CallFault = {
@@ -118,14 +119,7 @@
 
   private bytes = 0;
 
-  /** Pieces of the body that were received. */
-  private pieces = 0;
-
-  /** Whether the observer wants no more of the response for now. */
-  private isPaused = false;
-
-  /** Whether the rest of what was read waits for the next turn of the event loop. */
-  private isYielding = false;
+  private readonly pace = new PacedReading();
 
   constructor(
     private readonly pool: ConnectionPool,
@@ -196,14 +190,11 @@
   }
 
   pause(): void {
-    this.isPaused = true;
-    this.controller?.pause();
+    this.pace.pause();
   }
 
   resume(): void {
-    if (!this.isPaused) return;
-    this.isPaused = false;
-    if (!this.isYielding) this.controller?.resume();
+    this.pace.resume();
   }
 
   onRequestStart(controller: Dispatcher.DispatchController): void {
@@ -212,6 +203,7 @@
       return;
     }
     this.controller = controller;
+    this.pace.attach(controller);
     if (!this.maySend()) {
       this.fail(CallFault.withheld, 'The endpoint takes no requests any more.');
       controller.abort(new Aborted());
@@ -228,7 +220,6 @@
   ): void {
     // Interim responses (1xx) concern only this connection and are not forwarded.
     if (this.hasEnded || status < firstFinalStatus) return;
-    this.controller = controller;
     const head = this.codec.decodeResponseHead(headers);
     const rawHeaders = decodeRawHeaders(controller.rawHeaders);
     const isMixed = containsStatusLine(reason) || rawHeaders.some(containsStatusLine);
@@ -264,8 +255,7 @@
     // The parser emits an empty chunk when a call is resumed.
     if (this.hasEnded || chunk.length === 0) return;
     this.bytes += chunk.length;
-    this.pieces += 1;
-    if (this.pieces % maxPiecesPerTurn === 0) this.yieldTurn();
+    this.pace.recordPiece();
     try {
       this.observer.onData(chunk);
     } catch (error) {
@@ -274,16 +264,6 @@
     }
   }
 
-  /** Leaves the rest of what was read for the next turn of the event loop. */
-  private yieldTurn(): void {
-    this.isYielding = true;
-    this.controller?.pause();
-    setImmediate(() => {
-      this.isYielding = false;
-      if (!this.isPaused) this.controller?.resume();
-    });
-  }
-
   readResponseId(headers: FramedHeaders): string | undefined {
     return this.codec.decodeResponseHead(headers).requestId;
   }
--- a/packages/forwarding/src/endpoints/responseBounds.ts
+++ b/packages/forwarding/src/endpoints/responseBounds.ts
@@ -7,12 +7,6 @@
 /** Bytes of framing that each byte of a body may have in addition: its chunk may have no other byte. */
 export const framingPerBodyByte = 16;
 
-/**
- * Pieces of a body, chunks or parts of them, that one connection brings before the others are read. Without it a
- * connection is read until nothing is left, which in chunks of one byte takes the event loop a tenth of a second.
- */
-export const maxPiecesPerTurn = 8_192;
-
 /** Part of a process's memory that responses which are not complete yet may hold together. */
 const responseMemoryShare = 0.25;
 
--- a/packages/forwarding/src/feed/transfer.ts
+++ b/packages/forwarding/src/feed/transfer.ts
@@ -1,5 +1,5 @@
 import { ByteCollector, TransferFailed } from '@laburnumstream/common';
-import { ProgressTimeout } from '@laburnumstream/runtime';
+import { ProgressTimeout, openResponse } from '@laburnumstream/runtime';
 import type { ProgressLimits } from '@laburnumstream/runtime';
 import type { Dispatcher } from 'undici';
 
@@ -24,7 +24,7 @@
  */
 export async function transfer(
   client: Dispatcher,
-  options: Dispatcher.RequestOptions,
+  options: Dispatcher.DispatchOptions,
   limits: TransferLimits,
   signal?: AbortSignal,
   onProgress: () => void = () => undefined,
@@ -33,17 +33,16 @@
   const timeout = new ProgressTimeout(limits, signal);
   const collector = new ByteCollector();
   try {
-    const response = await client.request({ ...options, signal: timeout.signal });
+    const { status, headers, body } = await openResponse(client, options, timeout.signal);
     timeout.recordProgress();
-    for await (const part of response.body as AsyncIterable<Buffer>) {
+    for await (const part of body) {
       timeout.recordProgress();
-      if (response.statusCode === successStatus) onProgress();
+      if (status === successStatus) onProgress();
       collector.push(part);
       if (collector.length > limits.maxBytes)
         throw new TransferFailed(`The response is larger than ${limits.maxBytes} bytes.`);
     }
-    const { statusCode, headers } = response;
-    return { status: statusCode, headers, body: collector.take() };
+    return { status, headers, body: collector.take() };
   } catch (error) {
     const progress = `${collector.length} bytes in ${Math.round(performance.now() - startedAt)} ms`;
     const call = `${options.method} ${options.path}`;
--- a/packages/runtime/src/responseBody.ts
+++ b/packages/runtime/src/responseBody.ts
@@ -1,9 +1,86 @@
-import { ByteCollector, ResponseTooLarge } from '@laburnumstream/common';
+import { Aborted, ByteCollector, ResponseTooLarge } from '@laburnumstream/common';
+import type { ReadControl } from './pacedReading.js';
+import { PacedReading } from './pacedReading.js';
+
+/** Bytes that wait for the reader before the connection is read no further. */
+const maxWaitingBytes = 65_536;
+
+/** How the reading of a response is controlled. */
+export interface BodyControl extends ReadControl {
+  abort(reason: Error): void;
+}
 
 /**
- * Reads the body of a response as a whole, at the cost of its size whatever the number of its chunks. Throws
- * `ResponseTooLarge`, which closes the connection.
+ * The body of a response as it arrives. It costs its bytes whatever the number of its chunks, also while nobody reads:
+ * what waits is copied into blocks, and each step of the reader takes all of it. Ending the loop early closes the
+ * connection.
  */
+export class ResponseBody implements AsyncIterable<Buffer> {
+  private readonly waiting = new ByteCollector();
+
+  private readonly pace = new PacedReading();
+
+  private isComplete = false;
+
+  private error: Error | undefined;
+
+  private wake: () => void = () => undefined;
+
+  constructor(private readonly control: BodyControl) {
+    this.pace.attach(control);
+  }
+
+  /** Adds a chunk that has arrived. */
+  push(chunk: Buffer): void {
+    // The parser emits an empty chunk when the reading is resumed.
+    if (chunk.length === 0) return;
+    this.waiting.push(chunk);
+    this.pace.recordPiece();
+    if (this.waiting.length >= maxWaitingBytes) this.pace.pause();
+    this.wake();
+  }
+
+  /** Records that the body has arrived whole. */
+  complete(): void {
+    this.isComplete = true;
+    this.wake();
+  }
+
+  /** Records that the rest of the body does not arrive. */
+  fail(error: Error): void {
+    this.error = error;
+    this.wake();
+  }
+
+  /** Closes the connection, unless the body has arrived whole, and drops what waits. */
+  cancel(): void {
+    this.waiting.clear();
+    if (!this.isComplete && !this.error) this.control.abort(new Aborted());
+  }
+
+  async *[Symbol.asyncIterator](): AsyncGenerator<Buffer> {
+    try {
+      for (;;) {
+        if (this.waiting.length > 0) {
+          yield this.waiting.take();
+          this.pace.resume();
+        } else if (this.error) throw this.error;
+        else if (this.isComplete) return;
+        else await this.waitForChange();
+      }
+    } finally {
+      this.cancel();
+    }
+  }
+
+  private waitForChange(): Promise<void> {
+    return new Promise((resolve) => {
+      this.wake = resolve;
+    });
+  }
+}
+
+/** Reads a body as a whole. Throws `ResponseTooLarge`, which closes the connection. */
 export async function readResponseBody(
   body: AsyncIterable<Buffer>,
   maxBytes: number,
--- a/packages/sidecar/src/peerClient.ts
+++ b/packages/sidecar/src/peerClient.ts
@@ -1,5 +1,5 @@
 import { InvalidInput, NotFound, Unavailable, createTimeoutSignal } from '@laburnumstream/common';
-import { createConnector, createInterimLimit, readResponseBody } from '@laburnumstream/runtime';
+import { createConnector, openResponse, readResponseBody } from '@laburnumstream/runtime';
 import { Pool } from 'undici';
 import type { PieceManifest } from './localEngine.js';
 import { PieceStatus } from './pieceServer.js';
@@ -75,12 +75,12 @@
   }
 
   private async read(host: string, path: string, signal: AbortSignal): Promise<Uint8Array> {
-    const options = { method: 'GET', path, signal, onInfo: createInterimLimit() } as const;
-    const { statusCode, body } = await this.getPool(host).request(options);
+    const options = { method: 'GET', path } as const;
+    const { status, body } = await openResponse(this.getPool(host), options, signal);
     const bytes = await readResponseBody(body, maxBodyBytes);
-    if (statusCode === PieceStatus.ok) return bytes;
-    if (statusCode === PieceStatus.notHeld) throw new NotFound(`${host} does not hold ${path}.`);
-    throw new Unavailable(`${host} responded with status ${statusCode}.`, busyRetryMs);
+    if (status === PieceStatus.ok) return bytes;
+    if (status === PieceStatus.notHeld) throw new NotFound(`${host} does not hold ${path}.`);
+    throw new Unavailable(`${host} responded with status ${status}.`, busyRetryMs);
   }
 
   private getPool(host: string): Pool {
