--- a/features/smallPieces.feature
+++ b/features/smallPieces.feature
@@ -46,6 +46,11 @@
     When a process with 60 MB of heap reads tokens in chunks of one byte without end as 16 slow callers of an engine
     Then each connection is closed and the process goes on
 
+  # Guards against an agent that keeps all tokens of an engine that does not stop at the number it was asked for.
+  Scenario: more tokens than were asked for
+    When a process with 60 MB of heap reads tokens without end as a run of an agent
+    Then the process has given up
+
   # Guards against a heap that grows with the number of events which wait for a caller, whatever their bytes.
   Scenario: small events for a caller that reads slowly
     When a stream brings 1000 small events in one turn, and 1000 more in turns of their own, to a caller that takes nothing
--- a/features/support/endlessEndpoint.ts
+++ b/features/support/endlessEndpoint.ts
@@ -67,6 +67,10 @@
     start: `HTTP/1.1 200 OK\r\n${chunked}`,
     repeated: inSmallChunks('{"index":0,"text":"a"}\n'),
   },
+  tokens: {
+    start: 'HTTP/1.1 200 OK\r\n\r\n',
+    repeated: '{"index":0,"text":"some longer token"}\n',
+  },
   'a refusal': { start: `HTTP/1.1 404 Not Found\r\n${hugeLength}`, repeated: 'x' },
 };
 
--- a/features/support/heapReaders.ts
+++ b/features/support/heapReaders.ts
@@ -1,8 +1,11 @@
 import { setTimeout as sleep } from 'node:timers/promises';
+import { EndpointRunner } from '@laburnumstream/agent';
 import { HttpModelEngine } from '@laburnumstream/clients';
 import type { ResponseReader } from './responseReaders.js';
 
 type Generation = Parameters<HttpModelEngine['generate']>[0];
+type RunRequest = Parameters<EndpointRunner['run']>[0];
+type RunStream = Parameters<EndpointRunner['run']>[1];
 
 const timeoutMs = 5_000;
 /** Time between two refused calls, and between two tokens that a slow caller takes, in milliseconds. */
@@ -45,4 +48,18 @@
     await sleep(pauseMs);
     return ended;
   },
+  'a run of an agent': async (address) => {
+    const engine = new HttpModelEngine(`http://${address}`, timeoutMs);
+    const runner = new EndpointRunner({ engine }, () => 'w1');
+    const texts: string[] = [];
+    const stream = { push: (text: string) => texts.push(text), finish: () => undefined };
+    const value = { prompt: 'p', maxTokens: 100, adapter: '' };
+    const request = { id: 'r1', attempt: 1, resumeFrom: 0, work: { case: 'generation', value } };
+    const { signal } = new AbortController();
+    // The endpoint counts as dead afterwards, as its report has no end, too.
+    const describeCause = ({ cause }: Error): string => String(cause);
+    return runner
+      .run(request as unknown as RunRequest, stream as unknown as RunStream, 0, signal)
+      .then(() => `${texts.length} tokens`, describeCause);
+  },
 };
--- a/packages/agent/src/endpointRunner.ts
+++ b/packages/agent/src/endpointRunner.ts
@@ -9,6 +9,7 @@
 import type { ModelEngine, PlainService } from '@laburnumstream/common';
 import type { RunRequest } from '@laburnumstream/protocol';
 import type { RunStream } from './runStream.js';
+import { TokenBound } from './tokenBound.js';
 
 const retryAfterMs = 500;
 
@@ -82,8 +83,12 @@
     const { resumeFrom } = request;
     const base = { id, prompt, maxTokens, priority, resumeFrom };
     const generation = adapter ? { ...base, adapter } : base;
+    const bound = new TokenBound(maxTokens - resumeFrom);
     try {
-      for await (const { text } of engine.generate(generation, signal)) stream.push(text);
+      for await (const { text } of engine.generate(generation, signal)) {
+        bound.add(text);
+        stream.push(text);
+      }
     } finally {
       if (signal.aborted) void engine.cancel(id).catch(() => undefined);
     }
