A status that is no final one of HTTP is no answer

What callers saw: the answer of an engine in trouble with a status from 600 to 999, its signature and body passed on as they were, though another engine could have answered (MIXED: what other operators saw with status 000).

Cause: statuses from 500 on counted as a server's error, without an end, and nothing looked at the status of plain services. 000 to 099 did not reach callers: undici takes them for interim ones and ends the connection by an assertion of its own, which is now a typed failure.

On each way: whole and stream, at the forwarding entry: the attempt fails as broken, so that it may have run; it is sent elsewhere if that is allowed, else the caller gets 502 without a signature. Plain services of agents, the origin, the store, other entries and other agents: InvalidStatus. An order that is answered so may still be accepted (it counted as refused). An entry takes no such status from an agent, nor from a stored answer. Interim ones without end leave the request to its deadline, or to the bound on their bytes.

--- a/features/support/responseReaders.ts
+++ b/features/support/responseReaders.ts
@@ -1,4 +1,9 @@
-import { ResponseCollector, ConnectionPool, EndpointCall } from '@laburnumstream/forwarding';
+import {
+  ResponseCollector,
+  ConnectionPool,
+  EndpointCall,
+  FeedClient,
+} from '@laburnumstream/forwarding';
 import { HttpClient, HttpPlainService, HttpWeightOrigin } from '@laburnumstream/clients';
 import { EngineClient, OriginClient, StoreClient, platformHeaders } from '@laburnumstream/platform';
 import { HistogramMetrics, SystemClock } from '@laburnumstream/runtime';
@@ -71,6 +76,10 @@
     decodeText(await new OriginClient().getPiece(address, 'm', 1, 0)),
   'the client of an engine': async (address) =>
     decodeText(await new EngineClient(address).getStagedPiece('m', 0)),
+  'the client of other entries': async (address) => {
+    await new FeedClient().read(address, { revision: 0 }, 0, AbortSignal.timeout(timeoutMs));
+    return undefined;
+  },
   'the client of other agents': async (address) => {
     const [host = '', port] = address.split(':');
     const signal = AbortSignal.timeout(timeoutMs);
--- a/packages/common/src/failures.ts
+++ b/packages/common/src/failures.ts
@@ -116,6 +116,16 @@
   }
 }
 
+/** The peer sent a response with a status that HTTP does not define, so that its outcome is unknown. */
+export class InvalidStatus extends Failure {
+  constructor(status: number) {
+    super('invalid_status', `The response has the invalid status ${status}.`, {
+      status: 502,
+      execution: Execution.unknown,
+    });
+  }
+}
+
 /** The peer sent more than any response of its kind may have, so that the response was given up. */
 export class ResponseTooLarge extends Failure {
   constructor(reason: string, cause?: unknown) {
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -9,6 +9,7 @@
 export * from './linkedAbort.js';
 export * from './options.js';
 export * from './rendezvous.js';
+export * from './responseStatus.js';
 export * from './seededRandom.js';
 export * from './services.js';
 export * from './sleepAwareClock.js';
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -3,6 +3,7 @@
 export type { RunTransport } from './attemptRunner.js';
 export type { ResponsePart, CallerRequest } from './callerRequest.js';
 export { CrashGuard } from './crashGuard.js';
+export { PartialResponse } from './partialResponse.js';
 export { MemberDirectory } from './memberDirectory.js';
 export { Entry } from './entry.js';
 export { RequestDispatcher } from './requestDispatcher.js';
--- a/packages/entry/src/partialResponse.ts
+++ b/packages/entry/src/partialResponse.ts
@@ -1,4 +1,4 @@
-import { Corrupted } from '@laburnumstream/common';
+import { Corrupted, InvalidStatus, isFinalStatus } from '@laburnumstream/common';
 import type { PlainResponse } from '@laburnumstream/common';
 import { ResponseAssembler, callResponseDigest } from '@laburnumstream/decisions';
 import type { End } from '@laburnumstream/protocol';
@@ -23,8 +23,12 @@
     this.weightsDigest = weights;
   }
 
-  /** Stores the response of a plain service until the end frame confirms it. */
+  /**
+   * Stores the response of a plain service until the end frame confirms it. Throws `InvalidStatus` for a status that a
+   * caller can't be sent: agents pass on what they have read from an endpoint, or what is stored of an earlier run.
+   */
   setCallResponse(callResponse: PlainResponse): void {
+    if (!isFinalStatus(callResponse.status)) throw new InvalidStatus(callResponse.status);
     this.callResponse = callResponse;
   }
 
--- a/packages/forwarding/src/endpoints/endpointCall.ts
+++ b/packages/forwarding/src/endpoints/endpointCall.ts
@@ -1,5 +1,12 @@
 import type { IncomingHttpHeaders } from 'node:http';
-import { Aborted, Execution, ResponseTooLarge } from '@laburnumstream/common';
+import {
+  Aborted,
+  Execution,
+  InvalidStatus,
+  ResponseTooLarge,
+  isFinalStatus,
+  isInterimStatus,
+} from '@laburnumstream/common';
 import { classifyResponse, containsStatusLine } from '@laburnumstream/decisions';
 import type { FramedHeaders } from '@laburnumstream/decisions';
 import { PacedReading } from '@laburnumstream/runtime';
@@ -82,7 +89,6 @@
 const headersOverflowCode = 'UND_ERR_HEADERS_OVERFLOW';
 /** Name of undici's errors for bytes that are no response; not all of them have a code. */
 const parserErrorName = 'HTTPParserError';
-const firstFinalStatus = 200;
 const firstRedirectStatus = 300;
 
 const chunkedPattern = /(^|,)\s*chunked\s*$/i;
@@ -219,7 +225,12 @@
     reason = '',
   ): void {
     // Interim responses (1xx) concern only this connection and are not forwarded.
-    if (this.hasEnded || status < firstFinalStatus) return;
+    if (this.hasEnded || isInterimStatus(status)) return;
+    // A caller can't tell what such a status means, and whether the request has run is not known.
+    if (!isFinalStatus(status)) {
+      this.fail(CallFault.broken, new InvalidStatus(status).message);
+      return;
+    }
     const head = this.codec.decodeResponseHead(headers);
     const rawHeaders = decodeRawHeaders(controller.rawHeaders);
     const isMixed = containsStatusLine(reason) || rawHeaders.some(containsStatusLine);
--- a/packages/runtime/src/openResponse.ts
+++ b/packages/runtime/src/openResponse.ts
@@ -1,11 +1,16 @@
 import type { IncomingHttpHeaders } from 'node:http';
-import { Aborted, ResponseTooLarge } from '@laburnumstream/common';
+import {
+  Aborted,
+  InvalidStatus,
+  ResponseTooLarge,
+  isFinalStatus,
+  isInterimStatus,
+} from '@laburnumstream/common';
 import type { Dispatcher } from 'undici';
 import { ResponseBody } from './responseBody.js';
 
 /** Maximum number of interim responses (1xx) to one request, each of which resets undici's timeout for the head. */
 const maxInterimResponses = 64;
-const firstFinalStatus = 200;
 
 /** A response whose body is still arriving. Whoever does not read the body must cancel it. */
 export interface OpenResponse {
@@ -59,7 +64,8 @@
     status: number,
     headers: IncomingHttpHeaders,
   ): void {
-    if (status < firstFinalStatus) this.countInterimResponse(controller);
+    if (isInterimStatus(status)) this.countInterimResponse(controller);
+    else if (!isFinalStatus(status)) controller.abort(new InvalidStatus(status));
     else {
       this.body = new ResponseBody(controller);
       this.resolve({ status, headers, body: this.body });
@@ -106,8 +112,8 @@
 }
 
 /**
- * Sends a request and resolves with the response when its head has arrived. Rejects with the signal's reason and
- * with the error of the connection.
+ * Sends a request and resolves with the response when its head has arrived. Rejects with the signal's reason, with
+ * `InvalidStatus` for a status that is no final one, and with the error of the connection.
  */
 export function openResponse(
   dispatcher: Dispatcher,
