Requests of operators are collected in blocks, too

Fix: collectBytes, which responses already use, copies into blocks; there is one loop in place of two.

--- a/features/smallPieces.feature
+++ b/features/smallPieces.feature
@@ -46,6 +46,11 @@
     When a process with 60 MB of heap reads tokens in chunks of one byte without end as 16 slow callers of an engine
     Then each connection is closed and the process goes on
 
+  # Guards against a server that keeps each part of a request's body as a buffer of its own.
+  Scenario: request that arrives byte by byte
+    When a process with 60 MB of heap reads a request of 1000000 bytes that arrive one by one
+    Then the process has all 1000000 bytes
+
   # Guards against an agent that keeps all tokens of an engine that does not stop at the number it was asked for.
   Scenario: more tokens than were asked for
     When a process with 60 MB of heap reads tokens without end as a run of an agent
--- a/features/steps/smallPieces.steps.ts
+++ b/features/steps/smallPieces.steps.ts
@@ -29,22 +29,37 @@
   this.endlessBody?.close();
 });
 
+/** Runs the reader program; returns what it has printed, or how it has ended. */
+async function runReader(megabytes: string, reader: string, address: string): Promise<string> {
+  const args = [`--max-old-space-size=${megabytes}`, readerProgram, reader, address];
+  return execute(process.execPath, args, { timeout: readerTimeoutMs }).then(
+    ({ stdout }) => stdout,
+    ({ signal, code }: { signal: string | null; code: number | null }) =>
+      `ended by itself: ${signal ?? code}`,
+  );
+}
+
 When(
   /^a process with (\d+) MB of heap reads (.+) without end as (.+)$/,
   { timeout: readerTimeoutMs * 2 },
   async function read(this: ReaderWorld, megabytes: string, body: string, reader: string) {
     this.endlessBody = await EndlessEndpoint.start(body);
-    const { address } = this.endlessBody;
-    const args = [`--max-old-space-size=${megabytes}`, readerProgram, reader, address];
-    const { stdout } = await execute(process.execPath, args, { timeout: readerTimeoutMs }).catch(
-      ({ signal, code }: { signal: string | null; code: number | null }) => ({
-        stdout: `ended by itself: ${signal ?? code}`,
-      }),
-    );
-    this.readerOutcome = stdout;
+    this.readerOutcome = await runReader(megabytes, reader, this.endlessBody.address);
   },
 );
 
+When(
+  /^a process with (\d+) MB of heap reads a request of (\d+) bytes that arrive one by one$/,
+  { timeout: readerTimeoutMs * 2 },
+  async function readRequest(this: ReaderWorld, megabytes: string, bytes: string) {
+    this.readerOutcome = await runReader(megabytes, 'a server of operators', bytes);
+  },
+);
+
+Then(/^the process has all (\d+) bytes$/, function hasAll(this: ReaderWorld, bytes: string) {
+  assert.equal(this.readerOutcome, `${bytes} bytes`);
+});
+
 Then('the process has given up', function givenUp(this: ReaderWorld) {
   assert.match(this.readerOutcome, /too large|timeout|aborted/i);
 });
--- a/features/support/heapReaders.ts
+++ b/features/support/heapReaders.ts
@@ -1,8 +1,10 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { EndpointRunner } from '@laburnumstream/agent';
 import { HttpModelEngine } from '@laburnumstream/clients';
-import type { ResponseReader } from './responseReaders.js';
+import { readBody } from '@laburnumstream/runtime';
 
+/** Reads from an address, or as many bytes as are named, and returns the outcome. */
+type HeapReader = (argument: string) => Promise<string>;
 type Generation = Parameters<HttpModelEngine['generate']>[0];
 type RunRequest = Parameters<EndpointRunner['run']>[0];
 type RunStream = Parameters<EndpointRunner['run']>[1];
@@ -36,12 +38,22 @@
   }
 }
 
+/** Yields the bytes of a body one by one. */
+async function* sendBytes(count: number): AsyncGenerator<Buffer> {
+  for (let sent = 0; sent < count; sent += 1) yield Buffer.from('x');
+}
+
 /** Uses of a client that are many or slow, by the names that step texts use. */
-export const heapReaders: Readonly<Record<string, ResponseReader>> = {
+export const heapReaders: Readonly<Record<string, HeapReader>> = {
   '30 calls of an engine': async (address) => {
     await callRefused(new HttpModelEngine(`http://${address}`, timeoutMs));
     return ended;
   },
+  'a server of operators': async (bytes) => {
+    const request = sendBytes(Number(bytes)) as unknown as Parameters<typeof readBody>[0];
+    const body = await readBody(request, Number(bytes));
+    return `${body.length} bytes`;
+  },
   '16 slow callers of an engine': async (address) => {
     const engine = new HttpModelEngine(`http://${address}`, timeoutMs);
     await Promise.all(Array.from({ length: slowCallers }, () => callSlowly(engine)));
--- a/features/support/readerProgram.ts
+++ b/features/support/readerProgram.ts
@@ -1,11 +1,15 @@
 import { heapReaders } from './heapReaders.js';
 import { responseReaders } from './responseReaders.js';
 
-/** Reads responses with the client that the arguments name, from the address after it, and prints the outcome. */
-const [, , name = '', address = ''] = process.argv;
-const read = heapReaders[name] ?? responseReaders[name]!;
-const outcome = await read(address).then(
-  (body) => (name in heapReaders ? String(body) : `${body?.length ?? 0} bytes`),
-  (error: unknown) => String(error),
-);
+/** Reads as the first argument names it, with the second one, and prints the outcome. */
+const [, , name = '', argument = ''] = process.argv;
+
+async function read(): Promise<string> {
+  const readHeap = heapReaders[name];
+  if (readHeap) return readHeap(argument);
+  const body = await responseReaders[name]!(argument);
+  return `${body?.length ?? 0} bytes`;
+}
+
+const outcome = await read().catch(String);
 process.stdout.write(outcome, () => process.exit());
--- a/packages/common/src/byteCollector.ts
+++ b/packages/common/src/byteCollector.ts
@@ -43,3 +43,17 @@
     this.blocks.clear();
   }
 }
+
+/** Collects all bytes of a source. Throws the error of `createError`, which ends the source, for too many. */
+export async function collectBytes(
+  source: AsyncIterable<Buffer>,
+  maxBytes: number,
+  createError: () => Error,
+): Promise<Buffer> {
+  const collector = new ByteCollector();
+  for await (const bytes of source) {
+    if (collector.length + bytes.length > maxBytes) throw createError();
+    collector.push(bytes);
+  }
+  return collector.take();
+}
--- a/packages/runtime/src/httpServer.ts
+++ b/packages/runtime/src/httpServer.ts
@@ -1,6 +1,6 @@
 import { createServer } from 'node:http';
 import type { IncomingMessage, RequestListener, Server, ServerResponse } from 'node:http';
-import { InvalidInput, TooLarge, toFailure } from '@laburnumstream/common';
+import { InvalidInput, TooLarge, collectBytes, toFailure } from '@laburnumstream/common';
 import type { Failure } from '@laburnumstream/common';
 
 /** Parses an IP:PORT address. */
@@ -37,14 +37,9 @@
 
 /** Reads a request's body as UTF-8; throws `TooLarge` if it exceeds `maxBytes`. */
 export async function readBody(request: IncomingMessage, maxBytes: number): Promise<string> {
-  const parts: Buffer[] = [];
-  let size = 0;
-  for await (const part of request as AsyncIterable<Buffer>) {
-    size += part.length;
-    if (size > maxBytes) throw new TooLarge(`The body is larger than ${maxBytes} bytes.`);
-    parts.push(part);
-  }
-  return Buffer.concat(parts).toString('utf8');
+  const createError = (): TooLarge => new TooLarge(`The body is larger than ${maxBytes} bytes.`);
+  const bytes = await collectBytes(request as AsyncIterable<Buffer>, maxBytes, createError);
+  return bytes.toString('utf8');
 }
 
 /** Parses a JSON object; throws `InvalidInput` for anything else. */
--- a/packages/runtime/src/responseBody.ts
+++ b/packages/runtime/src/responseBody.ts
@@ -1,4 +1,4 @@
-import { Aborted, ByteCollector, ResponseTooLarge } from '@laburnumstream/common';
+import { Aborted, ByteCollector, ResponseTooLarge, collectBytes } from '@laburnumstream/common';
 import type { ReadControl } from './pacedReading.js';
 import { PacedReading } from './pacedReading.js';
 
@@ -81,15 +81,7 @@
 }
 
 /** Reads a body as a whole. Throws `ResponseTooLarge`, which closes the connection. */
-export async function readResponseBody(
-  body: AsyncIterable<Buffer>,
-  maxBytes: number,
-): Promise<Buffer> {
-  const collector = new ByteCollector();
-  for await (const bytes of body) {
-    if (collector.length + bytes.length > maxBytes)
-      throw new ResponseTooLarge(`its body has more than ${maxBytes} bytes`);
-    collector.push(bytes);
-  }
-  return collector.take();
+export function readResponseBody(body: ResponseBody, maxBytes: number): Promise<Buffer> {
+  const reason = `its body has more than ${maxBytes} bytes`;
+  return collectBytes(body, maxBytes, () => new ResponseTooLarge(reason));
 }
