--- a/features/support/troubledEngine.ts
+++ b/features/support/troubledEngine.ts
@@ -1,6 +1,5 @@
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
-import type { AddressInfo } from 'node:net';
 import { maxSentBytes } from './endlessEndpoint.js';
 
 /** What an engine answers an agent, by the names that step texts use. */
@@ -66,10 +65,6 @@
     return engine;
   }
 
-  get address(): string {
-    return `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
-  }
-
   private receive(request: IncomingMessage, response: ServerResponse): void {
     const parts: Buffer[] = [];
     request.on('data', (part: Buffer) => parts.push(part));
