Servers of metrics, readiness and feed parse no requests of a closed connection

Cause: createBoundedServer closes a connection at the fifth unanswered request, but Node's HTTP server parses all that a read has brought (64 KiB), and keeps a request and a response for each until the connection has ended. Clients that send 2,000 requests ahead made it parse 103,440 requests on 60 connections.

Change: parseInPieces gives the parser 1 KiB at a time, and nothing once the connection is closed.

--- a/packages/runtime/src/boundedServer.ts
+++ b/packages/runtime/src/boundedServer.ts
@@ -3,6 +3,7 @@
 import type { Socket } from 'node:net';
 import type { Log, Metrics } from '@laburnumstream/common';
 import { ConnectionLimit } from './connectionLimit.js';
+import { parseInPieces } from './parseInPieces.js';
 
 /** Bounds of a server that answers small requests without bodies. */
 export interface ServerBounds {
@@ -78,7 +79,9 @@
   );
   server.setTimeout(silenceMs);
   server.on('connection', (socket: Socket) => {
-    if (limit.add(socket)) socket.once('close', () => unanswered.delete(socket));
+    if (!limit.add(socket)) return;
+    socket.once('close', () => unanswered.delete(socket));
+    parseInPieces(socket);
   });
   return server;
 }
