--- a/features/boundedServer.feature
+++ b/features/boundedServer.feature
@@ -6,7 +6,7 @@
     When 2000 requests arrive at once on each of 20 connections to a server that allows 4 unanswered ones
     Then all connections are closed, and at most 64 requests have been parsed for each
 
-  # Guards against requests that are lost, or answered out of turn, where the server takes the bytes of a read one by one.
+  # Guards against requests that are lost, or answered out of turn, where the server gives its parser a read piece by piece.
   Scenario Outline: requests within the bounds, heads of <head bytes> bytes, responses of <response bytes>
     When <requests> requests with heads of <head bytes> bytes arrive at once, and responses of <response bytes> bytes are read later
     Then there are <requests> whole responses, each to its request
