Soak: bytes after an answer go only to answers that say where they end

The body has 1,239; the other 10 are the 'more bytes' of sendExtraBytes, which its engine had written to an answer that ends with its connection. There they are a part of the body, and no entry can tell. The message called any wrong digest truncated.

Change: sendExtraBytes frames its answers by a length or chunks, as truncateResponse does; the message gives both lengths. The fault stays in the soak for all other answers, and all checks stay as they are.

--- a/bench/src/soak/behaviours.ts
+++ b/bench/src/soak/behaviours.ts
@@ -33,10 +33,17 @@
 const Framing = { length: 'length', chunks: 'chunks', close: 'close' } as const;
 type Framing = (typeof Framing)[keyof typeof Framing];
 
+/**
+ * Chooses a framing that says where the body ends. Bodies that are cut or followed by other bytes need one: no entry can
+ * tell such a body from a whole one if it ends with its connection.
+ */
+function chooseDelimitedFraming(id: string): Framing {
+  return id.endsWith('3') ? Framing.chunks : Framing.length;
+}
+
 /** Chooses the framing by the last digit of the request id, so that all kinds occur. */
 function chooseFraming(id: string): Framing {
-  if (id.endsWith('7')) return Framing.close;
-  return id.endsWith('3') ? Framing.chunks : Framing.length;
+  return id.endsWith('7') ? Framing.close : chooseDelimitedFraming(id);
 }
 
 function writeHead({ request, response, engine }: Run, framing: Framing, length: number): void {
@@ -50,11 +57,11 @@
 }
 
 /** Sends a complete response in two parts. */
-async function respond(run: Run): Promise<void> {
+async function respond(run: Run, framing = chooseFraming(run.id)): Promise<void> {
   await sleep(workMs);
   const body = buildPlainBody(run.id);
   const half = Math.floor(body.length / 2);
-  writeHead(run, chooseFraming(run.id), body.length);
+  writeHead(run, framing, body.length);
   run.response.write(body.slice(0, half));
   run.response.end(body.slice(half));
 }
@@ -80,7 +87,7 @@
 async function truncateResponse(run: Run): Promise<void> {
   await sleep(workMs);
   const body = buildPlainBody(run.id);
-  writeHead(run, run.id.endsWith('3') ? Framing.chunks : Framing.length, body.length);
+  writeHead(run, chooseDelimitedFraming(run.id), body.length);
   run.response.write(body.slice(0, Math.floor(body.length / 2)));
   await sleep(workMs);
   run.response.destroy();
@@ -106,7 +113,7 @@
 
 async function sendExtraBytes(run: Run): Promise<void> {
   const { socket } = run.request;
-  await respond(run);
+  await respond(run, chooseDelimitedFraming(run.id));
   if (!socket.destroyed) socket.write('more bytes');
 }
 
@@ -153,7 +160,7 @@
 
 /** Correct behaviour of the engines of each service. */
 export const correctBehaviours: Readonly<Record<string, RunBehaviour>> = {
-  [SoakService.desk]: respond,
+  [SoakService.desk]: (run) => respond(run),
   [SoakService.model]: (run) => streamEvents(run),
 };
 
--- a/bench/src/soak/responses.ts
+++ b/bench/src/soak/responses.ts
@@ -25,7 +25,7 @@
   if (ownerId !== id) return `belongs to ${ownerId.slice(0, 40) || 'no request'}`;
   return digest === sha256(`${id} ${payload}`)
     ? undefined
-    : `is truncated after ${body.length} bytes`;
+    : `has a wrong digest (${body.length} bytes, ${buildPlainBody(id).length} expected)`;
 }
 
 /** Number of events in the response stream of a request. */
