--- a/review/common-3/desk.mjs
+++ b/review/common-3/desk.mjs
@@ -24,7 +24,7 @@
 }
 
 /** Returns the configuration: without `Tenants`, no request needs a key. */
-function createConfiguration() {
+export function createConfiguration() {
   const route = (name, kind) => ({
     Name: name,
     Host: 'desk.example',
--- a/review/common-3/platformStore.mjs
+++ b/review/common-3/platformStore.mjs
@@ -4,7 +4,7 @@
 export class PlatformStore {
   constructor() {
     Object.assign(this, { items: new Map(), leases: new Map(), waiting: new Set(), events: [] });
-    Object.assign(this, { revision: 1, lastLease: 0 });
+    Object.assign(this, { revision: 1, lastLease: 0, era: 1, isAway: false });
   }
 
   async start(ip = '127.0.0.1') {
@@ -44,6 +44,23 @@
     this.events.push(item);
   }
 
+  /** Returns what the store holds, as a copy from which it may come back. */
+  copy() {
+    const { items, leases, events, revision, lastLease } = this;
+    return { items: [...items], leases: [...leases], events: [...events], revision, lastLease };
+  }
+
+  /** Goes away for a moment and comes back from a copy; what was written since is lost. */
+  async restore({ items, leases, events, revision, lastLease }, awayMs) {
+    this.isAway = true;
+    this.server.closeAllConnections();
+    await new Promise((resolve) => {
+      setTimeout(resolve, awayMs);
+    });
+    Object.assign(this, { items: new Map(items), leases: new Map(leases), events, revision });
+    Object.assign(this, { lastLease, era: this.era + 1, isAway: false });
+  }
+
   wake() {
     [...this.waiting].forEach((check) => check());
   }
@@ -60,6 +77,11 @@
   }
 
   async handle(request, response) {
+    if (this.isAway) {
+      request.socket.destroy();
+      return;
+    }
+    response.setHeader('Store-Era', this.era);
     const parts = [];
     for await (const part of request) parts.push(part);
     const url = new URL(request.url, 'http://store');
