--- a/review/common-3/desk.mjs
+++ b/review/common-3/desk.mjs
@@ -5,6 +5,7 @@
 import { children, pickPorts, root, sleep } from './run.mjs';
 
 export const ip = '127.0.0.1';
+const otherIp = '127.0.0.2';
 /** `TimeoutMs` of the routes. */
 export const timeoutMs = 1_500;
 
@@ -49,10 +50,10 @@
 }
 
 /** Starts one entry before four servers of one service, which run in one process and send `answerBytes`. */
-export async function startDesk(answerBytes = 800) {
+export async function startDesk(answerBytes = 800, configuration = createConfiguration()) {
   const store = await new PlatformStore().start();
   const { line: enginePort } = await startHelper('engine.mjs', answerBytes);
-  store.write('op/config', createConfiguration());
+  store.write('op/config', configuration);
   for (let server = 0; server < 4; server += 1)
     store.write(`servers/i-${server}`, {
       Service: 'desk',
@@ -65,9 +66,17 @@
       Seq: 1,
       born: 1_700_000_000_000,
     });
-  const ports = await pickPorts([ip]);
+  const ports = await pickPorts([ip, otherIp]);
   const entry = new Program('entry', { name: 'front-1', ip, store, ports }).start();
   await entry.ready();
   await sleep(1_000);
   return { entry, ports, store, enginePort: Number(enginePort) };
 }
+
+/** Starts a second entry, on another address. */
+export async function startEntryBeside(store, ports) {
+  const entry = new Program('entry', { name: 'front-2', ip: otherIp, store, ports }).start();
+  await entry.ready();
+  await sleep(500);
+  return entry;
+}
